Lay the house: build, checks, base libraries and the shared interfaces

Cause: an empty repository; the packages are to be built side by side. Ruled out: -O3 (GCC 12 then reports overflows inside std::string that cannot happen); one header per package instead of per library. Conclusion: the packages can start.

--- /dev/null
+++ b/bergamot/base/logging.cpp
@@ -0,0 +1,107 @@
+#include "bergamot/base/logging.h"
+
+#include <log4cplus/config.hxx>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+namespace bergamot
+{
+
+namespace
+{
+
+std::atomic<bool> s_initialized {false};
+
+log4cplus::LogLevel nativeLevel(LogLevel level)
+{
+    switch (level) {
+    case LogLevel::Debug:
+        return log4cplus::DEBUG_LOG_LEVEL;
+    case LogLevel::Info:
+        return log4cplus::INFO_LOG_LEVEL;
+    case LogLevel::Warning:
+        return log4cplus::WARN_LOG_LEVEL;
+    case LogLevel::Error:
+        return log4cplus::ERROR_LOG_LEVEL;
+    }
+    return log4cplus::INFO_LOG_LEVEL;
+}
+
+} // namespace
+
+Result<LogLevel> parseLogLevel(std::string_view name)
+{
+    static const std::map<std::string_view, LogLevel> levels = {
+        {"debug", LogLevel::Debug},
+        {"info", LogLevel::Info},
+        {"warning", LogLevel::Warning},
+        {"error", LogLevel::Error},
+    };
+    const auto found = levels.find(name);
+    if (found == levels.end()) {
+        return failure(ErrorCode::InvalidArgument,
+                       "'" + std::string(name) + "' is no log level; write debug, info, warning or error");
+    }
+    return found->second;
+}
+
+std::string isLogLevel(const std::string &value)
+{
+    const Result<LogLevel> level = parseLogLevel(value);
+    return level ? std::string() : level.error().message;
+}
+
+void initializeLogging(LogLevel level)
+{
+    static const log4cplus::Initializer initializer;
+    const log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%D{%H:%M:%S.%q} %-5p [%c] %m%n")));
+    log4cplus::Logger root = log4cplus::Logger::getRoot();
+    root.addAppender(appender);
+    root.setLogLevel(nativeLevel(level));
+    s_initialized = true;
+}
+
+struct PartLogger::Impl
+{
+    std::string part;
+
+    void write(LogLevel level, const std::string &sentence) const
+    {
+        if (!s_initialized) {
+            return;
+        }
+        log4cplus::Logger::getInstance(part).log(nativeLevel(level), sentence);
+    }
+};
+
+PartLogger::PartLogger(std::string part)
+    : m_impl(std::make_unique<Impl>(Impl {std::move(part)}))
+{ }
+
+PartLogger::~PartLogger() = default;
+
+void PartLogger::debug(const std::string &sentence) const
+{
+    m_impl->write(LogLevel::Debug, sentence);
+}
+
+void PartLogger::info(const std::string &sentence) const
+{
+    m_impl->write(LogLevel::Info, sentence);
+}
+
+void PartLogger::warning(const std::string &sentence) const
+{
+    m_impl->write(LogLevel::Warning, sentence);
+}
+
+void PartLogger::error(const std::string &sentence) const
+{
+    m_impl->write(LogLevel::Error, sentence);
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/base/settings.cpp
@@ -0,0 +1,193 @@
+#include "bergamot/base/settings.h"
+
+#include <charconv>
+#include <iostream>
+#include <sstream>
+
+#include "bergamot/base/address.h"
+#include "bergamot/base/version.h"
+
+namespace bergamot
+{
+
+namespace po = boost::program_options;
+
+namespace
+{
+
+constexpr std::string_view EnvironmentPrefix = "BERGAMOT_";
+constexpr int BadSettingsExitCode = 2;
+
+std::string environmentName(const std::string &setting)
+{
+    std::string name(EnvironmentPrefix);
+    for (const char letter : setting) {
+        name += letter == '-' ? '_' : static_cast<char>(std::toupper(static_cast<unsigned char>(letter)));
+    }
+    return name;
+}
+
+} // namespace
+
+SettingsParser::SettingsParser(std::string program, std::string purpose)
+    : m_program(std::move(program))
+    , m_purpose(std::move(purpose))
+    , m_description("Settings")
+{
+    m_description.add_options()("help", "Show this text.")("version", "Show the version.")(
+        "check-settings", "Check the settings, report every error and stop.");
+}
+
+void SettingsParser::require(const std::string &name, const std::string &help, Check check)
+{
+    const std::string text = help + " Required.";
+    m_description.add_options()(name.c_str(), po::value<std::string>(), text.c_str());
+    m_settings.push_back({name, std::move(check), true});
+}
+
+void SettingsParser::optional(const std::string &name,
+                              const std::string &fallback,
+                              const std::string &help,
+                              Check check)
+{
+    m_description.add_options()(name.c_str(), po::value<std::string>()->default_value(fallback), help.c_str());
+    m_settings.push_back({name, std::move(check), false});
+}
+
+void SettingsParser::positional(const std::string &name, const std::string &help)
+{
+    m_description.add_options()(name.c_str(), po::value<std::vector<std::string>>(), help.c_str());
+    m_positional.add(name.c_str(), -1);
+}
+
+SettingsOutcome SettingsParser::parse(int argc, const char *const *argv)
+{
+    try {
+        po::store(po::command_line_parser(argc, argv).options(m_description).positional(m_positional).run(), m_values);
+        po::store(po::parse_environment(m_description,
+                                        [this](const std::string &variable) {
+                                            for (const Setting &setting : m_settings) {
+                                                if (environmentName(setting.name) == variable) {
+                                                    return setting.name;
+                                                }
+                                            }
+                                            return std::string();
+                                        }),
+                  m_values);
+        po::notify(m_values);
+    } catch (const po::error &error) {
+        std::cerr << m_program << ": " << error.what() << "; see --help\n";
+        return {BadSettingsExitCode};
+    }
+    if (m_values.count("help") != 0) {
+        printHelp();
+        return {0};
+    }
+    if (m_values.count("version") != 0) {
+        std::cout << m_program << " " << Version << "\n";
+        return {0};
+    }
+    const std::vector<std::string> found = problems();
+    for (const std::string &problem : found) {
+        std::cerr << m_program << ": " << problem << "\n";
+    }
+    if (!found.empty()) {
+        return {BadSettingsExitCode};
+    }
+    if (m_values.count("check-settings") != 0) {
+        std::cout << m_program << ": the settings are valid\n";
+        return {0};
+    }
+    return {};
+}
+
+std::vector<std::string> SettingsParser::problems() const
+{
+    std::vector<std::string> problems;
+    for (const Setting &setting : m_settings) {
+        if (setting.required && text(setting.name).empty()) {
+            problems.push_back("--" + setting.name + " (" + environmentName(setting.name) + ") is required");
+            continue;
+        }
+        if (!setting.check) {
+            continue;
+        }
+        const std::string problem = setting.check(text(setting.name));
+        if (!problem.empty()) {
+            problems.push_back("--" + setting.name + " (" + environmentName(setting.name) + "): " + problem);
+        }
+    }
+    return problems;
+}
+
+void SettingsParser::printHelp() const
+{
+    std::cout << m_program << ": " << m_purpose << "\n\n"
+              << m_description << "\nEach setting can also be given in the environment: --" << m_settings.front().name
+              << " as " << environmentName(m_settings.front().name) << ".\n";
+}
+
+std::string SettingsParser::text(const std::string &name) const
+{
+    const auto found = m_values.find(name);
+    return found == m_values.end() ? std::string() : found->second.as<std::string>();
+}
+
+std::vector<std::string> SettingsParser::words(const std::string &name) const
+{
+    const auto found = m_values.find(name);
+    return found == m_values.end() ? std::vector<std::string>() : found->second.as<std::vector<std::string>>();
+}
+
+std::uint64_t SettingsParser::number(const std::string &name) const
+{
+    const std::string value = text(name);
+    std::uint64_t number = 0;
+    std::from_chars(value.data(), value.data() + value.size(), number);
+    return number;
+}
+
+std::chrono::milliseconds SettingsParser::milliseconds(const std::string &name) const
+{
+    return std::chrono::milliseconds(number(name));
+}
+
+std::string isAddress(const std::string &value)
+{
+    const Result<Address> address = parseAddress(value);
+    return address ? std::string() : address.error().message;
+}
+
+std::string isAddressList(const std::string &value)
+{
+    std::string problems;
+    for (const std::string &part : splitList(value)) {
+        const std::string problem = isAddress(part);
+        problems += problems.empty() || problem.empty() ? problem : ", " + problem;
+    }
+    return problems;
+}
+
+std::string isWholeNumber(const std::string &value)
+{
+    std::uint64_t number = 0;
+    const auto [end, status] = std::from_chars(value.data(), value.data() + value.size(), number);
+    if (value.empty() || status != std::errc() || end != value.data() + value.size()) {
+        return "'" + value + "' is not a whole number, 0 or more";
+    }
+    return {};
+}
+
+std::vector<std::string> splitList(const std::string &value)
+{
+    std::vector<std::string> parts;
+    std::stringstream stream(value);
+    for (std::string part; std::getline(stream, part, ',');) {
+        if (!part.empty()) {
+            parts.push_back(part);
+        }
+    }
+    return parts;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/pch.cpp
@@ -0,0 +1,1 @@
+// The precompiled header needs one source to be built with.
