--- /dev/null
+++ b/bergamot/membership/digest_schedule.cpp
@@ -0,0 +1,76 @@
+#include "bergamot/membership/digest_schedule.h"
+
+namespace bergamot
+{
+
+DigestSchedule::DigestSchedule(DigestScheduleOptions options)
+    : m_options(options)
+{ }
+
+bool DigestSchedule::isDue(const std::string &peer, TimePoint now) const
+{
+    const auto entry = m_entries.find(peer);
+    if (entry == m_entries.end()) {
+        return true;
+    }
+    if (entry->second.inFlight && now - entry->second.sentAt < m_options.timeout) {
+        return false;
+    }
+    return now >= entry->second.next;
+}
+
+void DigestSchedule::sent(const std::string &peer, std::uint64_t reportTick, Duration period, TimePoint now)
+{
+    Entry &entry = m_entries[peer];
+    entry.inFlight = true;
+    entry.sentAt = now;
+    entry.next = now + period;
+    entry.reportsSent = reportTick;
+}
+
+void DigestSchedule::answered(const std::string &peer)
+{
+    Entry &entry = m_entries[peer];
+    entry.inFlight = false;
+    entry.reportsKnown = entry.reportsSent;
+}
+
+void DigestSchedule::failed(const std::string &peer)
+{
+    Entry &entry = m_entries[peer];
+    entry.inFlight = false;
+    entry.reportsKnown = 0;
+}
+
+void DigestSchedule::hurry(const std::string &peer)
+{
+    if (const auto entry = m_entries.find(peer); entry != m_entries.end()) {
+        entry->second.next = TimePoint {};
+    }
+}
+
+void DigestSchedule::hurryAll()
+{
+    for (auto &[peer, entry] : m_entries) {
+        entry.next = TimePoint {};
+    }
+}
+
+std::uint64_t DigestSchedule::reportsKnownBy(const std::string &peer, TimePoint now)
+{
+    Entry &entry = m_entries[peer];
+    if (now - entry.refreshedAt >= m_options.reportRefresh) {
+        entry.refreshedAt = now;
+        entry.reportsKnown = 0;
+    }
+    return entry.reportsKnown;
+}
+
+void DigestSchedule::expire(Duration age, TimePoint now)
+{
+    std::erase_if(m_entries, [age, now](const auto &entry) {
+        return now - entry.second.sentAt > age;
+    });
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/membership/dissemination.cpp
@@ -0,0 +1,423 @@
+#include "bergamot/membership/dissemination.h"
+
+#include <algorithm>
+
+#include "bergamot/base/hash.h"
+#include "bergamot/membership/internal/dissemination_limits.h"
+#include "bergamot/membership/relay_choice.h"
+
+namespace bergamot
+{
+
+using namespace internal;
+
+namespace
+{
+
+constexpr Duration RebuildPeriod = std::chrono::milliseconds(250);
+constexpr Duration ListTimeout = std::chrono::seconds(5);
+constexpr std::uint64_t EpochBits = (std::uint64_t {1} << 31U) - 1;
+constexpr Duration AssignPeriod = std::chrono::seconds(1);
+
+Duration checkpointDelay(const InstanceId &instance, const std::string &stream, Duration period)
+{
+    constexpr std::uint64_t Steps = 1000;
+    const auto step = static_cast<std::int64_t>(rendezvousWeight("checkpoint/" + stream, instance.value()) % Steps);
+    return period * step / Steps;
+}
+
+} // namespace
+
+Dissemination::Dissemination(DisseminationOptions options,
+                             std::vector<StreamReplica *> replicas,
+                             std::function<std::uint64_t()> configVersion)
+    : m_options(std::move(options))
+    , m_replicas(std::move(replicas))
+    , m_configVersion(std::move(configVersion))
+    , m_members(m_options.self, m_options.memberTimes)
+    , m_builder(m_options.self.domain)
+    , m_table(m_options.self.domain)
+{
+    for (StreamReplica *replica : m_replicas) {
+        const Duration delay =
+            checkpointDelay(m_options.self.instance, replica->stream(), m_options.logTail.checkpointPeriod);
+        m_tails.emplace_back(*replica, m_options.logTail, delay);
+    }
+}
+
+std::vector<Action> Dissemination::tick(TimePoint now)
+{
+    m_startedAt = m_startedAt.value_or(now);
+    m_members.setConfigVersion(m_configVersion());
+    std::erase_if(m_news, [now](const News &news) {
+        return now >= news.until;
+    });
+    updateRole(now);
+    if (m_isRelay && now >= m_nextRebuild) {
+        rebuildTable(now);
+    }
+    std::vector<Action> actions;
+    addLogReads(actions, now);
+    addListFetch(actions, now);
+    addPolls(actions, now);
+    addDigests(actions, now);
+    return actions;
+}
+
+bool Dissemination::isOwnDomain(const std::string &domain) const
+{
+    return domain == m_options.self.domain.value();
+}
+
+void Dissemination::updateRole(TimePoint now)
+{
+    const FailureDomainId &domain = m_options.self.domain;
+    const bool isRelayNow = bergamot::isRelay(domain, m_members.eligible(domain, now), m_options.self.instance);
+    if (isRelayNow && !m_isRelay) {
+        becomeRelay(now);
+    } else if (!isRelayNow && m_isRelay) {
+        m_primary.clear();
+        m_seenTick = 0;
+        m_lastRelayAnswer = now;
+    }
+    m_isRelay = isRelayNow;
+}
+
+void Dissemination::becomeRelay(TimePoint now)
+{
+    m_members.startJudging(now);
+    if (!m_builder.hasList()) {
+        std::vector<inner::EndpointT> endpoints;
+        for (const auto &[id, row] : m_table.endpoints.rows()) {
+            endpoints.push_back(row.value);
+        }
+        m_builder.adoptList(endpoints);
+    }
+    const std::string start = m_options.self.instance.value() + '/' + std::to_string(m_options.incarnation) + '/'
+        + std::to_string(++m_roleChanges);
+    m_epoch = 1 + stableHash(start) % EpochBits;
+    m_tick = m_epoch * TicksPerEpoch;
+    m_table.restamp(nextTick());
+    for (const auto &[name, row] : m_table.suspects.rows()) {
+        m_suspectsSeen.try_emplace(name, now);
+    }
+    m_nextRebuild = now;
+}
+
+std::uint64_t Dissemination::nextTick()
+{
+    return ++m_tick;
+}
+
+void Dissemination::rebuildTable(TimePoint now)
+{
+    m_nextRebuild = now + RebuildPeriod;
+    nextTick();
+    std::erase_if(m_loadsSent, [this, now](const auto &entry) {
+        return now - entry.second > std::max(loadPeriod(), PeerLifetime);
+    });
+    m_builder.expire(now);
+    rebuildEndpoints(now);
+    rebuildMembers(now);
+    expireSuspects(now);
+    const std::uint64_t kept = m_tick - std::min(m_tick - m_epoch * TicksPerEpoch, RemovalsKept);
+    m_table.endpoints.forgetRemovedBefore(kept);
+    m_table.members.forgetRemovedBefore(kept);
+    m_table.suspects.forgetRemovedBefore(kept);
+    ++m_revision;
+}
+
+void Dissemination::rebuildEndpoints(TimePoint now)
+{
+    for (const inner::EndpointReportT &report : m_poller.reports()) {
+        m_builder.report(m_options.self.instance.value(), report, now);
+    }
+    m_builder.reportLoads(m_options.self.instance.value(), m_poller.loads(), now);
+    std::set<std::string> names;
+    for (inner::EndpointT &endpoint : m_builder.endpoints(now)) {
+        names.insert(endpoint.id);
+        const std::uint64_t fingerprint = fingerprintOf(endpoint);
+        const std::string id = endpoint.id;
+        m_table.endpoints.put(id, std::move(endpoint), fingerprint, m_tick);
+    }
+    m_table.endpoints.keepOnly(names, m_tick);
+}
+
+void Dissemination::rebuildMembers(TimePoint now)
+{
+    std::set<std::string> names;
+    const std::vector<inner::MemberStatusT> statuses = m_members.statuses(now);
+    for (const inner::MemberStatusT &status : statuses) {
+        names.insert(status.instance);
+        m_table.members.put(status.instance, status, fingerprintOf(status), m_tick);
+    }
+    m_table.members.keepOnly(names, m_tick);
+    const inner::DomainSummaryT own = summarize(m_options.self.domain, statuses);
+    m_table.domains.put(own.domain, own, fingerprintOf(own), m_tick);
+    for (const inner::DomainSummaryT &summary : m_summaries.all(now)) {
+        m_table.domains.put(summary.domain, summary, fingerprintOf(summary), m_tick);
+    }
+}
+
+void Dissemination::expireSuspects(TimePoint now)
+{
+    for (auto seen = m_suspectsSeen.begin(); seen != m_suspectsSeen.end();) {
+        if (now - seen->second > m_options.suspectLifetime) {
+            m_table.suspects.remove(seen->first, m_tick);
+            seen = m_suspectsSeen.erase(seen);
+        } else {
+            ++seen;
+        }
+    }
+}
+
+void Dissemination::addLogReads(std::vector<Action> &actions, TimePoint now)
+{
+    if (!m_isRelay && m_options.logReaders == LogReaders::Relays) {
+        return;
+    }
+    for (LogTail &tail : m_tails) {
+        if (const std::optional<LogRead> read = tail.nextRead(now)) {
+            actions.emplace_back(ReadLog {tail.stream(), *read});
+        }
+        if (!m_isRelay) {
+            continue;
+        }
+        if (const std::optional<Checkpoint> checkpoint = tail.dueCheckpoint(now)) {
+            actions.emplace_back(AppendCheckpoint {tail.stream(), toPayload(*checkpoint)});
+        }
+    }
+}
+
+void Dissemination::addListFetch(std::vector<Action> &actions, TimePoint now)
+{
+    const bool isInFlight = m_listInFlight && now - m_listSentAt < ListTimeout;
+    if (isInFlight || now < m_nextList || (!m_isRelay && !isOrphaned(now))) {
+        return;
+    }
+    m_listInFlight = true;
+    m_listSentAt = now;
+    m_nextList = now + listPeriod();
+    actions.emplace_back(FetchList {});
+}
+
+void Dissemination::addPolls(std::vector<Action> &actions, TimePoint now)
+{
+    if (now >= m_nextAssign) {
+        m_nextAssign = now + AssignPeriod;
+        m_members.expire(now);
+        assignPolls(now);
+    }
+    for (EndpointPoll &poll : m_poller.due(now)) {
+        actions.emplace_back(std::move(poll));
+    }
+}
+
+void Dissemination::assignPolls(TimePoint now)
+{
+    const std::vector<InstanceId> candidates = m_members.eligible(m_options.self.domain, now);
+    std::vector<EndpointPoll> mine;
+    for (const auto &[id, row] : m_table.endpoints.rows()) {
+        const Result<Address> address = parseAddress(row.value.address);
+        if (!isOwnDomain(row.value.domain) || !address) {
+            continue;
+        }
+        const std::vector<InstanceId> pollers = pollersOf(EndpointId(id), candidates);
+        if (std::find(pollers.begin(), pollers.end(), m_options.self.instance) != pollers.end()) {
+            mine.push_back({EndpointId(id), row.value.kind, *address});
+        }
+    }
+    m_poller.assign(mine);
+}
+
+std::vector<InstanceId> Dissemination::contacts(TimePoint now) const
+{
+    const FailureDomainId &domain = m_options.self.domain;
+    std::vector<InstanceId> relays = relaysOf(domain, m_members.eligible(domain, now));
+    std::erase(relays, m_options.self.instance);
+    return contactOrder(m_options.self.instance, relays);
+}
+
+void Dissemination::addDigests(std::vector<Action> &actions, TimePoint now)
+{
+    const std::vector<InstanceId> relays = contacts(now);
+    choosePrimary(relays, now);
+    for (const InstanceId &relay : relays) {
+        addDigest(actions, relay, digestPeriod(now), now);
+    }
+    for (const InstanceId &peer : std::exchange(m_ahead, {})) {
+        addDigest(actions, peer, m_options.digestPeriod, now);
+    }
+    if (m_isRelay) {
+        addCrossDomainDigests(actions, now);
+    }
+    const bool isAlone = relays.empty() && (!m_builder.hasList() || m_members.domains().size() == 1);
+    if (isAlone || isOrphaned(now)) {
+        addSeedDigests(actions, now);
+    }
+    m_schedule.expire(PeerLifetime, now);
+}
+
+void Dissemination::choosePrimary(const std::vector<InstanceId> &relays, TimePoint now)
+{
+    std::erase_if(m_lastWithoutDelta, [this, now](const auto &entry) {
+        return now - entry.second > m_options.orphanedAfter;
+    });
+    const auto servesDeltas = [this](const InstanceId &relay) {
+        return !m_lastWithoutDelta.contains(relay.value());
+    };
+    auto choice = std::find_if(relays.begin(), relays.end(), servesDeltas);
+    choice = choice == relays.end() ? relays.begin() : choice;
+    const std::string primary = relays.empty() || m_isRelay ? std::string() : choice->value();
+    if (primary != m_primary) {
+        m_primary = primary;
+        m_seenTick = 0;
+    }
+}
+
+void Dissemination::addCrossDomainDigests(std::vector<Action> &actions, TimePoint now)
+{
+    const Duration period = isLogCurrent(now) ? m_options.crossDomainPeriod : m_options.digestPeriod;
+    for (const FailureDomainId &domain : m_members.domains()) {
+        if (domain == m_options.self.domain) {
+            continue;
+        }
+        std::vector<InstanceId> relays = relaysOf(domain, m_members.eligible(domain, now));
+        relays = contactOrder(m_options.self.instance, relays);
+        if (!relays.empty()) {
+            addDigest(actions, relays.front(), period, now);
+        }
+    }
+}
+
+void Dissemination::addSeedDigests(std::vector<Action> &actions, TimePoint now)
+{
+    for (const std::string &address : m_options.seedPeers) {
+        const std::string peer = std::string(SeedPrefix) + address;
+        if (address != m_options.self.controlAddress && m_schedule.isDue(peer, now)) {
+            send(actions, peer, address, m_options.digestPeriod, now);
+        }
+    }
+}
+
+void Dissemination::addDigest(std::vector<Action> &actions, const InstanceId &to, Duration period, TimePoint now)
+{
+    const std::optional<Member> member = m_members.find(to);
+    if (member && !member->controlAddress.empty() && m_schedule.isDue(to.value(), now)) {
+        send(actions, to.value(), member->controlAddress, period, now);
+    }
+}
+
+void Dissemination::send(
+    std::vector<Action> &actions, const std::string &peer, std::string address, Duration period, TimePoint now)
+{
+    actions.emplace_back(SendDigest {peer, std::move(address), makeDigest(peer, now)});
+    m_schedule.sent(peer, m_poller.tick(), period, now);
+}
+
+inner::DigestT Dissemination::makeDigest(const std::string &peer, TimePoint now)
+{
+    const Member &self = m_members.self();
+    inner::DigestT digest;
+    for (const StreamReplica *replica : m_replicas) {
+        auto position = std::make_unique<inner::StreamPositionT>();
+        position->stream = replica->stream();
+        position->applied = replica->applied();
+        digest.positions.push_back(std::move(position));
+    }
+    digest.config_version = m_configVersion();
+    digest.draining = self.draining;
+    digest.control_address = self.controlAddress;
+    digest.entry_address = self.entryAddress;
+    const std::optional<Member> member = m_members.find(InstanceId(peer));
+    const bool isNeighbour = member && isOwnDomain(member->domain.value());
+    const bool isBare = m_isRelay ? !m_builder.hasList() : m_table.members.rows().empty();
+    digest.want_delta = peer == m_primary || (isBare && (isNeighbour || peer.starts_with(SeedPrefix)));
+    digest.seen_tick = peer == m_primary ? m_seenTick : 0;
+    if (!isNeighbour) {
+        return digest;
+    }
+    for (inner::EndpointReportT &report : m_poller.reportsSince(m_schedule.reportsKnownBy(peer, now))) {
+        digest.reports.push_back(std::make_unique<inner::EndpointReportT>(std::move(report)));
+    }
+    digest.loads = m_poller.loads();
+    for (const News &news : m_news) {
+        digest.suspects.push_back(std::make_unique<inner::SuspectT>(news.suspect));
+    }
+    for (const auto &[model, row] : m_table.published.rows()) {
+        digest.published.push_back(std::make_unique<inner::PublishedVersionT>(row.value));
+    }
+    return digest;
+}
+
+Duration Dissemination::digestPeriod(TimePoint now) const
+{
+    const std::size_t members = m_members.eligible(m_options.self.domain, now).size();
+    const std::size_t base = m_options.membersAtDigestPeriod;
+    return members <= base
+        ? m_options.digestPeriod
+        : m_options.digestPeriod * static_cast<std::int64_t>(members) / static_cast<std::int64_t>(base);
+}
+
+Duration Dissemination::listPeriod() const
+{
+    return std::max(m_options.listPeriod, m_options.listPeriodPerEntry * static_cast<std::int64_t>(m_listEntries));
+}
+
+bool Dissemination::isOrphaned(TimePoint now) const
+{
+    return !m_isRelay && now - m_lastRelayAnswer.value_or(*m_startedAt) > m_options.orphanedAfter;
+}
+
+bool Dissemination::isLogCurrent(TimePoint now) const
+{
+    return std::all_of(m_tails.begin(), m_tails.end(), [now](const LogTail &tail) {
+        return tail.isCurrent(now);
+    });
+}
+
+void Dissemination::startDraining()
+{
+    m_members.setDraining();
+    m_schedule.hurryAll();
+}
+
+bool Dissemination::isRelay() const
+{
+    return m_isRelay;
+}
+
+bool Dissemination::isConfirmed() const
+{
+    return m_isConfirmed;
+}
+
+inner::ViewT Dissemination::view(TimePoint now) const
+{
+    inner::ViewT view = m_table.view();
+    view.confirmed = m_isConfirmed;
+    const auto isSelf = [this](const std::unique_ptr<inner::MemberStatusT> &member) {
+        return member->instance == m_options.self.instance.value();
+    };
+    if (std::none_of(view.members.begin(), view.members.end(), isSelf)) {
+        view.members.push_back(std::make_unique<inner::MemberStatusT>(m_members.statuses(now).front()));
+    }
+    return view;
+}
+
+std::uint64_t Dissemination::viewRevision() const
+{
+    return m_revision;
+}
+
+FleetStatus Dissemination::status() const
+{
+    return fleetStatus(m_table, m_options.self.domain, m_configVersion());
+}
+
+const MemberTable &Dissemination::members() const
+{
+    return m_members;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/membership/internal/simulated_fleet.cpp
@@ -0,0 +1,493 @@
+#include "bergamot/membership/internal/simulated_fleet.h"
+
+#include "bergamot/protocol/frame.h"
+
+namespace bergamot::internal
+{
+
+namespace
+{
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(100);
+constexpr Duration Latency = std::chrono::milliseconds(2);
+constexpr Duration PlatformLatency = std::chrono::milliseconds(5);
+constexpr Duration RequestTimeout = std::chrono::seconds(1);
+constexpr std::uint16_t EnginePort = 9000;
+constexpr std::string_view Stream = "config";
+constexpr std::string_view ChangeKind = "set";
+
+Address nodeAddress(std::uint64_t start)
+{
+    return {"10.0." + std::to_string(start / 250) + "." + std::to_string(start % 250), 7000};
+}
+
+} // namespace
+
+void CountingFold::apply(const StoredRecord &stored)
+{
+    m_everFell = m_everFell || stored.offset != m_applied + 1;
+    m_applied = stored.offset;
+    if (stored.record.kind == ChangeKind) {
+        ++m_version;
+    }
+}
+
+Offset CountingFold::applied() const
+{
+    return m_applied;
+}
+
+std::string CountingFold::checkpoint() const
+{
+    return std::to_string(m_version);
+}
+
+Result<void> CountingFold::restore(const std::string &checkpoint, Offset offset)
+{
+    if (offset < m_applied) {
+        return failure(ErrorCode::Conflict, "the checkpoint is older");
+    }
+    const std::uint64_t version = std::stoull(checkpoint);
+    m_everFell = m_everFell || version < m_version;
+    m_version = version;
+    m_applied = offset;
+    return {};
+}
+
+std::uint64_t CountingFold::version() const
+{
+    return m_version;
+}
+
+bool CountingFold::everFell() const
+{
+    return m_everFell;
+}
+
+SimulatedFleet::SimulatedFleet(SimulatedFleetOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    for (std::size_t domain = 0; domain < m_options.domains; ++domain) {
+        for (std::size_t index = 0; index < m_options.enginesPerDomain; ++index) {
+            const std::string id = engineName(domain, index);
+            const auto host = static_cast<std::uint16_t>(EnginePort + index);
+            m_list[id] = {ListedKind::Engine,
+                          id,
+                          FailureDomainId(domainName(domain)),
+                          {"10.9.0." + std::to_string(domain), host},
+                          ListedState::Live,
+                          "model"};
+            m_engines[id] = EngineState {ModelId("model"), 1, 0, 3, 1, 8};
+        }
+        for (std::size_t index = 0; index < m_options.instancesPerDomain; ++index) {
+            start(instanceName(domain, index), domainName(domain));
+        }
+    }
+}
+
+std::string SimulatedFleet::domainName(std::size_t index)
+{
+    return "d" + std::to_string(index);
+}
+
+std::string SimulatedFleet::instanceName(std::size_t domain, std::size_t index)
+{
+    return domainName(domain) + "-i" + std::to_string(index);
+}
+
+std::string SimulatedFleet::engineName(std::size_t domain, std::size_t index)
+{
+    return domainName(domain) + "-e" + std::to_string(index);
+}
+
+void SimulatedFleet::start(const std::string &instance, const std::string &domain, std::vector<std::string> seedPeers)
+{
+    const auto node = std::make_shared<Node>();
+    const Address address = nodeAddress(++m_starts);
+    node->name = instance;
+    node->domain = domain;
+    node->address = toString(address);
+    node->fold = std::make_unique<CountingFold>();
+    node->replica = std::make_unique<StreamReplica>(std::string(Stream), *node->fold);
+    DisseminationOptions options;
+    options.self = {InstanceId(instance), FailureDomainId(domain), node->address, node->address};
+    options.incarnation = m_starts;
+    options.seedPeers = std::move(seedPeers);
+    options.logReaders = m_options.logReaders;
+    options.logTail.checkpointPeriod = m_options.checkpointPeriod;
+    node->decision =
+        std::make_unique<Dissemination>(options, std::vector {node->replica.get()}, [fold = node->fold.get()] {
+            return fold->version();
+        });
+    m_nodes[instance] = node;
+    m_byAddress[node->address] = node;
+    m_list[instance] = {ListedKind::Instance, instance, FailureDomainId(domain), address, ListedState::Live, ""};
+    recordList();
+    scheduleTick(node, std::chrono::milliseconds(m_random() % 100));
+}
+
+void SimulatedFleet::kill(const std::string &instance)
+{
+    if (const auto node = m_nodes.find(instance); node != m_nodes.end()) {
+        m_anyFell = m_anyFell || node->second->fold->everFell();
+        m_nodes.erase(node);
+    }
+}
+
+void SimulatedFleet::unlist(const std::string &instance)
+{
+    m_list.erase(instance);
+    recordList();
+}
+
+void SimulatedFleet::setLogOut(bool isOut)
+{
+    m_isLogOut = isOut;
+}
+
+void SimulatedFleet::setListOut(bool isOut)
+{
+    m_isListOut = isOut;
+}
+
+void SimulatedFleet::expireLogBefore(Offset firstRetained)
+{
+    m_firstRetained = firstRetained;
+}
+
+void SimulatedFleet::cutFromPlatform(const std::string &domain, bool isCut)
+{
+    if (isCut) {
+        m_platformCuts.insert(domain);
+    } else {
+        m_platformCuts.erase(domain);
+    }
+}
+
+void SimulatedFleet::cutDomains(const std::string &left, const std::string &right, bool isCut)
+{
+    const auto pair = std::minmax(left, right);
+    if (isCut) {
+        m_cuts.insert(pair);
+    } else {
+        m_cuts.erase(pair);
+    }
+}
+
+void SimulatedFleet::setEngine(const std::string &endpoint, std::optional<EngineState> state)
+{
+    m_engines[endpoint] = std::move(state);
+}
+
+void SimulatedFleet::recordList()
+{
+    std::vector<ListedMember> &list = m_listHistory[m_now];
+    list.clear();
+    for (const auto &[id, member] : m_list) {
+        list.push_back(member);
+    }
+}
+
+std::vector<ListedMember> SimulatedFleet::visibleList() const
+{
+    auto entry = m_listHistory.upper_bound(m_now - m_options.listLag);
+    return entry == m_listHistory.begin() ? entry->second : std::prev(entry)->second;
+}
+
+void SimulatedFleet::at(Duration delay, Event event)
+{
+    m_events.emplace(m_now + delay, std::move(event));
+}
+
+void SimulatedFleet::run(Duration span)
+{
+    const TimePoint end = m_now + span;
+    while (!m_events.empty() && m_events.begin()->first <= end) {
+        auto event = m_events.extract(m_events.begin());
+        m_now = event.key();
+        event.mapped()();
+    }
+    m_now = end;
+}
+
+void SimulatedFleet::scheduleTick(const std::weak_ptr<Node> &node, Duration delay)
+{
+    at(delay, [this, node] {
+        const NodePtr alive = node.lock();
+        if (!alive) {
+            return;
+        }
+        for (Action &action : alive->decision->tick(m_now)) {
+            perform(alive, std::move(action));
+        }
+        scheduleTick(node, TickPeriod);
+    });
+}
+
+void SimulatedFleet::perform(const NodePtr &node, Action action)
+{
+    if (auto *digest = std::get_if<SendDigest>(&action)) {
+        sendDigest(node, std::move(*digest));
+    } else if (const auto *read = std::get_if<ReadLog>(&action)) {
+        readLog(node, *read);
+    } else if (const auto *checkpoint = std::get_if<AppendCheckpoint>(&action)) {
+        appendCheckpoint(node, *checkpoint);
+    } else if (std::holds_alternative<FetchList>(action)) {
+        fetchList(node);
+    } else if (const auto *endpoint = std::get_if<EndpointPoll>(&action)) {
+        poll(node, *endpoint);
+    }
+}
+
+SimulatedFleet::NodePtr SimulatedFleet::byAddress(const std::string &address) const
+{
+    const auto entry = m_byAddress.find(address);
+    return entry == m_byAddress.end() ? nullptr : entry->second.lock();
+}
+
+bool SimulatedFleet::isLost(const Node &from, const Node &to)
+{
+    if (m_cuts.contains(std::minmax(from.domain, to.domain))) {
+        return true;
+    }
+    return std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.dropProbability;
+}
+
+bool SimulatedFleet::isPlatformCut(const Node &node) const
+{
+    return m_platformCuts.contains(node.domain);
+}
+
+void SimulatedFleet::fail(const NodePtr &node, const std::string &peer, Duration delay)
+{
+    at(delay, [this, weak = std::weak_ptr(node), peer] {
+        if (const NodePtr alive = weak.lock()) {
+            alive->decision->replyFailed(peer, m_now);
+        }
+    });
+}
+
+void SimulatedFleet::count(Node &from, Node &to, inner::BodyUnion body) const
+{
+    ++from.traffic.framesSent;
+    if (!m_options.countBytes) {
+        return;
+    }
+    const std::size_t bytes = encodeFrame(makeFrame({from.name, from.domain}, 1, std::move(body))).size();
+    from.traffic.bytesSent += bytes;
+    to.traffic.bytesReceived += bytes;
+}
+
+void SimulatedFleet::sendDigest(const NodePtr &node, SendDigest action)
+{
+    const NodePtr to = byAddress(action.address);
+    if (!to) {
+        fail(node, action.peer, Latency); // the connection is refused
+        return;
+    }
+    if (isLost(*node, *to)) {
+        fail(node, action.peer, RequestTimeout);
+        return;
+    }
+    at(Latency, [this, from = std::weak_ptr(node), receiver = std::weak_ptr(to), action = std::move(action)] {
+        const NodePtr sender = from.lock();
+        const NodePtr alive = receiver.lock();
+        if (sender && alive) {
+            deliverDigest(sender, alive, action);
+        } else if (sender) {
+            fail(sender, action.peer, Latency);
+        }
+    });
+}
+
+void SimulatedFleet::deliverDigest(const NodePtr &from, const NodePtr &to, const SendDigest &action)
+{
+    inner::BodyUnion digestBody;
+    digestBody.Set(inner::DigestT(action.digest));
+    count(*from, *to, std::move(digestBody));
+    auto reply = std::make_shared<inner::DigestReplyT>(
+        to->decision->digestReceived(from->name, from->domain, action.digest, m_now));
+    inner::BodyUnion replyBody;
+    replyBody.Set(inner::DigestReplyT(*reply));
+    count(*to, *from, std::move(replyBody));
+    if (isLost(*to, *from)) {
+        fail(from, action.peer, RequestTimeout);
+        return;
+    }
+    at(Latency, [this, weak = std::weak_ptr(from), peer = action.peer, name = to->name, domain = to->domain, reply] {
+        if (const NodePtr alive = weak.lock()) {
+            alive->decision->replyReceived(peer, name, domain, *reply, m_now);
+        }
+    });
+}
+
+void SimulatedFleet::readLog(const NodePtr &node, const ReadLog &action)
+{
+    ++node->traffic.logReads;
+    const bool isOut = m_isLogOut || isPlatformCut(*node);
+    at(isOut ? RequestTimeout : PlatformLatency, [this, weak = std::weak_ptr(node), action, isOut] {
+        const NodePtr alive = weak.lock();
+        if (!alive) {
+            return;
+        }
+        if (isOut) {
+            alive->decision->logRead(action.stream, failure(ErrorCode::Unavailable, "out"), m_now);
+            return;
+        }
+        if (action.read.from < m_firstRetained) {
+            alive->decision->logRead(action.stream, failure(ErrorCode::Expired, "expired"), m_now);
+            return;
+        }
+        LogPage page {{}, m_firstRetained, logEnd()};
+        for (Offset offset = action.read.from; offset < logEnd() && page.records.size() < action.read.limit; ++offset) {
+            page.records.push_back(m_log[offset - 1]);
+        }
+        alive->decision->logRead(action.stream, page, m_now);
+    });
+}
+
+void SimulatedFleet::appendCheckpoint(const NodePtr &node, const AppendCheckpoint &action)
+{
+    if (m_isLogOut || isPlatformCut(*node)) {
+        return;
+    }
+    ++m_checkpoints;
+    append(std::string(CheckpointKind), action.payload);
+}
+
+void SimulatedFleet::fetchList(const NodePtr &node)
+{
+    ++node->traffic.listFetches;
+    const bool isOut = m_isListOut || isPlatformCut(*node);
+    at(isOut ? RequestTimeout : PlatformLatency, [this, weak = std::weak_ptr(node), isOut] {
+        const NodePtr alive = weak.lock();
+        if (!alive) {
+            return;
+        }
+        if (isOut) {
+            alive->decision->listFetched(failure(ErrorCode::Unavailable, "out"), m_now);
+        } else {
+            alive->decision->listFetched(visibleList(), m_now);
+        }
+    });
+}
+
+void SimulatedFleet::poll(const NodePtr &node, const EndpointPoll &endpoint)
+{
+    ++node->traffic.polls;
+    at(Latency, [this, weak = std::weak_ptr(node), endpoint] {
+        const NodePtr alive = weak.lock();
+        if (!alive) {
+            return;
+        }
+        const std::optional<EngineState> &state = m_engines[endpoint.endpoint.value()];
+        if (state) {
+            alive->decision->endpointPolled(endpoint.endpoint, *state, m_now);
+        } else {
+            alive->decision->endpointPolled(endpoint.endpoint, failure(ErrorCode::Unavailable, "refused"), m_now);
+        }
+    });
+}
+
+Offset SimulatedFleet::append(std::string kind, std::string payload)
+{
+    const Offset offset = logEnd();
+    m_log.push_back({offset, {{"operator", 1, offset}, std::move(kind), std::move(payload)}});
+    return offset;
+}
+
+std::uint64_t SimulatedFleet::publishChange()
+{
+    append(std::string(ChangeKind), R"({"change":"a plan of an ordinary size, with the names that it touches"})");
+    return ++m_version;
+}
+
+void SimulatedFleet::appendNoise(std::size_t count)
+{
+    for (; count > 0; --count) {
+        append("noise", "{}");
+    }
+}
+
+std::vector<std::string> SimulatedFleet::instances() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, node] : m_nodes) {
+        names.push_back(name);
+    }
+    return names;
+}
+
+std::vector<std::string> SimulatedFleet::relays(const std::string &domain) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, node] : m_nodes) {
+        if (node->domain == domain && node->decision->isRelay()) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+Dissemination &SimulatedFleet::node(const std::string &instance)
+{
+    return *m_nodes.at(instance)->decision;
+}
+
+std::uint64_t SimulatedFleet::versionOn(const std::string &instance) const
+{
+    return m_nodes.at(instance)->fold->version();
+}
+
+bool SimulatedFleet::everFell() const
+{
+    return m_anyFell || std::any_of(m_nodes.begin(), m_nodes.end(), [](const auto &node) {
+               return node.second->fold->everFell();
+           });
+}
+
+std::vector<std::string> SimulatedFleet::missing(std::uint64_t version) const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, node] : m_nodes) {
+        if (node->fold->version() < version) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+std::optional<Duration> SimulatedFleet::timeUntilEverywhere(std::uint64_t version, Duration limit)
+{
+    const TimePoint start = m_now;
+    while (!missing(version).empty()) {
+        if (m_now - start >= limit) {
+            return std::nullopt;
+        }
+        run(std::chrono::milliseconds(50));
+    }
+    return m_now - start;
+}
+
+Offset SimulatedFleet::logEnd() const
+{
+    return m_log.size() + 1;
+}
+
+TimePoint SimulatedFleet::now() const
+{
+    return m_now;
+}
+
+NodeTraffic SimulatedFleet::traffic(const std::string &instance) const
+{
+    return m_nodes.at(instance)->traffic;
+}
+
+std::uint64_t SimulatedFleet::checkpointsAppended() const
+{
+    return m_checkpoints;
+}
+
+} // namespace bergamot::internal
--- /dev/null
+++ b/bergamot/membership/view_builder.cpp
@@ -0,0 +1,186 @@
+#include "bergamot/membership/view_builder.h"
+
+#include <algorithm>
+
+#include "bergamot/base/hash.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr std::uint64_t LoadAgeUnitMilliseconds = 100;
+
+inner::EndpointT toEndpoint(const ListedMember &member)
+{
+    inner::EndpointT endpoint;
+    endpoint.id = member.id;
+    endpoint.kind = member.kind == ListedKind::Engine ? inner::EndpointKind::Engine : inner::EndpointKind::Service;
+    endpoint.serves = member.serves;
+    endpoint.domain = member.domain.value();
+    endpoint.address = toString(member.address);
+    endpoint.leaving = member.state == ListedState::Leaving;
+    endpoint.reachable = true;
+    endpoint.slots = 1;
+    return endpoint;
+}
+
+bool sameFinding(const inner::EndpointReportT &left, const inner::EndpointReportT &right)
+{
+    return left.reachable == right.reachable && left.leaving == right.leaving && left.version == right.version
+        && left.loading == right.loading && left.slots == right.slots;
+}
+
+} // namespace
+
+std::uint32_t endpointHash(const std::string &endpoint)
+{
+    return static_cast<std::uint32_t>(stableHash(endpoint));
+}
+
+ViewBuilder::ViewBuilder(FailureDomainId domain, ViewBuilderOptions options)
+    : m_domain(std::move(domain))
+    , m_options(options)
+{ }
+
+void ViewBuilder::setList(std::vector<ListedMember> list)
+{
+    std::erase_if(list, [](const ListedMember &member) {
+        return member.kind == ListedKind::Instance;
+    });
+    // The others are ranked so that each domain shows a different choice of them.
+    std::sort(list.begin(), list.end(), [this](const ListedMember &left, const ListedMember &right) {
+        return rendezvousWeight(m_domain.value(), left.id) < rendezvousWeight(m_domain.value(), right.id);
+    });
+    m_list = std::move(list);
+    m_hasList = true;
+}
+
+bool ViewBuilder::hasList() const
+{
+    return m_hasList;
+}
+
+void ViewBuilder::adoptList(const std::vector<inner::EndpointT> &endpoints)
+{
+    m_list.clear();
+    for (const inner::EndpointT &endpoint : endpoints) {
+        const Result<Address> address = parseAddress(endpoint.address);
+        if (!address) {
+            continue;
+        }
+        const ListedKind kind =
+            endpoint.kind == inner::EndpointKind::Engine ? ListedKind::Engine : ListedKind::Endpoint;
+        const ListedState state = endpoint.leaving ? ListedState::Leaving : ListedState::Live;
+        m_list.push_back({kind, endpoint.id, FailureDomainId(endpoint.domain), *address, state, endpoint.serves});
+    }
+}
+
+bool ViewBuilder::report(const std::string &poller, const inner::EndpointReportT &report, TimePoint now)
+{
+    auto [finding, isNew] = m_findings[report.endpoint].try_emplace(poller);
+    const bool isNews = isNew || !sameFinding(finding->second.report, report);
+    if (isNews) {
+        finding->second.changedAt = now;
+    }
+    finding->second.report = report;
+    finding->second.heardAt = now;
+    return isNews;
+}
+
+void ViewBuilder::reportLoads(const std::string &poller, const std::vector<inner::PolledLoad> &loads, TimePoint now)
+{
+    for (auto &[endpoint, findings] : m_findings) {
+        if (const auto finding = findings.find(poller); finding != findings.end()) {
+            finding->second.heardAt = now;
+        }
+    }
+    for (const inner::PolledLoad &load : loads) {
+        m_loads[load.endpoint_hash()] = {load, now};
+    }
+}
+
+void ViewBuilder::expire(TimePoint now)
+{
+    for (auto &[endpoint, findings] : m_findings) {
+        std::erase_if(findings, [this, now](const auto &entry) {
+            return now - entry.second.heardAt > m_options.reportLifetime;
+        });
+    }
+    std::erase_if(m_findings, [](const auto &entry) {
+        return entry.second.empty();
+    });
+    std::erase_if(m_loads, [this, now](const auto &entry) {
+        return now - entry.second.heardAt > m_options.reportLifetime;
+    });
+}
+
+bool ViewBuilder::isShown(const ListedMember &member, std::map<std::string, std::size_t> &shown) const
+{
+    if (member.domain == m_domain) {
+        return true;
+    }
+    return ++shown[member.serves] <= m_options.endpointsPerOtherDomainService;
+}
+
+std::vector<inner::EndpointT> ViewBuilder::endpoints(TimePoint now) const
+{
+    std::vector<inner::EndpointT> endpoints;
+    std::map<std::string, std::size_t> shown;
+    for (const ListedMember &member : m_list) {
+        if (!isShown(member, shown)) {
+            continue;
+        }
+        inner::EndpointT endpoint = toEndpoint(member);
+        correct(endpoint, now);
+        addLoad(endpoint, now);
+        endpoints.push_back(std::move(endpoint));
+    }
+    std::sort(endpoints.begin(), endpoints.end(), [](const inner::EndpointT &left, const inner::EndpointT &right) {
+        return left.id < right.id;
+    });
+    return endpoints;
+}
+
+void ViewBuilder::correct(inner::EndpointT &endpoint, TimePoint now) const
+{
+    const auto findings = m_findings.find(endpoint.id);
+    if (findings == m_findings.end()) {
+        return;
+    }
+    const Finding *newest = nullptr;
+    bool isReached = false;
+    for (const auto &[poller, finding] : findings->second) {
+        if (now - finding.heardAt > m_options.reportLifetime) {
+            continue;
+        }
+        isReached = isReached || finding.report.reachable;
+        endpoint.leaving = endpoint.leaving || finding.report.leaving;
+        const bool isBetter = newest == nullptr || finding.report.reachable > newest->report.reachable
+            || (finding.report.reachable == newest->report.reachable && finding.changedAt > newest->changedAt);
+        newest = isBetter ? &finding : newest;
+    }
+    if (newest == nullptr) {
+        return;
+    }
+    endpoint.reachable = isReached;
+    endpoint.version = newest->report.version;
+    endpoint.loading = newest->report.loading;
+    endpoint.slots = std::max<std::uint32_t>(1, newest->report.slots);
+}
+
+void ViewBuilder::addLoad(inner::EndpointT &endpoint, TimePoint now) const
+{
+    const auto load = m_loads.find(endpointHash(endpoint.id));
+    if (load == m_loads.end()) {
+        return;
+    }
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - load->second.heardAt);
+    endpoint.running = load->second.load.running();
+    endpoint.waiting = load->second.load.waiting();
+    endpoint.load_age_ms =
+        load->second.load.load_age() * LoadAgeUnitMilliseconds + static_cast<std::uint64_t>(since.count());
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/membership/view_builder.h
@@ -0,0 +1,79 @@
+#pragma once
+
+// The endpoints as they can be used: the platform's list, corrected by what the instances' polls found. An endpoint
+// that refuses is unreachable although it is listed; one that says itself that it is leaving is leaving at once.
+//
+//     ViewBuilder builder(domain);
+//     builder.setList(list);
+//     builder.report("i3", report, now);
+//     for (const inner::EndpointT &endpoint : builder.endpoints(now)) { ... }
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "bergamot/base/clock.h"
+#include "bergamot/base/ids.h"
+#include "bergamot/platform/instance_list.h"
+#include "bergamot/protocol/generated/inner_generated.h"
+
+namespace bergamot
+{
+
+struct ViewBuilderOptions
+{
+    Duration reportLifetime = std::chrono::seconds(8); // a poller that is silent for so long is not believed
+    std::size_t endpointsPerOtherDomainService = 16; // how many of another domain's are shown for each model or service
+};
+
+/// Not thread-safe.
+class ViewBuilder
+{
+public:
+    explicit ViewBuilder(FailureDomainId domain, ViewBuilderOptions options = {});
+
+    void setList(std::vector<ListedMember> list);
+    bool hasList() const;
+    /// A list made of a peer's rows, for an instance that has none of its own yet.
+    void adoptList(const std::vector<inner::EndpointT> &endpoints);
+
+    /// What `poller` found, apart from the load. Returns true if that is news.
+    bool report(const std::string &poller, const inner::EndpointReportT &report, TimePoint now);
+    /// The loads that `poller` found; they also show that its earlier reports still hold.
+    void reportLoads(const std::string &poller, const std::vector<inner::PolledLoad> &loads, TimePoint now);
+    /// Drops reports of pollers that went silent.
+    void expire(TimePoint now);
+
+    /// Every endpoint of the domain, and a choice of the other domains', by id.
+    std::vector<inner::EndpointT> endpoints(TimePoint now) const;
+
+private:
+    struct Finding
+    {
+        inner::EndpointReportT report;
+        TimePoint changedAt {};
+        TimePoint heardAt {};
+    };
+    struct Load
+    {
+        inner::PolledLoad load;
+        TimePoint heardAt {};
+    };
+
+    void correct(inner::EndpointT &endpoint, TimePoint now) const;
+    void addLoad(inner::EndpointT &endpoint, TimePoint now) const;
+    bool isShown(const ListedMember &member, std::map<std::string, std::size_t> &shown) const;
+
+    FailureDomainId m_domain;
+    ViewBuilderOptions m_options;
+    bool m_hasList = false;
+    std::vector<ListedMember> m_list; // endpoints only, by id
+    std::map<std::string, std::map<std::string, Finding>> m_findings; // by endpoint, then poller
+    std::map<std::uint32_t, Load> m_loads; // by hash of the endpoint's id
+};
+
+/// The key under which polled loads name an endpoint.
+std::uint32_t endpointHash(const std::string &endpoint);
+
+} // namespace bergamot
