--- a/bergamot/base/address.cpp
+++ b/bergamot/base/address.cpp
@@ -17,7 +17,7 @@
     }
     Address address;
     address.ip = std::string(text.substr(0, colon));
-    in_addr parsed {};
+    in_addr parsed{};
     if (inet_pton(AF_INET, address.ip.c_str(), &parsed) != 1) {
         return failure(ErrorCode::InvalidArgument, expected);
     }
--- a/bergamot/base/address_test.cpp
+++ b/bergamot/base/address_test.cpp
@@ -31,14 +31,14 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          ParseAddress,
-                         testing::Values(AddressCase {"127.0.0.1:8080", Address {"127.0.0.1", 8080}},
-                                         AddressCase {"10.1.2.3:0", Address {"10.1.2.3", 0}},
-                                         AddressCase {"localhost:80", std::nullopt},
-                                         AddressCase {"127.0.0.1", std::nullopt},
-                                         AddressCase {"127.0.0.1:", std::nullopt},
-                                         AddressCase {"127.0.0.1:70000", std::nullopt},
-                                         AddressCase {"127.0.0.1:80x", std::nullopt},
-                                         AddressCase {"", std::nullopt}));
+                         testing::Values(AddressCase{"127.0.0.1:8080", Address{"127.0.0.1", 8080}},
+                                         AddressCase{"10.1.2.3:0", Address{"10.1.2.3", 0}},
+                                         AddressCase{"localhost:80", std::nullopt},
+                                         AddressCase{"127.0.0.1", std::nullopt},
+                                         AddressCase{"127.0.0.1:", std::nullopt},
+                                         AddressCase{"127.0.0.1:70000", std::nullopt},
+                                         AddressCase{"127.0.0.1:80x", std::nullopt},
+                                         AddressCase{"", std::nullopt}));
 
 } // namespace
 } // namespace bergamot
--- a/bergamot/base/clock.cpp
+++ b/bergamot/base/clock.cpp
@@ -7,7 +7,7 @@
 
 BootClock::time_point BootClock::now() noexcept
 {
-    timespec spec {};
+    timespec spec{};
     clock_gettime(CLOCK_BOOTTIME, &spec);
     return time_point(std::chrono::seconds(spec.tv_sec) + std::chrono::nanoseconds(spec.tv_nsec));
 }
--- a/bergamot/base/clock.h
+++ b/bergamot/base/clock.h
@@ -55,7 +55,7 @@
     void advance(Duration step);
 
 private:
-    std::atomic<Duration::rep> m_sinceEpoch {Duration(std::chrono::hours(1)).count()};
+    std::atomic<Duration::rep> m_sinceEpoch{Duration(std::chrono::hours(1)).count()};
 };
 
 } // namespace bergamot
--- a/bergamot/base/error.cpp
+++ b/bergamot/base/error.cpp
@@ -32,12 +32,12 @@
 
 tl::unexpected<Error> failure(ErrorCode code, std::string message)
 {
-    return tl::unexpected(Error {code, std::move(message), std::nullopt});
+    return tl::unexpected(Error{code, std::move(message), std::nullopt});
 }
 
 tl::unexpected<Error> failure(ErrorCode code, std::string message, std::chrono::milliseconds retryAfter)
 {
-    return tl::unexpected(Error {code, std::move(message), retryAfter});
+    return tl::unexpected(Error{code, std::move(message), retryAfter});
 }
 
 } // namespace bergamot
--- a/bergamot/base/json_test.cpp
+++ b/bergamot/base/json_test.cpp
@@ -34,13 +34,13 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     ReadFields,
-    testing::Values(FieldCase {R"({"id":"a","bound":2,"fencing":true})", {}},
-                    FieldCase {R"({"id":"a"})", {}},
-                    FieldCase {R"({})", {"intent.id must be a non-empty string"}},
-                    FieldCase {R"({"id":"","bound":-1})", {"intent.id", "intent.bound must be a whole number"}},
-                    FieldCase {R"({"id":7,"bound":1.5,"fencing":"yes"})",
-                               {"intent.id", "intent.bound", "intent.fencing must be true or false"}},
-                    FieldCase {R"([1])", {"intent must be a JSON object"}}));
+    testing::Values(FieldCase{R"({"id":"a","bound":2,"fencing":true})", {}},
+                    FieldCase{R"({"id":"a"})", {}},
+                    FieldCase{R"({})", {"intent.id must be a non-empty string"}},
+                    FieldCase{R"({"id":"","bound":-1})", {"intent.id", "intent.bound must be a whole number"}},
+                    FieldCase{R"({"id":7,"bound":1.5,"fencing":"yes"})",
+                              {"intent.id", "intent.bound", "intent.fencing must be true or false"}},
+                    FieldCase{R"([1])", {"intent must be a JSON object"}}));
 
 TEST(ParseJson, refusesWhatIsNotJson)
 {
--- a/bergamot/base/logging.cpp
+++ b/bergamot/base/logging.cpp
@@ -13,7 +13,7 @@
 namespace
 {
 
-std::atomic<bool> s_initialized {false};
+std::atomic<bool> s_initialized{false};
 
 log4cplus::LogLevel nativeLevel(LogLevel level)
 {
@@ -79,7 +79,7 @@
 };
 
 PartLogger::PartLogger(std::string part)
-    : m_impl(std::make_unique<Impl>(Impl {std::move(part)}))
+    : m_impl(std::make_unique<Impl>(Impl{std::move(part)}))
 { }
 
 PartLogger::~PartLogger() = default;
--- a/bergamot/base/settings_test.cpp
+++ b/bergamot/base/settings_test.cpp
@@ -39,14 +39,14 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     ParseSettings,
-    testing::Values(SettingsCase {{"--instance", "a"}, std::nullopt, {}},
-                    SettingsCase {{"--help"}, 0, {}},
-                    SettingsCase {{"--version"}, 0, {}},
-                    SettingsCase {{"--instance", "a", "--check-settings"}, 0, {}},
-                    SettingsCase {{"--limit", "x", "--listen-address", "y"},
-                                  2,
-                                  {"--instance (BERGAMOT_INSTANCE) is required", "'x' is not a whole", "'y' is not"}},
-                    SettingsCase {{"--unheard-of", "1"}, 2, {"unheard-of"}}));
+    testing::Values(SettingsCase{{"--instance", "a"}, std::nullopt, {}},
+                    SettingsCase{{"--help"}, 0, {}},
+                    SettingsCase{{"--version"}, 0, {}},
+                    SettingsCase{{"--instance", "a", "--check-settings"}, 0, {}},
+                    SettingsCase{{"--limit", "x", "--listen-address", "y"},
+                                 2,
+                                 {"--instance (BERGAMOT_INSTANCE) is required", "'x' is not a whole", "'y' is not"}},
+                    SettingsCase{{"--unheard-of", "1"}, 2, {"unheard-of"}}));
 
 } // namespace
 } // namespace bergamot
--- a/bergamot/http/client.h
+++ b/bergamot/http/client.h
@@ -35,7 +35,7 @@
 
 struct CallOptions
 {
-    std::chrono::milliseconds timeout {1000}; // for the whole call
+    std::chrono::milliseconds timeout{1000}; // for the whole call
     bool repeatable = true; // false: never sent on a connection that was used before
 };
 
