http: the contract test keeps its promises alive for the callback

Ruled out: the server's close (the crash never came in a test without a time limit); the library's pool. Change: the promise is owned by the callback too. Conclusion: a fault of the test, not of the client.

--- a/bergamot/http/http_test.cpp
+++ b/bergamot/http/http_test.cpp
@@ -18,11 +18,11 @@
 
 CallOutcome callAndWait(HttpClient &client, const Address &to, HttpRequest request, CallOptions options)
 {
-    std::promise<CallOutcome> outcome;
-    client.call(to, std::move(request), options, [&outcome](CallOutcome result) {
-        outcome.set_value(std::move(result));
+    const auto outcome = std::make_shared<std::promise<CallOutcome>>();
+    client.call(to, std::move(request), options, [outcome](CallOutcome result) {
+        outcome->set_value(std::move(result));
     });
-    return outcome.get_future().get();
+    return outcome->get_future().get();
 }
 
 struct EchoCase
@@ -135,9 +135,9 @@
                       });
     ASSERT_TRUE(server.start());
     HttpClient client;
-    std::promise<CallOutcome> first;
-    client.call(server.address(), {}, {.timeout = Patience}, [&first](CallOutcome outcome) {
-        first.set_value(std::move(outcome));
+    const auto first = std::make_shared<std::promise<CallOutcome>>();
+    client.call(server.address(), {}, {.timeout = Patience}, [first](CallOutcome outcome) {
+        first->set_value(std::move(outcome));
     });
     const ResponderPtr responder = held.get_future().get();
     const CallOutcome second = callAndWait(client, server.address(), {}, {.timeout = Patience});
@@ -145,7 +145,7 @@
     EXPECT_EQ(second->status, 503);
     EXPECT_NE(headerOr(second->headers, "Retry-After", ""), "");
     responder->reply({});
-    EXPECT_EQ(first.get_future().get()->status, 200);
+    EXPECT_EQ(first->get_future().get()->status, 200);
 }
 
 TEST(HttpServerContract, droppedResponderAnswers500)
@@ -204,7 +204,7 @@
     std::condition_variable m_arrived;
     std::promise<ResponderPtr> m_held;
     std::promise<int> m_head;
-    std::promise<CallOutcome> m_done;
+    std::shared_ptr<std::promise<CallOutcome>> m_done = std::make_shared<std::promise<CallOutcome>>();
     std::string m_received;
     HttpServer m_server{{.address = {"127.0.0.1", 0}}, [this](const HttpRequest &, const ResponderPtr &responder) {
                             m_held.set_value(responder);
@@ -223,7 +223,7 @@
         EXPECT_TRUE(waitForAll(written));
     }
     m_responder->endStream();
-    const CallOutcome outcome = m_done.get_future().get();
+    const CallOutcome outcome = m_done->get_future().get();
     ASSERT_TRUE(outcome) << outcome.error().message;
 }
 
@@ -232,7 +232,7 @@
     EXPECT_TRUE(m_responder->write("half"));
     EXPECT_TRUE(waitForAll("half"));
     m_responder->abortStream();
-    const CallOutcome outcome = m_done.get_future().get();
+    const CallOutcome outcome = m_done->get_future().get();
     EXPECT_FALSE(outcome);
 }
 
