http: the streaming test compiles again

Ruled out: nothing else was touched. Change: the streaming fixture shares its promise with the callback.

--- a/bergamot/http/http_test.cpp
+++ b/bergamot/http/http_test.cpp
@@ -175,8 +175,8 @@
                                              [this](std::string_view chunk) {
                                                  return receive(chunk);
                                              }},
-                                        [this](CallOutcome outcome) {
-                                            m_done.set_value(std::move(outcome));
+                                        [done = m_done](CallOutcome outcome) {
+                                            done->set_value(std::move(outcome));
                                         });
         m_responder = m_held.get_future().get();
         m_responder->beginStream({});
