Read configurations; append to the log in batches and follow its streams

Cause: everything that is agreed goes through the platform's log, which loses answers, has outages and drops old records. Ruled out: several appends of one stream in flight (a later record could overtake one that is sent again, and readers would have to remember a set of sequences instead of one); starting a fold at the first retained record without a checkpoint (state would revert); stopping a reader for good when no checkpoint fits (a later one or a peer's may). Change: parse, canonical JSON, cross-checks and difference of configurations; FieldReader::rejectUnknown in base; AppendQueue (group commit, budget, same ids after a lost answer, limit with a proved outcome) and its shell BatchingAppender; RecordDedup; StreamFollower and CheckpointTimer. Conclusion: folds can be built on it.

--- a/bergamot/base/json.cpp
+++ b/bergamot/base/json.cpp
@@ -42,6 +42,22 @@
     m_errors.push_back(m_path + "." + name + " " + remedy);
 }
 
+void FieldReader::rejectUnknown(const std::vector<std::string> &known)
+{
+    if (!m_object.is_object()) {
+        return;
+    }
+    std::string names;
+    for (const std::string &name : known) {
+        names += names.empty() ? name : ", " + name;
+    }
+    for (const auto &[name, value] : m_object.as_object()) {
+        if (std::find(known.begin(), known.end(), name) == known.end()) {
+            reject(name, "is not known; use one of: " + names);
+        }
+    }
+}
+
 std::string FieldReader::requiredString(const std::string &name)
 {
     const web::json::value *field = find(name);
--- a/bergamot/base/json.h
+++ b/bergamot/base/json.h
@@ -43,6 +43,8 @@
     /// The object, or an empty one if the field is missing.
     web::json::value optionalObject(const std::string &name);
     bool has(const std::string &name) const;
+    /// Adds an error for each field of the object that is not in `known`.
+    void rejectUnknown(const std::vector<std::string> &known);
     /// Adds an error of the caller's own, for a value that is well formed but not allowed.
     void reject(const std::string &name, const std::string &remedy);
 
--- a/bergamot/config/configuration.h
+++ b/bergamot/config/configuration.h
@@ -71,6 +71,14 @@
 /// The inverse of `parseConfiguration`; equal configurations give equal text.
 web::json::value toJson(const Configuration &configuration);
 
+web::json::value toJson(const ModelConfig &config);
+web::json::value toJson(const TrainerConfig &config);
+web::json::value toJson(const ServiceConfig &config);
+
+/// What is wrong between entries that are each well formed, with the remedy: a trainer of an undeclared model, shares
+/// over 100%. Empty if nothing is.
+std::vector<std::string> configurationProblems(const Configuration &configuration);
+
 /// Reads one entry, named `path` in errors.
 Result<ModelConfig> parseModelConfig(const ModelId &model, const web::json::value &json, const std::string &path);
 Result<TrainerConfig>
--- /dev/null
+++ b/bergamot/journal/stream_follower.cpp
@@ -0,0 +1,190 @@
+#include "bergamot/journal/stream_follower.h"
+
+#include "bergamot/base/hash.h"
+#include "bergamot/base/json.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+// Beyond every offset, and exact in every JSON parser: the answer to a read from here tells what is retained.
+constexpr Offset BeyondEnd = Offset {1} << 52U;
+
+std::string checkpointHash(const StreamCheckpoint &checkpoint)
+{
+    return sha256Hex(std::to_string(checkpoint.offset) + "\n" + checkpoint.state);
+}
+
+} // namespace
+
+std::string checkpointPayload(const StreamCheckpoint &checkpoint)
+{
+    web::json::value json = web::json::value::object();
+    json["state"] = web::json::value(checkpoint.state);
+    json["offset"] = web::json::value::number(checkpoint.offset);
+    json["hash"] = web::json::value(checkpointHash(checkpoint));
+    return json.serialize();
+}
+
+Result<StreamCheckpoint> parseCheckpoint(const std::string &payload)
+{
+    const Result<web::json::value> json = parseJson(payload);
+    if (!json) {
+        return tl::unexpected(json.error());
+    }
+    FieldReader reader(*json, "checkpoint");
+    StreamCheckpoint checkpoint;
+    checkpoint.state = reader.requiredString("state");
+    checkpoint.offset = reader.requiredUnsigned("offset");
+    if (reader.requiredString("hash") != checkpointHash(checkpoint)) {
+        reader.reject("hash", "must be the SHA-256 of the offset and the state");
+    }
+    if (Result<void> read = reader.finish(); !read) {
+        return tl::unexpected(read.error());
+    }
+    return checkpoint;
+}
+
+StreamFollower::StreamFollower(StreamFold &fold)
+    : m_fold(fold)
+{ }
+
+Offset StreamFollower::readFrom() const
+{
+    switch (m_state) {
+    case FollowState::Following:
+        return m_fold.applied() + 1;
+    case FollowState::Probing:
+        return BeyondEnd;
+    case FollowState::Scanning:
+    case FollowState::Lost:
+        return m_scanFrom;
+    }
+    return BeyondEnd;
+}
+
+std::size_t StreamFollower::answered(const Result<LogPage> &page)
+{
+    if (!page) {
+        m_caughtUp = false;
+        if (page.error().code == ErrorCode::Expired) {
+            probe();
+        }
+        return 0;
+    }
+    switch (m_state) {
+    case FollowState::Following:
+        return follow(*page);
+    case FollowState::Scanning:
+        return scan(*page);
+    case FollowState::Lost:
+        watch(*page);
+        return 0;
+    case FollowState::Probing:
+        break;
+    }
+    const bool retained = page->firstRetained <= m_fold.applied() + 1;
+    m_state = retained ? FollowState::Following : FollowState::Scanning;
+    m_scanFrom = page->firstRetained;
+    return 0;
+}
+
+void StreamFollower::probe()
+{
+    m_state = FollowState::Probing;
+    m_scanned.clear();
+}
+
+std::size_t StreamFollower::follow(const LogPage &page)
+{
+    std::size_t applied = 0;
+    for (const StoredRecord &stored : page.records) {
+        if (stored.offset == m_fold.applied() + 1) {
+            m_fold.apply(stored);
+            ++applied;
+        }
+    }
+    m_caughtUp = m_fold.applied() + 1 >= page.end;
+    return applied;
+}
+
+std::size_t StreamFollower::scan(const LogPage &page)
+{
+    bool restored = false;
+    for (const StoredRecord &stored : page.records) {
+        m_scanned.push_back(stored);
+        restored = restored || tryRestore(stored);
+        m_scanFrom = stored.offset + 1;
+    }
+    if (restored) {
+        return applyScanned();
+    }
+    if (m_scanFrom >= page.end) {
+        m_state = FollowState::Lost;
+        m_scanned.clear();
+    }
+    return 0;
+}
+
+void StreamFollower::watch(const LogPage &page)
+{
+    for (const StoredRecord &stored : page.records) {
+        m_scanFrom = stored.offset + 1;
+        if (stored.record.kind == CheckpointKind) {
+            probe();
+        }
+    }
+}
+
+bool StreamFollower::tryRestore(const StoredRecord &stored)
+{
+    if (stored.record.kind != CheckpointKind) {
+        return false;
+    }
+    const Result<StreamCheckpoint> checkpoint = parseCheckpoint(stored.record.payload);
+    const bool continued = checkpoint && checkpoint->offset + 1 >= m_scanned.front().offset
+        && checkpoint->offset < stored.offset && checkpoint->offset > m_fold.applied();
+    return continued && m_fold.restore(checkpoint->state, checkpoint->offset).has_value();
+}
+
+std::size_t StreamFollower::applyScanned()
+{
+    std::size_t applied = 0;
+    for (const StoredRecord &stored : m_scanned) {
+        if (stored.offset == m_fold.applied() + 1) {
+            m_fold.apply(stored);
+            ++applied;
+        }
+    }
+    m_scanned.clear();
+    m_state = FollowState::Following;
+    return applied;
+}
+
+Result<void> StreamFollower::adopt(const StreamCheckpoint &checkpoint)
+{
+    if (checkpoint.offset <= m_fold.applied()) {
+        return {};
+    }
+    if (Result<void> restored = m_fold.restore(checkpoint.state, checkpoint.offset); !restored) {
+        return restored;
+    }
+    m_state = FollowState::Following;
+    m_scanned.clear();
+    m_caughtUp = false;
+    return {};
+}
+
+FollowState StreamFollower::state() const
+{
+    return m_state;
+}
+
+bool StreamFollower::caughtUp() const
+{
+    return m_caughtUp && m_state == FollowState::Following;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/journal/stream_follower_test.cpp
@@ -0,0 +1,180 @@
+#include "bergamot/journal/stream_follower.h"
+
+#include <gtest/gtest.h>
+
+namespace bergamot
+{
+namespace
+{
+
+/// Its state is the payloads that it applied, joined.
+class TextFold final : public StreamFold
+{
+public:
+    void apply(const StoredRecord &stored) override
+    {
+        m_applied = stored.offset;
+        if (stored.record.kind != CheckpointKind) {
+            m_text += stored.record.payload;
+        }
+    }
+
+    Offset applied() const override
+    {
+        return m_applied;
+    }
+
+    std::string checkpoint() const override
+    {
+        return "state:" + m_text;
+    }
+
+    Result<void> restore(const std::string &checkpoint, Offset offset) override
+    {
+        m_text = checkpoint.substr(6);
+        m_applied = offset;
+        return {};
+    }
+
+private:
+    std::string m_text;
+    Offset m_applied = 0;
+};
+
+struct Stream
+{
+    std::vector<StoredRecord> records; // with offsets 1, 2, 3, ...
+    Offset firstRetained = 1;
+
+    void add(const std::string &kind, const std::string &payload)
+    {
+        records.push_back({records.size() + 1, {{"w", 1, records.size() + 1}, kind, payload}});
+    }
+
+    Result<LogPage> read(Offset from, std::size_t limit) const
+    {
+        if (from < firstRetained) {
+            return failure(ErrorCode::Expired, "gone");
+        }
+        LogPage page {{}, firstRetained, records.size() + 1};
+        for (Offset at = from; at < page.end && page.records.size() < limit; ++at) {
+            page.records.push_back(records[at - 1]);
+        }
+        return page;
+    }
+};
+
+void poll(StreamFollower &follower, const Stream &stream, int times)
+{
+    for (int i = 0; i < times; ++i) {
+        follower.answered(stream.read(follower.readFrom(), 2));
+    }
+}
+
+struct RestartCase
+{
+    Offset appliedBefore; // by the reader, before it paused
+    Offset firstRetained;
+    FollowState state;
+};
+
+class RestartAfterExpiry : public testing::TestWithParam<RestartCase>
+{ };
+
+TEST_P(RestartAfterExpiry, startsFromACheckpointThatTheRetainedRecordsContinue)
+{
+    Stream stream;
+    TextFold writer;
+    for (const char *payload : {"a", "b", "c", "d", "e", "f"}) {
+        stream.add("k", payload);
+        writer.apply(stream.records.back());
+        if (payload == std::string("c")) {
+            const std::string checkpoint = checkpointPayload({writer.applied(), writer.checkpoint()});
+            stream.add("k", "x");
+            writer.apply(stream.records.back());
+            stream.add(std::string(CheckpointKind), checkpoint);
+            writer.apply(stream.records.back());
+        }
+    }
+    TextFold fold;
+    StreamFollower follower(fold);
+    while (fold.applied() < GetParam().appliedBefore) {
+        fold.apply(stream.records[fold.applied()]);
+    }
+    stream.firstRetained = GetParam().firstRetained;
+    poll(follower, stream, 12);
+    EXPECT_EQ(follower.state(), GetParam().state);
+    EXPECT_EQ(follower.caughtUp(), GetParam().state == FollowState::Following);
+    if (follower.caughtUp()) {
+        EXPECT_EQ(fold.checkpoint(), writer.checkpoint());
+        EXPECT_EQ(fold.applied(), writer.applied());
+    }
+}
+
+// Offsets: a b c x checkpoint(3) d e f
+INSTANTIATE_TEST_SUITE_P(Table,
+                         RestartAfterExpiry,
+                         testing::Values(RestartCase {0, 1, FollowState::Following},
+                                         RestartCase {0, 2, FollowState::Following},
+                                         RestartCase {1, 4, FollowState::Following},
+                                         RestartCase {1, 5, FollowState::Lost},
+                                         RestartCase {4, 5, FollowState::Following},
+                                         RestartCase {0, 9, FollowState::Lost}));
+
+TEST(StreamFollower, takesACheckpointOfAPeerButNeverAnOlderOne)
+{
+    Stream stream;
+    stream.add("k", "a");
+    stream.firstRetained = 2;
+    TextFold fold;
+    StreamFollower follower(fold);
+    poll(follower, stream, 3);
+    EXPECT_EQ(follower.state(), FollowState::Lost);
+    ASSERT_TRUE(follower.adopt({1, "state:a"}));
+    poll(follower, stream, 1);
+    EXPECT_TRUE(follower.caughtUp());
+    ASSERT_TRUE(follower.adopt({1, "state:z"}));
+    EXPECT_EQ(fold.checkpoint(), "state:a");
+}
+
+TEST(StreamFollower, looksAgainWhenALaterCheckpointComes)
+{
+    Stream stream;
+    stream.add("k", "a");
+    stream.add("k", "b");
+    stream.firstRetained = 2;
+    TextFold fold;
+    StreamFollower follower(fold);
+    poll(follower, stream, 4);
+    EXPECT_EQ(follower.state(), FollowState::Lost);
+    stream.add(std::string(CheckpointKind), checkpointPayload({2, "state:ab"}));
+    stream.add("k", "c");
+    poll(follower, stream, 6);
+    EXPECT_TRUE(follower.caughtUp());
+    EXPECT_EQ(fold.checkpoint(), "state:abc");
+}
+
+TEST(StreamFollower, isNotCaughtUpAfterAFailedRead)
+{
+    Stream stream;
+    TextFold fold;
+    StreamFollower follower(fold);
+    poll(follower, stream, 1);
+    EXPECT_TRUE(follower.caughtUp());
+    follower.answered(failure(ErrorCode::Unavailable, "out"));
+    EXPECT_FALSE(follower.caughtUp());
+    EXPECT_EQ(follower.state(), FollowState::Following);
+}
+
+TEST(Checkpoint, isRefusedIfItsHashDoesNotFit)
+{
+    const StreamCheckpoint checkpoint {7, "state"};
+    std::string payload = checkpointPayload(checkpoint);
+    EXPECT_EQ(parseCheckpoint(payload), checkpoint);
+    payload.replace(payload.find("state\":\"state") + 8, 5, "stale");
+    EXPECT_FALSE(parseCheckpoint(payload));
+    EXPECT_FALSE(parseCheckpoint("{"));
+}
+
+} // namespace
+} // namespace bergamot
