--- /dev/null
+++ b/bergamot/load/scenario.h
@@ -0,0 +1,66 @@
+#pragma once
+
+// What one run of the load tool does: who calls, which trainers draw, how long, and where to check from outside.
+//
+//     Result<Scenario> scenario = parseScenario(text);
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "bergamot/base/address.h"
+#include "bergamot/base/error.h"
+#include "bergamot/base/ids.h"
+
+namespace bergamot
+{
+
+enum class CallKind {
+    Stock, // an idempotent read of a plain service
+    Confirm, // a lot confirmation without a key, sent once
+    KeyedConfirm, // a lot confirmation with an idempotency key, sent twice through two instances
+    Generate, // a generation by a model
+};
+
+/// Callers of one tenant and class that arrive at random with a fixed mean rate, whether or not answers come.
+struct CallerScenario
+{
+    std::string tenant;
+    std::string requestClass; // "interactive", "internal" or "batch"
+    CallKind kind = CallKind::Stock;
+    std::string target; // service or model
+    double ratePerSecond = 0;
+    std::chrono::milliseconds deadline{2000};
+};
+
+struct TrainerScenario
+{
+    TrainerId trainer;
+    ModelId model;
+    std::uint64_t steps = 1;
+    std::uint32_t groups = 1;
+    std::uint32_t samplesPerGroup = 1;
+    std::uint32_t maxTokens = 16;
+    std::uint64_t stalenessBound = 1; // checked on every sample received
+    std::chrono::milliseconds trainingTime{500}; // for one step
+    bool publishes = false; // publishes new weights after each step
+};
+
+struct Scenario
+{
+    std::uint64_t seed = 1;
+    std::chrono::milliseconds duration{10000}; // callers stop after it; trainers finish their steps
+    std::vector<Address> entries;
+    std::vector<Address> controls;
+    std::vector<Address> endpoints; // asked for what ran, at the end
+    Address weightStore;
+    std::vector<Address> terminated; // entries that get SIGTERM during the run: none of their requests may be cut off
+    std::vector<CallerScenario> callers;
+    std::vector<TrainerScenario> trainers;
+};
+
+/// Reads the JSON form; the error lists every bad field with its remedy.
+Result<Scenario> parseScenario(std::string_view text);
+
+} // namespace bergamot
