routing: decide each request by outcome classes and one router

Ruled out: one large router class (rules could not be tested or measured alone); a router per thread (splits in-flight counts, so limits and choices get worse); judging by HTTP status what has run (only the connection or the endpoint's own word proves it).

--- /dev/null
+++ b/bergamot/routing/attempt_policy.cpp
@@ -0,0 +1,38 @@
+#include "bergamot/routing/attempt_policy.h"
+
+namespace bergamot
+{
+
+FailureStep afterAttemptFailure(const FailureFacts &facts)
+{
+    if (facts.streamStarted) {
+        return FailureStep::GiveUp;
+    }
+    if (facts.otherInFlight) {
+        return FailureStep::AwaitOther;
+    }
+    if (facts.proof == DeliveryProof::NotRun) {
+        return FailureStep::RetryElsewhere;
+    }
+    if (!facts.repeatable) {
+        return FailureStep::GiveUp;
+    }
+    const bool silent = facts.timedOut && facts.connection == Connection::Pooled;
+    return silent ? FailureStep::RetryFresh : FailureStep::RetryElsewhere;
+}
+
+Duration attemptTimeout(const AttemptTimeoutOptions &options, const AttemptTimeoutFacts &facts)
+{
+    if (facts.streaming) {
+        return std::min(options.streamGap, facts.deadlineLeft);
+    }
+    if (!facts.repeatable) {
+        return facts.deadlineLeft;
+    }
+    const auto usual = std::chrono::duration_cast<Duration>(facts.usualLatency * options.latencyFactor);
+    const Duration unknown = facts.deadlineLeft / 2;
+    const Duration patience = facts.usualLatency == Duration::zero() ? unknown : usual;
+    return std::min(std::max(patience, options.leastProgress), facts.deadlineLeft);
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/choice.cpp
@@ -0,0 +1,100 @@
+#include "bergamot/routing/choice.h"
+
+#include "bergamot/base/hash.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+/// A number in [0, bound); `bound` is far below 2^32, so that the high bits serve evenly.
+std::size_t below(std::size_t bound, std::mt19937_64 &random)
+{
+    return ((random() >> 32U) * bound) >> 32U;
+}
+
+std::optional<std::size_t> firstWithRoom(const Candidates &candidates, std::size_t start)
+{
+    const std::size_t count = candidates.size();
+    for (std::size_t step = 0; step < count; ++step) {
+        const std::size_t index = (start + step) % count;
+        if (candidates.hasRoom(index)) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint64_t mixed(std::uint64_t value)
+{
+    value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
+    value = (value ^ (value >> 27U)) * 0x94d049bb133111ebU;
+    return value ^ (value >> 31U);
+}
+
+} // namespace
+
+std::optional<std::size_t> TwoChoices::choose(const Candidates &candidates, std::mt19937_64 &random)
+{
+    const std::size_t count = candidates.size();
+    if (count == 0) {
+        return std::nullopt;
+    }
+    const std::size_t first = below(count, random);
+    if (count == 1) {
+        return firstWithRoom(candidates, first);
+    }
+    const std::size_t second = (first + 1 + below(count - 1, random)) % count;
+    const bool firstFits = candidates.hasRoom(first);
+    const bool secondFits = candidates.hasRoom(second);
+    if (firstFits && secondFits) {
+        return candidates.cost(first) <= candidates.cost(second) ? first : second;
+    }
+    if (firstFits || secondFits) {
+        return firstFits ? first : second;
+    }
+    return firstWithRoom(candidates, first);
+}
+
+std::optional<std::size_t> choosePrefixOwner(const Candidates &candidates, std::uint64_t prefix, double bound)
+{
+    const std::size_t count = candidates.size();
+    double total = 0;
+    for (std::size_t index = 0; index < count; ++index) {
+        total += candidates.cost(index);
+    }
+    const double ceiling = bound * total / static_cast<double>(std::max<std::size_t>(1, count)) + 1.0;
+    std::optional<std::size_t> best;
+    std::uint64_t bestWeight = 0;
+    for (std::size_t index = 0; index < count; ++index) {
+        const std::uint64_t weight = mixed(prefix ^ candidates.identity(index));
+        if ((best && weight <= bestWeight) || candidates.cost(index) > ceiling || !candidates.hasRoom(index)) {
+            continue;
+        }
+        best = index;
+        bestWeight = weight;
+    }
+    return best;
+}
+
+std::vector<std::size_t>
+rendezvousSubset(std::string_view node, std::span<const std::string_view> names, std::size_t most)
+{
+    std::vector<std::pair<std::uint64_t, std::size_t>> ranked;
+    ranked.reserve(names.size());
+    for (std::size_t index = 0; index < names.size(); ++index) {
+        ranked.emplace_back(rendezvousWeight(node, names[index]), index);
+    }
+    const std::size_t kept = std::min(most, ranked.size());
+    std::partial_sort(
+        ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(kept), ranked.end(), std::greater<>());
+    std::vector<std::size_t> subset;
+    for (std::size_t place = 0; place < kept; ++place) {
+        subset.push_back(ranked[place].second);
+    }
+    std::sort(subset.begin(), subset.end());
+    return subset;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/concurrency_limit.cpp
@@ -0,0 +1,67 @@
+#include "bergamot/routing/concurrency_limit.h"
+
+#include <cmath>
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr double OverloadFactor = 0.8;
+constexpr double SteepestCut = 0.5;
+// The floor forgets slowly, so that an endpoint that has become slower for good gets a new one.
+constexpr double FloorDrift = 1.01;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options)
+    : m_options(options)
+    , m_limit(options.initial)
+{ }
+
+void ConcurrencyLimit::answered(Duration latency, std::uint32_t inFlight)
+{
+    m_windowSum += std::chrono::duration<double>(latency).count();
+    m_windowPeak = std::max(m_windowPeak, inFlight);
+    if (++m_windowCount >= m_options.windowSize) {
+        closeWindow();
+    }
+}
+
+void ConcurrencyLimit::overloaded()
+{
+    if (m_reducedInWindow) {
+        return;
+    }
+    m_reducedInWindow = true;
+    m_limit = std::max(m_options.least, m_limit * OverloadFactor);
+}
+
+std::uint32_t ConcurrencyLimit::allowed() const
+{
+    return static_cast<std::uint32_t>(m_limit);
+}
+
+Duration ConcurrencyLimit::latencyFloor() const
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(m_floor));
+}
+
+void ConcurrencyLimit::closeWindow()
+{
+    const double mean = m_windowSum / m_windowCount;
+    m_floor = m_floor <= 0 ? mean : std::min(mean, m_floor * FloorDrift);
+    const double gradient = std::clamp(m_options.tolerance * m_floor / std::max(mean, 1e-9), SteepestCut, 1.0);
+    const bool limitWasUsed = 2.0 * m_windowPeak >= m_limit;
+    const double headroom = gradient < 1.0 || !limitWasUsed ? 0.0 : std::sqrt(m_limit);
+    const double wanted = m_limit * gradient + headroom;
+    const double next = m_limit + m_options.smoothing * (wanted - m_limit);
+    m_limit = std::clamp(next, m_options.least, m_options.most);
+    m_windowSum = 0;
+    m_windowCount = 0;
+    m_windowPeak = 0;
+    m_reducedInWindow = false;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/concurrency_limit.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// How many requests this instance keeps on one endpoint at once. The limit follows the latency: it grows while the
+// endpoint answers as fast as it can and shrinks as soon as requests wait inside it, so that they wait here instead,
+// where their class decides who goes first.
+//
+//     ConcurrencyLimit limit;
+//     if (inFlight < limit.allowed()) { ... }
+//     limit.answered(latency, inFlightAtDispatch);
+
+#include <cstdint>
+
+#include "bergamot/base/clock.h"
+
+namespace bergamot
+{
+
+struct ConcurrencyLimitOptions
+{
+    double initial = 16;
+    double least = 1;
+    double most = 512;
+    double tolerance = 1.3; // how far the latency may rise over its floor before the limit shrinks
+    double smoothing = 0.3; // share of each window's verdict that is taken over
+    std::uint32_t windowSize = 12; // answers
+};
+
+/// Not thread-safe.
+class ConcurrencyLimit
+{
+public:
+    explicit ConcurrencyLimit(ConcurrencyLimitOptions options = {});
+
+    /// One answer after `latency`; `inFlight` is what this instance had on the endpoint when it was dispatched.
+    void answered(Duration latency, std::uint32_t inFlight);
+    /// The endpoint refused for overload or ran into a timeout.
+    void overloaded();
+
+    std::uint32_t allowed() const;
+    /// The latency of an endpoint without a queue; zero before the first window.
+    Duration latencyFloor() const;
+
+private:
+    void closeWindow();
+
+    ConcurrencyLimitOptions m_options;
+    double m_limit;
+    double m_floor = 0; // seconds
+    double m_windowSum = 0;
+    std::uint32_t m_windowCount = 0;
+    std::uint32_t m_windowPeak = 0;
+    bool m_reducedInWindow = false;
+};
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -0,0 +1,280 @@
+#include "bergamot/routing/endpoint_pool.h"
+
+#include "bergamot/base/hash.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr double LatencySmoothing = 0.2;
+constexpr double PoolSmoothing = 0.05;
+constexpr std::uint32_t AnswersToJudge = 5;
+constexpr std::size_t EndpointsToCompare = 3;
+constexpr double ReservableShare = 1.0 / 3.0;
+// The list follows an endpoint's own word within this time.
+constexpr Duration OwnWordHolds = std::chrono::seconds(10);
+
+double seconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration fromSeconds(double value)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(value));
+}
+
+void smooth(double &mean, double value, double share)
+{
+    mean = mean <= 0 ? value : mean + share * (value - mean);
+}
+
+} // namespace
+
+EndpointPool::EndpointPool(EndpointPoolOptions options, std::unique_ptr<ChoiceStrategy> strategy)
+    : m_options(std::move(options))
+    , m_strategy(std::move(strategy))
+{ }
+
+void EndpointPool::update(std::span<const RoutedEndpoint> endpoints, TimePoint now)
+{
+    for (State &state : m_states) {
+        state.present = false;
+    }
+    for (const RoutedEndpoint &endpoint : endpoints) {
+        State &state = m_states[slotFor(endpoint)];
+        state.present = true;
+        takeReport(state, endpoint, now);
+        state.listed = endpoint;
+    }
+    for (std::size_t slot = 0; slot < m_states.size(); ++slot) {
+        const State &state = m_states[slot];
+        if (!state.present && state.load.inFlight() == 0 && !state.reserved && m_slots.erase(state.listed.id) > 0) {
+            m_free.push_back(slot);
+        }
+    }
+    rebuildOrder(now);
+}
+
+void EndpointPool::dispatched(std::size_t slot, TimePoint now)
+{
+    State &state = m_states[slot];
+    state.load.dispatched(now);
+    state.health.dispatched(now);
+    ++m_inFlight;
+}
+
+void EndpointPool::answered(std::size_t slot, Duration latency, double work, TimePoint now, std::mt19937_64 &random)
+{
+    State &state = m_states[slot];
+    const double unitSeconds = seconds(latency) / std::max(1.0, work);
+    const std::uint32_t inFlightBefore = state.load.inFlight();
+    state.load.finished(now);
+    --m_inFlight;
+    if (state.health.ejected() && tooSlow(unitSeconds)) {
+        state.health.failed(EndpointFailure::Slow, now, random);
+        return;
+    }
+    if (state.health.ejected()) {
+        state.unitSeconds = 0;
+        state.answers = 0;
+    }
+    state.health.succeeded(now);
+    state.limit.answered(fromSeconds(unitSeconds), inFlightBefore);
+    learnLatency(state, latency, unitSeconds);
+}
+
+void EndpointPool::failed(std::size_t slot, EndpointFailure failure, TimePoint now, std::mt19937_64 &random)
+{
+    State &state = m_states[slot];
+    state.load.finished(now);
+    --m_inFlight;
+    if (failure == EndpointFailure::Faulty && !state.health.ejected() && !mayDoubtMore()) {
+        return;
+    }
+    state.health.failed(failure, now, random);
+    if (failure == EndpointFailure::Stalled) {
+        state.limit.overloaded();
+    }
+}
+
+void EndpointPool::refused(std::size_t slot, TimePoint now)
+{
+    State &state = m_states[slot];
+    state.load.finished(now);
+    --m_inFlight;
+    state.health.succeeded(now);
+    state.limit.overloaded();
+}
+
+void EndpointPool::withdrawn(std::size_t slot, TimePoint now)
+{
+    State &state = m_states[slot];
+    state.load.finished(now);
+    --m_inFlight;
+    state.health.withdrawn();
+}
+
+void EndpointPool::saidLeaving(std::size_t slot, TimePoint now)
+{
+    m_states[slot].leavingUntil = now + OwnWordHolds;
+}
+
+void EndpointPool::review(TimePoint now, std::mt19937_64 &random)
+{
+    std::vector<double> speeds;
+    for (const State &state : m_states) {
+        if (state.present && state.answers >= AnswersToJudge && !state.health.ejected()) {
+            speeds.push_back(state.unitSeconds);
+        }
+    }
+    if (speeds.size() < EndpointsToCompare) {
+        m_medianUnitSeconds = 0;
+        return;
+    }
+    const auto middle = speeds.begin() + static_cast<std::ptrdiff_t>(speeds.size() / 2);
+    std::nth_element(speeds.begin(), middle, speeds.end());
+    m_medianUnitSeconds = *middle;
+    for (State &state : m_states) {
+        const bool judged = state.present && state.answers >= AnswersToJudge && !state.health.ejected();
+        if (judged && tooSlow(state.unitSeconds) && mayDoubtMore()) {
+            state.health.failed(EndpointFailure::Slow, now, random);
+        }
+    }
+}
+
+bool EndpointPool::admits(std::size_t slot, TimePoint now) const
+{
+    return usable(m_states[slot], now) && m_states[slot].health.admits(now);
+}
+
+bool EndpointPool::idle(std::size_t slot) const
+{
+    return m_states[slot].load.inFlight() == 0;
+}
+
+void EndpointPool::releaseAlone(std::size_t slot)
+{
+    m_states[slot].reserved = false;
+}
+
+std::size_t EndpointPool::mostReserved() const
+{
+    const double share = ReservableShare * static_cast<double>(listed());
+    return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
+const EndpointId &EndpointPool::endpoint(std::size_t slot) const
+{
+    return m_states[slot].listed.id;
+}
+
+const Address &EndpointPool::address(std::size_t slot) const
+{
+    return m_states[slot].listed.address;
+}
+
+std::uint32_t EndpointPool::inFlight(std::size_t slot) const
+{
+    return m_states[slot].load.inFlight();
+}
+
+std::uint32_t EndpointPool::inFlight() const
+{
+    return m_inFlight;
+}
+
+std::size_t EndpointPool::listed() const
+{
+    return m_local.size() + m_remote.size();
+}
+
+Duration EndpointPool::unitLatency() const
+{
+    return fromSeconds(m_unitSeconds);
+}
+
+Duration EndpointPool::requestDuration() const
+{
+    return fromSeconds(m_requestSeconds);
+}
+
+std::size_t EndpointPool::slotFor(const RoutedEndpoint &endpoint)
+{
+    const auto found = m_slots.find(endpoint.id);
+    if (found != m_slots.end()) {
+        return found->second;
+    }
+    std::size_t slot = m_states.size();
+    if (m_free.empty()) {
+        m_states.emplace_back();
+    } else {
+        slot = m_free.back();
+        m_free.pop_back();
+        m_states[slot] = State();
+    }
+    State &state = m_states[slot];
+    state.identity = stableHash(endpoint.id.value());
+    state.limit = ConcurrencyLimit(m_options.limit);
+    state.health = EndpointHealth(m_options.health);
+    m_slots.emplace(endpoint.id, slot);
+    return slot;
+}
+
+void EndpointPool::rebuildOrder(TimePoint now)
+{
+    std::vector<std::size_t> local;
+    std::vector<std::size_t> remote;
+    for (const auto &[id, slot] : m_slots) {
+        if (usable(m_states[slot], now)) {
+            (m_states[slot].listed.domain == m_options.domain ? local : remote).push_back(slot);
+        }
+    }
+    const auto subset = [&](std::vector<std::size_t> &from, std::size_t most) {
+        std::sort(from.begin(), from.end());
+        std::vector<std::string_view> names;
+        names.reserve(from.size());
+        for (const std::size_t slot : from) {
+            names.push_back(m_states[slot].listed.id.value());
+        }
+        std::vector<std::size_t> kept;
+        for (const std::size_t position : rendezvousSubset(m_options.instance, names, most)) {
+            kept.push_back(from[position]);
+        }
+        return kept;
+    };
+    m_local = subset(local, m_options.localSubset);
+    m_remote = subset(remote, m_options.remoteSubset);
+}
+
+void EndpointPool::takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const
+{
+    if (endpoint.slots > 0) {
+        state.load.reported(endpoint.load, now - endpoint.loadAge);
+    }
+}
+
+bool EndpointPool::tooSlow(double unitSeconds) const
+{
+    return m_medianUnitSeconds > 0 && unitSeconds > m_options.slowFactor * m_medianUnitSeconds;
+}
+
+bool EndpointPool::mayDoubtMore() const
+{
+    const auto ejected = std::count_if(m_states.begin(), m_states.end(), [](const State &state) {
+        return state.present && state.health.ejected();
+    });
+    return static_cast<double>(ejected + 1) <= m_options.mostDoubtful * static_cast<double>(listed());
+}
+
+void EndpointPool::learnLatency(State &state, Duration latency, double unitSeconds)
+{
+    ++state.answers;
+    smooth(state.unitSeconds, unitSeconds, LatencySmoothing);
+    smooth(m_unitSeconds, unitSeconds, PoolSmoothing);
+    smooth(m_requestSeconds, seconds(latency), PoolSmoothing);
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/endpoint_pool.h
@@ -0,0 +1,142 @@
+#pragma once
+
+// The endpoints of one target as this instance sees them: how loaded, how fast and how healthy each is, and which one
+// takes the next request. Same failure domain first; others once the own one is nearly full.
+//
+//     EndpointPool pool(options, std::make_unique<TwoChoices>());
+//     pool.update(target.endpoints, now);
+//     std::optional<std::size_t> slot = pool.pick({.trafficClass = TrafficClass::Batch}, now, random);
+//     pool.dispatched(*slot, now);
+//     pool.answered(*slot, latency, 1.0, now, random);
+
+#include <array>
+#include <memory>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+#include "bergamot/routing/choice.h"
+#include "bergamot/routing/concurrency_limit.h"
+#include "bergamot/routing/endpoint_health.h"
+#include "bergamot/routing/load_estimate.h"
+#include "bergamot/routing/outcome.h"
+#include "bergamot/routing/routing_table.h"
+
+namespace bergamot
+{
+
+struct EndpointPoolOptions
+{
+    std::string instance; // this one; chooses its subset
+    FailureDomainId domain; // this one
+    std::size_t localSubset = 180;
+    std::size_t remoteSubset = 24;
+    double spillThreshold = 0.85; // share of the limits in the own domain that is used before others are asked
+    double affinityBound = 1.25; // load of a prefix's owner over the mean
+    std::array<double, TrafficClassCount> classShare{1.0, 0.95, 0.85}; // of each limit, by class
+    double slotMargin = 0.125; // requests beyond an engine's slots, as a share, that cover the lag of its report
+    double slowFactor = 4; // an endpoint slower than this multiple of the median is ejected
+    double mostDoubtful = 0.34; // share of the endpoints that may be ejected although they answer
+    ConcurrencyLimitOptions limit;
+    EndpointHealthOptions health;
+};
+
+struct PickRequest
+{
+    TrafficClass trafficClass = TrafficClass::Interactive;
+    std::uint64_t prefix = 0; // 0: no affinity
+    std::span<const std::size_t> excluded{}; // slots that have been tried
+};
+
+/// Not thread-safe. Endpoints are named by slots, which stay valid while a request is in flight there.
+class EndpointPool
+{
+public:
+    EndpointPool(EndpointPoolOptions options, std::unique_ptr<ChoiceStrategy> strategy);
+
+    /// Takes in the newest view. An endpoint that has gone gets no new work.
+    void update(std::span<const RoutedEndpoint> endpoints, TimePoint now);
+
+    /// An endpoint with room, or none.
+    std::optional<std::size_t> pick(const PickRequest &request, TimePoint now, std::mt19937_64 &random);
+    /// Whether any endpoint serves now, busy or not. If not, waiting is of no use before `nextProbe`.
+    bool serviceable(TimePoint now) const;
+
+    void dispatched(std::size_t slot, TimePoint now);
+    /// `work` is the request's size, by which the latency is divided before endpoints are compared.
+    void answered(std::size_t slot, Duration latency, double work, TimePoint now, std::mt19937_64 &random);
+    void failed(std::size_t slot, EndpointFailure failure, TimePoint now, std::mt19937_64 &random);
+    /// The endpoint refused for overload; it is well otherwise.
+    void refused(std::size_t slot, TimePoint now);
+    /// The attempt ended without a verdict on the endpoint.
+    void withdrawn(std::size_t slot, TimePoint now);
+    /// The endpoint itself says that it is leaving.
+    void saidLeaving(std::size_t slot, TimePoint now);
+    /// Ejects endpoints that have become several times slower than the others. Call it about twice a second.
+    void review(TimePoint now, std::mt19937_64 &random);
+
+    /// Sets an endpoint aside for one request that must run alone; `avoid` tells which endpoints may not be used.
+    std::optional<std::size_t> reserveAlone(const std::function<bool(const EndpointId &)> &avoid, TimePoint now);
+    /// Whether a reserved endpoint may still be used.
+    bool admits(std::size_t slot, TimePoint now) const;
+    /// Whether a reserved endpoint has finished everything else of this instance.
+    bool idle(std::size_t slot) const;
+    void releaseAlone(std::size_t slot);
+    /// How many endpoints may be reserved at once.
+    std::size_t mostReserved() const;
+
+    const EndpointId &endpoint(std::size_t slot) const;
+    const Address &address(std::size_t slot) const;
+    std::uint32_t inFlight(std::size_t slot) const;
+    std::uint32_t inFlight() const;
+    std::size_t listed() const;
+    /// Mean latency of one unit of work, and of one request whatever its size; zero before the first answer.
+    Duration unitLatency() const;
+    Duration requestDuration() const;
+
+private:
+    struct State
+    {
+        RoutedEndpoint listed;
+        std::uint64_t identity = 0;
+        bool present = false; // in the newest view
+        bool reserved = false;
+        std::uint32_t answers = 0; // since it was added or returned
+        double unitSeconds = 0; // smoothed latency of one unit of work
+        TimePoint leavingUntil{};
+        LoadEstimate load;
+        ConcurrencyLimit limit;
+        EndpointHealth health;
+    };
+    class View;
+
+    std::size_t slotFor(const RoutedEndpoint &endpoint);
+    void rebuildOrder(TimePoint now);
+    void takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const;
+    bool usable(const State &state, TimePoint now) const;
+    bool hasRoom(const State &state, TrafficClass trafficClass, double share, TimePoint now) const;
+    double cost(const State &state, TimePoint now) const;
+    bool tooSlow(double unitSeconds) const;
+    /// Whether one more endpoint may be ejected although it answers.
+    bool mayDoubtMore() const;
+    std::optional<std::size_t> tryOrder(const std::vector<std::size_t> &order,
+                                        const PickRequest &request,
+                                        double share,
+                                        TimePoint now,
+                                        std::mt19937_64 &random);
+    void learnLatency(State &state, Duration latency, double unitSeconds);
+
+    EndpointPoolOptions m_options;
+    std::unique_ptr<ChoiceStrategy> m_strategy;
+    std::vector<State> m_states;
+    std::unordered_map<EndpointId, std::size_t> m_slots;
+    std::vector<std::size_t> m_free;
+    std::vector<std::size_t> m_local;
+    std::vector<std::size_t> m_remote;
+    std::uint32_t m_inFlight = 0;
+    double m_unitSeconds = 0;
+    double m_requestSeconds = 0;
+    double m_medianUnitSeconds = 0;
+};
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -0,0 +1,154 @@
+#include "bergamot/routing/endpoint_pool.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr double LoadingPenalty = 4;
+constexpr double UnknownUnitSeconds = 1e-3;
+
+} // namespace
+
+/// The endpoints of one order, as the strategies see them.
+class EndpointPool::View final : public Candidates
+{
+public:
+    View(const EndpointPool &pool,
+         const std::vector<std::size_t> &order,
+         const PickRequest &request,
+         double share,
+         TimePoint now)
+        : m_pool(pool)
+        , m_order(order)
+        , m_request(request)
+        , m_share(share)
+        , m_now(now)
+    { }
+
+    std::size_t size() const override
+    {
+        return m_order.size();
+    }
+
+    bool hasRoom(std::size_t index) const override
+    {
+        const std::size_t slot = m_order[index];
+        const bool excluded =
+            std::find(m_request.excluded.begin(), m_request.excluded.end(), slot) != m_request.excluded.end();
+        return !excluded && m_pool.hasRoom(m_pool.m_states[slot], m_request.trafficClass, m_share, m_now);
+    }
+
+    double cost(std::size_t index) const override
+    {
+        const State &state = m_pool.m_states[m_order[index]];
+        return m_request.prefix != 0 ? state.load.load(m_now) : m_pool.cost(state, m_now);
+    }
+
+    std::uint64_t identity(std::size_t index) const override
+    {
+        return m_pool.m_states[m_order[index]].identity;
+    }
+
+private:
+    const EndpointPool &m_pool;
+    const std::vector<std::size_t> &m_order;
+    const PickRequest &m_request;
+    double m_share;
+    TimePoint m_now;
+};
+
+std::optional<std::size_t> EndpointPool::pick(const PickRequest &request, TimePoint now, std::mt19937_64 &random)
+{
+    if (request.prefix != 0) {
+        const View view(*this, m_local, request, 1.0, now);
+        if (const auto owner = choosePrefixOwner(view, request.prefix, m_options.affinityBound)) {
+            return m_local[*owner];
+        }
+    }
+    const PickRequest plain{.trafficClass = request.trafficClass, .prefix = 0, .excluded = request.excluded};
+    if (!m_remote.empty()) {
+        if (const auto slot = tryOrder(m_local, plain, m_options.spillThreshold, now, random)) {
+            return slot;
+        }
+        if (const auto slot = tryOrder(m_remote, plain, 1.0, now, random)) {
+            return slot;
+        }
+    }
+    return tryOrder(m_local, plain, 1.0, now, random);
+}
+
+bool EndpointPool::serviceable(TimePoint now) const
+{
+    const auto serves = [&](std::size_t slot) {
+        const State &state = m_states[slot];
+        return usable(state, now) && (!state.health.ejected() || state.health.admits(now));
+    };
+    return std::any_of(m_local.begin(), m_local.end(), serves) || std::any_of(m_remote.begin(), m_remote.end(), serves);
+}
+
+std::optional<std::size_t> EndpointPool::reserveAlone(const std::function<bool(const EndpointId &)> &avoid,
+                                                      TimePoint now)
+{
+    std::optional<std::size_t> best;
+    for (const std::vector<std::size_t> *order : {&m_local, &m_remote}) {
+        for (const std::size_t slot : *order) {
+            const State &state = m_states[slot];
+            const bool fits =
+                usable(state, now) && !state.reserved && state.health.admits(now) && !avoid(state.listed.id);
+            if (fits && (!best || state.load.inFlight() < m_states[*best].load.inFlight())) {
+                best = slot;
+            }
+        }
+        if (best) {
+            m_states[*best].reserved = true;
+            return best;
+        }
+    }
+    return std::nullopt;
+}
+
+bool EndpointPool::usable(const State &state, TimePoint now) const
+{
+    return state.present && !state.listed.leaving && now >= state.leavingUntil;
+}
+
+bool EndpointPool::hasRoom(const State &state, TrafficClass trafficClass, double share, TimePoint now) const
+{
+    if (!usable(state, now) || state.reserved || !state.health.admits(now)) {
+        return false;
+    }
+    if (state.health.ejected()) {
+        return true;
+    }
+    const double classShare = m_options.classShare[static_cast<std::size_t>(trafficClass)];
+    const double allowed = state.limit.allowed() * classShare * share * state.health.share(now);
+    if (state.load.inFlight() + 1.0 > std::max(1.0, allowed)) {
+        return false;
+    }
+    const double slots = state.listed.slots;
+    return slots == 0 || state.load.load(now) < slots * share + std::max(1.0, slots * m_options.slotMargin);
+}
+
+double EndpointPool::cost(const State &state, TimePoint now) const
+{
+    const double unitSeconds = state.unitSeconds > 0 ? state.unitSeconds : std::max(m_unitSeconds, UnknownUnitSeconds);
+    const double width = std::max<double>(1, state.listed.slots);
+    const double penalty =
+        (state.listed.loading ? LoadingPenalty : 1.0) * (state.listed.reachable ? 1.0 : LoadingPenalty);
+    return (state.load.load(now) + 1.0) / width * unitSeconds * penalty / state.health.share(now);
+}
+
+std::optional<std::size_t> EndpointPool::tryOrder(const std::vector<std::size_t> &order,
+                                                  const PickRequest &request,
+                                                  double share,
+                                                  TimePoint now,
+                                                  std::mt19937_64 &random)
+{
+    const View view(*this, order, request, share, now);
+    const std::optional<std::size_t> chosen = m_strategy->choose(view, random);
+    return chosen ? std::optional(order[*chosen]) : std::nullopt;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/router.cpp
@@ -0,0 +1,274 @@
+#include "bergamot/routing/router.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr Duration ReviewPeriod = std::chrono::milliseconds(500);
+constexpr Duration ShortestRetryAfter = std::chrono::seconds(1);
+constexpr Duration LongestRetryAfter = std::chrono::seconds(30);
+
+int statusFor(const RefusalReason reason, RequestOutcome outcome, bool timedOut)
+{
+    switch (reason) {
+    case RefusalReason::UnknownTarget:
+        return 404;
+    case RefusalReason::QueueFull:
+    case RefusalReason::DeadlineTooShort:
+        return outcome == RequestOutcome::RefusedNotRun ? 429 : 502;
+    case RefusalReason::KeyInProgress:
+        return 409;
+    case RefusalReason::KeyMismatch:
+        return 422;
+    default:
+        break;
+    }
+    if (outcome == RequestOutcome::RefusedNotRun) {
+        return 503;
+    }
+    return timedOut || reason == RefusalReason::DeadlinePassed ? 504 : 502;
+}
+
+} // namespace
+
+Router::Router(RouterOptions options, std::uint64_t seed)
+    : m_options(std::move(options))
+    , m_random(seed)
+    , m_quarantine(m_options.quarantine)
+{ }
+
+Router::~Router() = default;
+
+void Router::onView(const RoutingTable &table, TimePoint now)
+{
+    for (const auto &[name, target] : table.targets) {
+        std::unique_ptr<TargetState> &state = m_targets[name];
+        if (state == nullptr) {
+            state = std::make_unique<TargetState>(m_options.target);
+        }
+        state->pool.update(target.endpoints, now);
+    }
+    for (auto &[name, state] : m_targets) {
+        if (!table.targets.contains(name)) {
+            state->pool.update({}, now);
+        }
+        pump(*state, now);
+    }
+    m_quarantine.merge(table.suspects, now);
+}
+
+void Router::onRequest(CallerRequest request, TimePoint now)
+{
+    const RequestId id = request.id;
+    Pending &pending = m_pending[id];
+    pending.request = std::move(request);
+    if (!m_accepting) {
+        refuse(pending, {RefusalReason::ShuttingDown, "This instance is shutting down.", ShortestRetryAfter});
+        return;
+    }
+    const auto target = m_targets.find(pending.request.target);
+    if (target == m_targets.end() || target->second->pool.listed() == 0) {
+        const bool known = target != m_targets.end();
+        refuse(pending,
+               {known ? RefusalReason::NoEndpoint : RefusalReason::UnknownTarget,
+                known ? "No endpoint of the target is listed now." : "No such service or model is configured.",
+                ShortestRetryAfter});
+        return;
+    }
+    pending.target = target->second.get();
+    m_timers.push({pending.request.deadline - m_options.deadlineMargin, id, TimerKind::Deadline});
+    if (!pending.request.key.empty()) {
+        pending.stage = Stage::AwaitingKey;
+        m_actions.emplace_back(ClaimKeyAction{id});
+        return;
+    }
+    admit(pending, now);
+}
+
+void Router::onKeyState(RequestId id, KeyState state, Duration retryAfter, TimePoint now)
+{
+    Pending *pending = find(id);
+    if (pending == nullptr || pending->stage != Stage::AwaitingKey) {
+        if (state == KeyState::Granted) {
+            m_actions.emplace_back(RecordKeyAction{id, RequestOutcome::RefusedNotRun, 0});
+        }
+        return;
+    }
+    const Duration later = std::max(retryAfter, ShortestRetryAfter);
+    switch (state) {
+    case KeyState::Granted:
+        pending->keyClaimed = true;
+        admit(*pending, now);
+        return;
+    case KeyState::Finished:
+        m_actions.emplace_back(ForwardStoredAction{id});
+        finish(id);
+        return;
+    case KeyState::InProgress:
+        pending->outcome = RequestOutcome::MaybeRan;
+        refuse(*pending, {RefusalReason::KeyInProgress, "A request with this key is running.", later});
+        return;
+    case KeyState::Mismatch:
+        refuse(*pending, {RefusalReason::KeyMismatch, "The key was used with another request.", Duration::zero()});
+        return;
+    case KeyState::Unavailable:
+        refuse(*pending, {RefusalReason::KeyUnavailable, "The key cannot be claimed now.", later});
+        return;
+    }
+}
+
+void Router::stopAccepting()
+{
+    m_accepting = false;
+}
+
+void Router::tick(TimePoint now)
+{
+    runTimers(now);
+    const bool review = now >= m_reviewAt;
+    for (auto &[name, target] : m_targets) {
+        if (review) {
+            target->pool.review(now, m_random);
+        }
+        pump(*target, now);
+    }
+    if (review) {
+        m_reviewAt = now + ReviewPeriod;
+    }
+}
+
+Actions Router::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+std::vector<SuspectReport> Router::takeSuspectNews()
+{
+    return m_quarantine.takeNews();
+}
+
+std::size_t Router::pending() const
+{
+    return m_pending.size();
+}
+
+std::size_t Router::queued() const
+{
+    std::size_t total = 0;
+    for (const auto &[name, target] : m_targets) {
+        total += target->queue.size();
+    }
+    return total;
+}
+
+std::uint64_t Router::retries() const
+{
+    return m_retries;
+}
+
+std::uint64_t Router::hedges() const
+{
+    return m_hedges;
+}
+
+void Router::admit(Pending &pending, TimePoint now)
+{
+    switch (m_quarantine.standing(pending.request.fingerprint, now)) {
+    case Standing::Refused:
+        refuse(pending,
+               {RefusalReason::CrashSuspect,
+                "Endpoints died under this request; it is not run again. Change it before sending it again.",
+                LongestRetryAfter});
+        return;
+    case Standing::Suspect:
+        quarantine(pending, now);
+        return;
+    case Standing::Clear:
+        break;
+    }
+    if (!pending.target->pool.serviceable(now)) {
+        refuse(pending, {RefusalReason::NoEndpoint, "No endpoint of the target serves now.", ShortestRetryAfter});
+        return;
+    }
+    const bool nobodyWaits = pending.target->queue.size(pending.request.trafficClass) == 0;
+    if (nobodyWaits && tryDispatch(pending, now)) {
+        return;
+    }
+    enqueue(pending, now);
+}
+
+void Router::enqueue(Pending &pending, TimePoint now)
+{
+    TargetState &target = *pending.target;
+    const WaitingRequest waiting{.id = pending.request.id,
+                                 .trafficClass = pending.request.trafficClass,
+                                 .deadline = pending.request.deadline - m_options.deadlineMargin};
+    const AdmissionQueue::Offer offer = target.queue.offer(waiting, target.pace(), now);
+    if (!offer.queued) {
+        refuse(pending,
+               {RefusalReason::QueueFull,
+                "The target is overloaded; the request would not be answered before its deadline.",
+                retryAfter(target, offer.expectedWait)});
+        return;
+    }
+    pending.stage = Stage::Queued;
+    pending.tried.clear();
+    if (Pending *evicted = offer.evicted ? find(*offer.evicted) : nullptr) {
+        refuse(*evicted,
+               {RefusalReason::QueueFull,
+                "The target is overloaded; requests of a better class go first.",
+                retryAfter(target, offer.expectedWait)});
+    }
+}
+
+void Router::refuse(Pending &pending, const Refusal &refusal)
+{
+    const RequestId id = pending.request.id;
+    if (pending.keyClaimed) {
+        recordKey(pending, pending.outcome, 0);
+    }
+    if (pending.streamStarted) {
+        m_actions.emplace_back(AbortStreamAction{id});
+    } else {
+        m_actions.emplace_back(RefuseAction{.request = id,
+                                            .outcome = pending.outcome,
+                                            .reason = refusal.reason,
+                                            .status = statusFor(refusal.reason, pending.outcome, pending.timedOut),
+                                            .message = refusal.message,
+                                            .retryAfter = refusal.retryAfter});
+    }
+    finish(id);
+}
+
+void Router::refuseQueue(TargetState &target)
+{
+    while (const std::optional<WaitingRequest> waiting = target.queue.front()) {
+        target.queue.popFront();
+        if (Pending *pending = find(waiting->id)) {
+            refuse(*pending, {RefusalReason::NoEndpoint, "No endpoint of the target serves now.", ShortestRetryAfter});
+        }
+    }
+}
+
+void Router::finish(RequestId id)
+{
+    m_pending.erase(id);
+}
+
+Router::Pending *Router::find(RequestId id)
+{
+    const auto found = m_pending.find(id);
+    return found == m_pending.end() ? nullptr : &found->second;
+}
+
+Duration Router::retryAfter(const TargetState &target, Duration expectedWait)
+{
+    const Duration base =
+        std::clamp(expectedWait + target.pool.requestDuration(), ShortestRetryAfter, LongestRetryAfter);
+    std::uniform_int_distribution<Duration::rep> spread(0, base.count());
+    return std::min(base + Duration(spread(m_random)), LongestRetryAfter);
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/router.h
@@ -0,0 +1,176 @@
+#pragma once
+
+// Routes callers' requests to endpoints: composes the rules of this package. Events come in with the time, actions go
+// out; no sockets, threads or clocks.
+//
+//     Router router({.instance = "entry-1", .domain = FailureDomainId("a")}, seed);
+//     router.onView(table, now);
+//     router.onRequest(request, now);
+//     for (const Action &action : router.takeActions()) { ... }
+//
+// Each request ends in exactly one ForwardAction, ForwardStoredAction, RefuseAction or AbortStreamAction, unless its
+// caller goes first.
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <unordered_map>
+
+#include "bergamot/routing/attempt_policy.h"
+#include "bergamot/routing/crash_quarantine.h"
+#include "bergamot/routing/request.h"
+#include "bergamot/routing/retry_budget.h"
+#include "bergamot/routing/routing_table.h"
+#include "bergamot/routing/target_state.h"
+
+namespace bergamot
+{
+
+struct RouterOptions
+{
+    TargetOptions target;
+    AttemptTimeoutOptions timeouts;
+    BackoffOptions backoff;
+    QuarantineOptions quarantine;
+    std::uint32_t mostRetries = 3; // for one request
+    Duration deadlineMargin = std::chrono::milliseconds(5); // kept for handing the answer over
+    Duration leastStall = std::chrono::milliseconds(500); // a shorter silence says nothing about an endpoint
+};
+
+/// Not thread-safe.
+class Router
+{
+public:
+    Router(RouterOptions options, std::uint64_t seed);
+    ~Router();
+    Router(const Router &) = delete;
+    Router &operator=(const Router &) = delete;
+
+    void onView(const RoutingTable &table, TimePoint now);
+    void onRequest(CallerRequest request, TimePoint now);
+    void onKeyState(RequestId id, KeyState state, Duration retryAfter, TimePoint now);
+    /// The attempt's answer is being streamed to the caller; it is the one that counts.
+    void onStreamStarted(AttemptId id);
+    void onAnswered(AttemptId id, const AttemptAnswer &answer, TimePoint now);
+    void onFailed(AttemptId id, const AttemptFailure &failure, TimePoint now);
+    /// The caller has gone: its work is cancelled, nobody is answered.
+    void onCallerGone(RequestId id, TimePoint now);
+    /// From now on new requests are refused as not run; those that are here finish.
+    void stopAccepting();
+    /// Call it every few milliseconds.
+    void tick(TimePoint now);
+
+    Actions takeActions();
+    /// What was learned of crashing requests since the last call, for the other instances of the domain.
+    std::vector<SuspectReport> takeSuspectNews();
+
+    /// Requests that have no final answer yet.
+    std::size_t pending() const;
+    std::size_t queued() const;
+    std::uint64_t retries() const;
+    std::uint64_t hedges() const;
+
+private:
+    enum class Stage {
+        AwaitingKey,
+        Queued,
+        Quarantined, // waits for an endpoint of its own
+        Running,
+        AwaitingRetry,
+    };
+
+    struct Pending
+    {
+        CallerRequest request;
+        TargetState *target = nullptr;
+        Stage stage = Stage::Queued;
+        RequestOutcome outcome = RequestOutcome::RefusedNotRun;
+        bool keyClaimed = false;
+        bool streamStarted = false;
+        bool timedOut = false;
+        std::uint32_t retries = 0;
+        Duration retryAfter{};
+        std::vector<AttemptId> attempts; // in flight
+        std::vector<std::size_t> tried; // slots of its target's pool
+    };
+
+    struct Attempt
+    {
+        RequestId request = 0;
+        TargetState *target = nullptr;
+        std::size_t slot = 0;
+        TimePoint dispatchedAt{};
+        Duration timeout{};
+        Connection connection = Connection::Pooled;
+        RunMode mode = RunMode::Shared;
+    };
+
+    enum class TimerKind {
+        Deadline,
+        Retry,
+        Hedge,
+    };
+
+    struct Timer
+    {
+        TimePoint at;
+        RequestId request = 0;
+        TimerKind kind = TimerKind::Deadline;
+
+        bool operator>(const Timer &other) const
+        {
+            return at > other.at;
+        }
+    };
+
+    struct Refusal
+    {
+        RefusalReason reason = RefusalReason::NoEndpoint;
+        std::string message;
+        Duration retryAfter{};
+    };
+
+    // router.cpp: admission and ends
+    void admit(Pending &pending, TimePoint now);
+    void enqueue(Pending &pending, TimePoint now);
+    void refuse(Pending &pending, const Refusal &refusal);
+    void refuseQueue(TargetState &target);
+    void finish(RequestId id);
+    Pending *find(RequestId id);
+    Duration retryAfter(const TargetState &target, Duration expectedWait);
+
+    // router_dispatch.cpp: sending
+    bool tryDispatch(Pending &pending, TimePoint now);
+    void dispatch(Pending &pending, std::size_t slot, Connection connection, RunMode mode, TimePoint now);
+    void pump(TargetState &target, TimePoint now);
+    void pumpQuarantine(TargetState &target, TimePoint now);
+    void quarantine(Pending &pending, TimePoint now);
+    void hedge(Pending &pending, TimePoint now);
+    void runTimers(TimePoint now);
+    void deadlinePassed(Pending &pending, TimePoint now);
+
+    // router_outcome.cpp: answers and failures
+    std::optional<Attempt> takeAttempt(AttemptId id);
+    void cancelAttempts(Pending &pending, TimePoint now);
+    void retryOrGiveUp(Pending &pending, FailureStep step, const Attempt &attempt, TimePoint now);
+    void giveUp(Pending &pending, RefusalReason reason);
+    void judge(const Attempt &attempt, const AttemptFailure &failure, std::uint64_t fingerprint, TimePoint now);
+    void recordKey(const Pending &pending, RequestOutcome outcome, AttemptId attempt);
+
+    RouterOptions m_options;
+    std::mt19937_64 m_random;
+    CrashQuarantine m_quarantine;
+    std::unordered_map<std::string, std::unique_ptr<TargetState>> m_targets;
+    std::unordered_map<RequestId, Pending> m_pending;
+    std::unordered_map<AttemptId, Attempt> m_attempts;
+    std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
+    Actions m_actions;
+    AttemptId m_lastAttempt = 0;
+    TimePoint m_reviewAt{};
+    bool m_accepting = true;
+    std::uint64_t m_retries = 0;
+    std::uint64_t m_hedges = 0;
+};
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/router_outcome.cpp
@@ -0,0 +1,220 @@
+#include "bergamot/routing/router.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr Duration RetryAfterFailure = std::chrono::seconds(1);
+constexpr std::int32_t FirstServerError = 500;
+
+bool endpointOverloaded(const AttemptAnswer &answer)
+{
+    constexpr int TooManyRequests = 429;
+    constexpr int ServiceUnavailable = 503;
+    return answer.status == TooManyRequests || answer.status == ServiceUnavailable;
+}
+
+} // namespace
+
+void Router::onStreamStarted(AttemptId id)
+{
+    const auto attempt = m_attempts.find(id);
+    if (attempt == m_attempts.end()) {
+        return;
+    }
+    if (Pending *pending = find(attempt->second.request)) {
+        pending->streamStarted = true;
+    }
+}
+
+void Router::onAnswered(AttemptId id, const AttemptAnswer &answer, TimePoint now)
+{
+    const std::optional<Attempt> attempt = takeAttempt(id);
+    if (!attempt) {
+        return;
+    }
+    TargetState &target = *attempt->target;
+    Pending *pending = find(attempt->request);
+    if (answer.leaving) {
+        target.pool.saidLeaving(attempt->slot, now);
+    }
+    const Duration latency = now - attempt->dispatchedAt;
+    const double work = pending == nullptr ? 1.0 : std::max(1.0, pending->request.work);
+    if (endpointOverloaded(answer)) {
+        target.pool.refused(attempt->slot, now);
+    } else if (answer.status >= FirstServerError) {
+        target.pool.failed(attempt->slot, EndpointFailure::Faulty, now, m_random);
+    } else {
+        target.pool.answered(attempt->slot, latency, work, now, m_random);
+        target.retries.earn();
+        target.hedges.earn();
+    }
+    if (pending == nullptr) {
+        pump(target, now);
+        return;
+    }
+    std::erase(pending->attempts, id);
+    m_quarantine.finished(pending->request.fingerprint, now);
+    if (answer.notRun && !pending->streamStarted) {
+        pending->retryAfter = answer.retryAfter;
+        const FailureFacts facts{.proof = DeliveryProof::NotRun, .otherInFlight = !pending->attempts.empty()};
+        retryOrGiveUp(*pending, afterAttemptFailure(facts), *attempt, now);
+        pump(target, now);
+        return;
+    }
+    if (!pending->request.streaming) {
+        target.lateUnit.add(latency / static_cast<Duration::rep>(work));
+    }
+    cancelAttempts(*pending, now);
+    if (pending->keyClaimed) {
+        recordKey(*pending, RequestOutcome::Answered, id);
+    }
+    m_actions.emplace_back(ForwardAction{attempt->request, id});
+    finish(attempt->request);
+    pump(target, now);
+}
+
+void Router::onFailed(AttemptId id, const AttemptFailure &failure, TimePoint now)
+{
+    const std::optional<Attempt> attempt = takeAttempt(id);
+    if (!attempt) {
+        return;
+    }
+    TargetState &target = *attempt->target;
+    Pending *pending = find(attempt->request);
+    if (pending == nullptr) {
+        target.pool.withdrawn(attempt->slot, now);
+        pump(target, now);
+        return;
+    }
+    judge(*attempt, failure, pending->request.fingerprint, now);
+    std::erase(pending->attempts, id);
+    pending->outcome = afterFailure(pending->outcome, failure.proof);
+    pending->timedOut = failure.timedOut;
+    const FailureFacts facts{.proof = failure.proof,
+                             .timedOut = failure.timedOut,
+                             .repeatable = pending->request.repeatable,
+                             .streamStarted = pending->streamStarted,
+                             .otherInFlight = !pending->attempts.empty(),
+                             .connection = attempt->connection};
+    retryOrGiveUp(*pending, afterAttemptFailure(facts), *attempt, now);
+    pump(target, now);
+}
+
+void Router::onCallerGone(RequestId id, TimePoint now)
+{
+    Pending *pending = find(id);
+    if (pending == nullptr) {
+        return;
+    }
+    TargetState *target = pending->target;
+    const bool mayHaveRun = !pending->attempts.empty() || pending->outcome == RequestOutcome::MaybeRan;
+    cancelAttempts(*pending, now);
+    if (pending->keyClaimed) {
+        recordKey(*pending, mayHaveRun ? RequestOutcome::MaybeRan : RequestOutcome::RefusedNotRun, 0);
+    }
+    finish(id);
+    if (target != nullptr) {
+        target->queue.remove(id);
+        pump(*target, now);
+    }
+}
+
+std::optional<Router::Attempt> Router::takeAttempt(AttemptId id)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return std::nullopt;
+    }
+    const Attempt attempt = found->second;
+    m_attempts.erase(found);
+    return attempt;
+}
+
+void Router::cancelAttempts(Pending &pending, TimePoint now)
+{
+    for (const AttemptId id : pending.attempts) {
+        if (const std::optional<Attempt> attempt = takeAttempt(id)) {
+            attempt->target->pool.withdrawn(attempt->slot, now);
+            m_actions.emplace_back(CancelAction{id});
+        }
+    }
+    pending.attempts.clear();
+}
+
+void Router::retryOrGiveUp(Pending &pending, FailureStep step, const Attempt &attempt, TimePoint now)
+{
+    if (step == FailureStep::AwaitOther) {
+        return;
+    }
+    if (step == FailureStep::GiveUp) {
+        giveUp(pending, RefusalReason::AttemptFailed);
+        return;
+    }
+    if (m_quarantine.standing(pending.request.fingerprint, now) == Standing::Refused) {
+        giveUp(pending, RefusalReason::CrashSuspect);
+        return;
+    }
+    const Duration pause =
+        pending.retries == 0 ? Duration::zero() : backoff(m_options.backoff, pending.retries - 1, m_random);
+    const bool inTime = now + pause + attempt.target->pool.requestDuration() < pending.request.deadline;
+    if (!inTime || pending.retries >= m_options.mostRetries || !attempt.target->retries.spend()) {
+        giveUp(pending, RefusalReason::RetriesExhausted);
+        return;
+    }
+    ++m_retries;
+    ++pending.retries;
+    if (step == FailureStep::RetryFresh && m_quarantine.standing(pending.request.fingerprint, now) == Standing::Clear) {
+        dispatch(pending, attempt.slot, Connection::Fresh, RunMode::Shared, now);
+        return;
+    }
+    if (pause == Duration::zero()) {
+        admit(pending, now);
+        return;
+    }
+    pending.stage = Stage::AwaitingRetry;
+    m_timers.push({now + pause, pending.request.id, TimerKind::Retry});
+}
+
+void Router::giveUp(Pending &pending, RefusalReason reason)
+{
+    const bool notRun = pending.outcome == RequestOutcome::RefusedNotRun;
+    refuse(pending,
+           {reason,
+            notRun ? "No endpoint took the request; it did not run."
+                   : "The endpoint gave no whole answer; the request may have run.",
+            std::max(pending.retryAfter, RetryAfterFailure)});
+}
+
+void Router::judge(const Attempt &attempt, const AttemptFailure &failure, std::uint64_t fingerprint, TimePoint now)
+{
+    EndpointPool &pool = attempt.target->pool;
+    if (failure.proof == DeliveryProof::NotRun) {
+        pool.failed(attempt.slot, EndpointFailure::Refused, now, m_random);
+        return;
+    }
+    if (!failure.timedOut) {
+        m_quarantine.endpointLost(fingerprint, pool.endpoint(attempt.slot), attempt.mode, now);
+        pool.failed(attempt.slot, EndpointFailure::Lost, now, m_random);
+        return;
+    }
+    if (attempt.connection == Connection::Pooled) {
+        m_actions.emplace_back(DropConnectionsAction{pool.address(attempt.slot)});
+        pool.withdrawn(attempt.slot, now);
+        return;
+    }
+    if (now - attempt.dispatchedAt >= m_options.leastStall) {
+        pool.failed(attempt.slot, EndpointFailure::Stalled, now, m_random);
+        return;
+    }
+    pool.withdrawn(attempt.slot, now);
+}
+
+void Router::recordKey(const Pending &pending, RequestOutcome outcome, AttemptId attempt)
+{
+    m_actions.emplace_back(RecordKeyAction{pending.request.id, outcome, attempt});
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/routing/routing_table.h
@@ -0,0 +1,69 @@
+#pragma once
+
+// What the request path knows of the fleet: one immutable value, made from the view that the control process hands
+// out, read by every thread of the entry process.
+//
+//     Snapshot<RoutingTable> table(std::make_shared<const RoutingTable>());
+//     table.publish(std::make_shared<const RoutingTable>(routingTable(view, configuration)));
+
+#include <chrono>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "bergamot/base/address.h"
+#include "bergamot/base/clock.h"
+#include "bergamot/base/ids.h"
+#include "bergamot/config/configuration.h"
+#include "bergamot/protocol/generated/inner_generated.h"
+#include "bergamot/routing/crash_quarantine.h"
+
+namespace bergamot
+{
+
+struct RoutedEndpoint
+{
+    EndpointId id;
+    FailureDomainId domain;
+    Address address;
+    bool leaving = false;
+    bool reachable = true; // from the control processes
+    bool loading = false; // an engine that is taking new weights
+    std::uint32_t load = 0; // requests running and waiting, as reported
+    std::uint32_t slots = 0; // requests that it runs at once; 0: unknown
+    Duration loadAge{};
+
+    bool operator==(const RoutedEndpoint &) const = default;
+};
+
+/// One service or model.
+struct RoutedTarget
+{
+    std::vector<RoutedEndpoint> endpoints;
+    std::vector<std::string> repeatablePaths; // prefixes whose POSTs may run more than once
+    Duration defaultTimeout = std::chrono::seconds(2); // for a caller that names no deadline
+
+    bool operator==(const RoutedTarget &) const = default;
+};
+
+struct RoutingTable
+{
+    std::uint64_t configVersion = 0;
+    std::map<std::string, RoutedTarget> targets; // by `serviceTarget` or `modelTarget`
+    std::vector<SuspectReport> suspects;
+
+    bool operator==(const RoutingTable &) const = default;
+};
+
+/// Endpoints whose address cannot be read, or that serve nothing that is configured, are left out.
+RoutingTable routingTable(const inner::ViewT &view, const Configuration &configuration);
+
+/// Reports in the form of the inner protocol, and back.
+std::vector<std::unique_ptr<inner::SuspectT>> toFrames(const std::vector<SuspectReport> &reports);
+std::vector<SuspectReport> fromFrames(const std::vector<std::unique_ptr<inner::SuspectT>> &frames);
+
+/// Whether a request may run more than once: safe and idempotent methods by the HTTP standard, and the paths that the
+/// operators named.
+bool isRepeatable(const RoutedTarget &target, std::string_view method, std::string_view path);
+
+} // namespace bergamot
