entry: the data path over the router, as bergamot-entry

Ruled out: answering keyed calls of repeatable requests through claims (running them twice does no harm); trusting "never connected" on a pooled connection as proof (the library may have sent the request on the one that broke first).

--- /dev/null
+++ b/bergamot/entry/main.cpp
@@ -0,0 +1,106 @@
+// bergamot-entry: the data path on one instance. Callers talk to it; it asks the control process beside it for views
+// and idempotency keys.
+
+#include <csignal>
+#include <iostream>
+#include <random>
+
+#include "bergamot/base/logging.h"
+#include "bergamot/base/settings.h"
+#include "bergamot/entry/data_path.h"
+#include "bergamot/entry/peer_control_link.h"
+#include "bergamot/http/server.h"
+
+namespace
+{
+
+using namespace bergamot;
+
+constexpr std::chrono::seconds LastAnswers{30};
+
+SettingsParser settingsParser()
+{
+    SettingsParser parser("bergamot-entry", "Serves callers on one instance.");
+    parser.require("instance", "Name of this instance.");
+    parser.require("domain", "Failure domain of this instance.");
+    parser.require("listen-address", "IP:PORT where callers connect.", isAddress);
+    parser.require("control-address", "IP:PORT of the control process of this instance.", isAddress);
+    parser.optional("log-level", "info", "debug, info, warning or error.", isLogLevel);
+    parser.optional("balancer-grace-ms", "5000", "How long to serve on, unready, after SIGTERM.", isWholeNumber);
+    parser.optional("drain-limit-ms", "600000", "How long requests in flight may take after that.", isWholeNumber);
+    parser.optional("max-requests", "4096", "Callers' requests at once.", isWholeNumber);
+    parser.optional("max-body-bytes", "16777216", "Size of a request's body.", isWholeNumber);
+    parser.optional("max-queued", "512", "Requests that wait for one service or model.", isWholeNumber);
+    return parser;
+}
+
+DataPathOptions dataPathOptions(const SettingsParser &settings)
+{
+    DataPathOptions options;
+    options.instance = InstanceId(settings.text("instance"));
+    options.router.target.pool.instance = settings.text("instance");
+    options.router.target.pool.domain = FailureDomainId(settings.text("domain"));
+    options.router.target.queue.most = settings.number("max-queued");
+    options.shutdown.balancerGrace = settings.milliseconds("balancer-grace-ms");
+    options.shutdown.limit = settings.milliseconds("drain-limit-ms");
+    options.seed = std::random_device()();
+    return options;
+}
+
+HttpServerOptions serverOptions(const SettingsParser &settings)
+{
+    return {.address = *parseAddress(settings.text("listen-address")),
+            .maxBodyBytes = settings.number("max-body-bytes"),
+            .maxRequestsAtOnce = settings.number("max-requests")};
+}
+
+/// Blocks the signals that end the program, in this thread and all that it starts.
+sigset_t blockEndSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int serve(const SettingsParser &settings, const sigset_t &signals)
+{
+    const PartLogger log("entry");
+    const SystemClock clock;
+    Metrics metrics;
+    const PeerIdentity identity{.sender = settings.text("instance"), .domain = settings.text("domain")};
+    const auto control = std::make_shared<PeerControlLink>(identity, *parseAddress(settings.text("control-address")));
+    DataPath path(dataPathOptions(settings), clock, control, metrics);
+    HttpServer server(serverOptions(settings), [&path](HttpRequest request, ResponderPtr responder) {
+        path.handle(std::move(request), std::move(responder));
+    });
+    if (const Result<void> started = server.start(); !started) {
+        log.error("Cannot listen: " + started.error().message);
+        return 1;
+    }
+    log.info("Serving callers on " + toString(server.address()) + ".");
+    int signal = 0;
+    sigwait(&signals, &signal);
+    log.info("Shutting down: unready from now on.");
+    path.beginShutdown();
+    path.drained().wait();
+    server.drain(LastAnswers);
+    server.stop();
+    return 0;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const sigset_t signals = blockEndSignals();
+    SettingsParser settings = settingsParser();
+    if (const SettingsOutcome outcome = settings.parse(argc, argv); outcome.exitCode) {
+        return *outcome.exitCode;
+    }
+    initializeLogging(*parseLogLevel(settings.text("log-level")));
+    return serve(settings, signals);
+}
--- /dev/null
+++ b/bergamot/entry/peer_control_link.cpp
@@ -0,0 +1,104 @@
+#include "bergamot/entry/peer_control_link.h"
+
+#include "bergamot/routing/routing_table.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::chrono::milliseconds ViewTimeout = 1s;
+constexpr std::chrono::milliseconds OutcomeTimeout = 2s;
+constexpr int OutcomeTries = 3;
+
+tl::unexpected<Error> unexpectedBody()
+{
+    return failure(ErrorCode::Internal, "The control process answered with another kind of frame.");
+}
+
+} // namespace
+
+struct PeerControlLink::Impl
+{
+    Impl(PeerIdentity identity, Address to)
+        : control(std::move(to))
+        , client(std::move(identity))
+    { }
+
+    static void record(const std::shared_ptr<Impl> &self, const inner::KeyOutcomeT &outcome, int triesLeft)
+    {
+        inner::BodyUnion body;
+        body.Set(inner::KeyOutcomeT(outcome));
+        self->client.request(self->control,
+                             std::move(body),
+                             OutcomeTimeout,
+                             [weak = std::weak_ptr(self), outcome, triesLeft](const Result<inner::FrameT> &reply) {
+                                 const std::shared_ptr<Impl> alive = weak.lock();
+                                 if (!reply && triesLeft > 1 && alive) {
+                                     record(alive, outcome, triesLeft - 1);
+                                 }
+                             });
+    }
+
+    Address control;
+    PeerClient client;
+};
+
+PeerControlLink::PeerControlLink(PeerIdentity identity, Address control)
+    : m_impl(std::make_shared<Impl>(std::move(identity), std::move(control)))
+{ }
+
+PeerControlLink::~PeerControlLink() = default;
+
+void PeerControlLink::fetchView(std::uint64_t knownHash,
+                                const std::vector<SuspectReport> &suspects,
+                                Callback<ViewNews> done)
+{
+    inner::ViewRequestT request;
+    request.view_hash = knownHash;
+    request.suspects = toFrames(suspects);
+    inner::BodyUnion body;
+    body.Set(std::move(request));
+    m_impl->client.request(m_impl->control, std::move(body), ViewTimeout, [done](Result<inner::FrameT> reply) {
+        if (!reply) {
+            done(tl::unexpected(reply.error()));
+            return;
+        }
+        inner::ViewReplyT *view = reply->body.AsViewReply();
+        if (view == nullptr) {
+            done(unexpectedBody());
+            return;
+        }
+        done(ViewNews{.hash = view->view_hash, .view = std::move(view->view)});
+    });
+}
+
+void PeerControlLink::claimKey(const inner::KeyClaimT &claim,
+                               std::chrono::milliseconds timeout,
+                               Callback<inner::KeyClaimReplyT> done)
+{
+    inner::BodyUnion body;
+    body.Set(inner::KeyClaimT(claim));
+    m_impl->client.request(m_impl->control, std::move(body), timeout, [done](Result<inner::FrameT> reply) {
+        if (!reply) {
+            done(tl::unexpected(reply.error()));
+            return;
+        }
+        inner::KeyClaimReplyT *verdict = reply->body.AsKeyClaimReply();
+        if (verdict == nullptr) {
+            done(unexpectedBody());
+            return;
+        }
+        done(std::move(*verdict));
+    });
+}
+
+void PeerControlLink::recordKey(const inner::KeyOutcomeT &outcome)
+{
+    Impl::record(m_impl, outcome, OutcomeTries);
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/entry/peer_control_link.h
@@ -0,0 +1,32 @@
+#pragma once
+
+// ControlLink over the inner protocol.
+//
+//     PeerControlLink link({"entry-1", "a"}, controlAddress);
+
+#include "bergamot/base/address.h"
+#include "bergamot/entry/control_link.h"
+#include "bergamot/protocol/peer_client.h"
+
+namespace bergamot
+{
+
+class PeerControlLink final : public ControlLink
+{
+public:
+    PeerControlLink(PeerIdentity identity, Address control);
+    ~PeerControlLink() override;
+
+    void
+    fetchView(std::uint64_t knownHash, const std::vector<SuspectReport> &suspects, Callback<ViewNews> done) override;
+    void claimKey(const inner::KeyClaimT &claim,
+                  std::chrono::milliseconds timeout,
+                  Callback<inner::KeyClaimReplyT> done) override;
+    void recordKey(const inner::KeyOutcomeT &outcome) override;
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace bergamot
--- a/bergamot/routing/request.h
+++ b/bergamot/routing/request.h
@@ -71,6 +71,8 @@
 
 struct AttemptFailure
 {
+    // Counts for the request only on a fresh connection: a pooled one may have broken under it before the next could
+    // not be opened.
     DeliveryProof proof = DeliveryProof::MaybeRan;
     bool timedOut = false;
 };
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -89,11 +89,12 @@
         pump(target, now);
         return;
     }
+    const DeliveryProof proof = attempt->connection == Connection::Pooled ? DeliveryProof::MaybeRan : failure.proof;
     judge(*attempt, failure, pending->request.fingerprint, now);
     std::erase(pending->attempts, id);
-    pending->outcome = afterFailure(pending->outcome, failure.proof);
+    pending->outcome = afterFailure(pending->outcome, proof);
     pending->timedOut = failure.timedOut;
-    const FailureFacts facts{.proof = failure.proof,
+    const FailureFacts facts{.proof = proof,
                              .timedOut = failure.timedOut,
                              .repeatable = pending->request.repeatable,
                              .streamStarted = pending->streamStarted,
