--- a/bergamot/config/configuration_test.cpp
+++ b/bergamot/config/configuration_test.cpp
@@ -20,7 +20,7 @@
 {
     const Result<Configuration> read = parseConfiguration(*parseJson(Whole));
     ASSERT_TRUE(read) << read.error().message;
-    EXPECT_EQ(read->domains, (std::vector<FailureDomainId> {FailureDomainId("east"), FailureDomainId("north")}));
+    EXPECT_EQ(read->domains, (std::vector<FailureDomainId>{FailureDomainId("east"), FailureDomainId("north")}));
     EXPECT_EQ(read->trainers.at(TrainerId("quotes")).strategy, SampleStrategy::Staleness);
     EXPECT_EQ(parseConfiguration(toJson(*read)), *read);
     EXPECT_EQ(toJson(*read).serialize(), toJson(*parseConfiguration(toJson(*read))).serialize());
@@ -49,17 +49,17 @@
     Table,
     BadConfiguration,
     testing::Values(
-        BadCase {R"([])", {"configuration must be a JSON object"}},
-        BadCase {R"({"model": {}})", {"configuration.model is not known; use one of: version"}},
-        BadCase {R"({"domains": ["a", "a"]})", {"name each failure domain once"}},
-        BadCase {R"({"domains": [1]})", {"non-empty names"}},
-        BadCase {R"({"models": {"m": {"versoin": 1, "capacity_floor_percent": 101}, "n": {"version": -1}}})",
-                 {"models.m.versoin is not known", "m.capacity_floor_percent must be from 0", "n.version must be"}},
-        BadCase {R"({"models": {"m": {"capacity_floor_percent": 100}}})", {"no engine could ever be swapped"}},
-        BadCase {R"({"trainers": {"t": {"strategy": "fast", "scoring": "host"}}})",
-                 {"t.model must be", "t.strategy must be idle_time or staleness", "t.scoring must be IP:PORT"}},
-        BadCase {R"({"services": {"s": {"repeatable_paths": ["x"], "timeout_ms": 0}}, "trainers": {"t": 1}})",
-                 {"begin with /", "timeout_ms must be from 1", "trainers.t must be a JSON object"}}));
+        BadCase{R"([])", {"configuration must be a JSON object"}},
+        BadCase{R"({"model": {}})", {"configuration.model is not known; use one of: version"}},
+        BadCase{R"({"domains": ["a", "a"]})", {"name each failure domain once"}},
+        BadCase{R"({"domains": [1]})", {"non-empty names"}},
+        BadCase{R"({"models": {"m": {"versoin": 1, "capacity_floor_percent": 101}, "n": {"version": -1}}})",
+                {"models.m.versoin is not known", "m.capacity_floor_percent must be from 0", "n.version must be"}},
+        BadCase{R"({"models": {"m": {"capacity_floor_percent": 100}}})", {"no engine could ever be swapped"}},
+        BadCase{R"({"trainers": {"t": {"strategy": "fast", "scoring": "host"}}})",
+                {"t.model must be", "t.strategy must be idle_time or staleness", "t.scoring must be IP:PORT"}},
+        BadCase{R"({"services": {"s": {"repeatable_paths": ["x"], "timeout_ms": 0}}, "trainers": {"t": 1}})",
+                {"begin with /", "timeout_ms must be from 1", "trainers.t must be a JSON object"}}));
 
 TEST(ConfigurationProblems, namesUndeclaredModelsAndSharesOverAll)
 {
--- a/bergamot/config/difference_test.cpp
+++ b/bergamot/config/difference_test.cpp
@@ -38,7 +38,7 @@
     for (const ConfigurationChange &change : changes) {
         names.push_back(change.kind + " " + change.name);
     }
-    EXPECT_EQ(names, (std::vector<std::string> {"domains ", "model a", "model b", "model c"}));
+    EXPECT_EQ(names, (std::vector<std::string>{"domains ", "model a", "model b", "model c"}));
     EXPECT_TRUE(changes[1].from.is_null());
     EXPECT_EQ(changes[2].to.at("version").as_integer(), 2);
     EXPECT_TRUE(changes[3].to.is_null());
--- a/bergamot/evidence/evidence_chain.h
+++ b/bergamot/evidence/evidence_chain.h
@@ -34,8 +34,8 @@
 {
     std::string instance;
     std::uint64_t incarnation = 0; // differs for each start
-    std::chrono::milliseconds flushPeriod {1000};
-    std::chrono::milliseconds retryDelay {500}; // after a failed append
+    std::chrono::milliseconds flushPeriod{1000};
+    std::chrono::milliseconds retryDelay{500}; // after a failed append
     std::size_t maxBatchRecords = 512;
     std::size_t maxPending = 65536;
 };
@@ -77,7 +77,7 @@
     EventLoop &m_loop;
     Clock &m_clock;
     Appender &m_appender;
-    PartLogger m_log {"evidence"};
+    PartLogger m_log{"evidence"};
     std::deque<web::json::value> m_pending; // from m_firstPending on
     std::uint64_t m_firstPending = 1;
     std::string m_hashBeforePending;
--- a/bergamot/evidence/evidence_chain_test.cpp
+++ b/bergamot/evidence/evidence_chain_test.cpp
@@ -21,7 +21,7 @@
         EXPECT_EQ(stream, "evidence");
         payloads.push_back(std::move(payload));
         if (failures.empty()) {
-            done(Offset {payloads.size()});
+            done(Offset{payloads.size()});
         } else {
             const ErrorCode code = failures.front();
             failures.pop_front();
@@ -40,7 +40,7 @@
     EvidenceChain &make(std::size_t maxPending = 1000)
     {
         m_chain = std::make_unique<EvidenceChain>(
-            EvidenceChainOptions {.instance = "i1", .incarnation = 7, .maxBatchRecords = 4, .maxPending = maxPending},
+            EvidenceChainOptions{.instance = "i1", .incarnation = 7, .maxBatchRecords = 4, .maxPending = maxPending},
             m_loop,
             m_clock,
             m_appender);
@@ -58,11 +58,11 @@
     {
         m_clock.advance(std::chrono::seconds(1));
         m_chain->tick();
-        std::promise<void> settled;
-        m_loop.post([&] {
-            settled.set_value();
+        const auto settled = std::make_shared<std::promise<void>>();
+        m_loop.post([settled] {
+            settled->set_value();
         });
-        settled.get_future().wait();
+        settled->get_future().wait();
     }
 
     web::json::value batch(std::size_t index)
@@ -87,11 +87,12 @@
     EXPECT_EQ(batch(0).at("previous_hash").as_string(), chainStart("i1", 7));
     EXPECT_EQ(batch(1).at("first").as_integer(), 5);
     EXPECT_EQ(batch(1).at("previous_hash"), batch(0).at("hash"));
-    std::string hash = batch(1).at("previous_hash").as_string();
-    for (const web::json::value &record : batch(1).at("records").as_array()) {
+    const web::json::value second = batch(1);
+    std::string hash = second.at("previous_hash").as_string();
+    for (const web::json::value &record : second.at("records").as_array()) {
         hash = chainHash(hash, record);
     }
-    EXPECT_EQ(batch(1).at("hash").as_string(), hash);
+    EXPECT_EQ(second.at("hash").as_string(), hash);
     EXPECT_EQ(m_chain->pending(), 0U);
 }
 
--- a/bergamot/evidence/sample_receipt_test.cpp
+++ b/bergamot/evidence/sample_receipt_test.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-const EvidencePosition Position {.instance = "i/1", .incarnation = 7, .sequence = 3};
+const EvidencePosition Position{.instance = "i/1", .incarnation = 7, .sequence = 3};
 
 struct ReceiptCase
 {
@@ -29,12 +29,12 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          ReceiptDigest,
-                         testing::Values(ReceiptCase {"t/1/0/1", "d", "4:120", Position},
-                                         ReceiptCase {"t/1/0/0", "e", "4:120", Position},
-                                         ReceiptCase {"t/1/0/0", "d", "4:121", Position},
-                                         ReceiptCase {"t/1/0/0", "d", "4:120", {"i/1", 7, 4}},
-                                         ReceiptCase {"t/1/0/0", "d", "4:120", {"i/1", 8, 3}},
-                                         ReceiptCase {"t/1/0/0", "d", "4:120", {"i/2", 7, 3}}));
+                         testing::Values(ReceiptCase{"t/1/0/1", "d", "4:120", Position},
+                                         ReceiptCase{"t/1/0/0", "e", "4:120", Position},
+                                         ReceiptCase{"t/1/0/0", "d", "4:121", Position},
+                                         ReceiptCase{"t/1/0/0", "d", "4:120", {"i/1", 7, 4}},
+                                         ReceiptCase{"t/1/0/0", "d", "4:120", {"i/1", 8, 3}},
+                                         ReceiptCase{"t/1/0/0", "d", "4:120", {"i/2", 7, 3}}));
 
 TEST(ReceiptText, isReadBack)
 {
@@ -47,7 +47,7 @@
 TEST(ReceiptText, isRefusedWhenMalformed)
 {
     const std::string digest(64, 'a');
-    const std::vector<std::string> malformed {
+    const std::vector<std::string> malformed{
         "", digest, "i/1/x/" + digest, "i/1/2/short", "/1/2/" + digest, "1/2/" + digest};
     for (const std::string &text : malformed) {
         EXPECT_FALSE(parseReceipt(text)) << text;
--- a/bergamot/journal/append_queue.cpp
+++ b/bergamot/journal/append_queue.cpp
@@ -36,7 +36,7 @@
 
 void AppendQueue::add(const std::string &stream, Record record, Callback<Offset> done, TimePoint now)
 {
-    Waiting waiting {std::move(record), std::move(done), now + m_options.limit};
+    Waiting waiting{std::move(record), std::move(done), now + m_options.limit};
     ++m_queued;
     if (m_queued > m_options.maxQueuedRecords) {
         settle(waiting, failure(ErrorCode::Overloaded, "too many records wait for the log", m_options.limit));
@@ -175,7 +175,7 @@
 
 AppendSend AppendQueue::send(const std::string &name, Stream &stream, TimePoint now)
 {
-    AppendSend send {m_nextBatch++, name, {}, m_options.sendTimeout};
+    AppendSend send{m_nextBatch++, name, {}, m_options.sendTimeout};
     // A batch that may have been appended is sent again as it was; a later record never overtakes an earlier one.
     const bool again = stream.inBatch > 0 && stream.waiting.front().maybeAppended;
     const std::size_t most = again ? stream.inBatch : m_options.maxBatchRecords;
--- a/bergamot/journal/append_queue.h
+++ b/bergamot/journal/append_queue.h
@@ -30,10 +30,10 @@
     std::size_t maxBatchRecords = 256;
     std::size_t maxBatchBytes = 512U << 10U;
     std::size_t maxQueuedRecords = 16384; // further ones are refused as `Overloaded`
-    std::chrono::milliseconds sendTimeout {1000}; // of one append
-    std::chrono::milliseconds limit {3000}; // from `add` until a record is given up
-    std::chrono::milliseconds firstBackoff {50}; // doubled with each attempt
-    std::chrono::milliseconds maxBackoff {1000};
+    std::chrono::milliseconds sendTimeout{1000}; // of one append
+    std::chrono::milliseconds limit{3000}; // from `add` until a record is given up
+    std::chrono::milliseconds firstBackoff{50}; // doubled with each attempt
+    std::chrono::milliseconds maxBackoff{1000};
 };
 
 /// One append to send.
@@ -42,7 +42,7 @@
     std::uint64_t batch = 0;
     std::string stream;
     std::vector<Record> records;
-    std::chrono::milliseconds timeout {0};
+    std::chrono::milliseconds timeout{0};
 };
 
 /// The outcome of one record.
--- a/bergamot/journal/append_queue_test.cpp
+++ b/bergamot/journal/append_queue_test.cpp
@@ -15,7 +15,7 @@
 public:
     void add(const std::string &stream, std::uint64_t sequence)
     {
-        queue.add(stream, Record {{"w", 1, sequence}, "k", "{}"}, nullptr, clock.now());
+        queue.add(stream, Record{{"w", 1, sequence}, "k", "{}"}, nullptr, clock.now());
     }
 
     std::vector<AppendSend> sends()
@@ -43,7 +43,7 @@
     }
 
     ManualClock clock;
-    AppendQueue queue {AppendQueueOptions {.appendsPerSecond = 10, .burst = 3}};
+    AppendQueue queue{AppendQueueOptions{.appendsPerSecond = 10, .burst = 3}};
     std::map<std::uint64_t, Result<Offset>> outcomes;
 };
 
@@ -55,14 +55,14 @@
     add("s", 2);
     add("s", 3);
     EXPECT_TRUE(sends().empty());
-    answer(first[0], Offset {7});
+    answer(first[0], Offset{7});
     const std::vector<AppendSend> second = sends();
     ASSERT_EQ(second.size(), 1U);
-    EXPECT_EQ(sequences(second[0]), (std::vector<std::uint64_t> {2, 3}));
-    answer(second[0], Offset {8});
+    EXPECT_EQ(sequences(second[0]), (std::vector<std::uint64_t>{2, 3}));
+    answer(second[0], Offset{8});
     sends();
-    EXPECT_EQ(outcomes.at(1), Offset {7});
-    EXPECT_EQ(outcomes.at(3), Offset {9});
+    EXPECT_EQ(outcomes.at(1), Offset{7});
+    EXPECT_EQ(outcomes.at(3), Offset{9});
     EXPECT_EQ(queue.queued(), 0U);
 }
 
@@ -89,9 +89,9 @@
     clock.advance(50ms);
     const AppendSend again = sends().at(0);
     EXPECT_EQ(again.records, first.records);
-    answer(again, Offset {4});
-    EXPECT_EQ(sequences(sends().at(0)), (std::vector<std::uint64_t> {2}));
-    EXPECT_EQ(outcomes.at(1), Offset {4});
+    answer(again, Offset{4});
+    EXPECT_EQ(sequences(sends().at(0)), (std::vector<std::uint64_t>{2}));
+    EXPECT_EQ(outcomes.at(1), Offset{4});
 }
 
 struct LimitCase
@@ -124,18 +124,18 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     AppendLimit,
-    testing::Values(LimitCase {{ErrorCode::Unavailable}, ErrorCode::Unavailable},
-                    LimitCase {{ErrorCode::Overloaded, ErrorCode::Unavailable}, ErrorCode::Unavailable},
-                    LimitCase {{ErrorCode::Unknown, ErrorCode::Unavailable}, ErrorCode::Unknown},
-                    LimitCase {{ErrorCode::Unavailable, ErrorCode::DeadlineExceeded}, ErrorCode::Unknown},
-                    LimitCase {{ErrorCode::InvalidArgument}, ErrorCode::InvalidArgument},
-                    LimitCase {{ErrorCode::Unknown, ErrorCode::InvalidArgument}, ErrorCode::Unknown}));
+    testing::Values(LimitCase{{ErrorCode::Unavailable}, ErrorCode::Unavailable},
+                    LimitCase{{ErrorCode::Overloaded, ErrorCode::Unavailable}, ErrorCode::Unavailable},
+                    LimitCase{{ErrorCode::Unknown, ErrorCode::Unavailable}, ErrorCode::Unknown},
+                    LimitCase{{ErrorCode::Unavailable, ErrorCode::DeadlineExceeded}, ErrorCode::Unknown},
+                    LimitCase{{ErrorCode::InvalidArgument}, ErrorCode::InvalidArgument},
+                    LimitCase{{ErrorCode::Unknown, ErrorCode::InvalidArgument}, ErrorCode::Unknown}));
 
 TEST_F(AppendQueueTest, refusesWhatWouldOverfillTheQueue)
 {
-    AppendQueue small(AppendQueueOptions {.maxQueuedRecords = 1});
-    small.add("s", Record {{"w", 1, 1}, "k", ""}, nullptr, clock.now());
-    small.add("s", Record {{"w", 1, 2}, "k", ""}, nullptr, clock.now());
+    AppendQueue small(AppendQueueOptions{.maxQueuedRecords = 1});
+    small.add("s", Record{{"w", 1, 1}, "k", ""}, nullptr, clock.now());
+    small.add("s", Record{{"w", 1, 2}, "k", ""}, nullptr, clock.now());
     const std::vector<AppendSettled> settled = small.takeSettled();
     ASSERT_EQ(settled.size(), 1U);
     EXPECT_EQ(settled[0].outcome.error().code, ErrorCode::Overloaded);
--- a/bergamot/journal/batching_appender.cpp
+++ b/bergamot/journal/batching_appender.cpp
@@ -103,12 +103,12 @@
 RecordId
 BatchingAppender::append(const std::string &stream, std::string kind, std::string payload, Callback<Offset> done)
 {
-    RecordId id {m_core->options.writer, m_core->options.incarnation, 0};
+    RecordId id{m_core->options.writer, m_core->options.incarnation, 0};
     {
         const std::lock_guard lock(m_core->mutex);
         id.sequence = ++m_core->sequence;
         m_core->queue.add(
-            stream, Record {id, std::move(kind), std::move(payload)}, std::move(done), m_core->clock.now());
+            stream, Record{id, std::move(kind), std::move(payload)}, std::move(done), m_core->clock.now());
     }
     m_core->postPump(Duration::zero());
     return id;
--- a/bergamot/journal/batching_appender_test.cpp
+++ b/bergamot/journal/batching_appender_test.cpp
@@ -45,8 +45,8 @@
     const RecordId id = appender.append("s", "k", "{}", [&settled](Result<Offset> offset) {
         settled.set_value(std::move(offset));
     });
-    EXPECT_EQ(settled.get_future().get(), Offset {2});
-    EXPECT_EQ(id, (RecordId {"instance-1", 5, 1}));
+    EXPECT_EQ(settled.get_future().get(), Offset{2});
+    EXPECT_EQ(id, (RecordId{"instance-1", 5, 1}));
     EXPECT_EQ(log.records.at(0), log.records.at(1));
     EXPECT_EQ(appender.append("s", "k", "{}", [](const Result<Offset> &) {}).sequence, 2U);
     loop.stop();
--- a/bergamot/journal/checkpoint_timer.h
+++ b/bergamot/journal/checkpoint_timer.h
@@ -17,9 +17,9 @@
 
 struct CheckpointTimerOptions
 {
-    std::chrono::milliseconds maxAge {std::chrono::minutes(10)}; // under half of the log's retention
+    std::chrono::milliseconds maxAge{std::chrono::minutes(10)}; // under half of the log's retention
     std::uint64_t maxRecords = 2000; // after the newest checkpoint
-    std::chrono::milliseconds minGap {std::chrono::seconds(5)}; // between two attempts of this process
+    std::chrono::milliseconds minGap{std::chrono::seconds(5)}; // between two attempts of this process
 };
 
 /// A pure decision; not thread-safe. Several instances may decide the same; a second checkpoint does no harm.
--- a/bergamot/journal/stream_follower.cpp
+++ b/bergamot/journal/stream_follower.cpp
@@ -10,7 +10,7 @@
 {
 
 // Beyond every offset, and exact in every JSON parser: the answer to a read from here tells what is retained.
-constexpr Offset BeyondEnd = Offset {1} << 52U;
+constexpr Offset BeyondEnd = Offset{1} << 52U;
 
 std::string checkpointHash(const StreamCheckpoint &checkpoint)
 {
--- a/bergamot/journal/stream_follower_test.cpp
+++ b/bergamot/journal/stream_follower_test.cpp
@@ -56,7 +56,7 @@
         if (from < firstRetained) {
             return failure(ErrorCode::Expired, "gone");
         }
-        LogPage page {{}, firstRetained, records.size() + 1};
+        LogPage page{{}, firstRetained, records.size() + 1};
         for (Offset at = from; at < page.end && page.records.size() < limit; ++at) {
             page.records.push_back(records[at - 1]);
         }
@@ -114,12 +114,12 @@
 // Offsets: a b c x checkpoint(3) d e f
 INSTANTIATE_TEST_SUITE_P(Table,
                          RestartAfterExpiry,
-                         testing::Values(RestartCase {0, 1, FollowState::Following},
-                                         RestartCase {0, 2, FollowState::Following},
-                                         RestartCase {1, 4, FollowState::Following},
-                                         RestartCase {1, 5, FollowState::Lost},
-                                         RestartCase {4, 5, FollowState::Following},
-                                         RestartCase {0, 9, FollowState::Lost}));
+                         testing::Values(RestartCase{0, 1, FollowState::Following},
+                                         RestartCase{0, 2, FollowState::Following},
+                                         RestartCase{1, 4, FollowState::Following},
+                                         RestartCase{1, 5, FollowState::Lost},
+                                         RestartCase{4, 5, FollowState::Following},
+                                         RestartCase{0, 9, FollowState::Lost}));
 
 TEST(StreamFollower, takesACheckpointOfAPeerButNeverAnOlderOne)
 {
@@ -168,7 +168,7 @@
 
 TEST(Checkpoint, isRefusedIfItsHashDoesNotFit)
 {
-    const StreamCheckpoint checkpoint {7, "state"};
+    const StreamCheckpoint checkpoint{7, "state"};
     std::string payload = checkpointPayload(checkpoint);
     EXPECT_EQ(parseCheckpoint(payload), checkpoint);
     payload.replace(payload.find("state\":\"state") + 8, 5, "stale");
--- a/bergamot/protocol/frame.cpp
+++ b/bergamot/protocol/frame.cpp
@@ -22,7 +22,7 @@
 
 std::array<char, FrameLengthBytes> writeLength(std::size_t length)
 {
-    std::array<char, FrameLengthBytes> bytes {};
+    std::array<char, FrameLengthBytes> bytes{};
     for (char &byte : bytes) {
         byte = static_cast<char>(length & 0xffU);
         length >>= 8U;
@@ -68,7 +68,7 @@
 
 Error toError(const inner::RefusalT &refusal)
 {
-    Error error {ErrorCode::Unavailable, refusal.message, std::nullopt};
+    Error error{ErrorCode::Unavailable, refusal.message, std::nullopt};
     for (int code = 0; code <= static_cast<int>(ErrorCode::Internal); ++code) {
         if (errorCodeName(static_cast<ErrorCode>(code)) == refusal.code) {
             error.code = static_cast<ErrorCode>(code);
--- a/bergamot/protocol/frame_test.cpp
+++ b/bergamot/protocol/frame_test.cpp
@@ -60,12 +60,12 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          MalformedFrame,
-                         testing::Values(MalformedCase {"empty", ""},
-                                         MalformedCase {"oneByte", "x"},
-                                         MalformedCase {"zeros", std::string(3, '\0')},
-                                         MalformedCase {"ones", std::string(64, '\xff')},
-                                         MalformedCase {"text", "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n"},
-                                         MalformedCase {"half", payloadOf(claimFrame()).substr(0, 40)}),
+                         testing::Values(MalformedCase{"empty", ""},
+                                         MalformedCase{"oneByte", "x"},
+                                         MalformedCase{"zeros", std::string(3, '\0')},
+                                         MalformedCase{"ones", std::string(64, '\xff')},
+                                         MalformedCase{"text", "GET / HTTP/1.1\r\nHost: 127.0.0.1\r\n\r\n"},
+                                         MalformedCase{"half", payloadOf(claimFrame()).substr(0, 40)}),
                          [](const auto &testCase) {
                              return testCase.param.name;
                          });
@@ -162,7 +162,7 @@
 
 TEST_P(ProtocolVersions, overlapIsEnough)
 {
-    const PeerIdentity reader {"me", "east", 3, 2};
+    const PeerIdentity reader{"me", "east", 3, 2};
     inner::FrameT frame;
     frame.protocol = GetParam().peerNewest;
     frame.oldest_protocol = GetParam().peerOldest;
@@ -171,19 +171,19 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          ProtocolVersions,
-                         testing::Values(VersionCase {3, 3, true},
-                                         VersionCase {3, 2, true},
-                                         VersionCase {2, 1, true},
-                                         VersionCase {9, 3, true},
-                                         VersionCase {9, 4, false},
-                                         VersionCase {1, 1, false}));
+                         testing::Values(VersionCase{3, 3, true},
+                                         VersionCase{3, 2, true},
+                                         VersionCase{2, 1, true},
+                                         VersionCase{9, 3, true},
+                                         VersionCase{9, 4, false},
+                                         VersionCase{1, 1, false}));
 
 class RefusalCodes : public testing::TestWithParam<ErrorCode>
 { };
 
 TEST_P(RefusalCodes, surviveTheWire)
 {
-    const Error error {GetParam(), "why", std::chrono::milliseconds(250)};
+    const Error error{GetParam(), "why", std::chrono::milliseconds(250)};
     const inner::BodyUnion body = makeRefusal(error);
     EXPECT_EQ(toError(*body.AsRefusal()), error);
 }
--- a/bergamot/protocol/internal/frame_stream.h
+++ b/bergamot/protocol/internal/frame_stream.h
@@ -18,10 +18,10 @@
 /// Counted on the I/O thread, read from any thread.
 struct TrafficCounters
 {
-    std::atomic<std::uint64_t> bytesReceived {0};
-    std::atomic<std::uint64_t> bytesSent {0};
-    std::atomic<std::uint64_t> framesReceived {0};
-    std::atomic<std::uint64_t> framesSent {0};
+    std::atomic<std::uint64_t> bytesReceived{0};
+    std::atomic<std::uint64_t> bytesSent{0};
+    std::atomic<std::uint64_t> framesReceived{0};
+    std::atomic<std::uint64_t> framesSent{0};
 
     Traffic read() const;
 };
--- a/bergamot/protocol/peer_client.cpp
+++ b/bergamot/protocol/peer_client.cpp
@@ -88,7 +88,7 @@
         }
         connection = std::make_shared<Connection>();
         connection->stream = std::make_shared<FrameStream>(
-            asio::ip::tcp::socket(context), FrameStream::Limits {maxFrameBytes, 4 * maxFrameBytes}, counters);
+            asio::ip::tcp::socket(context), FrameStream::Limits{maxFrameBytes, 4 * maxFrameBytes}, counters);
         connect(to, connection);
         return connection;
     }
@@ -220,7 +220,7 @@
 
     PeerIdentity identity;
     std::size_t maxFrameBytes;
-    asio::io_context context {1};
+    asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(context);
     internal::TrafficCounters counters;
     std::map<Address, ConnectionPtr> connections;
--- a/bergamot/protocol/peer_server.cpp
+++ b/bergamot/protocol/peer_server.cpp
@@ -64,7 +64,7 @@
             idlest->close();
         }
         const auto stream = std::make_shared<FrameStream>(
-            std::move(socket), FrameStream::Limits {options.maxFrameBytes, options.maxQueuedBytes}, counters);
+            std::move(socket), FrameStream::Limits{options.maxFrameBytes, options.maxQueuedBytes}, counters);
         const auto place = streams.insert(streams.end(), stream);
         stream->start({[this, place](inner::FrameT frame) {
                            streams.splice(streams.end(), streams, place);
@@ -89,7 +89,7 @@
             return;
         }
         if (framesInFlight->load() >= options.maxFramesInFlight) {
-            const Error busy {ErrorCode::Overloaded, "too many frames in flight", std::chrono::milliseconds(1000)};
+            const Error busy{ErrorCode::Overloaded, "too many frames in flight", std::chrono::milliseconds(1000)};
             stream->send(makeFrame(options.identity, correlation, makeRefusal(busy)));
             return;
         }
@@ -112,7 +112,7 @@
         InFlight &operator=(const InFlight &) = delete;
 
         std::shared_ptr<std::atomic<std::size_t>> count;
-        std::atomic<bool> answered {false};
+        std::atomic<bool> answered{false};
     };
 
     Reply makeReply(const StreamPtr &stream, std::uint64_t correlation)
@@ -153,9 +153,9 @@
 
     PeerServerOptions options;
     Handler handler;
-    asio::io_context context {1};
+    asio::io_context context{1};
     asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(context);
-    asio::ip::tcp::acceptor acceptor {context};
+    asio::ip::tcp::acceptor acceptor{context};
     Address bound;
     std::list<StreamPtr> streams; // the one that has been idle the longest first
     std::shared_ptr<std::atomic<std::size_t>> framesInFlight = std::make_shared<std::atomic<std::size_t>>(0);
--- a/bergamot/protocol/peer_test.cpp
+++ b/bergamot/protocol/peer_test.cpp
@@ -77,7 +77,7 @@
     static inner::FrameT read(tcp::socket &socket)
     {
         FrameSplitter splitter;
-        std::array<char, 4096> buffer {};
+        std::array<char, 4096> buffer{};
         for (;;) {
             const auto payload = splitter.next();
             if (payload && payload->has_value()) {
@@ -96,7 +96,7 @@
 
     static bool closedByPeer(tcp::socket &socket)
     {
-        std::array<char, 64> buffer {};
+        std::array<char, 64> buffer{};
         boost::system::error_code error;
         socket.read_some(asio::buffer(buffer), error);
         return error == asio::error::eof || error == asio::error::connection_reset;
@@ -183,7 +183,7 @@
     tcp::socket fresh = peer.acceptor.accept();
     const inner::FrameT request = PlainPeer::read(fresh);
     inner::BodyUnion body;
-    body.Set(inner::KeyClaimReplyT {});
+    body.Set(inner::KeyClaimReplyT{});
     asio::write(fresh, asio::buffer(encodeFrame(makeFrame({"peer", "east"}, request.correlation, std::move(body)))));
     EXPECT_TRUE(second.get_future().get());
 }
@@ -242,10 +242,10 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          MalformedBytes,
-                         testing::Values(BytesCase {"oversized", std::string(4, '\xff')},
-                                         BytesCase {"zeroLength", std::string(4, '\0')},
-                                         BytesCase {"http", "GET / HTTP/1.1\r\n\r\n"},
-                                         BytesCase {"noFlatBuffer", std::string("\x08\0\0\0garbage!", 12)}),
+                         testing::Values(BytesCase{"oversized", std::string(4, '\xff')},
+                                         BytesCase{"zeroLength", std::string(4, '\0')},
+                                         BytesCase{"http", "GET / HTTP/1.1\r\n\r\n"},
+                                         BytesCase{"noFlatBuffer", std::string("\x08\0\0\0garbage!", 12)}),
                          [](const auto &testCase) {
                              return testCase.param.name;
                          });
--- /dev/null
+++ b/bergamot/samples/dispatch_planner.cpp
@@ -0,0 +1,173 @@
+#include "bergamot/samples/dispatch_planner.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr double PrefixHitGain = 0.3; // load, in shares of an engine, that a cached prefix is worth
+constexpr double LoadingCost = 0.5; // a swap pauses the batch
+constexpr double SlownessCost = 1; // for an engine at half the usual speed
+
+} // namespace
+
+DispatchPlanner::DispatchPlanner(std::vector<EngineLoad> engines, std::vector<TrainerDemand> trainers)
+    : m_engines(std::move(engines))
+    , m_trainers(std::move(trainers))
+    , m_blocked(m_trainers.size())
+{
+    for (const EngineLoad &engine : m_engines) {
+        if (engine.usable) {
+            m_slots += engine.slots;
+            m_newest = std::max(m_newest, engine.version);
+        }
+        m_freeSlots += engine.freeSlots();
+        m_queueing += engine.queues() ? 1 : 0;
+    }
+    for (const TrainerDemand &trainer : m_trainers) {
+        m_shareSum += trainer.sharePercent;
+    }
+}
+
+std::uint32_t DispatchPlanner::guaranteed(std::size_t trainer) const
+{
+    if (m_shareSum == 0) {
+        return 0;
+    }
+    // Shares that add up to more than 100 are scaled down; less than 100 leaves the rest to borrow.
+    const std::uint64_t whole = std::max<std::uint64_t>(m_shareSum, 100);
+    const std::uint64_t slots = std::uint64_t{m_slots} * m_trainers[trainer].sharePercent / whole;
+    return static_cast<std::uint32_t>(std::max<std::uint64_t>(slots, 1));
+}
+
+bool DispatchPlanner::wouldBorrow(std::size_t trainer) const
+{
+    return m_trainers[trainer].inFlight >= guaranteed(trainer);
+}
+
+std::optional<std::size_t> DispatchPlanner::nextTrainer() const
+{
+    std::optional<std::size_t> best;
+    const auto ratio = [this](std::size_t trainer) {
+        const TrainerDemand &demand = m_trainers[trainer];
+        return static_cast<double>(demand.inFlight) / std::max<double>(demand.sharePercent, 1);
+    };
+    for (std::size_t i = 0; i < m_trainers.size(); ++i) {
+        const bool borrows = wouldBorrow(i);
+        const bool capped = borrows && !m_trainers[i].strategy->borrowsIdleSlots;
+        const bool full = m_freeSlots == 0 && (borrows || m_queueing == 0);
+        if (m_blocked[i] || m_trainers[i].waiting == 0 || capped || full) {
+            continue;
+        }
+        if (!best || ratio(i) < ratio(*best)) {
+            best = i;
+        }
+    }
+    return best;
+}
+
+bool DispatchPlanner::takes(const EngineLoad &engine, std::size_t trainer) const
+{
+    const bool mayQueue = m_freeSlots == 0 && !wouldBorrow(trainer);
+    return engine.freeSlots() > 0 || (mayQueue && engine.queues());
+}
+
+std::pair<std::size_t, std::size_t> DispatchPlanner::ownEngines(std::size_t trainer) const
+{
+    std::uint64_t before = 0;
+    for (std::size_t i = 0; i < trainer; ++i) {
+        before += m_trainers[i].sharePercent;
+    }
+    const std::uint64_t whole = std::max<std::uint64_t>(m_shareSum, 1);
+    const std::size_t first = m_engines.size() * before / whole;
+    const std::size_t last = m_engines.size() * (before + m_trainers[trainer].sharePercent) / whole;
+    return {first, std::max(last, first + 1)};
+}
+
+std::optional<std::size_t>
+DispatchPlanner::engineInTurn(std::size_t trainer, std::uint64_t turn, const EngineWish &wish) const
+{
+    const auto [first, last] = ownEngines(trainer);
+    const std::size_t count = std::min(last, m_engines.size()) - std::min(first, m_engines.size());
+    for (std::size_t i = 0; i < count; ++i) {
+        const std::size_t index = first + (turn + i) % count;
+        if (m_engines[index].freeSlots() > 0 && wish.permits(m_engines[index])) {
+            return index;
+        }
+    }
+    return std::nullopt;
+}
+
+double DispatchPlanner::cost(const EngineLoad &engine, const DispatchStrategy &strategy, const EngineWish &wish) const
+{
+    double cost = static_cast<double>(engine.own + engine.others) / std::max<double>(engine.slots, 1);
+    cost += strategy.versionLagCost * static_cast<double>(m_newest - std::min(m_newest, engine.version));
+    cost += engine.loading ? LoadingCost : 0;
+    cost += engine.speed < 1 ? SlownessCost * (1 / std::max(engine.speed, 0.01) - 1) : 0;
+    cost -= engine.engine == wish.groupEngine ? PrefixHitGain : 0;
+    return cost;
+}
+
+std::optional<std::size_t>
+DispatchPlanner::chooseEngine(std::size_t trainer, std::uint64_t turn, const EngineWish &wish) const
+{
+    const DispatchStrategy &strategy = *m_trainers[trainer].strategy;
+    if (strategy.roundRobin) {
+        return engineInTurn(trainer, turn, wish);
+    }
+    std::optional<std::size_t> best;
+    double bestCost = 0;
+    for (std::size_t i = 0; i < m_engines.size(); ++i) {
+        const EngineLoad &engine = m_engines[i];
+        if (!takes(engine, trainer) || engine.engine == wish.avoid || !wish.permits(engine)) {
+            continue;
+        }
+        const double engineCost = cost(engine, strategy, wish);
+        if (!best || engineCost < bestCost) {
+            best = i;
+            bestCost = engineCost;
+        }
+    }
+    return best;
+}
+
+void DispatchPlanner::placed(std::size_t trainer, std::size_t engine, bool spare)
+{
+    m_freeSlots -= m_engines[engine].freeSlots() > 0 ? 1 : 0;
+    m_queueing -= m_engines[engine].queues() ? 1 : 0;
+    ++m_engines[engine].own;
+    m_queueing += m_engines[engine].queues() ? 1 : 0;
+    ++m_trainers[trainer].inFlight;
+    m_trainers[trainer].waiting -= spare ? 0 : 1;
+}
+
+void DispatchPlanner::block(std::size_t trainer)
+{
+    m_blocked[trainer] = true;
+}
+
+std::vector<GiveBack> DispatchPlanner::giveBacks() const
+{
+    std::uint32_t missing = 0;
+    for (std::size_t i = 0; i < m_trainers.size(); ++i) {
+        const TrainerDemand &demand = m_trainers[i];
+        const std::uint32_t share = guaranteed(i);
+        if (demand.strategy->borrowsIdleSlots && demand.inFlight < share && !m_blocked[i]) {
+            missing += std::min(share - demand.inFlight, demand.waiting);
+        }
+    }
+    missing -= std::min(missing, m_freeSlots);
+    std::vector<GiveBack> result;
+    for (std::size_t i = 0; i < m_trainers.size() && missing > 0; ++i) {
+        const std::uint32_t share = guaranteed(i);
+        if (m_trainers[i].inFlight > share) {
+            const std::uint32_t count = std::min(missing, m_trainers[i].inFlight - share);
+            result.push_back({.trainer = i, .count = count});
+            missing -= count;
+        }
+    }
+    return result;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/samples/dispatch_strategy.h
@@ -0,0 +1,38 @@
+#pragma once
+
+// How a deployment weighs trainer idle time against staleness, and the baselines that the strategies are measured
+// against. A strategy is a value; `dispatchStrategy` gives the one that an operator has configured for a trainer.
+
+#include <string_view>
+
+#include "bergamot/config/configuration.h"
+
+namespace bergamot
+{
+
+struct DispatchStrategy
+{
+    std::string_view name;
+    bool borrowsIdleSlots = true; // false: a trainer never exceeds its share, and has engines of its own
+    bool roundRobin = false; // engines in turn; false: by load, group prefix and version
+    bool forecastsStaleness = true; // false: dispatched samples may come back too old
+    double versionLagCost = 0; // load, in shares of an engine, that one version behind counts for
+    double aheadShare = 1; // of a step's samples that may start before the trainer draws the step
+    double stragglerFactor = 0; // elapsed over the usual time that makes a straggler; 0: none is replaced or moved
+};
+
+/// For who weighs idle time more: starts the whole next step while the trainer still works on this one.
+inline constexpr DispatchStrategy IdleTimeFirst{
+    .name = "idle-time", .versionLagCost = 0.25, .aheadShare = 1, .stragglerFactor = 1.5};
+
+/// For who weighs staleness more: starts only a part of the next step ahead and prefers engines with newer weights.
+inline constexpr DispatchStrategy StalenessFirst{
+    .name = "staleness", .versionLagCost = 1, .aheadShare = 0.5, .stragglerFactor = 1.5};
+
+/// Baseline: the engines are split among the trainers for good and taken in turn; nothing is replaced or moved.
+inline constexpr DispatchStrategy StaticSplit{
+    .name = "static-split", .borrowsIdleSlots = false, .roundRobin = true, .forecastsStaleness = false};
+
+const DispatchStrategy &dispatchStrategy(SampleStrategy configured);
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/samples/fleet_picture.h
@@ -0,0 +1,40 @@
+#pragma once
+
+// What the sample scheduler knows of the fleet at one moment: engines, trainers and models.
+//
+//     FleetPicture picture;
+//     picture.engines.push_back({.engine = EndpointId("e1"), .model = ModelId("agent"), .slots = 8});
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "bergamot/base/address.h"
+#include "bergamot/base/ids.h"
+#include "bergamot/config/configuration.h"
+
+namespace bergamot
+{
+
+struct EngineView
+{
+    EndpointId engine;
+    ModelId model;
+    Address address;
+    WeightVersion version = 0;
+    WeightVersion loading = 0;
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+    bool leaving = false;
+    bool reachable = true;
+};
+
+struct FleetPicture
+{
+    std::vector<EngineView> engines;
+    std::map<TrainerId, TrainerConfig> trainers;
+    std::map<ModelId, ModelConfig> models;
+};
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/samples/fleet_view.cpp
@@ -0,0 +1,55 @@
+#include "bergamot/samples/fleet_view.h"
+
+#include "bergamot/base/json.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+std::optional<EngineView> readEngine(const inner::EndpointT &endpoint)
+{
+    const Result<Address> address = parseAddress(endpoint.address);
+    if (endpoint.kind != inner::EndpointKind::Engine || !address) {
+        return std::nullopt;
+    }
+    return EngineView{.engine = EndpointId(endpoint.id),
+                      .model = ModelId(endpoint.serves),
+                      .address = *address,
+                      .version = endpoint.version,
+                      .loading = endpoint.loading,
+                      .running = endpoint.running,
+                      .waiting = endpoint.waiting,
+                      .slots = endpoint.slots,
+                      .leaving = endpoint.leaving,
+                      .reachable = endpoint.reachable};
+}
+
+} // namespace
+
+Result<FleetPicture> readFleetPicture(const inner::ViewT &view)
+{
+    FleetPicture picture;
+    for (const auto &endpoint : view.endpoints) {
+        if (std::optional<EngineView> engine = readEngine(*endpoint)) {
+            picture.engines.push_back(std::move(*engine));
+        }
+    }
+    if (view.configuration.empty()) {
+        return picture;
+    }
+    const Result<web::json::value> json = parseJson(view.configuration);
+    if (!json) {
+        return tl::unexpected(json.error());
+    }
+    Result<Configuration> configuration = parseConfiguration(*json);
+    if (!configuration) {
+        return tl::unexpected(configuration.error());
+    }
+    picture.trainers = std::move(configuration->trainers);
+    picture.models = std::move(configuration->models);
+    return picture;
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -0,0 +1,388 @@
+#include "bergamot/samples/sample_scheduler.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr double UnknownSpeed = 1;
+
+double median(std::vector<double> values)
+{
+    if (values.empty()) {
+        return 0;
+    }
+    const auto middle = values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
+    std::nth_element(values.begin(), middle, values.end());
+    return *middle;
+}
+
+} // namespace
+
+void SampleScheduler::dispatch(TimePoint now)
+{
+    for (const auto &[model, rule] : m_staleness) {
+        Round round = makeRound(model, now);
+        while (const std::optional<std::size_t> trainer = round.planner.nextTrainer()) {
+            if (!placeOne(round, *trainer, now)) {
+                round.planner.block(*trainer);
+            }
+        }
+    }
+}
+
+SampleScheduler::Round SampleScheduler::makeRound(const ModelId &model, TimePoint now) const
+{
+    std::vector<EndpointId> engines;
+    std::vector<double> speeds;
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.view.model == model) {
+            engines.push_back(id);
+            if (engine.tokensPerSecond > 0) {
+                speeds.push_back(engine.tokensPerSecond);
+            }
+        }
+    }
+    const double medianSpeed = median(std::move(speeds));
+    std::vector<EngineLoad> loads;
+    loads.reserve(engines.size());
+    for (const EndpointId &id : engines) {
+        loads.push_back(loadOf(m_engines.at(id), medianSpeed, now));
+    }
+    std::vector<TrainerId> trainers;
+    std::vector<TrainerDemand> demands;
+    for (const auto &[id, trainer] : m_trainers) {
+        if (trainer.config.model == model) {
+            trainers.push_back(id);
+            demands.push_back({.sharePercent = trainer.config.sharePercent,
+                               .inFlight = trainer.inFlight,
+                               .waiting = dispatchable(id),
+                               .strategy = trainer.strategy});
+        }
+    }
+    return {.model = model,
+            .engines = std::move(engines),
+            .trainers = std::move(trainers),
+            .planner = DispatchPlanner(std::move(loads), std::move(demands)),
+            .medianSpeed = medianSpeed};
+}
+
+EngineLoad SampleScheduler::loadOf(const Engine &engine, double medianSpeed, TimePoint now) const
+{
+    const bool serves = engine.view.reachable && !engine.view.leaving && engine.view.version > 0;
+    const bool knownSpeed = medianSpeed > 0 && engine.tokensPerSecond > 0;
+    return {.engine = engine.view.engine,
+            .version = engine.view.version,
+            .usable = serves && now >= engine.pausedUntil,
+            .loading = engine.view.loading != 0 && engine.view.loading != engine.view.version,
+            .slots = engine.view.slots,
+            .own = engine.own,
+            .others = engine.others,
+            .speed = knownSpeed ? engine.tokensPerSecond / medianSpeed : UnknownSpeed};
+}
+
+std::uint32_t SampleScheduler::dispatchable(const Trainer &trainer, const Step &step) const
+{
+    const std::uint32_t waiting = step.count(SampleState::Waiting);
+    if (step.drawn || trainer.strategy->aheadShare >= 1) {
+        return waiting;
+    }
+    const auto allowed = static_cast<std::uint32_t>(trainer.strategy->aheadShare * step.spec().sampleCount);
+    return std::min(waiting, allowed - std::min(allowed, step.startedCount()));
+}
+
+std::uint32_t SampleScheduler::dispatchable(const TrainerId &trainer) const
+{
+    const Trainer &state = m_trainers.at(trainer);
+    std::uint32_t samples = 0;
+    for (const Step *step : m_book.stepsOf(trainer)) {
+        samples += dispatchable(state, *step);
+    }
+    return samples;
+}
+
+std::optional<SampleScheduler::SampleRef> SampleScheduler::nextSample(const TrainerId &trainer, const Round &round)
+{
+    for (Step *step : m_book.stepsOf(trainer)) {
+        if (dispatchable(m_trainers.at(trainer), *step) == 0) {
+            continue;
+        }
+        const auto mayStartSomewhere = [&](std::uint32_t offset) {
+            const GroupKey group{step->key(), step->spec().position(offset).first};
+            return std::any_of(round.engines.begin(), round.engines.end(), [&](const EndpointId &engine) {
+                return m_crashes.mayStart(group, engine);
+            });
+        };
+        if (const std::optional<std::uint32_t> offset = step->nextWaiting(mayStartSomewhere)) {
+            return SampleRef{step->key(), *offset};
+        }
+    }
+    return std::nullopt;
+}
+
+bool SampleScheduler::placeOne(Round &round, std::size_t trainerIndex, TimePoint now)
+{
+    const TrainerId &trainer = round.trainers[trainerIndex];
+    const std::optional<SampleRef> sample = nextSample(trainer, round);
+    if (!sample) {
+        return false;
+    }
+    EngineWish wish;
+    if (const auto group = m_groupEngines.find(groupOf(*sample)); group != m_groupEngines.end()) {
+        wish.groupEngine = group->second;
+    }
+    if (const auto resumption = m_resumptions.find(*sample); resumption != m_resumptions.end()) {
+        wish.avoid = resumption->second.avoid;
+    }
+    wish.permits = [&](const EngineLoad &engine) {
+        return permits(*sample, engine, now);
+    };
+    const std::uint64_t turn = m_trainers.at(trainer).turns;
+    std::optional<std::size_t> engine = round.planner.chooseEngine(trainerIndex, turn, wish);
+    if (!engine && !wish.avoid.empty()) {
+        wish.avoid = EndpointId();
+        engine = round.planner.chooseEngine(trainerIndex, turn, wish);
+    }
+    if (!engine) {
+        return false;
+    }
+    start(round, trainerIndex, *engine, *sample, false, now);
+    return true;
+}
+
+const StalenessRule &SampleScheduler::stalenessRule(const Trainer &trainer) const
+{
+    static const StalenessRule unknown;
+    const auto rule = m_staleness.find(trainer.config.model);
+    return rule == m_staleness.end() ? unknown : rule->second;
+}
+
+WeightVersion SampleScheduler::newestFor(const Trainer &trainer) const
+{
+    return std::max(trainer.named, stalenessRule(trainer).newest());
+}
+
+std::uint64_t SampleScheduler::forecast(const SampleRef &sample, WeightVersion version, TimePoint now) const
+{
+    const Trainer &trainer = m_trainers.at(sample.step.trainer);
+    const std::uint64_t whole = stalenessRule(trainer).forecast(version, now + trainer.times.median());
+    const WeightVersion newest = newestFor(trainer);
+    std::uint64_t byDraws = newest - std::min(newest, version);
+    for (const Step *step : m_book.stepsOf(sample.step.trainer)) {
+        // The trainer publishes once before it draws each further step.
+        byDraws += trainer.everDrew && !step->drawn ? 1 : 0;
+        if (step->key() == sample.step) {
+            break;
+        }
+    }
+    return std::max(whole, byDraws);
+}
+
+bool SampleScheduler::permits(const SampleRef &sample, const EngineLoad &engine, TimePoint now) const
+{
+    if (!m_crashes.mayStart(groupOf(sample), engine.engine)) {
+        return false;
+    }
+    const Trainer &trainer = m_trainers.at(sample.step.trainer);
+    if (!trainer.strategy->forecastsStaleness) {
+        return true;
+    }
+    const Step *step = m_book.find(sample.step);
+    if (step->drawn && engine.version >= newestFor(trainer)) {
+        return true; // nothing newer can be had
+    }
+    return forecast(sample, engine.version, now) <= trainer.config.stalenessBound;
+}
+
+void SampleScheduler::start(
+    Round &round, std::size_t trainerIndex, std::size_t engineIndex, const SampleRef &sample, bool spare, TimePoint now)
+{
+    Trainer &trainer = m_trainers.at(sample.step.trainer);
+    Step &step = *m_book.find(sample.step);
+    Engine &engine = m_engines.at(round.engines[engineIndex]);
+    Attempt attempt{.sample = sample, .engine = engine.view.engine, .startedAt = now, .oldest = engine.view.version};
+    attempt.spare = spare;
+    attempt.borrowed = round.planner.wouldBorrow(trainerIndex);
+
+    GenerateRequest request;
+    request.requestId =
+        m_options.instance + "/" + std::to_string(m_options.incarnation) + "/" + std::to_string(m_nextRequest++);
+    request.model = round.model;
+    const GroupSpec &group = step.spec().groupAt(sample.offset);
+    request.prompt = group.prompt;
+    request.maxTokens = group.maxTokens;
+    const SamplePriority inShare = step.drawn ? SamplePriority::AwaitedStep : SamplePriority::StepAhead;
+    request.priority = static_cast<std::uint32_t>(attempt.borrowed ? SamplePriority::Borrowed : inShare);
+    if (!spare) {
+        step.start(sample.offset);
+        const Resumption resumption = std::exchange(m_resumptions[sample], {});
+        m_resumptions.erase(sample);
+        std::string handle = step.takeResumeHandle(sample.offset);
+        const bool tooOld = forecast(sample, resumption.oldest, now) > trainer.config.stalenessBound;
+        if (!handle.empty() && !tooOld) {
+            request.resumeFrom = std::move(handle);
+            attempt.resumed = true;
+            attempt.oldest = std::min(attempt.oldest, resumption.oldest);
+        }
+    }
+    ++trainer.turns;
+    ++trainer.inFlight;
+    ++engine.own;
+    engine.ownPeak = std::max(engine.ownPeak, engine.own);
+    round.planner.placed(trainerIndex, engineIndex, spare);
+    m_crashes.started(groupOf(sample), engine.view.engine);
+    m_groupEngines[groupOf(sample)] = engine.view.engine;
+    m_attemptsOf[sample].push_back(request.requestId);
+    m_attempts.emplace(request.requestId, std::move(attempt));
+    m_actions.emplace_back(StartGeneration{engine.view.address, std::move(request), m_options.sampleTimeout});
+}
+
+void SampleScheduler::exportAttempt(const std::string &requestId)
+{
+    Attempt &attempt = m_attempts.at(requestId);
+    attempt.exporting = true;
+    ++m_trainers.at(attempt.sample.step.trainer).givingBack;
+    m_actions.emplace_back(ExportGeneration{m_engines.at(attempt.engine).view.address, requestId});
+}
+
+void SampleScheduler::giveBack(const Round &round)
+{
+    for (const GiveBack &wanted : round.planner.giveBacks()) {
+        const TrainerId &trainer = round.trainers[wanted.trainer];
+        std::vector<std::pair<TimePoint, std::string>> borrowed;
+        for (const auto &[requestId, attempt] : m_attempts) {
+            const bool free = !attempt.exporting && !attempt.exportFailed;
+            if (attempt.sample.step.trainer == trainer && attempt.borrowed && free) {
+                borrowed.emplace_back(attempt.startedAt, requestId);
+            }
+        }
+        std::sort(borrowed.rbegin(), borrowed.rend()); // those with the least done first
+        const std::uint32_t underWay = m_trainers.at(trainer).givingBack;
+        const std::size_t count = wanted.count - std::min(wanted.count, underWay);
+        for (std::size_t i = 0; i < std::min(count, borrowed.size()); ++i) {
+            const Attempt &attempt = m_attempts.at(borrowed[i].second);
+            record("sample-moved", attempt.sample, {{"reason", "slot given back"}, {"from", attempt.engine.value()}});
+            ++m_counters.givenBack;
+            exportAttempt(borrowed[i].second);
+        }
+    }
+}
+
+StragglerView SampleScheduler::stragglerView(const Attempt &attempt, const Round &round, TimePoint now) const
+{
+    const Engine &engine = m_engines.at(attempt.engine);
+    const Step &step = *m_book.find(attempt.sample.step);
+    return {.elapsed = now - attempt.startedAt,
+            .usual = m_trainers.at(attempt.sample.step.trainer).times.median(),
+            .engineSpeed = loadOf(engine, round.medianSpeed, now).speed,
+            .engineLeaving = engine.view.leaving,
+            .movable = !attempt.exportFailed && engine.view.reachable,
+            .attempts = static_cast<std::uint32_t>(attemptsOf(attempt.sample).size()),
+            .missingInGroup = step.missingInGroup(groupOf(attempt.sample).group)};
+}
+
+void SampleScheduler::replaceStragglers(Round &round, TimePoint now)
+{
+    std::vector<std::tuple<double, std::string, StragglerAction>> found;
+    for (const auto &[requestId, attempt] : m_attempts) {
+        const Step *step = m_book.find(attempt.sample.step);
+        const bool tail = step->count(SampleState::Waiting) == 0;
+        const bool ours = m_engines.at(attempt.engine).view.model == round.model;
+        if (!tail || !ours || attempt.exporting || m_crashes.isHeld(groupOf(attempt.sample))) {
+            continue;
+        }
+        const StragglerView view = stragglerView(attempt, round, now);
+        const StragglerAction action = decideStraggler(view, *m_trainers.at(attempt.sample.step.trainer).strategy);
+        const bool allowed = action == StragglerAction::Move || step->drawn;
+        if (action != StragglerAction::Leave && allowed) {
+            found.emplace_back(-stragglerUrgency(view), requestId, action);
+        }
+    }
+    std::sort(found.begin(), found.end());
+    std::uint32_t moves = 0;
+    for (const auto &[urgency, requestId, action] : found) {
+        if (round.planner.freeSlots() <= moves) {
+            return;
+        }
+        moves += action == StragglerAction::Move ? 1 : 0;
+        replaceStraggler(round, requestId, action, now);
+    }
+}
+
+void SampleScheduler::replaceStraggler(Round &round,
+                                       const std::string &requestId,
+                                       StragglerAction action,
+                                       TimePoint now)
+{
+    const Attempt &attempt = m_attempts.at(requestId);
+    if (action == StragglerAction::Move) {
+        record("sample-moved", attempt.sample, {{"reason", "slow engine"}, {"from", attempt.engine.value()}});
+        ++m_counters.moved;
+        exportAttempt(requestId);
+        return;
+    }
+    const SampleRef sample = attempt.sample;
+    EngineWish wish;
+    wish.avoid = attempt.engine;
+    wish.permits = [&](const EngineLoad &engine) {
+        return engine.speed >= SlowEngineSpeed && permits(sample, engine, now);
+    };
+    Trainer &trainer = m_trainers.at(sample.step.trainer);
+    const auto place = std::find(round.trainers.begin(), round.trainers.end(), sample.step.trainer);
+    const auto trainerIndex = static_cast<std::size_t>(place - round.trainers.begin());
+    const std::optional<std::size_t> engine = round.planner.chooseEngine(trainerIndex, trainer.turns, wish);
+    if (!engine || !trainer.spares.take(trainer.times.meanTokens())) {
+        return;
+    }
+    record("spare-started", sample, {{"engine", round.engines[*engine].value()}, {"for", requestId}});
+    ++m_counters.spares;
+    start(round, trainerIndex, *engine, sample, true, now);
+}
+
+void SampleScheduler::dropTooOld()
+{
+    for (const TrainerId &id : m_book.trainers()) {
+        Trainer &trainer = m_trainers.at(id);
+        const std::pair now{newestFor(trainer), trainer.config.stalenessBound};
+        if (trainer.checked == now || !trainer.strategy->forecastsStaleness) {
+            continue;
+        }
+        trainer.checked = now;
+        cancelTooOld(id, trainer);
+        discardReadyTooOld(id, trainer);
+    }
+}
+
+void SampleScheduler::cancelTooOld(const TrainerId &id, const Trainer &trainer)
+{
+    std::set<SampleRef> tooOld;
+    for (const auto &[requestId, attempt] : m_attempts) {
+        const bool ours = attempt.sample.step.trainer == id && !attempt.exporting;
+        if (ours && attempt.oldest + trainer.config.stalenessBound < newestFor(trainer)) {
+            tooOld.insert(attempt.sample);
+        }
+    }
+    for (const SampleRef &sample : tooOld) {
+        cancelAttempts(sample);
+        ++m_counters.cancelledTooOld;
+        record("sample-discarded", sample, {{"reason", "would be too old when whole"}});
+        returnToQueue(sample, {}, {});
+    }
+}
+
+void SampleScheduler::discardReadyTooOld(const TrainerId &id, const Trainer &trainer)
+{
+    const WeightVersion newest = newestFor(trainer);
+    for (Step *step : m_book.stepsOf(id)) {
+        for (const std::uint32_t offset : step->deliverable()) {
+            // What was handed over last may have arrived; the next cursor tells.
+            const bool whole = step->state(offset) == SampleState::Ready && !step->inBatch(offset);
+            if (whole && stalenessOf(step->finished(offset).spans, newest) > trainer.config.stalenessBound) {
+                discardTooOld(*step, offset, newest);
+            }
+        }
+    }
+}
+
+} // namespace bergamot
--- /dev/null
+++ b/bergamot/samples/step_book.cpp
@@ -0,0 +1,266 @@
+#include "bergamot/samples/step_book.h"
+
+#include "bergamot/base/invariant.h"
+#include "bergamot/samples/staleness_rule.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+bool isUnfinished(SampleState state)
+{
+    return state == SampleState::Waiting || state == SampleState::InFlight;
+}
+
+std::size_t index(SampleState state)
+{
+    return static_cast<std::size_t>(state);
+}
+
+} // namespace
+
+Step::Step(StepKey key, StepSpec spec)
+    : m_key(std::move(key))
+    , m_spec(std::move(spec))
+    , m_samples(m_spec.sampleCount)
+{
+    for (const GroupSpec &group : m_spec.groups) {
+        m_missingInGroup.push_back(group.samples);
+    }
+    for (std::uint32_t offset = 0; offset < m_spec.sampleCount; ++offset) {
+        m_queue.push_back(offset);
+        m_samples[offset].queued = true;
+    }
+    m_counts[index(SampleState::Waiting)] = m_spec.sampleCount;
+}
+
+std::optional<std::uint32_t> Step::nextWaiting(const std::function<bool(std::uint32_t offset)> &allowed) const
+{
+    for (const std::uint32_t offset : m_queue) {
+        if (m_samples[offset].state == SampleState::Waiting && allowed(offset)) {
+            return offset;
+        }
+    }
+    return std::nullopt;
+}
+
+std::uint32_t Step::count(SampleState state) const
+{
+    return m_counts[index(state)];
+}
+
+std::uint32_t Step::missingInGroup(std::uint32_t group) const
+{
+    return m_missingInGroup[group];
+}
+
+std::uint32_t Step::startedCount() const
+{
+    return m_started;
+}
+
+void Step::change(std::uint32_t offset, SampleState state)
+{
+    Sample &sample = m_samples[offset];
+    std::uint32_t &missing = m_missingInGroup[m_spec.position(offset).first];
+    missing += isUnfinished(state) ? 1 : 0;
+    missing -= isUnfinished(sample.state) ? 1 : 0;
+    --m_counts[index(sample.state)];
+    ++m_counts[index(state)];
+    if (state != SampleState::Waiting && !sample.everStarted) {
+        sample.everStarted = true;
+        ++m_started;
+    }
+    sample.state = state;
+}
+
+void Step::start(std::uint32_t offset)
+{
+    change(offset, SampleState::InFlight);
+    m_samples[offset].queued = false;
+    // Mostly the front: the queue is scanned in order.
+    m_queue.erase(std::find(m_queue.begin(), m_queue.end(), offset));
+    while (!m_queue.empty() && m_samples[m_queue.front()].state != SampleState::Waiting) {
+        m_samples[m_queue.front()].queued = false;
+        m_queue.pop_front();
+    }
+}
+
+void Step::putBack(std::uint32_t offset, std::string resumeFrom)
+{
+    Sample &sample = m_samples[offset];
+    sample.finished.reset();
+    m_failures.erase(offset);
+    change(offset, SampleState::Waiting);
+    if (!sample.queued) {
+        m_queue.push_front(offset);
+        sample.queued = true;
+    }
+    if (!resumeFrom.empty()) {
+        m_resumeHandles[offset] = std::move(resumeFrom);
+    }
+}
+
+std::string Step::takeResumeHandle(std::uint32_t offset)
+{
+    const auto node = m_resumeHandles.extract(offset);
+    return node ? node.mapped() : std::string();
+}
+
+void Step::beginScoring(std::uint32_t offset, FinishedSample finished)
+{
+    m_samples[offset].finished = std::make_unique<FinishedSample>(std::move(finished));
+    change(offset, SampleState::Scoring);
+}
+
+void Step::makeReady(std::uint32_t offset)
+{
+    change(offset, SampleState::Ready);
+}
+
+void Step::fail(std::uint32_t offset, std::string reason)
+{
+    m_samples[offset].finished.reset();
+    change(offset, SampleState::Failed);
+    m_failures[offset] = std::move(reason);
+}
+
+FinishedSample &Step::finished(std::uint32_t offset)
+{
+    checkInvariant(m_samples[offset].finished != nullptr, "Only a whole sample has a text.");
+    return *m_samples[offset].finished;
+}
+
+const std::string &Step::failureReason(std::uint32_t offset) const
+{
+    return m_failures.at(offset);
+}
+
+Result<std::vector<std::uint32_t>> Step::applyCursor(const Cursor &cursor)
+{
+    if (cursor.step() != m_key) {
+        return failure(ErrorCode::Conflict, "cursor is of step " + toText(cursor.step()) + "; draw from that step");
+    }
+    if (cursor.stepDigest() != m_spec.digest || cursor.sampleCount() != m_spec.sampleCount) {
+        return failure(ErrorCode::Conflict, "cursor is of other groups than those handed in for this step");
+    }
+    std::vector<std::uint32_t> cancellable;
+    for (std::uint32_t offset = 0; offset < m_spec.sampleCount; ++offset) {
+        Sample &sample = m_samples[offset];
+        const bool received = sample.state == SampleState::Received;
+        if (cursor.has(offset) && !received) {
+            if (sample.state == SampleState::InFlight) {
+                cancellable.push_back(offset);
+            }
+            sample.finished.reset();
+            change(offset, SampleState::Received);
+        } else if (!cursor.has(offset) && received) {
+            putBack(offset, {});
+        }
+    }
+    return cancellable;
+}
+
+std::vector<std::uint32_t> Step::deliverable() const
+{
+    std::vector<std::uint32_t> result;
+    for (std::uint32_t offset = 0; offset < m_spec.sampleCount; ++offset) {
+        const SampleState state = m_samples[offset].state;
+        if (state == SampleState::Ready || state == SampleState::Failed) {
+            result.push_back(offset);
+        }
+    }
+    const auto version = [this](std::uint32_t offset) {
+        const Sample &sample = m_samples[offset];
+        return sample.finished ? oldestVersion(sample.finished->spans) : 0;
+    };
+    std::stable_sort(result.begin(), result.end(), [&](std::uint32_t left, std::uint32_t right) {
+        return version(left) < version(right);
+    });
+    return result;
+}
+
+bool Step::isOver() const
+{
+    return count(SampleState::Received) == m_spec.sampleCount;
+}
+
+StepBook::StepBook(StepLimits limits)
+    : m_limits(limits)
+{ }
+
+Result<Step *> StepBook::handIn(const StepKey &key, StepSpec spec)
+{
+    if (Step *known = find(key); known != nullptr) {
+        if (known->spec().groups != spec.groups) {
+            return failure(ErrorCode::Conflict,
+                           "step " + toText(key) + " was handed in with other groups; use the next step number");
+        }
+        return known;
+    }
+    std::size_t unfinished = 0;
+    for (const Step *step : stepsOf(key.trainer)) {
+        unfinished += step->isOver() ? 0 : 1;
+    }
+    if (unfinished >= m_limits.maxStepsPerTrainer) {
+        return failure(ErrorCode::Overloaded,
+                       "trainer " + key.trainer.value() + " has " + std::to_string(unfinished)
+                           + " unfinished steps; draw or delete one first",
+                       std::chrono::seconds(1));
+    }
+    std::unique_ptr<Step> &slot = m_steps[key];
+    slot = std::make_unique<Step>(key, std::move(spec));
+    return slot.get();
+}
+
+Step *StepBook::find(const StepKey &key)
+{
+    const auto found = m_steps.find(key);
+    return found == m_steps.end() ? nullptr : found->second.get();
+}
+
+const Step *StepBook::find(const StepKey &key) const
+{
+    const auto found = m_steps.find(key);
+    return found == m_steps.end() ? nullptr : found->second.get();
+}
+
+void StepBook::drop(const StepKey &key)
+{
+    m_steps.erase(key);
+}
+
+std::vector<Step *> StepBook::stepsOf(const TrainerId &trainer)
+{
+    std::vector<Step *> result;
+    for (auto entry = m_steps.lower_bound({trainer, 0}); entry != m_steps.end() && entry->first.trainer == trainer;
+         ++entry) {
+        result.push_back(entry->second.get());
+    }
+    return result;
+}
+
+std::vector<const Step *> StepBook::stepsOf(const TrainerId &trainer) const
+{
+    std::vector<const Step *> result;
+    for (auto entry = m_steps.lower_bound({trainer, 0}); entry != m_steps.end() && entry->first.trainer == trainer;
+         ++entry) {
+        result.push_back(entry->second.get());
+    }
+    return result;
+}
+
+std::vector<TrainerId> StepBook::trainers() const
+{
+    std::vector<TrainerId> result;
+    for (const auto &[key, step] : m_steps) {
+        if (result.empty() || result.back() != key.trainer) {
+            result.push_back(key.trainer);
+        }
+    }
+    return result;
+}
+
+} // namespace bergamot
--- a/bergamot/standins/engine_core.cpp
+++ b/bergamot/standins/engine_core.cpp
@@ -10,7 +10,7 @@
 {
 
 constexpr std::size_t RunNameBytes = 200;
-constexpr std::chrono::milliseconds RetryAfter {200};
+constexpr std::chrono::milliseconds RetryAfter{200};
 
 } // namespace
 
--- a/bergamot/standins/engine_core.h
+++ b/bergamot/standins/engine_core.h
@@ -158,7 +158,7 @@
     std::uint64_t m_crashes = 0;
     std::set<std::string> m_poison;
     std::uint64_t m_slowSlots = 0;
-    Duration m_slowTokenTime {0};
+    Duration m_slowTokenTime{0};
     bool m_failureIsUnusable = false;
 };
 
--- a/bergamot/standins/engine_core_test.cpp
+++ b/bergamot/standins/engine_core_test.cpp
@@ -12,8 +12,8 @@
 
 using namespace std::chrono_literals;
 
-const TimePoint Start {1h};
-const ModelId Model {"order-agent"};
+const TimePoint Start{1h};
+const ModelId Model{"order-agent"};
 
 EngineCoreOptions options(std::uint32_t slots = 2)
 {
@@ -63,7 +63,7 @@
     engine.advance(Start + 31ms);
     const std::vector<EngineEvent> events = ended(engine);
     ASSERT_EQ(events.size(), 1U);
-    EXPECT_EQ(events[0].generation.spans, (std::vector<TokenSpan> {{1, 3}}));
+    EXPECT_EQ(events[0].generation.spans, (std::vector<TokenSpan>{{1, 3}}));
     EXPECT_EQ(events[0].generation.text, generatedText("p", {{1, 3}}));
     EXPECT_EQ(events[0].generation.finish, "length");
 }
@@ -93,7 +93,7 @@
     ASSERT_TRUE(engine.submit(request("urgent", 1, 0), Start).result);
     ASSERT_TRUE(engine.submit(request("batch-2", 1, 2), Start).result);
     engine.advance(Start + 1s);
-    EXPECT_EQ(idsOf(ended(engine)), (std::vector<std::string> {"running", "urgent", "batch", "batch-2"}));
+    EXPECT_EQ(idsOf(ended(engine)), (std::vector<std::string>{"running", "urgent", "batch", "batch-2"}));
 }
 
 TEST(EngineCore, labelsEachSpanWithItsOwnVersionAcrossASwap)
@@ -111,7 +111,7 @@
     engine.advance(Start + 221ms);
     const std::vector<EngineEvent> events = ended(engine);
     ASSERT_EQ(events.size(), 1U);
-    EXPECT_EQ(events[0].generation.spans, (std::vector<TokenSpan> {{1, 4}, {2, 16}}));
+    EXPECT_EQ(events[0].generation.spans, (std::vector<TokenSpan>{{1, 4}, {2, 16}}));
     EXPECT_EQ(events[0].generation.text, generatedText("p", events[0].generation.spans));
 }
 
@@ -143,11 +143,11 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          Orders,
-                         testing::Values(OrderCase {true, {5, Model, 2, EngineRole::Serving}, std::nullopt, 2},
-                                         OrderCase {true, {6, Model, 3, EngineRole::Serving}, std::nullopt, 3},
-                                         OrderCase {true, {4, Model, 1, EngineRole::Serving}, ErrorCode::Conflict, 2},
-                                         OrderCase {true, {4, Model, 3, EngineRole::Serving}, ErrorCode::Conflict, 2},
-                                         OrderCase {false, {4, Model, 1, EngineRole::Serving}, std::nullopt, 1}));
+                         testing::Values(OrderCase{true, {5, Model, 2, EngineRole::Serving}, std::nullopt, 2},
+                                         OrderCase{true, {6, Model, 3, EngineRole::Serving}, std::nullopt, 3},
+                                         OrderCase{true, {4, Model, 1, EngineRole::Serving}, ErrorCode::Conflict, 2},
+                                         OrderCase{true, {4, Model, 3, EngineRole::Serving}, ErrorCode::Conflict, 2},
+                                         OrderCase{false, {4, Model, 1, EngineRole::Serving}, std::nullopt, 1}));
 
 TEST(EngineCore, servesNothingWhileIdle)
 {
@@ -187,7 +187,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          FailedSwap,
-                         testing::Values(FailedSwapCase {"", 1, false}, FailedSwapCase {"unusable", 0, true}));
+                         testing::Values(FailedSwapCase{"", 1, false}, FailedSwapCase{"unusable", 0, true}));
 
 TEST(EngineCore, waitsForAWeightStoreThatIsBusy)
 {
@@ -225,7 +225,7 @@
     const std::vector<EngineEvent> events = ended(engine);
     ASSERT_EQ(events.size(), 2U);
     EXPECT_TRUE(events[0].generation.spans.empty());
-    EXPECT_EQ(events[1].generation.spans, (std::vector<TokenSpan> {{1, 2}}));
+    EXPECT_EQ(events[1].generation.spans, (std::vector<TokenSpan>{{1, 2}}));
     EXPECT_EQ(events[1].generation.finish, "cancelled");
     EXPECT_EQ(engine.runs().total(), 1U) << "the waiting one never ran";
 }
@@ -246,7 +246,7 @@
     second.advance(Start + 30ms);
     const std::vector<EngineEvent> events = ended(second);
     ASSERT_EQ(events.size(), 1U);
-    EXPECT_EQ(events[0].generation.spans, (std::vector<TokenSpan> {{1, 2}, {2, 3}}));
+    EXPECT_EQ(events[0].generation.spans, (std::vector<TokenSpan>{{1, 2}, {2, 3}}));
 }
 
 TEST(EngineCore, losesAllInFlightToACrashAndComesBackAsItStarted)
@@ -278,9 +278,9 @@
     ASSERT_TRUE(engine.submit(request("good", 5), Start).result);
     ASSERT_TRUE(engine.submit(bad, Start).result);
     engine.advance(Start + 51ms);
-    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string> {"good"});
+    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string>{"good"});
     engine.advance(Start + 100ms);
-    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string> {"bad"});
+    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string>{"bad"});
     EXPECT_EQ(engine.crashes(), 1U);
 }
 
@@ -306,9 +306,9 @@
     ASSERT_TRUE(engine.submit(request("slow", 5), Start).result);
     ASSERT_TRUE(engine.submit(request("quick", 5), Start).result);
     engine.advance(Start + 51ms);
-    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string> {"quick"});
+    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string>{"quick"});
     engine.advance(Start + 501ms);
-    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string> {"slow"});
+    EXPECT_EQ(idsOf(ended(engine)), std::vector<std::string>{"slow"});
 }
 
 struct RefusalCase
@@ -332,11 +332,11 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          Refusals,
-                         testing::Values(RefusalCase {request("2", 1), ErrorCode::Overloaded},
-                                         RefusalCase {request("2", 0), ErrorCode::InvalidArgument},
-                                         RefusalCase {request("", 1), ErrorCode::InvalidArgument},
-                                         RefusalCase {request("running", 1), ErrorCode::Conflict},
-                                         RefusalCase {{"2", ModelId("other"), "p", 1, 0, ""}, ErrorCode::NotFound}));
+                         testing::Values(RefusalCase{request("2", 1), ErrorCode::Overloaded},
+                                         RefusalCase{request("2", 0), ErrorCode::InvalidArgument},
+                                         RefusalCase{request("", 1), ErrorCode::InvalidArgument},
+                                         RefusalCase{request("running", 1), ErrorCode::Conflict},
+                                         RefusalCase{{"2", ModelId("other"), "p", 1, 0, ""}, ErrorCode::NotFound}));
 
 } // namespace
 } // namespace bergamot
--- a/bergamot/standins/fakes_test.cpp
+++ b/bergamot/standins/fakes_test.cpp
@@ -9,13 +9,13 @@
 
 using namespace std::chrono_literals;
 
-const ModelId Model {"order-agent"};
-const Address EngineAddress {"127.0.0.1", 7100};
+const ModelId Model{"order-agent"};
+const Address EngineAddress{"127.0.0.1", 7100};
 
 struct Platform
 {
     ManualClock clock;
-    FakeTime time {clock};
+    FakeTime time{clock};
 };
 
 GenerateRequest request(std::uint32_t tokens)
@@ -58,14 +58,14 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          Delivery,
-                         testing::Values(DeliveryCase {{.fault = "clear"}, 0s, std::nullopt},
-                                         DeliveryCase {{.fault = "delay", .duration = 300ms}, 300ms, std::nullopt},
-                                         DeliveryCase {
+                         testing::Values(DeliveryCase{{.fault = "clear"}, 0s, std::nullopt},
+                                         DeliveryCase{{.fault = "delay", .duration = 300ms}, 300ms, std::nullopt},
+                                         DeliveryCase{
                                              {.fault = "delay", .duration = 2s}, 1s, ErrorCode::DeadlineExceeded},
-                                         DeliveryCase {{.fault = "silent"}, 1s, ErrorCode::DeadlineExceeded},
-                                         DeliveryCase {{.fault = "close"}, 0s, ErrorCode::Unknown},
-                                         DeliveryCase {{.fault = "half"}, 0s, ErrorCode::Unknown},
-                                         DeliveryCase {{.fault = "out"}, 0s, ErrorCode::Unavailable}));
+                                         DeliveryCase{{.fault = "silent"}, 1s, ErrorCode::DeadlineExceeded},
+                                         DeliveryCase{{.fault = "close"}, 0s, ErrorCode::Unknown},
+                                         DeliveryCase{{.fault = "half"}, 0s, ErrorCode::Unknown},
+                                         DeliveryCase{{.fault = "out"}, 0s, ErrorCode::Unavailable}));
 
 struct GenerateCase
 {
@@ -107,10 +107,10 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          Generate,
-                         testing::Values(GenerateCase {{.fault = "clear"}, 50ms, std::nullopt},
-                                         GenerateCase {{.fault = "crash"}, 15ms, ErrorCode::Unknown},
-                                         GenerateCase {{.fault = "stall", .duration = 300ms}, 350ms, std::nullopt},
-                                         GenerateCase {
+                         testing::Values(GenerateCase{{.fault = "clear"}, 50ms, std::nullopt},
+                                         GenerateCase{{.fault = "crash"}, 15ms, ErrorCode::Unknown},
+                                         GenerateCase{{.fault = "stall", .duration = 300ms}, 350ms, std::nullopt},
+                                         GenerateCase{
                                              {.fault = "stall", .duration = 2s}, 1s, ErrorCode::DeadlineExceeded}));
 
 TEST(FakeEngines, refuseTheConnectionWhereNoneIs)
--- a/bergamot/standins/faults.cpp
+++ b/bergamot/standins/faults.cpp
@@ -96,10 +96,10 @@
 
 std::optional<Error> FaultTable::refusal(const std::string &call)
 {
-    constexpr std::chrono::milliseconds RetryAfter {1000};
+    constexpr std::chrono::milliseconds RetryAfter{1000};
     CallFaults &faults = m_calls.at(call);
     if (faults.out || take(faults.refuse)) {
-        return Error {ErrorCode::Unavailable, call + " is out of service", RetryAfter};
+        return Error{ErrorCode::Unavailable, call + " is out of service", RetryAfter};
     }
     return std::nullopt;
 }
--- a/bergamot/standins/faults.h
+++ b/bergamot/standins/faults.h
@@ -31,7 +31,7 @@
 struct Answer
 {
     Result<T> result;
-    Duration delay {0}; // after the effect
+    Duration delay{0}; // after the effect
     AnswerFate fate = AnswerFate::Whole;
 };
 
@@ -39,7 +39,7 @@
 struct CallFaults
 {
     bool out = false; // every call is refused, proved without effect
-    std::chrono::milliseconds delay {0}; // each answer comes this much later
+    std::chrono::milliseconds delay{0}; // each answer comes this much later
     std::uint64_t refuse = 0; // calls refused, proved without effect
     std::uint64_t half = 0;
     std::uint64_t close = 0;
@@ -52,7 +52,7 @@
     std::string fault = {};
     std::string call = {}; // empty: every call of the stand-in
     std::uint64_t count = 1; // how many calls it hits; 0 switches it off
-    std::chrono::milliseconds duration {0};
+    std::chrono::milliseconds duration{0};
     std::string text = {};
 };
 
--- a/bergamot/standins/generated_text.cpp
+++ b/bergamot/standins/generated_text.cpp
@@ -15,7 +15,7 @@
 
 std::string promptDigest(std::string_view prompt)
 {
-    std::array<char, 9> digits {};
+    std::array<char, 9> digits{};
     const auto low = static_cast<std::uint32_t>(stableHash(prompt));
     std::snprintf(digits.data(), digits.size(), "%08x", low);
     return digits.data();
--- a/bergamot/standins/list_core_test.cpp
+++ b/bergamot/standins/list_core_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-const TimePoint Start {1h};
+const TimePoint Start{1h};
 
 ListedMember engine(const std::string &id)
 {
@@ -21,7 +21,7 @@
     ListCore list(2s);
     list.put(engine("e1"), Start);
     EXPECT_TRUE(list.fetch(Start + 1s).result.value().empty());
-    EXPECT_EQ(list.fetch(Start + 2s).result.value(), std::vector {engine("e1")});
+    EXPECT_EQ(list.fetch(Start + 2s).result.value(), std::vector{engine("e1")});
 
     ASSERT_TRUE(list.setState("e1", ListedState::Leaving, Start + 10s));
     EXPECT_EQ(list.fetch(Start + 11s).result.value().front().state, ListedState::Live);
--- a/bergamot/standins/log_core_test.cpp
+++ b/bergamot/standins/log_core_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-const TimePoint Start {1h};
+const TimePoint Start{1h};
 
 std::vector<Record> batch(std::size_t size, std::uint64_t firstSequence = 1)
 {
@@ -64,11 +64,11 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          Retention,
-                         testing::Values(RetentionCase {{}, 5s, 1},
-                                         RetentionCase {{.retainedRecords = 3}, 5s, 6},
-                                         RetentionCase {{.retainedFor = 10s}, 10s, 1},
-                                         RetentionCase {{.retainedFor = 10s}, 11s, 5},
-                                         RetentionCase {{.retainedFor = 10s}, 1h, 9}));
+                         testing::Values(RetentionCase{{}, 5s, 1},
+                                         RetentionCase{{.retainedRecords = 3}, 5s, 6},
+                                         RetentionCase{{.retainedFor = 10s}, 10s, 1},
+                                         RetentionCase{{.retainedFor = 10s}, 11s, 5},
+                                         RetentionCase{{.retainedFor = 10s}, 1h, 9}));
 
 TEST(LogCore, limitsAppendsASecondWhateverTheirSize)
 {
@@ -120,13 +120,13 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     LogFaults,
-    testing::Values(FaultCase {{.fault = "out"}, ErrorCode::Unavailable, AnswerFate::Whole, 0s, 0},
-                    FaultCase {{.fault = "refuse"}, ErrorCode::Unavailable, AnswerFate::Whole, 0s, 0},
-                    FaultCase {{.fault = "close"}, std::nullopt, AnswerFate::Closed, 0s, 1},
-                    FaultCase {{.fault = "half"}, std::nullopt, AnswerFate::Half, 0s, 1},
-                    FaultCase {{.fault = "silent"}, std::nullopt, AnswerFate::Silent, 0s, 1},
-                    FaultCase {{.fault = "delay", .duration = 2s}, std::nullopt, AnswerFate::Whole, 2s, 1},
-                    FaultCase {{.fault = "close", .call = "read"}, std::nullopt, AnswerFate::Whole, 0s, 1}));
+    testing::Values(FaultCase{{.fault = "out"}, ErrorCode::Unavailable, AnswerFate::Whole, 0s, 0},
+                    FaultCase{{.fault = "refuse"}, ErrorCode::Unavailable, AnswerFate::Whole, 0s, 0},
+                    FaultCase{{.fault = "close"}, std::nullopt, AnswerFate::Closed, 0s, 1},
+                    FaultCase{{.fault = "half"}, std::nullopt, AnswerFate::Half, 0s, 1},
+                    FaultCase{{.fault = "silent"}, std::nullopt, AnswerFate::Silent, 0s, 1},
+                    FaultCase{{.fault = "delay", .duration = 2s}, std::nullopt, AnswerFate::Whole, 2s, 1},
+                    FaultCase{{.fault = "close", .call = "read"}, std::nullopt, AnswerFate::Whole, 0s, 1}));
 
 TEST(FaultTable, namesWhatItDoesNotKnow)
 {
--- a/bergamot/standins/prefix_cache_test.cpp
+++ b/bergamot/standins/prefix_cache_test.cpp
@@ -38,12 +38,12 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          Cache,
-                         testing::Values(CacheCase {{"ab"}, 32},
-                                         CacheCase {{"ab", "ab"}, 0},
-                                         CacheCase {{"ab", "abc"}, 16},
-                                         CacheCase {{"ab", "bb"}, 32}, // a block counts only after the same prefix
-                                         CacheCase {{"ab", "cd", "ab"}, 32}, // too little memory for both
-                                         CacheCase {{"a", "b", "a", "cd", "a"}, 0})); // least recently used first out
+                         testing::Values(CacheCase{{"ab"}, 32},
+                                         CacheCase{{"ab", "ab"}, 0},
+                                         CacheCase{{"ab", "abc"}, 16},
+                                         CacheCase{{"ab", "bb"}, 32}, // a block counts only after the same prefix
+                                         CacheCase{{"ab", "cd", "ab"}, 32}, // too little memory for both
+                                         CacheCase{{"a", "b", "a", "cd", "a"}, 0})); // least recently used first out
 
 TEST(PromptTokens, roundUp)
 {
--- a/bergamot/standins/service_core.cpp
+++ b/bergamot/standins/service_core.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds RetryAfter {200};
+constexpr std::chrono::milliseconds RetryAfter{200};
 
 struct Route
 {
--- a/bergamot/standins/service_core.h
+++ b/bergamot/standins/service_core.h
@@ -46,7 +46,7 @@
     int status = 0;
     std::string body = {};
     AnswerFate fate = AnswerFate::Whole;
-    Duration delay {0};
+    Duration delay{0};
 };
 
 /// Deterministic, single-threaded; times passed in never fall. Routes: GET /stock/{item}, POST /confirm {lot},
@@ -100,7 +100,7 @@
     std::deque<ServiceRequest> m_waiting;
     std::vector<ServiceEvent> m_events;
     std::optional<TimePoint> m_downUntil;
-    Duration m_slowTime {0};
+    Duration m_slowTime{0};
     std::set<std::string> m_poison;
     std::uint64_t m_crashes = 0;
 };
--- a/bergamot/standins/service_core_test.cpp
+++ b/bergamot/standins/service_core_test.cpp
@@ -9,7 +9,7 @@
 
 using namespace std::chrono_literals;
 
-const TimePoint Start {1h};
+const TimePoint Start{1h};
 
 ServiceRequest confirm(const std::string &id, const std::string &lot)
 {
@@ -38,16 +38,15 @@
     EXPECT_EQ(service.runs().count(GetParam().run), GetParam().run.empty() ? 0U : 1U);
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    Table,
-    ServiceRoutes,
-    testing::Values(RouteCase {{"1", "GET", "/stock/fettuccine", ""}, 200, "GET /stock/fettuccine"},
-                    RouteCase {{"1", "GET", "/status/17", ""}, 200, "GET /status/17"},
-                    RouteCase {confirm("1", "lot-7"), 200, "POST /confirm lot-7"},
-                    RouteCase {{"1", "POST", "/pull", R"({"record":"r1"})"}, 200, "POST /pull r1"},
-                    RouteCase {{"1", "POST", "/confirm", "{}"}, 400, ""},
-                    RouteCase {{"1", "POST", "/confirm", "lot"}, 400, ""},
-                    RouteCase {{"1", "GET", "/price", ""}, 404, ""}));
+INSTANTIATE_TEST_SUITE_P(Table,
+                         ServiceRoutes,
+                         testing::Values(RouteCase{{"1", "GET", "/stock/fettuccine", ""}, 200, "GET /stock/fettuccine"},
+                                         RouteCase{{"1", "GET", "/status/17", ""}, 200, "GET /status/17"},
+                                         RouteCase{confirm("1", "lot-7"), 200, "POST /confirm lot-7"},
+                                         RouteCase{{"1", "POST", "/pull", R"({"record":"r1"})"}, 200, "POST /pull r1"},
+                                         RouteCase{{"1", "POST", "/confirm", "{}"}, 400, ""},
+                                         RouteCase{{"1", "POST", "/confirm", "lot"}, 400, ""},
+                                         RouteCase{{"1", "GET", "/price", ""}, 404, ""}));
 
 TEST(ServiceCore, worksOffItsQueueInOrder)
 {
@@ -96,13 +95,13 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          ServiceFaults,
-                         testing::Values(ServiceFaultCase {{.fault = "refuse"}, false, AnswerFate::Whole, 0ms},
-                                         ServiceFaultCase {{.fault = "out"}, false, AnswerFate::Whole, 0ms},
-                                         ServiceFaultCase {{.fault = "crash"}, false, AnswerFate::Whole, 0ms},
-                                         ServiceFaultCase {{.fault = "half"}, true, AnswerFate::Half, 5ms},
-                                         ServiceFaultCase {{.fault = "close"}, true, AnswerFate::Closed, 5ms},
-                                         ServiceFaultCase {{.fault = "silent"}, true, AnswerFate::Silent, 5ms},
-                                         ServiceFaultCase {
+                         testing::Values(ServiceFaultCase{{.fault = "refuse"}, false, AnswerFate::Whole, 0ms},
+                                         ServiceFaultCase{{.fault = "out"}, false, AnswerFate::Whole, 0ms},
+                                         ServiceFaultCase{{.fault = "crash"}, false, AnswerFate::Whole, 0ms},
+                                         ServiceFaultCase{{.fault = "half"}, true, AnswerFate::Half, 5ms},
+                                         ServiceFaultCase{{.fault = "close"}, true, AnswerFate::Closed, 5ms},
+                                         ServiceFaultCase{{.fault = "silent"}, true, AnswerFate::Silent, 5ms},
+                                         ServiceFaultCase{
                                              {.fault = "slow", .duration = 50ms}, true, AnswerFate::Whole, 50ms}));
 
 TEST(ServiceCore, losesAllInFlightToAPoisonedRequest)
--- a/bergamot/standins/weight_loader.cpp
+++ b/bergamot/standins/weight_loader.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds StoreRetry {100};
+constexpr std::chrono::milliseconds StoreRetry{100};
 
 } // namespace
 
--- a/bergamot/standins/weight_store_core.cpp
+++ b/bergamot/standins/weight_store_core.cpp
@@ -6,7 +6,7 @@
 namespace
 {
 
-constexpr std::chrono::milliseconds RetryAfter {100};
+constexpr std::chrono::milliseconds RetryAfter{100};
 
 } // namespace
 
@@ -38,7 +38,7 @@
     }
     const auto found = m_newest.find(model);
     const WeightVersion newest = found == m_newest.end() ? 0 : found->second;
-    return m_faults.answer<PublishedWeights>("published", PublishedWeights {newest, m_options.concurrentFetches});
+    return m_faults.answer<PublishedWeights>("published", PublishedWeights{newest, m_options.concurrentFetches});
 }
 
 Result<Duration>
--- a/bergamot/standins/weight_store_core_test.cpp
+++ b/bergamot/standins/weight_store_core_test.cpp
@@ -9,17 +9,17 @@
 
 using namespace std::chrono_literals;
 
-const TimePoint Start {1h};
-const ModelId Model {"order-agent"};
+const TimePoint Start{1h};
+const ModelId Model{"order-agent"};
 
 TEST(WeightStoreCore, publishesRisingVersionsOnly)
 {
     WeightStoreCore store({.concurrentFetches = 3});
-    EXPECT_EQ(store.published(Model, Start).result, (PublishedWeights {0, 3}));
+    EXPECT_EQ(store.published(Model, Start).result, (PublishedWeights{0, 3}));
     ASSERT_TRUE(store.publish(Model, 2));
     EXPECT_EQ(store.publish(Model, 2).error().code, ErrorCode::Conflict);
     EXPECT_EQ(store.publish(Model, 1).error().code, ErrorCode::Conflict);
-    EXPECT_EQ(store.published(Model, Start).result, (PublishedWeights {2, 3}));
+    EXPECT_EQ(store.published(Model, Start).result, (PublishedWeights{2, 3}));
 }
 
 TEST(WeightStoreCore, servesOnlySoManyFetchesAtOnce)
