--- a/bergamot/evidence/evidence_chain_test.cpp
+++ b/bergamot/evidence/evidence_chain_test.cpp
@@ -87,13 +87,8 @@
     EXPECT_EQ(batch(0).at("previous_hash").as_string(), chainStart("i1", 7));
     EXPECT_EQ(batch(1).at("first").as_integer(), 5);
     EXPECT_EQ(batch(1).at("previous_hash"), batch(0).at("hash"));
-<<<<<<< HEAD
-    std::string hash = batch(1).at("previous_hash").as_string();
-    const web::json::value second = batch(1);
-=======
     const web::json::value second = batch(1);
     std::string hash = second.at("previous_hash").as_string();
->>>>>>> samples
     for (const web::json::value &record : second.at("records").as_array()) {
         hash = chainHash(hash, record);
     }
