--- /dev/null
+++ b/bergamot/entry/forwarding_benchmark.cpp
@@ -0,0 +1,187 @@
+// Added latency of the data path, in one run: the same call sent straight to a service, through a bare forwarder on the
+// same HTTP library, and through the data path. Calls alternate, so that all three see the same machine.
+//
+//     build/bin/entry_forwarding_benchmark
+
+#include <future>
+
+#include <benchmark/benchmark.h>
+
+#include "bergamot/base/hash.h"
+#include "bergamot/config/configuration.h"
+#include "bergamot/entry/data_path.h"
+#include "bergamot/http/client.h"
+#include "bergamot/http/server.h"
+
+namespace bergamot
+{
+namespace
+{
+
+constexpr std::chrono::seconds Patience{10};
+constexpr std::string_view ServiceName = "order-desk";
+
+/// Gives the same view to every question.
+class FixedControl final : public ControlLink
+{
+public:
+    explicit FixedControl(const Address &endpoint)
+        : m_view(std::make_shared<inner::ViewT>())
+    {
+        Configuration configuration;
+        configuration.version = 1;
+        configuration.services[ServiceId(std::string(ServiceName))].service = ServiceId(std::string(ServiceName));
+        m_view->config_version = 1;
+        m_view->configuration = toJson(configuration).serialize();
+        m_view->confirmed = true;
+        auto listed = std::make_unique<inner::EndpointT>();
+        listed->id = "desk-1";
+        listed->kind = inner::EndpointKind::Service;
+        listed->serves = ServiceName;
+        listed->domain = "a";
+        listed->address = toString(endpoint);
+        listed->reachable = true;
+        listed->slots = 64;
+        m_view->endpoints.push_back(std::move(listed));
+    }
+
+    void fetchView(std::uint64_t, const std::vector<SuspectReport> &, Callback<ViewNews> done) override
+    {
+        done(ViewNews{1, m_view});
+    }
+
+    void claimKey(const inner::KeyClaimT &, std::chrono::milliseconds, Callback<inner::KeyClaimReplyT> done) override
+    {
+        done(failure(ErrorCode::Unavailable, "no keys here"));
+    }
+
+    void recordKey(const inner::KeyOutcomeT &) override
+    { }
+
+private:
+    std::shared_ptr<inner::ViewT> m_view;
+};
+
+/// One service, a bare forwarder before it, and the data path before it.
+class Setup
+{
+public:
+    Setup()
+        : m_service({.address = {"127.0.0.1", 0}},
+                    [](const HttpRequest &, const ResponderPtr &responder) {
+                        responder->reply({.body = R"({"name":"fettuccine","quantity":7})"});
+                    })
+        , m_forwarder({.address = {"127.0.0.1", 0}},
+                      [this](HttpRequest request, const ResponderPtr &responder) {
+                          forward(std::move(request), responder);
+                      })
+        , m_entry({.address = {"127.0.0.1", 0}}, [this](HttpRequest request, ResponderPtr responder) {
+            m_path->handle(std::move(request), std::move(responder));
+        })
+    {
+        const bool started = m_service.start() && m_forwarder.start();
+        DataPathOptions options;
+        options.instance = InstanceId("instance-1");
+        options.router.target.pool.instance = "instance-1";
+        options.router.target.pool.domain = FailureDomainId("a");
+        m_path = std::make_unique<DataPath>(
+            options, m_clock, std::make_shared<FixedControl>(m_service.address()), m_metrics);
+        while (started && !m_path->ready()) {
+            std::this_thread::yield();
+        }
+        m_started = started && m_entry.start();
+    }
+
+    bool started() const
+    {
+        return m_started;
+    }
+
+    double direct()
+    {
+        return timed(m_service.address(), "/stock/fettuccine");
+    }
+
+    double forwarded()
+    {
+        return timed(m_forwarder.address(), "/stock/fettuccine");
+    }
+
+    double routed()
+    {
+        return timed(m_entry.address(), "/v1/services/order-desk/stock/fettuccine");
+    }
+
+    std::size_t failures() const
+    {
+        return m_failures;
+    }
+
+private:
+    void forward(HttpRequest request, const ResponderPtr &responder)
+    {
+        m_client.call(m_service.address(), std::move(request), {.timeout = Patience}, [responder](CallOutcome outcome) {
+            responder->reply(outcome ? std::move(*outcome) : HttpResponse{.status = 502});
+        });
+    }
+
+    /// Milliseconds until the whole answer.
+    double timed(const Address &to, const std::string &path)
+    {
+        const TimePoint begin = BootClock::now();
+        const auto outcome = std::make_shared<std::promise<CallOutcome>>();
+        m_client.call(to, {.path = path}, {.timeout = Patience}, [outcome](CallOutcome result) {
+            outcome->set_value(std::move(result));
+        });
+        const CallOutcome answer = outcome->get_future().get();
+        m_failures += answer && answer->status == 200 ? 0 : 1;
+        return std::chrono::duration<double, std::milli>(BootClock::now() - begin).count();
+    }
+
+    SystemClock m_clock;
+    Metrics m_metrics;
+    HttpClient m_client;
+    std::unique_ptr<DataPath> m_path;
+    HttpServer m_service;
+    HttpServer m_forwarder;
+    HttpServer m_entry;
+    bool m_started = false;
+    std::size_t m_failures = 0;
+};
+
+double quantile(std::vector<double> &values, double share)
+{
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(share * static_cast<double>(values.size() - 1))];
+}
+
+void addedLatency(benchmark::State &state)
+{
+    Setup setup;
+    if (!setup.started()) {
+        state.SkipWithError("cannot listen on loopback");
+        return;
+    }
+    std::vector<double> direct;
+    std::vector<double> forwarded;
+    std::vector<double> routed;
+    for (auto _ : state) {
+        direct.push_back(setup.direct());
+        forwarded.push_back(setup.forwarded());
+        routed.push_back(setup.routed());
+    }
+    state.counters["direct_p50_ms"] = quantile(direct, 0.5);
+    state.counters["direct_p99_ms"] = quantile(direct, 0.99);
+    state.counters["forwarder_p50_ms"] = quantile(forwarded, 0.5);
+    state.counters["forwarder_p99_ms"] = quantile(forwarded, 0.99);
+    state.counters["data_path_p50_ms"] = quantile(routed, 0.5);
+    state.counters["data_path_p99_ms"] = quantile(routed, 0.99);
+    state.counters["failures"] = static_cast<double>(setup.failures());
+}
+
+constexpr std::int64_t Calls = 5000;
+constexpr int Repetitions = 3;
+BENCHMARK(addedLatency)->Iterations(Calls)->Repetitions(Repetitions)->Unit(benchmark::kMillisecond);
+
+} // namespace
+} // namespace bergamot
