--- a/bergamot/routing/choice.cpp
+++ b/bergamot/routing/choice.cpp
@@ -8,6 +8,8 @@
 namespace
 {
 
+constexpr std::size_t MostToScan = 16;
+
 /// A number in [0, bound); `bound` is far below 2^32, so that the high bits serve evenly.
 std::size_t below(std::size_t bound, std::mt19937_64 &random)
 {
@@ -26,6 +28,25 @@
     return std::nullopt;
 }
 
+std::optional<std::size_t> cheapestWithRoom(const Candidates &candidates, std::size_t start)
+{
+    const std::size_t count = candidates.size();
+    std::optional<std::size_t> best;
+    double bestCost = 0;
+    for (std::size_t step = 0; step < count; ++step) {
+        const std::size_t index = (start + step) % count;
+        if (!candidates.hasRoom(index)) {
+            continue;
+        }
+        const double cost = candidates.cost(index);
+        if (!best || cost < bestCost) {
+            best = index;
+            bestCost = cost;
+        }
+    }
+    return best;
+}
+
 std::uint64_t mixed(std::uint64_t value)
 {
     value = (value ^ (value >> 30U)) * 0xbf58476d1ce4e5b9U;
@@ -35,15 +56,15 @@
 
 } // namespace
 
-std::optional<std::size_t> TwoChoices::choose(const Candidates &candidates, std::mt19937_64 &random)
+std::optional<std::size_t> SampledChoice::choose(const Candidates &candidates, std::mt19937_64 &random)
 {
     const std::size_t count = candidates.size();
     if (count == 0) {
         return std::nullopt;
     }
     const std::size_t first = below(count, random);
-    if (count == 1) {
-        return firstWithRoom(candidates, first);
+    if (count <= MostToScan) {
+        return cheapestWithRoom(candidates, first);
     }
     const std::size_t second = (first + 1 + below(count - 1, random)) % count;
     const bool firstFits = candidates.hasRoom(first);
@@ -57,14 +78,9 @@
     return firstWithRoom(candidates, first);
 }
 
-std::optional<std::size_t> choosePrefixOwner(const Candidates &candidates, std::uint64_t prefix, double bound)
+std::optional<std::size_t> choosePrefixOwner(const Candidates &candidates, std::uint64_t prefix, double ceiling)
 {
     const std::size_t count = candidates.size();
-    double total = 0;
-    for (std::size_t index = 0; index < count; ++index) {
-        total += candidates.cost(index);
-    }
-    const double ceiling = bound * total / static_cast<double>(std::max<std::size_t>(1, count)) + 1.0;
     std::optional<std::size_t> best;
     std::uint64_t bestWeight = 0;
     for (std::size_t index = 0; index < count; ++index) {
--- a/bergamot/routing/choice.h
+++ b/bergamot/routing/choice.h
@@ -3,7 +3,7 @@
 // Which of several endpoints gets a request. A strategy sees candidates by index only: whether one has room now and
 // what a request would cost there.
 //
-//     TwoChoices strategy;
+//     SampledChoice strategy;
 //     std::optional<std::size_t> chosen = strategy.choose(candidates, random);
 
 #include <cstdint>
@@ -39,17 +39,18 @@
     virtual std::optional<std::size_t> choose(const Candidates &candidates, std::mt19937_64 &random) = 0;
 };
 
-/// The cheaper of two at random. If neither has room, the first with room after a random place.
-class TwoChoices final : public ChoiceStrategy
+/// The cheapest of a sample: of all if they are few, else of two at random. If neither of the two has room, the first
+/// with room after a random place.
+class SampledChoice final : public ChoiceStrategy
 {
 public:
     std::optional<std::size_t> choose(const Candidates &candidates, std::mt19937_64 &random) override;
 };
 
 /// Consistent hashing with bounded load: the candidate that ranks highest for `prefix` among those with room whose
-/// cost is at most `bound` times the mean cost plus one unit. Requests with the same beginning meet the same cache
+/// cost is at most `ceiling`. Requests with the same beginning meet the same cache
 /// until its endpoint has more than its share.
-std::optional<std::size_t> choosePrefixOwner(const Candidates &candidates, std::uint64_t prefix, double bound);
+std::optional<std::size_t> choosePrefixOwner(const Candidates &candidates, std::uint64_t prefix, double ceiling);
 
 /// The `most` names that rank highest for `node` by rendezvous hashing, as sorted positions in `names`: each node gets
 /// its own subset, and a change of one name moves at most one place in each.
--- a/bergamot/routing/concurrency_limit.cpp
+++ b/bergamot/routing/concurrency_limit.cpp
@@ -10,8 +10,9 @@
 
 constexpr double OverloadFactor = 0.8;
 constexpr double SteepestCut = 0.5;
-// The floor forgets slowly, so that an endpoint that has become slower for good gets a new one.
-constexpr double FloorDrift = 1.01;
+// One lucky window does not make the floor.
+constexpr double FloorSmoothing = 0.25;
+constexpr double FloorRise = 1.25;
 
 } // namespace
 
@@ -51,7 +52,7 @@
 void ConcurrencyLimit::closeWindow()
 {
     const double mean = m_windowSum / m_windowCount;
-    m_floor = m_floor <= 0 ? mean : std::min(mean, m_floor * FloorDrift);
+    learnFloor(mean);
     const double gradient = std::clamp(m_options.tolerance * m_floor / std::max(mean, 1e-9), SteepestCut, 1.0);
     const bool limitWasUsed = 2.0 * m_windowPeak >= m_limit;
     const double headroom = gradient < 1.0 || !limitWasUsed ? 0.0 : std::sqrt(m_limit);
@@ -64,4 +65,21 @@
     m_reducedInWindow = false;
 }
 
+void ConcurrencyLimit::learnFloor(double mean)
+{
+    if (m_floor <= 0) {
+        m_floor = mean;
+        return;
+    }
+    if (mean < m_floor) {
+        m_floor += FloorSmoothing * (mean - m_floor);
+    }
+    const bool stuck = m_limit <= m_options.least + 0.5 && mean > m_options.tolerance * m_floor;
+    m_windowsAtLeast = stuck ? m_windowsAtLeast + 1 : 0;
+    if (m_windowsAtLeast >= m_options.windowsToRelearn) {
+        m_floor = std::min(mean, m_floor * FloorRise);
+        m_windowsAtLeast = 0;
+    }
+}
+
 } // namespace bergamot
--- a/bergamot/routing/concurrency_limit.h
+++ b/bergamot/routing/concurrency_limit.h
@@ -17,12 +17,13 @@
 
 struct ConcurrencyLimitOptions
 {
-    double initial = 16;
+    double initial = 4;
     double least = 1;
     double most = 512;
-    double tolerance = 1.3; // how far the latency may rise over its floor before the limit shrinks
+    double tolerance = 1.5; // how far the latency may rise over its floor before the limit shrinks
     double smoothing = 0.3; // share of each window's verdict that is taken over
-    std::uint32_t windowSize = 12; // answers
+    std::uint32_t windowSize = 24; // answers
+    std::uint32_t windowsToRelearn = 20; // at the least limit and still over the tolerance: the floor has risen
 };
 
 /// Not thread-safe.
@@ -42,6 +43,7 @@
 
 private:
     void closeWindow();
+    void learnFloor(double mean);
 
     ConcurrencyLimitOptions m_options;
     double m_limit;
@@ -49,6 +51,7 @@
     double m_windowSum = 0;
     std::uint32_t m_windowCount = 0;
     std::uint32_t m_windowPeak = 0;
+    std::uint32_t m_windowsAtLeast = 0;
     bool m_reducedInWindow = false;
 };
 
--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -36,6 +36,7 @@
 EndpointPool::EndpointPool(EndpointPoolOptions options, std::unique_ptr<ChoiceStrategy> strategy)
     : m_options(std::move(options))
     , m_strategy(std::move(strategy))
+    , m_reportLimit(m_options.reportLimit)
 { }
 
 void EndpointPool::update(std::span<const RoutedEndpoint> endpoints, TimePoint now)
@@ -56,6 +57,7 @@
         }
     }
     rebuildOrder(now);
+    sumReports(now);
 }
 
 void EndpointPool::dispatched(std::size_t slot, TimePoint now)
@@ -64,6 +66,7 @@
     state.load.dispatched(now);
     state.health.dispatched(now);
     ++m_inFlight;
+    m_reportLimit.dispatched(m_inFlight);
 }
 
 void EndpointPool::answered(std::size_t slot, Duration latency, double work, TimePoint now, std::mt19937_64 &random)
@@ -82,7 +85,9 @@
         state.answers = 0;
     }
     state.health.succeeded(now);
+    const std::uint32_t allowedBefore = state.limit.allowed();
     state.limit.answered(fromSeconds(unitSeconds), inFlightBefore);
+    m_allowed += static_cast<double>(state.limit.allowed()) - allowedBefore;
     learnLatency(state, latency, unitSeconds);
 }
 
@@ -124,6 +129,7 @@
 
 void EndpointPool::review(TimePoint now, std::mt19937_64 &random)
 {
+    sumLimits();
     std::vector<double> speeds;
     for (const State &state : m_states) {
         if (state.present && state.answers >= AnswersToJudge && !state.health.ejected()) {
@@ -247,6 +253,7 @@
     };
     m_local = subset(local, m_options.localSubset);
     m_remote = subset(remote, m_options.remoteSubset);
+    sumLimits();
 }
 
 void EndpointPool::takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const
@@ -261,6 +268,36 @@
     return m_medianUnitSeconds > 0 && unitSeconds > m_options.slowFactor * m_medianUnitSeconds;
 }
 
+void EndpointPool::sumLimits()
+{
+    m_allowed = 0;
+    for (const std::vector<std::size_t> *order : {&m_local, &m_remote}) {
+        for (const std::size_t slot : *order) {
+            m_allowed += m_states[slot].health.ejected() ? 0.0 : m_states[slot].limit.allowed();
+        }
+    }
+}
+
+void EndpointPool::sumReports(TimePoint now)
+{
+    double load = 0;
+    double slots = 0;
+    Duration oldest = Duration::zero();
+    for (const std::vector<std::size_t> *order : {&m_local, &m_remote}) {
+        for (const std::size_t slot : *order) {
+            const RoutedEndpoint &listed = m_states[slot].listed;
+            load += listed.slots > 0 ? listed.load : 0;
+            slots += listed.slots;
+            oldest = std::max(oldest, listed.loadAge);
+        }
+    }
+    if (slots > 0) {
+        m_reportLimit.reported(load / slots, now - oldest);
+    } else {
+        m_reportLimit.silent();
+    }
+}
+
 bool EndpointPool::mayDoubtMore() const
 {
     const auto ejected = std::count_if(m_states.begin(), m_states.end(), [](const State &state) {
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -3,7 +3,7 @@
 // The endpoints of one target as this instance sees them: how loaded, how fast and how healthy each is, and which one
 // takes the next request. Same failure domain first; others once the own one is nearly full.
 //
-//     EndpointPool pool(options, std::make_unique<TwoChoices>());
+//     EndpointPool pool(options, std::make_unique<SampledChoice>());
 //     pool.update(target.endpoints, now);
 //     std::optional<std::size_t> slot = pool.pick({.trafficClass = TrafficClass::Batch}, now, random);
 //     pool.dispatched(*slot, now);
@@ -20,6 +20,7 @@
 #include "bergamot/routing/endpoint_health.h"
 #include "bergamot/routing/load_estimate.h"
 #include "bergamot/routing/outcome.h"
+#include "bergamot/routing/report_limit.h"
 #include "bergamot/routing/routing_table.h"
 
 namespace bergamot
@@ -33,11 +34,12 @@
     std::size_t remoteSubset = 24;
     double spillThreshold = 0.85; // share of the limits in the own domain that is used before others are asked
     double affinityBound = 1.25; // load of a prefix's owner over the mean
-    std::array<double, TrafficClassCount> classShare{1.0, 0.95, 0.85}; // of each limit, by class
+    std::array<double, TrafficClassCount> classShare{1.0, 0.97, 0.92}; // of the sum of the limits, by class
     double slotMargin = 0.125; // requests beyond an engine's slots, as a share, that cover the lag of its report
     double slowFactor = 4; // an endpoint slower than this multiple of the median is ejected
     double mostDoubtful = 0.34; // share of the endpoints that may be ejected although they answer
-    ConcurrencyLimitOptions limit;
+    ConcurrencyLimitOptions limit; // of each endpoint, by latency
+    ReportLimitOptions reportLimit; // of all together, by reported load
     EndpointHealthOptions health;
 };
 
@@ -114,7 +116,11 @@
     void rebuildOrder(TimePoint now);
     void takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const;
     bool usable(const State &state, TimePoint now) const;
-    bool hasRoom(const State &state, TrafficClass trafficClass, double share, TimePoint now) const;
+    bool hasRoom(const State &state, double share, TimePoint now) const;
+    /// Whether the class may take one more place, over all endpoints.
+    bool classHasRoom(TrafficClass trafficClass) const;
+    void sumLimits();
+    void sumReports(TimePoint now);
     double cost(const State &state, TimePoint now) const;
     bool tooSlow(double unitSeconds) const;
     /// Whether one more endpoint may be ejected although it answers.
@@ -137,6 +143,8 @@
     double m_unitSeconds = 0;
     double m_requestSeconds = 0;
     double m_medianUnitSeconds = 0;
+    ReportLimit m_reportLimit;
+    double m_allowed = 0; // sum of the limits of the endpoints that serve
 };
 
 } // namespace bergamot
--- a/bergamot/routing/endpoint_pool_choice.cpp
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -7,6 +7,8 @@
 {
 
 constexpr double LoadingPenalty = 4;
+// A report that holds less than this is no reason to leave places empty.
+constexpr double FreshEnough = 0.5;
 constexpr double UnknownUnitSeconds = 1e-3;
 
 } // namespace
@@ -37,13 +39,13 @@
         const std::size_t slot = m_order[index];
         const bool excluded =
             std::find(m_request.excluded.begin(), m_request.excluded.end(), slot) != m_request.excluded.end();
-        return !excluded && m_pool.hasRoom(m_pool.m_states[slot], m_request.trafficClass, m_share, m_now);
+        return !excluded && m_pool.hasRoom(m_pool.m_states[slot], m_share, m_now);
     }
 
     double cost(std::size_t index) const override
     {
         const State &state = m_pool.m_states[m_order[index]];
-        return m_request.prefix != 0 ? state.load.load(m_now) : m_pool.cost(state, m_now);
+        return m_request.prefix != 0 ? state.load.inFlight() : m_pool.cost(state, m_now);
     }
 
     std::uint64_t identity(std::size_t index) const override
@@ -61,9 +63,13 @@
 
 std::optional<std::size_t> EndpointPool::pick(const PickRequest &request, TimePoint now, std::mt19937_64 &random)
 {
+    if (!classHasRoom(request.trafficClass)) {
+        return std::nullopt;
+    }
     if (request.prefix != 0) {
         const View view(*this, m_local, request, 1.0, now);
-        if (const auto owner = choosePrefixOwner(view, request.prefix, m_options.affinityBound)) {
+        const double mean = (m_inFlight + 1.0) / static_cast<double>(std::max<std::size_t>(1, listed()));
+        if (const auto owner = choosePrefixOwner(view, request.prefix, m_options.affinityBound * mean + 1.0)) {
             return m_local[*owner];
         }
     }
@@ -114,7 +120,7 @@
     return state.present && !state.listed.leaving && now >= state.leavingUntil;
 }
 
-bool EndpointPool::hasRoom(const State &state, TrafficClass trafficClass, double share, TimePoint now) const
+bool EndpointPool::hasRoom(const State &state, double share, TimePoint now) const
 {
     if (!usable(state, now) || state.reserved || !state.health.admits(now)) {
         return false;
@@ -122,13 +128,20 @@
     if (state.health.ejected()) {
         return true;
     }
-    const double classShare = m_options.classShare[static_cast<std::size_t>(trafficClass)];
-    const double allowed = state.limit.allowed() * classShare * share * state.health.share(now);
+    const double allowed = state.limit.allowed() * share * state.health.share(now);
     if (state.load.inFlight() + 1.0 > std::max(1.0, allowed)) {
         return false;
     }
     const double slots = state.listed.slots;
-    return slots == 0 || state.load.load(now) < slots * share + std::max(1.0, slots * m_options.slotMargin);
+    const bool reportHolds = slots > 0 && state.load.freshness(now, requestDuration()) > FreshEnough;
+    const double most = slots * share + std::max(1.0, slots * m_options.slotMargin);
+    return !reportHolds || state.load.load(now, requestDuration()) < most;
+}
+
+bool EndpointPool::classHasRoom(TrafficClass trafficClass) const
+{
+    const double share = m_options.classShare[static_cast<std::size_t>(trafficClass)];
+    return m_inFlight + 1.0 <= std::max(1.0, std::min(m_allowed, m_reportLimit.allowed()) * share);
 }
 
 double EndpointPool::cost(const State &state, TimePoint now) const
@@ -137,7 +150,7 @@
     const double width = std::max<double>(1, state.listed.slots);
     const double penalty =
         (state.listed.loading ? LoadingPenalty : 1.0) * (state.listed.reachable ? 1.0 : LoadingPenalty);
-    return (state.load.load(now) + 1.0) / width * unitSeconds * penalty / state.health.share(now);
+    return (state.load.load(now, requestDuration()) + 1.0) / width * unitSeconds * penalty / state.health.share(now);
 }
 
 std::optional<std::size_t> EndpointPool::tryOrder(const std::vector<std::size_t> &order,
--- /dev/null
+++ b/bergamot/routing/internal/policy_simulation.cpp
@@ -0,0 +1,363 @@
+#include "bergamot/routing/internal/policy_simulation.h"
+
+#include <deque>
+
+namespace bergamot::routing_internal
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr Duration OneWay = 1ms;
+constexpr Duration TickPeriod = 5ms;
+constexpr Duration ViewPeriod = 500ms;
+constexpr Duration RefusalSpell = 1s;
+constexpr double ServiceSpread = 0.5; // sigma of the logarithm
+const TimePoint Start(1h);
+
+double secondsOf(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+struct Job
+{
+    std::size_t router = 0;
+    AttemptId attempt = 0;
+    Duration service{};
+    bool breaks = false;
+};
+
+struct Endpoint
+{
+    std::size_t running = 0;
+    std::deque<Job> waiting;
+    std::deque<std::pair<TimePoint, std::uint32_t>> history; // load, for reports with a lag
+};
+
+struct Request
+{
+    TrafficClass trafficClass = TrafficClass::Interactive;
+    TimePoint arrivedAt;
+    Duration service{};
+};
+
+struct Attempt
+{
+    RequestId request = 0;
+    Duration service{};
+};
+
+class Simulation
+{
+public:
+    explicit Simulation(const SimulationOptions &options)
+        : m_options(options)
+        , m_random(options.seed)
+        , m_endpoints(options.endpoints)
+    {
+        for (std::size_t index = 0; index < options.routers; ++index) {
+            RouterOptions routerOptions;
+            routerOptions.target.pool.instance = "entry-" + std::to_string(index);
+            routerOptions.target.pool.domain = FailureDomainId("a");
+            if (options.adjust) {
+                options.adjust(routerOptions);
+            }
+            m_routers.push_back(std::make_unique<Router>(routerOptions, options.seed * 1000 + index));
+            m_attempts.emplace_back();
+        }
+    }
+
+    SimulationResult run()
+    {
+        const TimePoint end = Start + m_options.warmUp + m_options.length;
+        showViews();
+        at(m_now + TickPeriod, [this] {
+            tickAll();
+        });
+        at(m_now + ViewPeriod, [this] {
+            viewAgain();
+        });
+        scheduleArrival();
+        while (!m_events.empty() && m_events.begin()->first < end) {
+            auto node = m_events.extract(m_events.begin());
+            m_now = node.key();
+            node.mapped()();
+        }
+        m_result.capacitySeconds =
+            secondsOf(m_options.length) * static_cast<double>(m_options.endpoints * m_options.slots);
+        return std::move(m_result);
+    }
+
+private:
+    void at(TimePoint time, std::function<void()> task)
+    {
+        m_events.emplace(time, std::move(task));
+    }
+
+    bool counted() const
+    {
+        return m_now >= Start + m_options.warmUp;
+    }
+
+    void scheduleArrival()
+    {
+        const double workers = static_cast<double>(m_options.endpoints * m_options.slots);
+        const double rate = m_options.load * workers / secondsOf(m_options.meanService);
+        std::exponential_distribution<double> gap(rate);
+        at(m_now + fromSeconds(gap(m_random)), [this] {
+            arrive();
+            scheduleArrival();
+        });
+    }
+
+    void arrive()
+    {
+        std::discrete_distribution<std::size_t> classes(m_options.classShare.begin(), m_options.classShare.end());
+        const std::size_t index = classes(m_random);
+        std::lognormal_distribution<double> spread(-ServiceSpread * ServiceSpread / 2, ServiceSpread);
+        const RequestId id = ++m_lastRequest;
+        m_requests[id] = {.trafficClass = static_cast<TrafficClass>(index),
+                          .arrivedAt = m_now,
+                          .service = fromSeconds(secondsOf(m_options.meanService) * spread(m_random))};
+        m_result.arrived.at(index) += counted() ? 1 : 0;
+        CallerRequest request;
+        request.id = id;
+        request.target = "service/stock";
+        request.trafficClass = static_cast<TrafficClass>(index);
+        request.deadline = m_now + m_options.deadlines.at(index);
+        request.repeatable = true;
+        request.fingerprint = id;
+        const std::size_t router = id % m_routers.size();
+        m_routers[router]->onRequest(request, m_now);
+        act(router);
+    }
+
+    void act(std::size_t router)
+    {
+        for (const Action &action : m_routers[router]->takeActions()) {
+            if (const auto *dispatch = std::get_if<DispatchAction>(&action)) {
+                send(router, *dispatch);
+            } else if (const auto *forward = std::get_if<ForwardAction>(&action)) {
+                answered(forward->request);
+            } else if (const auto *refuse = std::get_if<RefuseAction>(&action)) {
+                m_requests.erase(refuse->request);
+            } else if (const auto *cancel = std::get_if<CancelAction>(&action)) {
+                m_attempts[router].erase(cancel->attempt);
+            }
+        }
+    }
+
+    void answered(RequestId id)
+    {
+        const Request request = m_requests.at(id);
+        m_requests.erase(id);
+        if (!counted()) {
+            return;
+        }
+        const auto index = static_cast<std::size_t>(request.trafficClass);
+        ++m_result.answered.at(index);
+        m_result.seconds.at(index).push_back(secondsOf(m_now - request.arrivedAt));
+        m_result.usefulSeconds += secondsOf(request.service);
+    }
+
+    void send(std::size_t router, const DispatchAction &dispatch)
+    {
+        const std::size_t target = dispatch.address.port;
+        m_attempts[router][dispatch.attempt] = {.request = dispatch.request,
+                                                .service = m_requests.at(dispatch.request).service};
+        const Duration slowness = m_requests.at(dispatch.request).service;
+        const double factor = target == 0 ? m_options.slowFactor : 1.0;
+        std::bernoulli_distribution breaks(m_options.lostShare);
+        const Job job{.router = router,
+                      .attempt = dispatch.attempt,
+                      .service = fromSeconds(secondsOf(slowness) * factor),
+                      .breaks = breaks(m_random)};
+        m_result.attempts += counted() ? 1 : 0;
+        at(m_now + OneWay, [this, target, job] {
+            reach(target, job);
+        });
+        const AttemptId attempt = dispatch.attempt;
+        at(m_now + dispatch.timeout, [this, router, attempt] {
+            end(router, attempt, [this, router, attempt] {
+                m_routers[router]->onFailed(attempt, {.proof = DeliveryProof::MaybeRan, .timedOut = true}, m_now);
+            });
+        });
+    }
+
+    /// Hands an event of a live attempt to its router.
+    void end(std::size_t router, AttemptId attempt, const std::function<void()> &event)
+    {
+        if (m_attempts[router].erase(attempt) > 0) {
+            event();
+            act(router);
+        }
+    }
+
+    bool refuses(std::size_t target) const
+    {
+        const Duration cycle = fromSeconds(secondsOf(RefusalSpell) / std::max(m_options.refusedShare, 1e-9));
+        return target == 0 && m_options.refusedShare > 0 && (m_now - Start) % cycle < RefusalSpell;
+    }
+
+    void reach(std::size_t target, const Job &job)
+    {
+        if (refuses(target)) {
+            at(m_now + OneWay, [this, job] {
+                end(job.router, job.attempt, [&] {
+                    m_routers[job.router]->onFailed(job.attempt, {.proof = DeliveryProof::NotRun}, m_now);
+                });
+            });
+            return;
+        }
+        Endpoint &endpoint = m_endpoints[target];
+        if (endpoint.running < m_options.slots) {
+            work(target, job);
+        } else {
+            endpoint.waiting.push_back(job);
+        }
+        note(endpoint);
+    }
+
+    void work(std::size_t target, const Job &job)
+    {
+        ++m_endpoints[target].running;
+        at(m_now + job.service, [this, target, job] {
+            Endpoint &endpoint = m_endpoints[target];
+            --endpoint.running;
+            if (!endpoint.waiting.empty()) {
+                const Job next = endpoint.waiting.front();
+                endpoint.waiting.pop_front();
+                work(target, next);
+            }
+            note(endpoint);
+            at(m_now + OneWay, [this, job] {
+                comeBack(job);
+            });
+        });
+    }
+
+    void comeBack(const Job &job)
+    {
+        end(job.router, job.attempt, [&] {
+            if (job.breaks) {
+                m_routers[job.router]->onFailed(job.attempt, {.proof = DeliveryProof::MaybeRan}, m_now);
+            } else {
+                m_routers[job.router]->onAnswered(job.attempt, {}, m_now);
+            }
+        });
+    }
+
+    void note(Endpoint &endpoint)
+    {
+        endpoint.history.emplace_back(m_now, static_cast<std::uint32_t>(endpoint.running + endpoint.waiting.size()));
+    }
+
+    void tickAll()
+    {
+        for (std::size_t router = 0; router < m_routers.size(); ++router) {
+            m_routers[router]->tick(m_now);
+            act(router);
+        }
+        at(m_now + TickPeriod, [this] {
+            tickAll();
+        });
+    }
+
+    void viewAgain()
+    {
+        showViews();
+        at(m_now + ViewPeriod, [this] {
+            viewAgain();
+        });
+    }
+
+    void showViews()
+    {
+        RoutingTable table;
+        RoutedTarget &target = table.targets["service/stock"];
+        for (std::size_t index = 0; index < m_endpoints.size(); ++index) {
+            RoutedEndpoint endpoint;
+            endpoint.id = EndpointId("endpoint-" + std::to_string(index));
+            endpoint.domain = FailureDomainId("a");
+            endpoint.address = {"127.0.0.1", static_cast<std::uint16_t>(index)};
+            if (m_options.reportsLoad) {
+                endpoint.slots = static_cast<std::uint32_t>(m_options.slots);
+                endpoint.load = loadBefore(m_endpoints[index], m_now - m_options.reportLag);
+                endpoint.loadAge = m_options.reportLag;
+            }
+            target.endpoints.push_back(endpoint);
+        }
+        for (std::size_t router = 0; router < m_routers.size(); ++router) {
+            m_routers[router]->onView(table, m_now);
+            act(router);
+        }
+    }
+
+    static std::uint32_t loadBefore(Endpoint &endpoint, TimePoint time)
+    {
+        while (endpoint.history.size() > 1 && endpoint.history[1].first <= time) {
+            endpoint.history.pop_front();
+        }
+        const bool known = !endpoint.history.empty() && endpoint.history.front().first <= time;
+        return known ? endpoint.history.front().second : 0;
+    }
+
+    SimulationOptions m_options;
+    std::mt19937_64 m_random;
+    std::vector<Endpoint> m_endpoints;
+    std::vector<std::unique_ptr<Router>> m_routers;
+    std::vector<std::unordered_map<AttemptId, Attempt>> m_attempts; // by router
+    std::unordered_map<RequestId, Request> m_requests;
+    std::multimap<TimePoint, std::function<void()>> m_events;
+    TimePoint m_now = Start;
+    RequestId m_lastRequest = 0;
+    SimulationResult m_result;
+};
+
+} // namespace
+
+double SimulationResult::percentile(TrafficClass trafficClass, double share) const
+{
+    std::vector<double> sorted = seconds.at(static_cast<std::size_t>(trafficClass));
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto place = static_cast<std::ptrdiff_t>(share * static_cast<double>(sorted.size() - 1));
+    std::nth_element(sorted.begin(), sorted.begin() + place, sorted.end());
+    return sorted.at(static_cast<std::size_t>(place));
+}
+
+double SimulationResult::answeredShare(TrafficClass trafficClass) const
+{
+    const auto index = static_cast<std::size_t>(trafficClass);
+    return static_cast<double>(answered.at(index)) / static_cast<double>(std::max<std::uint64_t>(1, arrived.at(index)));
+}
+
+double SimulationResult::goodput() const
+{
+    return usefulSeconds / capacitySeconds;
+}
+
+double SimulationResult::amplification() const
+{
+    std::uint64_t requests = 0;
+    for (const std::uint64_t each : arrived) {
+        requests += each;
+    }
+    return static_cast<double>(attempts) / static_cast<double>(std::max<std::uint64_t>(1, requests));
+}
+
+SimulationResult simulate(const SimulationOptions &options)
+{
+    return Simulation(options).run();
+}
+
+} // namespace bergamot::routing_internal
--- a/bergamot/routing/load_estimate.cpp
+++ b/bergamot/routing/load_estimate.cpp
@@ -10,6 +10,7 @@
 
 // A report older than this says nothing any more; it also bounds the memory of changes.
 constexpr Duration OldestReport = std::chrono::seconds(10);
+constexpr double ReportSmoothing = 0.3;
 
 } // namespace
 
@@ -28,24 +29,34 @@
 
 void LoadEstimate::reported(std::uint32_t requests, TimePoint measuredAt)
 {
-    if (measuredAt < m_measuredAt) {
+    if (measuredAt <= m_measuredAt) {
         return;
     }
     m_measuredAt = measuredAt;
-    m_reported = requests;
-    while (!m_changes.empty() && m_changes.front().at <= measuredAt) {
-        m_changedSinceReport -= m_changes.front().difference;
-        m_changes.pop_front();
-    }
+    forgetChanges(measuredAt);
+    const double ownThen = static_cast<double>(m_inFlight) - static_cast<double>(m_changedSinceReport);
+    m_others = std::max(0.0, requests - ownThen);
+    m_usualOthers = m_hasReport ? m_usualOthers + ReportSmoothing * (m_others - m_usualOthers) : m_others;
+    m_hasReport = true;
 }
 
-std::uint32_t LoadEstimate::load(TimePoint now) const
+double LoadEstimate::load(TimePoint now, Duration duration) const
 {
-    if (m_measuredAt < now - OldestReport) {
+    if (!m_hasReport || m_measuredAt < now - OldestReport) {
         return m_inFlight;
     }
-    const std::int64_t corrected = static_cast<std::int64_t>(m_reported) + m_changedSinceReport;
-    return static_cast<std::uint32_t>(std::max<std::int64_t>(corrected, m_inFlight));
+    const double others = m_usualOthers + freshness(now, duration) * (m_others - m_usualOthers);
+    return m_inFlight + others;
+}
+
+double LoadEstimate::freshness(TimePoint now, Duration duration) const
+{
+    if (!m_hasReport) {
+        return 0;
+    }
+    const auto age = static_cast<double>(std::max(now - m_measuredAt, Duration::zero()).count());
+    const auto scale = static_cast<double>(std::max<Duration>(duration, std::chrono::milliseconds(1)).count());
+    return scale / (scale + age);
 }
 
 std::uint32_t LoadEstimate::inFlight() const
@@ -57,8 +68,14 @@
 {
     m_changes.push_back({.at = now, .difference = difference});
     m_changedSinceReport += difference;
-    if (m_changes.front().at < now - OldestReport) {
-        reported(0, now - OldestReport);
+    forgetChanges(now - OldestReport);
+}
+
+void LoadEstimate::forgetChanges(TimePoint until)
+{
+    while (!m_changes.empty() && m_changes.front().at <= until) {
+        m_changedSinceReport -= m_changes.front().difference;
+        m_changes.pop_front();
     }
 }
 
--- /dev/null
+++ b/bergamot/routing/report_limit.cpp
@@ -0,0 +1,58 @@
+#include "bergamot/routing/report_limit.h"
+
+#include <limits>
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr double UsedShare = 0.8; // of the limit; a limit that was not used does not grow
+constexpr double StartGrowth = 2;
+
+} // namespace
+
+ReportLimit::ReportLimit(ReportLimitOptions options)
+    : m_options(options)
+    , m_limit(options.initial)
+{ }
+
+void ReportLimit::dispatched(std::uint32_t inFlight)
+{
+    m_peak = std::max(m_peak, inFlight);
+}
+
+void ReportLimit::reported(double perSlot, TimePoint measuredAt)
+{
+    m_reporting = true;
+    if (measuredAt <= m_measuredAt) {
+        return;
+    }
+    m_measuredAt = measuredAt;
+    m_everFull = m_everFull || perSlot > m_options.fullAt;
+    if (perSlot > m_options.overFullAt) {
+        m_limit *= std::clamp(m_options.target / perSlot, m_options.steepestCut, 1.0);
+    } else if (perSlot < m_options.fullAt && m_peak >= UsedShare * m_limit) {
+        grow();
+    }
+    m_limit = std::clamp(m_limit, m_options.least, m_options.most);
+    m_peak = 0;
+}
+
+void ReportLimit::silent()
+{
+    m_reporting = false;
+}
+
+double ReportLimit::allowed() const
+{
+    return m_reporting ? m_limit : std::numeric_limits<double>::infinity();
+}
+
+void ReportLimit::grow()
+{
+    m_limit = m_everFull ? m_limit * m_options.growth + 1.0 : m_limit * StartGrowth;
+}
+
+} // namespace bergamot
--- a/bergamot/routing/router_test.cpp
+++ b/bergamot/routing/router_test.cpp
@@ -457,6 +457,9 @@
     send();
     m_now += 900ms;
     answer(m_dispatches[0].attempt);
+    showEndpoints(1, [](RoutedEndpoint &endpoint) {
+        endpoint.slots = 1;
+    });
     RequestId last = 0;
     for (int count = 0; count < 12; ++count) {
         last = send();
--- a/bergamot/routing/target_state.h
+++ b/bergamot/routing/target_state.h
@@ -22,7 +22,7 @@
     ShareBudgetOptions retries{.share = 0.06, .reserve = 10, .most = 50};
     ShareBudgetOptions hedges{.share = 0.03, .reserve = 1, .most = 20};
     double hedgeQuantile = 0.97; // a request later than this share of the others is hedged
-    std::function<std::unique_ptr<ChoiceStrategy>()> strategy; // null: two choices
+    std::function<std::unique_ptr<ChoiceStrategy>()> strategy; // null: SampledChoice
 };
 
 /// An endpoint set aside for one suspect.
@@ -36,7 +36,7 @@
 struct TargetState
 {
     explicit TargetState(const TargetOptions &options)
-        : pool(options.pool, options.strategy ? options.strategy() : std::make_unique<TwoChoices>())
+        : pool(options.pool, options.strategy ? options.strategy() : std::make_unique<SampledChoice>())
         , queue(options.queue)
         , retries(options.retries)
         , hedges(options.hedges)
