--- a/bergamot/intents/configuration_fold_test.cpp
+++ b/bergamot/intents/configuration_fold_test.cpp
@@ -81,8 +81,8 @@
     EXPECT_EQ(loser.state, PlanState::Superseded);
     EXPECT_EQ(loser.supersededBy, winner.intent);
     EXPECT_NE(loser.reason.find("'b' of op-b"), std::string::npos);
-    EXPECT_EQ(loser.collisions, std::vector<IntentId> {winner.intent});
-    EXPECT_EQ(winner.collisions, std::vector<IntentId> {loser.intent});
+    EXPECT_EQ(loser.collisions, std::vector<IntentId>{winner.intent});
+    EXPECT_EQ(winner.collisions, std::vector<IntentId>{loser.intent});
 }
 
 struct RecordCase
@@ -110,53 +110,53 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          ExtraRecords,
-                         testing::Values(RecordCase {"copies",
-                                                     [](Journal &j) {
-                                                         j.copy(0);
-                                                         j.copy(1);
-                                                     },
-                                                     1},
-                                         RecordCase {"second confirmation",
-                                                     [](Journal &j) {
-                                                         j.confirm("a");
-                                                     },
-                                                     1},
-                                         RecordCase {"same id, other content",
-                                                     [](Journal &j) {
-                                                         j.intent("a", 1, ModelN);
-                                                         j.confirm("a");
-                                                     },
-                                                     1},
-                                         RecordCase {"old base",
-                                                     [](Journal &j) {
-                                                         j.intent("b", 0, ModelN);
-                                                         j.confirm("b");
-                                                     },
-                                                     1},
-                                         RecordCase {"unreadable",
-                                                     [](Journal &j) {
-                                                         j.add("intent", "{");
-                                                         j.add("x", "[]");
-                                                     },
-                                                     1},
-                                         RecordCase {"unknown plan",
-                                                     [](Journal &j) {
-                                                         j.confirm("z");
-                                                         j.add("confirm", "{}");
-                                                     },
-                                                     1},
-                                         RecordCase {"refused",
-                                                     [](Journal &j) {
-                                                         j.intent("b", 1, R"({"trainers":{"t":{"model":"z"}}})");
-                                                         j.confirm("b");
-                                                     },
-                                                     1},
-                                         RecordCase {"next",
-                                                     [](Journal &j) {
-                                                         j.intent("b", 1, ModelN);
-                                                         j.confirm("b");
-                                                     },
-                                                     2}),
+                         testing::Values(RecordCase{"copies",
+                                                    [](Journal &j) {
+                                                        j.copy(0);
+                                                        j.copy(1);
+                                                    },
+                                                    1},
+                                         RecordCase{"second confirmation",
+                                                    [](Journal &j) {
+                                                        j.confirm("a");
+                                                    },
+                                                    1},
+                                         RecordCase{"same id, other content",
+                                                    [](Journal &j) {
+                                                        j.intent("a", 1, ModelN);
+                                                        j.confirm("a");
+                                                    },
+                                                    1},
+                                         RecordCase{"old base",
+                                                    [](Journal &j) {
+                                                        j.intent("b", 0, ModelN);
+                                                        j.confirm("b");
+                                                    },
+                                                    1},
+                                         RecordCase{"unreadable",
+                                                    [](Journal &j) {
+                                                        j.add("intent", "{");
+                                                        j.add("x", "[]");
+                                                    },
+                                                    1},
+                                         RecordCase{"unknown plan",
+                                                    [](Journal &j) {
+                                                        j.confirm("z");
+                                                        j.add("confirm", "{}");
+                                                    },
+                                                    1},
+                                         RecordCase{"refused",
+                                                    [](Journal &j) {
+                                                        j.intent("b", 1, R"({"trainers":{"t":{"model":"z"}}})");
+                                                        j.confirm("b");
+                                                    },
+                                                    1},
+                                         RecordCase{"next",
+                                                    [](Journal &j) {
+                                                        j.intent("b", 1, ModelN);
+                                                        j.confirm("b");
+                                                    },
+                                                    2}),
                          [](const testing::TestParamInfo<RecordCase> &row) {
                              std::string name = row.param.name;
                              std::replace_if(
--- a/bergamot/intents/intent_service.cpp
+++ b/bergamot/intents/intent_service.cpp
@@ -146,7 +146,7 @@
         return;
     }
     const PlanForecast forecast = planChange(before, *after, m_view.fleet(), m_options.planner);
-    Ask ask {digest, {responder}, m_clock.now() + m_options.answerTimeout};
+    Ask ask{digest, {responder}, m_clock.now() + m_options.answerTimeout};
     start(m_intents,
           intent.id,
           std::move(ask),
@@ -170,7 +170,7 @@
         pending->second.waiting.push_back(responder);
         return;
     }
-    Ask ask {"", {responder}, m_clock.now() + m_options.answerTimeout};
+    Ask ask{"", {responder}, m_clock.now() + m_options.answerTimeout};
     start(m_confirmations, entry->intent, std::move(ask), "confirm", confirmPayload(plan, operatorOf(request)));
 }
 
--- a/bergamot/intents/intent_service.h
+++ b/bergamot/intents/intent_service.h
@@ -45,8 +45,8 @@
 
 struct IntentServiceOptions
 {
-    std::chrono::milliseconds answerTimeout {5000}; // until an ask whose record is not seen is answered "unknown"
-    std::chrono::milliseconds retryAfter {2000}; // told to operators when the log is out
+    std::chrono::milliseconds answerTimeout{5000}; // until an ask whose record is not seen is answered "unknown"
+    std::chrono::milliseconds retryAfter{2000}; // told to operators when the log is out
     PlannerOptions planner;
 };
 
--- a/bergamot/intents/intent_service_test.cpp
+++ b/bergamot/intents/intent_service_test.cpp
@@ -56,7 +56,7 @@
 
     RecordId append(const std::string &, std::string kind, std::string payload, Callback<Offset> done) override
     {
-        RecordId id {"w", 1, ++m_sequence};
+        RecordId id{"w", 1, ++m_sequence};
         held.push_back({{id, std::move(kind), std::move(payload)}, std::move(done)});
         return id;
     }
@@ -115,22 +115,22 @@
     HeldAppender appender;
     ConfigurationFold fold;
     bool caughtUp = true;
-    std::vector<InstanceVersion> instances {{InstanceId("one"), 1}, {InstanceId("two"), 0}};
+    std::vector<InstanceVersion> instances{{InstanceId("one"), 1}, {InstanceId("two"), 0}};
     EventLoop loop;
-    IntentService service {{},
-                           loop,
-                           clock,
-                           appender,
-                           fold,
-                           {[this] {
-                                return instances;
-                            },
-                            [] {
-                                return FleetSnapshot {};
-                            },
-                            [this] {
-                                return caughtUp;
-                            }}};
+    IntentService service{{},
+                          loop,
+                          clock,
+                          appender,
+                          fold,
+                          {[this] {
+                               return instances;
+                           },
+                           [] {
+                               return FleetSnapshot{};
+                           },
+                           [this] {
+                               return caughtUp;
+                           }}};
 };
 
 TEST_F(IntentServiceTest, answersAPlanThenItsConfirmation)
@@ -218,10 +218,10 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          FaultDuringAsk,
-                         testing::Values(LogFault {ErrorCode::Unavailable, false, 503, "not accepted"},
-                                         LogFault {ErrorCode::Overloaded, false, 503, "not accepted"},
-                                         LogFault {ErrorCode::Unknown, false, 502, "ask again with the same id"},
-                                         LogFault {ErrorCode::Unknown, true, 502, "ask again with the same id"}));
+                         testing::Values(LogFault{ErrorCode::Unavailable, false, 503, "not accepted"},
+                                         LogFault{ErrorCode::Overloaded, false, 503, "not accepted"},
+                                         LogFault{ErrorCode::Unknown, false, 502, "ask again with the same id"},
+                                         LogFault{ErrorCode::Unknown, true, 502, "ask again with the same id"}));
 
 TEST_F(IntentServiceTest, answersUnknownWhenTheFoldIsNotSeenToAdvance)
 {
--- a/bergamot/intents/intent_test.cpp
+++ b/bergamot/intents/intent_test.cpp
@@ -19,7 +19,7 @@
     const Result<Intent> intent = read(R"({"id": "i", "operator": "o", "set": {"domains": ["b", "a"],
         "models": {"m": {"version": 2}}}, "remove": {"services": ["s", "s"]}})");
     ASSERT_TRUE(intent) << intent.error().message;
-    EXPECT_EQ(intent->removedServices, std::vector<ServiceId> {ServiceId("s")});
+    EXPECT_EQ(intent->removedServices, std::vector<ServiceId>{ServiceId("s")});
     EXPECT_EQ(parseIntent(toJson(*intent)), *intent);
 }
 
@@ -63,14 +63,14 @@
     Table,
     ApplyIntent,
     testing::Values(
-        ApplyCase {R"({"id":"i","operator":"o","set":{"domains":["b","a"],"models":{"m":{"version":6}}}})", ""},
-        ApplyCase {R"({"id":"i","operator":"o","set":{"models":{"m":{"version":0}}}})", ""},
-        ApplyCase {R"({"id":"i","operator":"o","remove":{"models":["m"],"trainers":["t"]}})", ""},
-        ApplyCase {R"({"id":"i","operator":"o","set":{"domains":["a"]}})", "were set before and stay"},
-        ApplyCase {R"({"id":"i","operator":"o","set":{"models":{"m":{"version":4}}}})", "only rise"},
-        ApplyCase {R"({"id":"i","operator":"o","remove":{"models":["m"]}})", "no model of the configuration"},
-        ApplyCase {R"({"id":"i","operator":"o","remove":{"models":["x"]}})", "no model 'x' to remove"},
-        ApplyCase {R"({"id":"i","operator":"o","set":{"trainers":{"u":{"model":"m"}}}})", "promised 200%"}));
+        ApplyCase{R"({"id":"i","operator":"o","set":{"domains":["b","a"],"models":{"m":{"version":6}}}})", ""},
+        ApplyCase{R"({"id":"i","operator":"o","set":{"models":{"m":{"version":0}}}})", ""},
+        ApplyCase{R"({"id":"i","operator":"o","remove":{"models":["m"],"trainers":["t"]}})", ""},
+        ApplyCase{R"({"id":"i","operator":"o","set":{"domains":["a"]}})", "were set before and stay"},
+        ApplyCase{R"({"id":"i","operator":"o","set":{"models":{"m":{"version":4}}}})", "only rise"},
+        ApplyCase{R"({"id":"i","operator":"o","remove":{"models":["m"]}})", "no model of the configuration"},
+        ApplyCase{R"({"id":"i","operator":"o","remove":{"models":["x"]}})", "no model 'x' to remove"},
+        ApplyCase{R"({"id":"i","operator":"o","set":{"trainers":{"u":{"model":"m"}}}})", "promised 200%"}));
 
 } // namespace
 } // namespace bergamot
--- a/bergamot/intents/plan_entry.cpp
+++ b/bergamot/intents/plan_entry.cpp
@@ -13,7 +13,7 @@
 using web::json::value;
 
 constexpr std::string_view PlanPrefix = "plan-";
-constexpr std::array States {PlanState::Planned, PlanState::Confirmed, PlanState::Superseded, PlanState::Refused};
+constexpr std::array States{PlanState::Planned, PlanState::Confirmed, PlanState::Superseded, PlanState::Refused};
 
 value fieldOr(const value &json, const std::string &name, const value &fallback)
 {
--- a/bergamot/intents/planner.cpp
+++ b/bergamot/intents/planner.cpp
@@ -54,7 +54,7 @@
     PublishedWeights published(const ModelId &model) const
     {
         const PublishedWeights *known = entry(m_fleet.published, model);
-        return known != nullptr ? *known : PublishedWeights {};
+        return known != nullptr ? *known : PublishedWeights{};
     }
 
     void addModel(const ModelConfig &model)
@@ -100,7 +100,7 @@
     void limitByFloor(const ModelConfig &model, CapacityCost &cost)
     {
         const auto floor =
-            static_cast<std::uint32_t>(ceilDivide(std::uint64_t {cost.engines} * model.capacityFloorPercent, Whole));
+            static_cast<std::uint32_t>(ceilDivide(std::uint64_t{cost.engines} * model.capacityFloorPercent, Whole));
         cost.outAtOnce = std::min(cost.touched, cost.engines - floor);
         cost.lostPercent = cost.outAtOnce * Whole / cost.engines;
         if (cost.touched > 0 && cost.outAtOnce == 0) {
@@ -139,14 +139,14 @@
         if (swap == m_swapTime.end() && old != nullptr && *old == trainer) {
             return;
         }
-        TrainerCost cost {trainer.trainer, 0, trainer.stalenessBound};
+        TrainerCost cost{trainer.trainer, 0, trainer.stalenessBound};
         if (swap != m_swapTime.end()) {
             // While engines swap, some still generate with the version before; each further publication adds one.
             cost.predictedStaleness = 1 + static_cast<std::uint64_t>(swap->second / m_options.publicationInterval);
             cost.predictedIdle = m_idleTime.at(trainer.model);
         }
         if (old != nullptr && old->sharePercent != trainer.sharePercent && trainer.sharePercent != 0) {
-            cost.stepTimeChangePercent = std::int64_t {old->sharePercent} * Whole / trainer.sharePercent - Whole;
+            cost.stepTimeChangePercent = std::int64_t{old->sharePercent} * Whole / trainer.sharePercent - Whole;
         }
         warnAboutTrainer(trainer, cost);
         m_forecast.trainers.push_back(cost);
--- a/bergamot/intents/planner.h
+++ b/bergamot/intents/planner.h
@@ -35,8 +35,8 @@
 
 struct PlannerOptions
 {
-    std::chrono::milliseconds engineLoadTime {3000}; // to fetch one version and swap it in
-    std::chrono::milliseconds publicationInterval {std::chrono::minutes(6)}; // between weight versions
+    std::chrono::milliseconds engineLoadTime{3000}; // to fetch one version and swap it in
+    std::chrono::milliseconds publicationInterval{std::chrono::minutes(6)}; // between weight versions
 };
 
 /// What the change takes from one model in one failure domain.
@@ -55,7 +55,7 @@
     TrainerId trainer;
     std::uint64_t predictedStaleness = 0; // versions, while the change is carried out
     std::uint64_t stalenessBound = 0;
-    std::chrono::milliseconds predictedIdle {0}; // capacity lost, as time of the whole model
+    std::chrono::milliseconds predictedIdle{0}; // capacity lost, as time of the whole model
     std::int64_t stepTimeChangePercent = 0; // by a changed share of the engines
 };
 
@@ -63,7 +63,7 @@
 {
     std::uint32_t enginesTouched = 0;
     std::uint32_t storeFetches = 0;
-    std::chrono::milliseconds duration {0}; // until the last engine has the new version
+    std::chrono::milliseconds duration{0}; // until the last engine has the new version
     std::vector<CapacityCost> capacity;
     std::vector<TrainerCost> trainers;
     std::vector<std::string> warnings;
--- a/bergamot/intents/planner_test.cpp
+++ b/bergamot/intents/planner_test.cpp
@@ -47,7 +47,7 @@
 TEST_P(PlanSwap, isPacedByTheFloorAndByTheStore)
 {
     const SwapCase &row = GetParam();
-    const PlannerOptions options {.engineLoadTime = 2s, .publicationInterval = 6min};
+    const PlannerOptions options{.engineLoadTime = 2s, .publicationInterval = 6min};
     const PlanForecast forecast =
         planChange(serving(4, row.floorPercent), serving(5, row.floorPercent), fleet(row.fetches), options);
     EXPECT_EQ(forecast.capacity.size(), 3U);
@@ -59,11 +59,11 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          PlanSwap,
-                         testing::Values(SwapCase {66, 9, 1, 6s}, // 3 at once by the floor: 3 rounds
-                                         SwapCase {33, 9, 2, 4s}, // 6 at once: 2 rounds
-                                         SwapCase {0, 9, 3, 2s},
-                                         SwapCase {0, 2, 3, 10s}, // 2 at once by the store: 5 rounds
-                                         SwapCase {90, 9, 0, 0s}));
+                         testing::Values(SwapCase{66, 9, 1, 6s}, // 3 at once by the floor: 3 rounds
+                                         SwapCase{33, 9, 2, 4s}, // 6 at once: 2 rounds
+                                         SwapCase{0, 9, 3, 2s},
+                                         SwapCase{0, 2, 3, 10s}, // 2 at once by the store: 5 rounds
+                                         SwapCase{90, 9, 0, 0s}));
 
 TEST(PlanChange, tellsTrainersOfStalenessAndShares)
 {
@@ -83,7 +83,7 @@
 {
     const Configuration unchanged = serving(4, 50);
     EXPECT_EQ(planChange(unchanged, unchanged, fleet(1), {}).warnings,
-              std::vector<std::string> {"the intent changes nothing"});
+              std::vector<std::string>{"the intent changes nothing"});
     const PlanForecast forecast = planChange({}, serving(7, 50), {}, {});
     EXPECT_EQ(forecast.enginesTouched, 0U);
     ASSERT_EQ(forecast.warnings.size(), 2U);
