--- a/bergamot/base/settings.cpp
+++ b/bergamot/base/settings.cpp
@@ -54,6 +54,14 @@
     m_settings.push_back({name, std::move(check), false});
 }
 
+void SettingsParser::flag(const std::string &name, const std::string &help)
+{
+    po::typed_value<std::string> *value = po::value<std::string>();
+    value->zero_tokens()->implicit_value("true")->default_value("");
+    m_description.add_options()(name.c_str(), value, help.c_str());
+    m_settings.push_back({name, nullptr, false});
+}
+
 void SettingsParser::positional(const std::string &name, const std::string &help)
 {
     m_description.add_options()(name.c_str(), po::value<std::vector<std::string>>(), help.c_str());
@@ -139,6 +147,12 @@
     return found == m_values.end() ? std::vector<std::string>() : found->second.as<std::vector<std::string>>();
 }
 
+bool SettingsParser::isSet(const std::string &flag) const
+{
+    const std::string value = text(flag);
+    return !value.empty() && value != "false" && value != "0";
+}
+
 std::uint64_t SettingsParser::number(const std::string &name) const
 {
     const std::string value = text(name);
--- a/bergamot/base/settings.h
+++ b/bergamot/base/settings.h
@@ -45,6 +45,8 @@
     void require(const std::string &name, const std::string &help, Check check = nullptr);
     /// A setting with a default.
     void optional(const std::string &name, const std::string &fallback, const std::string &help, Check check = nullptr);
+    /// A setting without a value on the command line; `isSet` tells whether it was given.
+    void flag(const std::string &name, const std::string &help);
     /// A positional word or words (for command-line tools), kept in order.
     void positional(const std::string &name, const std::string &help);
 
@@ -53,6 +55,7 @@
     /// The value; empty if it has none.
     std::string text(const std::string &name) const;
     std::vector<std::string> words(const std::string &name) const;
+    bool isSet(const std::string &flag) const;
     /// For settings checked by `isWholeNumber`.
     std::uint64_t number(const std::string &name) const;
     /// For settings checked by `isWholeNumber`, in milliseconds.
--- a/bergamot/base/settings_test.cpp
+++ b/bergamot/base/settings_test.cpp
@@ -48,5 +48,18 @@
                                  {"--instance (BERGAMOT_INSTANCE) is required", "'x' is not a whole", "'y' is not"}},
                     SettingsCase{{"--unheard-of", "1"}, 2, {"unheard-of"}}));
 
+TEST(SettingsParser, readsFlagsAndWordsInAnyOrder)
+{
+    SettingsParser parser("program", "Does something.");
+    parser.flag("wait", "Wait.");
+    parser.flag("quiet", "Say nothing.");
+    parser.positional("words", "What to do.");
+    const std::vector<const char *> arguments = {"program", "--wait", "status", "now"};
+    EXPECT_EQ(parser.parse(static_cast<int>(arguments.size()), arguments.data()).exitCode, std::nullopt);
+    EXPECT_TRUE(parser.isSet("wait"));
+    EXPECT_FALSE(parser.isSet("quiet"));
+    EXPECT_EQ(parser.words("words"), (std::vector<std::string>{"status", "now"}));
+}
+
 } // namespace
 } // namespace bergamot
--- a/bergamot/intents/intent_service.cpp
+++ b/bergamot/intents/intent_service.cpp
@@ -158,7 +158,7 @@
 {
     const PlanEntry *entry = m_fold.findPlan(plan);
     if (entry == nullptr) {
-        responder->reply(errorResponse(m_view.caughtUp() ? noSuchPlan(plan) : notAccepted("the plan is not here yet")));
+        m_lookups.push_back({plan, request, responder, m_clock.now() + m_options.lookupTimeout});
         return;
     }
     if (entry->state != PlanState::Planned) {
@@ -205,6 +205,7 @@
 
 void IntentService::onApplied()
 {
+    retryLookups();
     for (auto ask = m_intents.begin(); ask != m_intents.end();) {
         const auto current = ask++;
         const PlanEntry *entry = m_fold.findIntent(current->first);
@@ -228,8 +229,24 @@
     }
 }
 
+void IntentService::retryLookups()
+{
+    const TimePoint now = m_clock.now();
+    for (const Lookup &lookup : std::exchange(m_lookups, {})) {
+        if (m_fold.findPlan(lookup.plan) != nullptr) {
+            confirmPlan(lookup.plan, lookup.request, lookup.responder);
+        } else if (lookup.deadline <= now) {
+            lookup.responder->reply(
+                errorResponse(m_view.caughtUp() ? noSuchPlan(lookup.plan) : notAccepted("the plan is not here yet")));
+        } else {
+            m_lookups.push_back(lookup);
+        }
+    }
+}
+
 void IntentService::tick()
 {
+    retryLookups();
     failLate(m_intents);
     failLate(m_confirmations);
 }
--- a/bergamot/intents/intent_service.h
+++ b/bergamot/intents/intent_service.h
@@ -46,6 +46,7 @@
 struct IntentServiceOptions
 {
     std::chrono::milliseconds answerTimeout{5000}; // until an ask whose record is not seen is answered "unknown"
+    std::chrono::milliseconds lookupTimeout{2000}; // until a confirmation of a plan that is not here is refused
     std::chrono::milliseconds retryAfter{2000}; // told to operators when the log is out
     PlannerOptions planner;
 };
@@ -82,6 +83,15 @@
 
     using Asks = std::map<IntentId, Ask>;
 
+    /// A confirmation of a plan that is not here; it may have been made through another instance a moment ago.
+    struct Lookup
+    {
+        PlanId plan;
+        HttpRequest request;
+        ResponderPtr responder;
+        TimePoint deadline;
+    };
+
     void postIntent(const HttpRequest &request, const ResponderPtr &responder);
     void startIntent(const Intent &intent, const std::string &digest, const ResponderPtr &responder);
     void confirmPlan(const PlanId &plan, const HttpRequest &request, const ResponderPtr &responder);
@@ -94,6 +104,7 @@
     void appended(bool confirmation, const IntentId &intent, const Result<Offset> &offset);
     static void answer(Asks &asks, Asks::iterator ask, const HttpResponse &response);
     void failLate(Asks &asks);
+    void retryLookups();
 
     HttpResponse planResponse(const PlanEntry &entry) const;
     HttpResponse confirmResponse(const PlanEntry &entry) const;
@@ -108,6 +119,7 @@
     const FleetView m_view;
     Asks m_intents;
     Asks m_confirmations;
+    std::vector<Lookup> m_lookups;
     std::shared_ptr<IntentService *> m_self; // callbacks that outlive the service find it empty
 };
 
