--- a/bergamot/membership/digest_schedule.cpp
+++ b/bergamot/membership/digest_schedule.cpp
@@ -45,14 +45,14 @@
 void DigestSchedule::hurry(const std::string &peer)
 {
     if (const auto entry = m_entries.find(peer); entry != m_entries.end()) {
-        entry->second.next = TimePoint {};
+        entry->second.next = TimePoint{};
     }
 }
 
 void DigestSchedule::hurryAll()
 {
     for (auto &[peer, entry] : m_entries) {
-        entry.next = TimePoint {};
+        entry.next = TimePoint{};
     }
 }
 
--- a/bergamot/membership/digest_schedule.h
+++ b/bergamot/membership/digest_schedule.h
@@ -44,11 +44,11 @@
     struct Entry
     {
         bool inFlight = false;
-        TimePoint sentAt {};
-        TimePoint next {};
+        TimePoint sentAt{};
+        TimePoint next{};
         std::uint64_t reportsSent = 0;
         std::uint64_t reportsKnown = 0;
-        TimePoint refreshedAt {};
+        TimePoint refreshedAt{};
     };
 
     DigestScheduleOptions m_options;
--- a/bergamot/membership/dissemination.cpp
+++ b/bergamot/membership/dissemination.cpp
@@ -16,7 +16,7 @@
 
 constexpr Duration RebuildPeriod = std::chrono::milliseconds(250);
 constexpr Duration ListTimeout = std::chrono::seconds(5);
-constexpr std::uint64_t EpochBits = (std::uint64_t {1} << 31U) - 1;
+constexpr std::uint64_t EpochBits = (std::uint64_t{1} << 31U) - 1;
 constexpr Duration AssignPeriod = std::chrono::seconds(1);
 
 Duration checkpointDelay(const InstanceId &instance, const std::string &stream, Duration period)
@@ -40,7 +40,7 @@
 {
     for (StreamReplica *replica : m_replicas) {
         const Duration delay =
-            checkpointDelay(m_options.self.instance, replica->stream(), m_options.logTail.checkpointPeriod);
+            checkpointDelay(m_options.self.instance, replica->stream(), m_options.logTail.checkpoints.maxAge);
         m_tails.emplace_back(*replica, m_options.logTail, delay);
     }
 }
@@ -178,13 +178,13 @@
     }
     for (LogTail &tail : m_tails) {
         if (const std::optional<LogRead> read = tail.nextRead(now)) {
-            actions.emplace_back(ReadLog {tail.stream(), *read});
+            actions.emplace_back(ReadLog{tail.stream(), *read});
         }
         if (!m_isRelay) {
             continue;
         }
-        if (const std::optional<Checkpoint> checkpoint = tail.dueCheckpoint(now)) {
-            actions.emplace_back(AppendCheckpoint {tail.stream(), toPayload(*checkpoint)});
+        if (const std::optional<StreamCheckpoint> checkpoint = tail.dueCheckpoint(now)) {
+            actions.emplace_back(AppendCheckpoint{tail.stream(), checkpointPayload(*checkpoint)});
         }
     }
 }
@@ -198,7 +198,7 @@
     m_listInFlight = true;
     m_listSentAt = now;
     m_nextList = now + listPeriod();
-    actions.emplace_back(FetchList {});
+    actions.emplace_back(FetchList{});
 }
 
 void Dissemination::addPolls(std::vector<Action> &actions, TimePoint now)
@@ -311,7 +311,7 @@
 void Dissemination::send(
     std::vector<Action> &actions, const std::string &peer, std::string address, Duration period, TimePoint now)
 {
-    actions.emplace_back(SendDigest {peer, std::move(address), makeDigest(peer, now)});
+    actions.emplace_back(SendDigest{peer, std::move(address), makeDigest(peer, now)});
     m_schedule.sent(peer, m_poller.tick(), period, now);
 }
 
--- a/bergamot/membership/dissemination.h
+++ b/bergamot/membership/dissemination.h
@@ -115,7 +115,7 @@
     struct News
     {
         inner::SuspectT suspect;
-        TimePoint until {};
+        TimePoint until{};
     };
 
     bool isOwnDomain(const std::string &domain) const;
@@ -176,8 +176,8 @@
     bool m_isRelay = false;
     bool m_isConfirmed = false;
     bool m_listInFlight = false;
-    TimePoint m_listSentAt {};
-    TimePoint m_nextList {};
+    TimePoint m_listSentAt{};
+    TimePoint m_nextList{};
     std::size_t m_listEntries = 0;
     std::string m_primary; // the peer whose deltas this instance follows
     std::map<std::string, TimePoint> m_lastWithoutDelta; // when a peer asked for a delta last gave none
@@ -186,8 +186,8 @@
     std::uint64_t m_tick = 0;
     std::uint64_t m_roleChanges = 0;
     std::uint64_t m_revision = 0;
-    TimePoint m_nextRebuild {};
-    TimePoint m_nextAssign {};
+    TimePoint m_nextRebuild{};
+    TimePoint m_nextAssign{};
     std::optional<TimePoint> m_lastOutsideConfirmation; // by a relay of another domain
     std::optional<TimePoint> m_lastRelayAnswer;
     std::optional<TimePoint> m_startedAt;
--- a/bergamot/membership/dissemination_faults_test.cpp
+++ b/bergamot/membership/dissemination_faults_test.cpp
@@ -75,129 +75,129 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          DisseminationFaults,
-                         testing::Values(FaultCase {"none", nothing, nothing, {}},
-                                         FaultCase {"relayKilled",
-                                                    [](SimulatedFleet &fleet) {
-                                                        killRelays(fleet, "d0", 1);
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"bothRelaysKilled",
-                                                    [](SimulatedFleet &fleet) {
-                                                        killRelays(fleet, "d0", 2);
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"bothRelaysOfEveryDomainKilled",
-                                                    [](SimulatedFleet &fleet) {
-                                                        for (const std::string domain : {"d0", "d1", "d2"}) {
-                                                            killRelays(fleet, domain, 2);
-                                                        }
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"domainCutFromPlatform",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.cutFromPlatform("d1", true);
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"domainCutFromOthers",
-                                                    [](SimulatedFleet &fleet) {
-                                                        cutFromAll(fleet, "d1", true);
-                                                    },
-                                                    [](SimulatedFleet &fleet) {
-                                                        cutFromAll(fleet, "d1", false);
-                                                    },
-                                                    {}},
-                                         FaultCase {"domainCutFromBoth",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.cutFromPlatform("d1", true);
-                                                        cutFromAll(fleet, "d1", true);
-                                                    },
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.cutFromPlatform("d1", false);
-                                                        cutFromAll(fleet, "d1", false);
-                                                    },
-                                                    {"d1"}},
-                                         FaultCase {"twoDomainsCutFromPlatform",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.cutFromPlatform("d1", true);
-                                                        fleet.cutFromPlatform("d2", true);
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"logOutForLong",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.setLogOut(true);
-                                                        fleet.run(300s);
-                                                    },
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.setLogOut(false);
-                                                    },
-                                                    {"d0", "d1", "d2"}},
-                                         FaultCase {"listOutForLong",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.setListOut(true);
-                                                        fleet.run(300s);
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"listOutAndRelaysKilled",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.setListOut(true);
-                                                        fleet.run(30s);
-                                                        killRelays(fleet, "d2", 2);
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"cutFromPlatformAndRelayKilled",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.cutFromPlatform("d1", true);
-                                                        fleet.run(10s);
-                                                        killRelays(fleet, "d1", 1);
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"retentionPassedDuringCut",
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.cutFromPlatform("d1", true);
-                                                        cutFromAll(fleet, "d1", true);
-                                                        fleet.appendNoise(50);
-                                                        fleet.run(20s);
-                                                        fleet.expireLogBefore(fleet.logEnd());
-                                                    },
-                                                    [](SimulatedFleet &fleet) {
-                                                        fleet.cutFromPlatform("d1", false);
-                                                        cutFromAll(fleet, "d1", false);
-                                                    },
-                                                    {"d1"}},
-                                         FaultCase {"everyInstanceReplacedOneByOne",
-                                                    [](SimulatedFleet &fleet) {
-                                                        for (const std::string &instance : fleet.instances()) {
-                                                            replace(fleet, instance);
-                                                            fleet.run(3s);
-                                                        }
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"everyInstanceReplacedWithinAMinute",
-                                                    [](SimulatedFleet &fleet) {
-                                                        for (const std::string &instance : fleet.instances()) {
-                                                            replace(fleet, instance);
-                                                            fleet.run(1s);
-                                                        }
-                                                    },
-                                                    nothing,
-                                                    {}},
-                                         FaultCase {"allReplacedAtOnce",
-                                                    [](SimulatedFleet &fleet) {
-                                                        for (const std::string &instance : fleet.instances()) {
-                                                            replace(fleet, instance);
-                                                        }
-                                                    },
-                                                    nothing,
-                                                    {}}),
+                         testing::Values(FaultCase{"none", nothing, nothing, {}},
+                                         FaultCase{"relayKilled",
+                                                   [](SimulatedFleet &fleet) {
+                                                       killRelays(fleet, "d0", 1);
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"bothRelaysKilled",
+                                                   [](SimulatedFleet &fleet) {
+                                                       killRelays(fleet, "d0", 2);
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"bothRelaysOfEveryDomainKilled",
+                                                   [](SimulatedFleet &fleet) {
+                                                       for (const std::string domain : {"d0", "d1", "d2"}) {
+                                                           killRelays(fleet, domain, 2);
+                                                       }
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"domainCutFromPlatform",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.cutFromPlatform("d1", true);
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"domainCutFromOthers",
+                                                   [](SimulatedFleet &fleet) {
+                                                       cutFromAll(fleet, "d1", true);
+                                                   },
+                                                   [](SimulatedFleet &fleet) {
+                                                       cutFromAll(fleet, "d1", false);
+                                                   },
+                                                   {}},
+                                         FaultCase{"domainCutFromBoth",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.cutFromPlatform("d1", true);
+                                                       cutFromAll(fleet, "d1", true);
+                                                   },
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.cutFromPlatform("d1", false);
+                                                       cutFromAll(fleet, "d1", false);
+                                                   },
+                                                   {"d1"}},
+                                         FaultCase{"twoDomainsCutFromPlatform",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.cutFromPlatform("d1", true);
+                                                       fleet.cutFromPlatform("d2", true);
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"logOutForLong",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.setLogOut(true);
+                                                       fleet.run(300s);
+                                                   },
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.setLogOut(false);
+                                                   },
+                                                   {"d0", "d1", "d2"}},
+                                         FaultCase{"listOutForLong",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.setListOut(true);
+                                                       fleet.run(300s);
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"listOutAndRelaysKilled",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.setListOut(true);
+                                                       fleet.run(30s);
+                                                       killRelays(fleet, "d2", 2);
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"cutFromPlatformAndRelayKilled",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.cutFromPlatform("d1", true);
+                                                       fleet.run(10s);
+                                                       killRelays(fleet, "d1", 1);
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"retentionPassedDuringCut",
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.cutFromPlatform("d1", true);
+                                                       cutFromAll(fleet, "d1", true);
+                                                       fleet.appendNoise(50);
+                                                       fleet.run(20s);
+                                                       fleet.expireLogBefore(fleet.logEnd());
+                                                   },
+                                                   [](SimulatedFleet &fleet) {
+                                                       fleet.cutFromPlatform("d1", false);
+                                                       cutFromAll(fleet, "d1", false);
+                                                   },
+                                                   {"d1"}},
+                                         FaultCase{"everyInstanceReplacedOneByOne",
+                                                   [](SimulatedFleet &fleet) {
+                                                       for (const std::string &instance : fleet.instances()) {
+                                                           replace(fleet, instance);
+                                                           fleet.run(3s);
+                                                       }
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"everyInstanceReplacedWithinAMinute",
+                                                   [](SimulatedFleet &fleet) {
+                                                       for (const std::string &instance : fleet.instances()) {
+                                                           replace(fleet, instance);
+                                                           fleet.run(1s);
+                                                       }
+                                                   },
+                                                   nothing,
+                                                   {}},
+                                         FaultCase{"allReplacedAtOnce",
+                                                   [](SimulatedFleet &fleet) {
+                                                       for (const std::string &instance : fleet.instances()) {
+                                                           replace(fleet, instance);
+                                                       }
+                                                   },
+                                                   nothing,
+                                                   {}}),
                          [](const auto &testCase) {
                              return testCase.param.name;
                          });
@@ -239,8 +239,8 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          StartDuringOutage,
-                         testing::Values(OutageStartCase {"listServes", false, false},
-                                         OutageStartCase {"listOutWithSeeds", true, true}),
+                         testing::Values(OutageStartCase{"listServes", false, false},
+                                         OutageStartCase{"listOutWithSeeds", true, true}),
                          [](const auto &testCase) {
                              return testCase.param.name;
                          });
--- a/bergamot/membership/dissemination_test.cpp
+++ b/bergamot/membership/dissemination_test.cpp
@@ -14,11 +14,11 @@
 constexpr Duration InForceLimit = 7s; // the brief's target
 
 /// Runs a fleet until every instance has found its place and the first change.
-SimulatedFleet settledFleet(SimulatedFleetOptions options = {})
+std::unique_ptr<SimulatedFleet> settledFleet(SimulatedFleetOptions options = {})
 {
-    SimulatedFleet fleet(options);
-    fleet.publishChange();
-    fleet.run(15s);
+    auto fleet = std::make_unique<SimulatedFleet>(options);
+    fleet->publishChange();
+    fleet->run(15s);
     return fleet;
 }
 
@@ -42,7 +42,8 @@
 
 TEST(Dissemination, twoInstancesOfEachDomainReadTheLogAndNoOther)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     std::map<std::string, std::uint64_t> before;
     for (const std::string &instance : fleet.instances()) {
         before[instance] = fleet.traffic(instance).logReads;
@@ -60,7 +61,8 @@
 
 TEST(Dissemination, everyInstanceSeesEveryEndpointAndMember)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     for (const std::string &instance : fleet.instances()) {
         const inner::ViewT view = fleet.node(instance).view(fleet.now());
         EXPECT_EQ(view.endpoints.size(), 12U) << instance;
@@ -71,8 +73,9 @@
 
 TEST(Dissemination, loadAndVersionOfTheOwnDomainsEnginesArriveEverywhere)
 {
-    SimulatedFleet fleet = settledFleet();
-    EngineState busy {ModelId("model"), 9, 10, 7, 5, 8};
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
+    EngineState busy{ModelId("model"), 9, 10, 7, 5, 8};
     fleet.setEngine("d0-e1", busy);
     fleet.run(4s);
     for (const std::string &instance : fleet.instances()) {
@@ -100,7 +103,8 @@
 
 TEST_P(ListCorrectedByPolls, everywhereInTheDomainWithinThreeSeconds)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     fleet.setEngine("d1-e0", GetParam().state);
     fleet.run(3s);
     for (const std::string &instance : fleet.instances()) {
@@ -116,17 +120,18 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     ListCorrectedByPolls,
-    testing::Values(
-        CorrectionCase {"refuses", std::nullopt, false, false},
-        CorrectionCase {"saysLeaving", EngineState {ModelId("model"), 1, 0, 0, 0, 8, 0ms, true, 0}, true, true},
-        CorrectionCase {"serves", EngineState {ModelId("model"), 1, 0, 0, 0, 8, 0ms, false, 0}, false, true}),
+    testing::Values(CorrectionCase{"refuses", std::nullopt, false, false},
+                    CorrectionCase{
+                        "saysLeaving", EngineState{ModelId("model"), 1, 0, 0, 0, 8, 0ms, true, 0}, true, true},
+                    CorrectionCase{"serves", EngineState{ModelId("model"), 1, 0, 0, 0, 8, 0ms, false, 0}, false, true}),
     [](const auto &testCase) {
         return testCase.param.name;
     });
 
 TEST(Dissemination, suspectsReachTheWholeDomainAndNoOther)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     inner::SuspectT suspect;
     suspect.fingerprint = 42;
     suspect.endpoints = {"d0-e0"};
@@ -140,7 +145,8 @@
 
 TEST(Dissemination, deathsSeenByTwoInstancesAreAddedUpAndAClearanceSpreads)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     inner::SuspectT suspect;
     suspect.fingerprint = 42;
     suspect.endpoints = {"d0-e0"};
@@ -150,7 +156,7 @@
     fleet.run(3s);
     const inner::ViewT view = fleet.node("d0-i5").view(fleet.now());
     ASSERT_EQ(view.suspects.size(), 1U);
-    EXPECT_EQ(view.suspects.front()->endpoints, (std::vector<std::string> {"d0-e0", "d0-e1"}));
+    EXPECT_EQ(view.suspects.front()->endpoints, (std::vector<std::string>{"d0-e0", "d0-e1"}));
     suspect.cleared = true;
     fleet.node("d0-i2").suspectSeen(suspect, fleet.now());
     fleet.run(3s);
@@ -159,7 +165,8 @@
 
 TEST(Dissemination, publishedVersionsReachTheWholeDomain)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     fleet.node("d2-i4").published(ModelId("model"), 31);
     fleet.run(3s);
     for (const std::string &instance : fleet.instances()) {
@@ -173,7 +180,8 @@
 
 TEST(Dissemination, statusNamesWhoLacksTheNewestVersion)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     EXPECT_EQ(fleet.node("d0-i0").status().inForce, 18U);
     fleet.kill("d1-i2");
     fleet.run(12s);
@@ -191,7 +199,8 @@
 
 TEST(Dissemination, aDrainingInstanceIsNoRelayAndSaysSo)
 {
-    SimulatedFleet fleet = settledFleet();
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
     const std::string relay = fleet.relays("d0").front();
     fleet.node(relay).startDraining();
     fleet.run(3s);
@@ -204,7 +213,8 @@
 
 TEST(Dissemination, checkpointsAreAppendedByOneRelayAtATime)
 {
-    SimulatedFleet fleet = settledFleet({.checkpointPeriod = 20s});
+    const auto settled = settledFleet({.checkpointPeriod = 20s});
+    SimulatedFleet &fleet = *settled;
     fleet.run(100s);
     EXPECT_GE(fleet.checkpointsAppended(), 2U);
     EXPECT_LE(fleet.checkpointsAppended(), 6U);
--- a/bergamot/membership/dissemination_traffic_test.cpp
+++ b/bergamot/membership/dissemination_traffic_test.cpp
@@ -53,7 +53,7 @@
 
 INSTANTIATE_TEST_SUITE_P(Sizes,
                          ControlTraffic,
-                         testing::Values(SizeCase {3, 6, 4}, SizeCase {3, 18, 12}, SizeCase {14, 44, 179}));
+                         testing::Values(SizeCase{3, 6, 4}, SizeCase{3, 18, 12}, SizeCase{14, 44, 179}));
 
 } // namespace
 } // namespace bergamot
--- a/bergamot/membership/domain_summaries.cpp
+++ b/bergamot/membership/domain_summaries.cpp
@@ -24,7 +24,7 @@
 InstanceStatus
 statusInOtherDomain(const inner::MemberStatusT &member, const FleetTable &table, std::uint64_t newestVersion)
 {
-    InstanceStatus status {InstanceId(member.instance), FailureDomainId(member.domain)};
+    InstanceStatus status{InstanceId(member.instance), FailureDomainId(member.domain)};
     status.draining = member.draining;
     const auto row = table.domains.rows().find(member.domain);
     if (row == table.domains.rows().end() || row->second.value.silent_ms > 0) {
@@ -43,7 +43,7 @@
 
 InstanceStatus statusInOwnDomain(const inner::MemberStatusT &member, std::uint64_t newestVersion)
 {
-    InstanceStatus status {InstanceId(member.instance), FailureDomainId(member.domain), member.config_version};
+    InstanceStatus status{InstanceId(member.instance), FailureDomainId(member.domain), member.config_version};
     status.draining = member.draining;
     status.condition =
         member.silent_ms > 0 ? InstanceCondition::Absent : conditionOf(member.config_version, newestVersion);
--- a/bergamot/membership/domain_summaries.h
+++ b/bergamot/membership/domain_summaries.h
@@ -34,7 +34,7 @@
     struct Entry
     {
         inner::DomainSummaryT summary;
-        TimePoint heardAt {};
+        TimePoint heardAt{};
     };
 
     Duration m_freshness;
--- a/bergamot/membership/domain_summaries_test.cpp
+++ b/bergamot/membership/domain_summaries_test.cpp
@@ -31,8 +31,8 @@
     EXPECT_EQ(summary.members, 3U);
     EXPECT_EQ(summary.newest_version, 7U);
     EXPECT_EQ(summary.config_version, 6U);
-    EXPECT_EQ(summary.behind, std::vector<std::string> {"b"});
-    EXPECT_EQ(summary.absent, std::vector<std::string> {"c"});
+    EXPECT_EQ(summary.behind, std::vector<std::string>{"b"});
+    EXPECT_EQ(summary.absent, std::vector<std::string>{"c"});
 }
 
 struct ConditionCase
@@ -68,15 +68,15 @@
 INSTANTIATE_TEST_SUITE_P(
     Table,
     Conditions,
-    testing::Values(ConditionCase {"inForce", member("a", "east", 7, false), InstanceCondition::InForce},
-                    ConditionCase {"behind", member("a", "east", 6, false), InstanceCondition::Behind},
-                    ConditionCase {"joining", member("a", "east", 0, false), InstanceCondition::Joining},
-                    ConditionCase {"absent", member("a", "east", 7, true), InstanceCondition::Absent},
-                    ConditionCase {"inForceElsewhere", member("w1", "west", 0, false), InstanceCondition::InForce},
-                    ConditionCase {"behindElsewhere", member("w2", "west", 0, false), InstanceCondition::Behind},
-                    ConditionCase {"absentElsewhere", member("w3", "west", 0, false), InstanceCondition::Absent},
-                    ConditionCase {"silentDomain", member("n1", "north", 0, false), InstanceCondition::Unheard},
-                    ConditionCase {"unknownDomain", member("s1", "south", 0, false), InstanceCondition::Unheard}),
+    testing::Values(ConditionCase{"inForce", member("a", "east", 7, false), InstanceCondition::InForce},
+                    ConditionCase{"behind", member("a", "east", 6, false), InstanceCondition::Behind},
+                    ConditionCase{"joining", member("a", "east", 0, false), InstanceCondition::Joining},
+                    ConditionCase{"absent", member("a", "east", 7, true), InstanceCondition::Absent},
+                    ConditionCase{"inForceElsewhere", member("w1", "west", 0, false), InstanceCondition::InForce},
+                    ConditionCase{"behindElsewhere", member("w2", "west", 0, false), InstanceCondition::Behind},
+                    ConditionCase{"absentElsewhere", member("w3", "west", 0, false), InstanceCondition::Absent},
+                    ConditionCase{"silentDomain", member("n1", "north", 0, false), InstanceCondition::Unheard},
+                    ConditionCase{"unknownDomain", member("s1", "south", 0, false), InstanceCondition::Unheard}),
     [](const auto &testCase) {
         return testCase.param.name;
     });
--- a/bergamot/membership/endpoint_poller.h
+++ b/bergamot/membership/endpoint_poller.h
@@ -56,8 +56,8 @@
         EndpointPoll poll;
         bool isKnown = false;
         bool inFlight = false;
-        TimePoint sentAt {};
-        TimePoint next {};
+        TimePoint sentAt{};
+        TimePoint next{};
         std::uint32_t timeouts = 0;
         std::uint64_t changedAt = 0;
         inner::EndpointReportT report;
--- a/bergamot/membership/endpoint_poller_test.cpp
+++ b/bergamot/membership/endpoint_poller_test.cpp
@@ -12,8 +12,8 @@
 const EndpointId Engine("e1");
 const TimePoint Start(1h);
 
-const Result<EngineState> Serving = EngineState {ModelId("m"), 3, 0, 1, 0, 8};
-const Result<EngineState> Leaving = EngineState {ModelId("m"), 3, 0, 1, 0, 8, 0ms, true};
+const Result<EngineState> Serving = EngineState{ModelId("m"), 3, 0, 1, 0, 8};
+const Result<EngineState> Leaving = EngineState{ModelId("m"), 3, 0, 1, 0, 8, 0ms, true};
 const Result<EngineState> Refused = failure(ErrorCode::Unavailable, "refused");
 const Result<EngineState> Silent = failure(ErrorCode::DeadlineExceeded, "silent");
 
@@ -48,15 +48,15 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          PollAnswers,
-                         testing::Values(PollCase {"serves", {Serving}, true, false, false},
-                                         PollCase {"refusesAtFirst", {Refused}, false, false, true},
-                                         PollCase {"refusesLater", {Serving, Refused}, false, false, true},
-                                         PollCase {"oneTimeoutIsTolerated", {Serving, Silent}, true, false, false},
-                                         PollCase {"twoTimeoutsAreNot", {Serving, Silent, Silent}, false, false, true},
-                                         PollCase {"comesBack", {Serving, Refused, Serving}, true, false, true},
-                                         PollCase {"leaves", {Serving, Leaving}, true, true, true},
-                                         PollCase {"leavesAndIsGone", {Serving, Leaving, Refused}, false, true, true},
-                                         PollCase {"goesOnLeaving", {Serving, Leaving, Leaving}, true, true, false}),
+                         testing::Values(PollCase{"serves", {Serving}, true, false, false},
+                                         PollCase{"refusesAtFirst", {Refused}, false, false, true},
+                                         PollCase{"refusesLater", {Serving, Refused}, false, false, true},
+                                         PollCase{"oneTimeoutIsTolerated", {Serving, Silent}, true, false, false},
+                                         PollCase{"twoTimeoutsAreNot", {Serving, Silent, Silent}, false, false, true},
+                                         PollCase{"comesBack", {Serving, Refused, Serving}, true, false, true},
+                                         PollCase{"leaves", {Serving, Leaving}, true, true, true},
+                                         PollCase{"leavesAndIsGone", {Serving, Leaving, Refused}, false, true, true},
+                                         PollCase{"goesOnLeaving", {Serving, Leaving, Leaving}, true, true, false}),
                          [](const auto &testCase) {
                              return testCase.param.name;
                          });
--- a/bergamot/membership/fleet_table.cpp
+++ b/bergamot/membership/fleet_table.cpp
@@ -107,7 +107,7 @@
 std::uint64_t fingerprintOf(const inner::SuspectT &suspect)
 {
     Fingerprint print;
-    print.add(suspect.cleared ? 1 : 0);
+    print.add(suspect.cleared ? 1 : 0).add(suspect.ran_alone ? 1 : 0);
     for (const std::string &endpoint : suspect.endpoints) {
         print.add(endpoint);
     }
@@ -232,6 +232,7 @@
         const std::set<std::string> old(before.endpoints.begin(), before.endpoints.end());
         std::set<std::string> all = old;
         all.insert(suspect.endpoints.begin(), suspect.endpoints.end());
+        merged.ran_alone = suspect.ran_alone || before.ran_alone;
         merged.cleared = suspect.cleared || (before.cleared && all == old);
         merged.endpoints.assign(all.begin(), all.end());
     }
--- a/bergamot/membership/fleet_table_test.cpp
+++ b/bergamot/membership/fleet_table_test.cpp
@@ -125,11 +125,11 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          MergeSuspects,
-                         testing::Values(SuspectCase {"twoDeaths", false, "b", false, false, 2},
-                                         SuspectCase {"sameDeathTwice", false, "a", false, false, 1},
-                                         SuspectCase {"clearedLater", false, "a", true, true, 1},
-                                         SuspectCase {"oldNewsAfterClearance", true, "a", false, true, 1},
-                                         SuspectCase {"newDeathAfterClearance", true, "b", false, false, 2}),
+                         testing::Values(SuspectCase{"twoDeaths", false, "b", false, false, 2},
+                                         SuspectCase{"sameDeathTwice", false, "a", false, false, 1},
+                                         SuspectCase{"clearedLater", false, "a", true, true, 1},
+                                         SuspectCase{"oldNewsAfterClearance", true, "a", false, true, 1},
+                                         SuspectCase{"newDeathAfterClearance", true, "b", false, false, 2}),
                          [](const auto &testCase) {
                              return testCase.param.name;
                          });
--- a/bergamot/membership/internal/simulated_fleet.cpp
+++ b/bergamot/membership/internal/simulated_fleet.cpp
@@ -78,7 +78,7 @@
                           {"10.9.0." + std::to_string(domain), host},
                           ListedState::Live,
                           "model"};
-            m_engines[id] = EngineState {ModelId("model"), 1, 0, 3, 1, 8};
+            m_engines[id] = EngineState{ModelId("model"), 1, 0, 3, 1, 8};
         }
         for (std::size_t index = 0; index < m_options.instancesPerDomain; ++index) {
             start(instanceName(domain, index), domainName(domain));
@@ -115,9 +115,9 @@
     options.incarnation = m_starts;
     options.seedPeers = std::move(seedPeers);
     options.logReaders = m_options.logReaders;
-    options.logTail.checkpointPeriod = m_options.checkpointPeriod;
+    options.logTail.checkpoints.maxAge = m_options.checkpointPeriod;
     node->decision =
-        std::make_unique<Dissemination>(options, std::vector {node->replica.get()}, [fold = node->fold.get()] {
+        std::make_unique<Dissemination>(options, std::vector{node->replica.get()}, [fold = node->fold.get()] {
             return fold->version();
         });
     m_nodes[instance] = node;
@@ -339,7 +339,7 @@
             alive->decision->logRead(action.stream, failure(ErrorCode::Expired, "expired"), m_now);
             return;
         }
-        LogPage page {{}, m_firstRetained, logEnd()};
+        LogPage page{{}, m_firstRetained, logEnd()};
         for (Offset offset = action.read.from; offset < logEnd() && page.records.size() < action.read.limit; ++offset) {
             page.records.push_back(m_log[offset - 1]);
         }
--- a/bergamot/membership/internal/simulated_fleet.h
+++ b/bergamot/membership/internal/simulated_fleet.h
@@ -56,13 +56,15 @@
     Duration listLag = std::chrono::seconds(2);
     LogReaders logReaders = LogReaders::Relays;
     bool countBytes = false; // encodes each frame
-    Duration checkpointPeriod = std::chrono::minutes(5);
+    std::chrono::milliseconds checkpointPeriod = std::chrono::minutes(5);
 };
 
 class SimulatedFleet
 {
 public:
     explicit SimulatedFleet(SimulatedFleetOptions options);
+    SimulatedFleet(const SimulatedFleet &) = delete;
+    SimulatedFleet &operator=(const SimulatedFleet &) = delete;
 
     void run(Duration span);
     /// Appends one change to the log and returns the version that it makes.
@@ -133,7 +135,7 @@
 
     SimulatedFleetOptions m_options;
     std::mt19937_64 m_random;
-    TimePoint m_now {std::chrono::hours(1)};
+    TimePoint m_now{std::chrono::hours(1)};
     std::multimap<TimePoint, Event> m_events;
     std::map<std::string, NodePtr> m_nodes;
     std::map<std::string, std::weak_ptr<Node>> m_byAddress;
--- a/bergamot/membership/member_table.cpp
+++ b/bergamot/membership/member_table.cpp
@@ -158,7 +158,7 @@
         if (entry.isListed || entry.toldPresent || isPresent(entry, now)) {
             return false;
         }
-        const bool wasListed = entry.lastListed != TimePoint {};
+        const bool wasListed = entry.lastListed != TimePoint{};
         return silenceOf(entry, now) > (wasListed ? m_times.silence : m_times.forget);
     });
 }
@@ -217,7 +217,7 @@
 
 std::vector<FailureDomainId> MemberTable::domains() const
 {
-    std::set<FailureDomainId> domains {m_self.domain};
+    std::set<FailureDomainId> domains{m_self.domain};
     for (const auto &[instance, entry] : m_entries) {
         domains.insert(entry.member.domain);
     }
@@ -226,7 +226,7 @@
 
 std::vector<inner::MemberStatusT> MemberTable::statuses(TimePoint now) const
 {
-    std::vector<inner::MemberStatusT> statuses {toStatus(m_self)};
+    std::vector<inner::MemberStatusT> statuses{toStatus(m_self)};
     for (const auto &[instance, entry] : m_entries) {
         inner::MemberStatusT status = toStatus(entry.member);
         if (!isPresent(entry, now)) {
--- a/bergamot/membership/member_table.h
+++ b/bergamot/membership/member_table.h
@@ -86,10 +86,10 @@
         bool isListedLeaving = false;
         std::optional<bool> toldPresent; // by a relay
         std::optional<TimePoint> lastHeard;
-        TimePoint firstSeen {};
-        TimePoint lastListed {};
+        TimePoint firstSeen{};
+        TimePoint lastListed{};
         std::uint32_t failures = 0; // requests in a row without an answer
-        TimePoint lastFailure {};
+        TimePoint lastFailure{};
     };
 
     Entry &entryOf(const InstanceId &instance, const FailureDomainId &domain, TimePoint now);
--- a/bergamot/membership/member_table_test.cpp
+++ b/bergamot/membership/member_table_test.cpp
@@ -63,60 +63,60 @@
 
 INSTANTIATE_TEST_SUITE_P(Table,
                          Presence,
-                         testing::Values(PresenceCase {"unknown", [](MemberTable &, TimePoint) {}, 0s, false, false},
-                                         PresenceCase {"heardNow", hear, 1s, true, true},
-                                         PresenceCase {"heardLongAgo", hear, 6s, false, false},
-                                         PresenceCase {"listedNow", list, 1s, true, true},
-                                         PresenceCase {"listedAndNeverHeard", list, 6s, false, false},
-                                         PresenceCase {"toldPresent",
-                                                       [](MemberTable &table, TimePoint now) {
-                                                           tell(table, now, 0);
-                                                       },
-                                                       60s,
-                                                       true,
-                                                       true},
-                                         PresenceCase {"toldSilentAlthoughListed",
-                                                       [](MemberTable &table, TimePoint now) {
-                                                           list(table, now);
-                                                           tell(table, now, 6000);
-                                                       },
-                                                       1s,
-                                                       false,
-                                                       false},
-                                         PresenceCase {"doesNotAnswer",
-                                                       [](MemberTable &table, TimePoint now) {
-                                                           tell(table, now, 0);
-                                                           table.unanswered(Other, now);
-                                                           table.unanswered(Other, now);
-                                                       },
-                                                       1s,
-                                                       true,
-                                                       false},
-                                         PresenceCase {"answersAgain",
-                                                       [](MemberTable &table, TimePoint now) {
-                                                           hear(table, now);
-                                                           table.unanswered(Other, now);
-                                                           table.unanswered(Other, now);
-                                                           table.answered(Other, now);
-                                                       },
-                                                       1s,
-                                                       true,
-                                                       true},
-                                         PresenceCase {"draining",
-                                                       [](MemberTable &table, TimePoint now) {
-                                                           table.heard({Other, East, "a", "b", 1, true}, now);
-                                                       },
-                                                       1s,
-                                                       true,
-                                                       false},
-                                         PresenceCase {"judgedAfterBeingTold",
-                                                       [](MemberTable &table, TimePoint now) {
-                                                           tell(table, now, 0);
-                                                           table.startJudging(now);
-                                                       },
-                                                       6s,
-                                                       false,
-                                                       false}),
+                         testing::Values(PresenceCase{"unknown", [](MemberTable &, TimePoint) {}, 0s, false, false},
+                                         PresenceCase{"heardNow", hear, 1s, true, true},
+                                         PresenceCase{"heardLongAgo", hear, 6s, false, false},
+                                         PresenceCase{"listedNow", list, 1s, true, true},
+                                         PresenceCase{"listedAndNeverHeard", list, 6s, false, false},
+                                         PresenceCase{"toldPresent",
+                                                      [](MemberTable &table, TimePoint now) {
+                                                          tell(table, now, 0);
+                                                      },
+                                                      60s,
+                                                      true,
+                                                      true},
+                                         PresenceCase{"toldSilentAlthoughListed",
+                                                      [](MemberTable &table, TimePoint now) {
+                                                          list(table, now);
+                                                          tell(table, now, 6000);
+                                                      },
+                                                      1s,
+                                                      false,
+                                                      false},
+                                         PresenceCase{"doesNotAnswer",
+                                                      [](MemberTable &table, TimePoint now) {
+                                                          tell(table, now, 0);
+                                                          table.unanswered(Other, now);
+                                                          table.unanswered(Other, now);
+                                                      },
+                                                      1s,
+                                                      true,
+                                                      false},
+                                         PresenceCase{"answersAgain",
+                                                      [](MemberTable &table, TimePoint now) {
+                                                          hear(table, now);
+                                                          table.unanswered(Other, now);
+                                                          table.unanswered(Other, now);
+                                                          table.answered(Other, now);
+                                                      },
+                                                      1s,
+                                                      true,
+                                                      true},
+                                         PresenceCase{"draining",
+                                                      [](MemberTable &table, TimePoint now) {
+                                                          table.heard({Other, East, "a", "b", 1, true}, now);
+                                                      },
+                                                      1s,
+                                                      true,
+                                                      false},
+                                         PresenceCase{"judgedAfterBeingTold",
+                                                      [](MemberTable &table, TimePoint now) {
+                                                          tell(table, now, 0);
+                                                          table.startJudging(now);
+                                                      },
+                                                      6s,
+                                                      false,
+                                                      false}),
                          [](const auto &testCase) {
                              return testCase.param.name;
                          });
@@ -128,7 +128,7 @@
     table.listed({listedInstance("w1", West), listedInstance("w2", West)}, now);
     EXPECT_EQ(table.eligible(West, now + 1h).size(), 2U);
     table.absentElsewhere(West, {"w2"});
-    EXPECT_EQ(table.eligible(West, now + 1h), std::vector {InstanceId("w1")});
+    EXPECT_EQ(table.eligible(West, now + 1h), std::vector{InstanceId("w1")});
     table.absentElsewhere(West, {});
     EXPECT_EQ(table.eligible(West, now + 1h).size(), 2U);
 }
@@ -150,9 +150,9 @@
 {
     MemberTable table({InstanceId("me"), East});
     table.setDraining();
-    EXPECT_EQ(table.eligible(East, TimePoint(1h)), std::vector {InstanceId("me")});
+    EXPECT_EQ(table.eligible(East, TimePoint(1h)), std::vector{InstanceId("me")});
     hear(table, TimePoint(1h));
-    EXPECT_EQ(table.eligible(East, TimePoint(1h)), std::vector {Other});
+    EXPECT_EQ(table.eligible(East, TimePoint(1h)), std::vector{Other});
 }
 
 } // namespace
--- a/bergamot/membership/membership_benchmark.cpp
+++ b/bergamot/membership/membership_benchmark.cpp
@@ -21,16 +21,16 @@
     std::size_t engines;
 };
 
-constexpr Size Today {3, 6, 4};
-constexpr Size InTwoYears {14, 44, 179};
+constexpr Size Today{3, 6, 4};
+constexpr Size InTwoYears{14, 44, 179};
 
-SimulatedFleet newFleet(const benchmark::State &state)
+std::unique_ptr<SimulatedFleet> newFleet(const benchmark::State &state)
 {
     const Size size = state.range(0) == 0 ? Today : InTwoYears;
-    SimulatedFleet fleet(
-        {.domains = size.domains, .instancesPerDomain = size.instances, .enginesPerDomain = size.engines});
-    fleet.publishChange();
-    fleet.run(10s);
+    auto fleet = std::make_unique<SimulatedFleet>(internal::SimulatedFleetOptions{
+        .domains = size.domains, .instancesPerDomain = size.instances, .enginesPerDomain = size.engines});
+    fleet->publishChange();
+    fleet->run(10s);
     return fleet;
 }
 
@@ -40,7 +40,7 @@
     static std::map<std::int64_t, std::unique_ptr<SimulatedFleet>> fleets;
     std::unique_ptr<SimulatedFleet> &fleet = fleets[state.range(0)];
     if (!fleet) {
-        fleet = std::make_unique<SimulatedFleet>(newFleet(state));
+        fleet = newFleet(state);
     }
     return *fleet;
 }
@@ -140,10 +140,10 @@
 
 void secondsUntilInForceEverywhere(benchmark::State &state)
 {
-    SimulatedFleet fleet = newFleet(state);
+    const std::unique_ptr<SimulatedFleet> fleet = newFleet(state);
     double worst = 0;
     for (auto step : state) {
-        const std::optional<Duration> took = fleet.timeUntilEverywhere(fleet.publishChange(), 60s);
+        const std::optional<Duration> took = fleet->timeUntilEverywhere(fleet->publishChange(), 60s);
         worst = std::max(worst, std::chrono::duration<double>(took.value_or(60s)).count());
     }
     state.counters["worst_simulated_seconds"] = worst;
--- a/bergamot/membership/stream_replica.cpp
+++ b/bergamot/membership/stream_replica.cpp
@@ -1,8 +1,5 @@
 #include "bergamot/membership/stream_replica.h"
 
-#include "bergamot/base/hash.h"
-#include "bergamot/base/json.h"
-
 namespace bergamot
 {
 
@@ -33,32 +30,6 @@
 
 } // namespace
 
-std::string toPayload(const Checkpoint &checkpoint)
-{
-    web::json::value json = web::json::value::object();
-    json["state"] = web::json::value::string(checkpoint.state);
-    json["offset"] = web::json::value::number(checkpoint.offset);
-    json["sha256"] = web::json::value::string(sha256Hex(checkpoint.state));
-    return json.serialize();
-}
-
-Result<Checkpoint> parseCheckpoint(const Record &record)
-{
-    const Result<web::json::value> json = parseJson(record.payload);
-    if (!json) {
-        return tl::unexpected(json.error());
-    }
-    FieldReader reader(*json, "checkpoint");
-    Checkpoint checkpoint {reader.requiredString("state"), reader.requiredUnsigned("offset")};
-    if (reader.requiredString("sha256") != sha256Hex(checkpoint.state)) {
-        reader.reject("sha256", "must be the hash of the state");
-    }
-    if (const Result<void> read = reader.finish(); !read) {
-        return tl::unexpected(read.error());
-    }
-    return checkpoint;
-}
-
 StreamReplica::StreamReplica(std::string stream, StreamFold &fold, StreamReplicaLimits limits)
     : m_stream(std::move(stream))
     , m_fold(fold)
@@ -79,35 +50,39 @@
 {
     std::size_t count = 0;
     for (const StoredRecord &record : records) {
-        if (record.offset != m_fold.applied() + 1) {
-            continue;
+        if (record.offset == m_fold.applied() + 1) {
+            apply(record);
+            ++count;
         }
-        m_fold.apply(record);
-        remember(record);
-        ++count;
     }
     return count;
 }
 
-void StreamReplica::remember(const StoredRecord &record)
+void StreamReplica::apply(const StoredRecord &stored)
 {
-    if (record.record.kind == CheckpointKind) {
-        m_lastCheckpointRecord = record.offset;
+    m_fold.apply(stored);
+    if (stored.record.kind == CheckpointKind) {
+        m_lastCheckpointRecord = stored.offset;
     }
-    m_recent.push_back(record);
-    m_recentBytes += sizeOf(record.record);
+    m_recent.push_back(stored);
+    m_recentBytes += sizeOf(stored.record);
     while (m_recent.size() > m_limits.recentRecords || m_recentBytes > m_limits.recentBytes) {
         m_recentBytes -= sizeOf(m_recent.front().record);
         m_recent.pop_front();
     }
 }
 
-Result<void> StreamReplica::restore(const Checkpoint &checkpoint)
+std::string StreamReplica::checkpoint() const
+{
+    return m_fold.checkpoint();
+}
+
+Result<void> StreamReplica::restore(const std::string &checkpoint, Offset offset)
 {
-    if (checkpoint.offset <= m_fold.applied()) {
-        return {};
+    if (offset <= m_fold.applied()) {
+        return {}; // versions never fall
     }
-    if (Result<void> restored = m_fold.restore(checkpoint.state, checkpoint.offset); !restored) {
+    if (Result<void> restored = m_fold.restore(checkpoint, offset); !restored) {
         return restored;
     }
     m_recent.clear();
@@ -141,7 +116,7 @@
 bool StreamReplica::accept(const inner::StreamRecordsT &news)
 {
     const Offset before = applied();
-    if (news.checkpoint_offset > before && !restore({news.checkpoint, news.checkpoint_offset})) {
+    if (news.checkpoint_offset > before && !restore(news.checkpoint, news.checkpoint_offset)) {
         return false;
     }
     std::vector<StoredRecord> records;
@@ -153,11 +128,6 @@
     return applied() > before;
 }
 
-Checkpoint StreamReplica::checkpoint() const
-{
-    return {m_fold.checkpoint(), m_fold.applied()};
-}
-
 Offset StreamReplica::lastCheckpointRecord() const
 {
     return m_lastCheckpointRecord;
--- a/bergamot/membership/stream_replica_test.cpp
+++ b/bergamot/membership/stream_replica_test.cpp
@@ -93,7 +93,7 @@
     old.checkpoint = "old";
     old.checkpoint_offset = 4;
     EXPECT_FALSE(replica.accept(old));
-    EXPECT_TRUE(replica.restore({"old", 5}));
+    EXPECT_TRUE(replica.restore("old", 5));
     inner::StreamRecordsT broken;
     broken.checkpoint = "broken";
     broken.checkpoint_offset = 9;
@@ -142,39 +142,5 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, ShuffledNews, testing::Range<std::uint64_t>(1, 9));
 
-struct PayloadCase
-{
-    std::string name;
-    std::string payload;
-};
-
-class MalformedCheckpoint : public testing::TestWithParam<PayloadCase>
-{ };
-
-TEST_P(MalformedCheckpoint, isRefused)
-{
-    EXPECT_FALSE(parseCheckpoint({{}, std::string(CheckpointKind), GetParam().payload}));
-}
-
-INSTANTIATE_TEST_SUITE_P(Table,
-                         MalformedCheckpoint,
-                         testing::Values(PayloadCase {"empty", ""},
-                                         PayloadCase {"noJson", "{"},
-                                         PayloadCase {"noHash", R"({"state":"x","offset":3})"},
-                                         PayloadCase {"wrongHash", R"({"state":"x","offset":3,"sha256":"00"})"},
-                                         PayloadCase {"noOffset", R"({"state":"x","sha256":"00"})"}),
-                         [](const auto &testCase) {
-                             return testCase.param.name;
-                         });
-
-TEST(Checkpoint, survivesTheLog)
-{
-    const Checkpoint checkpoint {R"({"a":"\"quoted\""})", 12};
-    const Result<Checkpoint> read = parseCheckpoint({{}, std::string(CheckpointKind), toPayload(checkpoint)});
-    ASSERT_TRUE(read);
-    EXPECT_EQ(read->state, checkpoint.state);
-    EXPECT_EQ(read->offset, 12U);
-}
-
 } // namespace
 } // namespace bergamot
--- a/bergamot/membership/view_builder.h
+++ b/bergamot/membership/view_builder.h
@@ -52,13 +52,13 @@
     struct Finding
     {
         inner::EndpointReportT report;
-        TimePoint changedAt {};
-        TimePoint heardAt {};
+        TimePoint changedAt{};
+        TimePoint heardAt{};
     };
     struct Load
     {
         inner::PolledLoad load;
-        TimePoint heardAt {};
+        TimePoint heardAt{};
     };
 
     void correct(inner::EndpointT &endpoint, TimePoint now) const;
--- a/bergamot/membership/view_builder_test.cpp
+++ b/bergamot/membership/view_builder_test.cpp
@@ -63,22 +63,22 @@
     Table,
     CorrectedList,
     testing::Values(
-        ReportCase {"noReport", ListedState::Live, {}, 0s, false, true, 0},
-        ReportCase {"listedLeaving", ListedState::Leaving, {}, 0s, true, true, 0},
-        ReportCase {
+        ReportCase{"noReport", ListedState::Live, {}, 0s, false, true, 0},
+        ReportCase{"listedLeaving", ListedState::Leaving, {}, 0s, true, true, 0},
+        ReportCase{
             "listedLeavingAlthoughItDoesNotSaySo", ListedState::Leaving, {found(true, false, 3)}, 0s, true, true, 3},
-        ReportCase {"saysLeaving", ListedState::Live, {found(true, true, 3)}, 0s, true, true, 3},
-        ReportCase {"refuses", ListedState::Live, {found(false, false, 3)}, 0s, false, false, 3},
-        ReportCase {"oneOfTwoReachesIt",
-                    ListedState::Live,
-                    {found(true, false, 3), found(false, false, 0)},
-                    0s,
-                    false,
-                    true,
-                    3},
-        ReportCase {
+        ReportCase{"saysLeaving", ListedState::Live, {found(true, true, 3)}, 0s, true, true, 3},
+        ReportCase{"refuses", ListedState::Live, {found(false, false, 3)}, 0s, false, false, 3},
+        ReportCase{"oneOfTwoReachesIt",
+                   ListedState::Live,
+                   {found(true, false, 3), found(false, false, 0)},
+                   0s,
+                   false,
+                   true,
+                   3},
+        ReportCase{
             "newerVersionWins", ListedState::Live, {found(true, false, 3), found(true, false, 4)}, 0s, false, true, 4},
-        ReportCase {"staleReport", ListedState::Live, {found(false, true, 3)}, 9s, false, true, 0}),
+        ReportCase{"staleReport", ListedState::Live, {found(false, true, 3)}, 9s, false, true, 0}),
     [](const auto &testCase) {
         return testCase.param.name;
     });
