--- /dev/null
+++ b/bergamot/routing/admission_queue_test.cpp
@@ -0,0 +1,97 @@
+#include "bergamot/routing/admission_queue.h"
+
+#include <gtest/gtest.h>
+
+namespace bergamot
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+const TimePoint Now(1h);
+constexpr ServicePace Pace{.interval = 10ms, .service = 50ms};
+
+WaitingRequest waiting(RequestId id, TrafficClass trafficClass, Duration deadline = 1s)
+{
+    return {.id = id, .trafficClass = trafficClass, .deadline = Now + deadline};
+}
+
+struct OfferCase
+{
+    std::string name;
+    std::size_t interactiveBefore;
+    std::size_t batchBefore;
+    TrafficClass trafficClass;
+    Duration deadline;
+    bool queued;
+    bool evicts;
+};
+
+class Offers : public testing::TestWithParam<OfferCase>
+{ };
+
+TEST_P(Offers, AreTakenOnlyWithAChance)
+{
+    AdmissionQueue queue({.most = 20});
+    RequestId id = 0;
+    for (std::size_t count = 0; count < GetParam().interactiveBefore; ++count) {
+        ASSERT_TRUE(queue.offer(waiting(++id, TrafficClass::Interactive), Pace, Now).queued);
+    }
+    for (std::size_t count = 0; count < GetParam().batchBefore; ++count) {
+        ASSERT_TRUE(queue.offer(waiting(++id, TrafficClass::Batch), Pace, Now).queued);
+    }
+    const auto offer = queue.offer(waiting(++id, GetParam().trafficClass, GetParam().deadline), Pace, Now);
+    EXPECT_EQ(offer.queued, GetParam().queued);
+    EXPECT_EQ(offer.evicted.has_value(), GetParam().evicts);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    Offers,
+    testing::Values(OfferCase{"Empty", 0, 0, TrafficClass::Batch, 1s, true, false},
+                    OfferCase{"DeadlineBelowService", 0, 0, TrafficClass::Interactive, 40ms, false, false},
+                    OfferCase{"WaitTooLong", 10, 0, TrafficClass::Interactive, 140ms, false, false},
+                    OfferCase{"WaitJustFits", 10, 0, TrafficClass::Interactive, 160ms, true, false},
+                    OfferCase{"BatchDoesNotDelayInteractive", 0, 10, TrafficClass::Interactive, 60ms, true, false},
+                    OfferCase{"InteractiveDelaysBatch", 10, 0, TrafficClass::Batch, 140ms, false, false},
+                    OfferCase{"FullOfBatchMakesRoom", 0, 20, TrafficClass::Interactive, 1s, true, true},
+                    OfferCase{"FullOfInteractiveDoesNot", 20, 0, TrafficClass::Interactive, 1s, false, false},
+                    OfferCase{"FullOfInteractiveShedsBatch", 20, 0, TrafficClass::Batch, 1s, false, false}),
+    [](const auto &testCase) {
+        return testCase.param.name;
+    });
+
+TEST(AdmissionQueueOrder, IsByClassThenArrival)
+{
+    AdmissionQueue queue;
+    queue.offer(waiting(1, TrafficClass::Batch), Pace, Now);
+    queue.offer(waiting(2, TrafficClass::Internal), Pace, Now);
+    queue.offer(waiting(3, TrafficClass::Interactive), Pace, Now);
+    queue.offer(waiting(4, TrafficClass::Interactive), Pace, Now);
+    std::vector<RequestId> order;
+    while (const std::optional<WaitingRequest> next = queue.front()) {
+        order.push_back(next->id);
+        queue.popFront();
+    }
+    EXPECT_EQ(order, (std::vector<RequestId>{3, 4, 2, 1}));
+}
+
+TEST(AdmissionQueueSweep, FindsThoseThatBetterClassesHavePushedBack)
+{
+    AdmissionQueue queue;
+    ASSERT_TRUE(queue.offer(waiting(1, TrafficClass::Batch, 100ms), Pace, Now).queued);
+    EXPECT_TRUE(queue.takeHopeless(Pace, Now).empty());
+    for (RequestId id = 2; id < 12; ++id) {
+        queue.offer(waiting(id, TrafficClass::Interactive), Pace, Now);
+    }
+    const std::vector<WaitingRequest> hopeless = queue.takeHopeless(Pace, Now);
+    ASSERT_EQ(hopeless.size(), 1U);
+    EXPECT_EQ(hopeless.front().id, 1U);
+    EXPECT_EQ(queue.size(), 10U);
+}
+
+} // namespace
+
+} // namespace bergamot
