entry: one stall drops every idle connection, tested with a pool of four

Ruled out: a fixed number of faulty connections (cannot make a whole pool go silent at one moment). Change: FaultyTcpServer::silenceOpenConnections (standins, appended); a test with four pooled connections that go silent together and exactly one extra request. Conclusion: the rule is now pinned.

--- a/bergamot/entry/data_path_faults_test.cpp
+++ b/bergamot/entry/data_path_faults_test.cpp
@@ -122,6 +122,29 @@
     EXPECT_EQ(endpoint.requestCount(), AnswersBefore + 5 + 1);
 }
 
+TEST_F(DataPathFaults, OneStallDropsEveryIdleConnection)
+{
+    constexpr std::size_t Pooled = 4;
+    FaultyTcpServer endpoint({.fault = TcpFault::LateAnswer});
+    show({{endpoint.address()}});
+    std::vector<std::shared_ptr<TestCaller>> callers;
+    callers.reserve(Pooled);
+    for (std::size_t count = 0; count < Pooled; ++count) {
+        callers.push_back(send(m_path, within(read("item-" + std::to_string(count)), 60s)));
+    }
+    ASSERT_TRUE(endpoint.waitForRequests(Pooled, TestLimit));
+    endpoint.releaseLateAnswers();
+    for (const auto &caller : callers) {
+        EXPECT_EQ(caller->outcome(), "answered");
+    }
+    ASSERT_EQ(endpoint.connectionCount(), Pooled);
+    endpoint.silenceOpenConnections();
+    for (std::size_t count = 0; count < Pooled; ++count) {
+        EXPECT_EQ(send(m_path, within(read("later-" + std::to_string(count)), 10s))->outcome(), "answered");
+    }
+    EXPECT_EQ(endpoint.requestCount(), 2 * Pooled + 1);
+}
+
 TEST_F(DataPathFaults, LateAnswerGoesToNobodyElse)
 {
     FaultyTcpServer endpoint({.fault = TcpFault::LateAnswer, .faultyConnections = 1, .body = R"({"own":true})"});
--- a/bergamot/standins/faulty_tcp_server.cpp
+++ b/bergamot/standins/faulty_tcp_server.cpp
@@ -134,26 +134,28 @@
         }
         m_descriptors.push_back(descriptor);
         const bool faulty = m_connections < m_options.faultyConnections;
-        ++m_connections;
-        m_threads.emplace_back([this, descriptor, fault = faulty ? m_options.fault : TcpFault::None] {
-            serve(descriptor, fault);
+        const std::size_t connection = m_connections++;
+        m_threads.emplace_back([this, descriptor, connection, fault = faulty ? m_options.fault : TcpFault::None] {
+            serve(descriptor, fault, connection);
         });
     }
 }
 
-void FaultyTcpServer::serve(int descriptor, TcpFault fault)
+void FaultyTcpServer::serve(int descriptor, TcpFault fault, std::size_t connection)
 {
     std::string unread;
     Next next = Next::GoOn;
     for (std::uint32_t served = 0; next == Next::GoOn; ++served) {
-        next = serveRequest(descriptor, served < m_options.answersBefore ? TcpFault::None : fault, unread);
+        const TcpFault present = served < m_options.answersBefore ? TcpFault::None : fault;
+        next = serveRequest(descriptor, present, connection, unread);
     }
     const std::lock_guard lock(m_mutex);
     std::erase(m_descriptors, descriptor);
     ::close(descriptor); // resets the connection if there are unread bytes, as a crash would
 }
 
-FaultyTcpServer::Next FaultyTcpServer::serveRequest(int descriptor, TcpFault fault, std::string &unread)
+FaultyTcpServer::Next
+FaultyTcpServer::serveRequest(int descriptor, TcpFault fault, std::size_t connection, std::string &unread)
 {
     if (fault == TcpFault::CloseBeforeRequest) {
         return Next::Close;
@@ -171,7 +173,13 @@
         request = takeRequest(unread);
     }
     record(std::move(*request));
-    return misbehave(descriptor, fault);
+    return misbehave(descriptor, silenced(connection) ? TcpFault::Silent : fault);
+}
+
+bool FaultyTcpServer::silenced(std::size_t connection) const
+{
+    const std::lock_guard lock(m_mutex);
+    return connection < m_silenced;
 }
 
 FaultyTcpServer::Next FaultyTcpServer::misbehave(int descriptor, TcpFault fault)
@@ -234,6 +242,12 @@
     m_changed.notify_all();
 }
 
+void FaultyTcpServer::silenceOpenConnections()
+{
+    const std::lock_guard lock(m_mutex);
+    m_silenced = m_connections;
+}
+
 std::size_t FaultyTcpServer::requestCount() const
 {
     const std::lock_guard lock(m_mutex);
--- a/bergamot/standins/faulty_tcp_server.h
+++ b/bergamot/standins/faulty_tcp_server.h
@@ -57,6 +57,9 @@
     /// Sends the answers held back by `TcpFault::LateAnswer`; later ones are not held back.
     void releaseLateAnswers();
 
+    /// Connections that are open now are never answered on again; new ones work.
+    void silenceOpenConnections();
+
     /// Requests received whole, head and body, whatever became of them.
     std::size_t requestCount() const;
     /// Their text, in the order of arrival.
@@ -73,8 +76,9 @@
 
     void listen();
     void acceptAll();
-    void serve(int descriptor, TcpFault fault);
-    Next serveRequest(int descriptor, TcpFault fault, std::string &unread);
+    void serve(int descriptor, TcpFault fault, std::size_t connection);
+    Next serveRequest(int descriptor, TcpFault fault, std::size_t connection, std::string &unread);
+    bool silenced(std::size_t connection) const;
     Next misbehave(int descriptor, TcpFault fault);
     Next answer(int descriptor) const;
     void record(std::string request);
@@ -89,6 +93,7 @@
     std::vector<int> m_descriptors; // of open connections
     std::vector<std::thread> m_threads;
     std::size_t m_connections = 0;
+    std::size_t m_silenced = 0; // connections before this one
     bool m_released = false;
     bool m_stopping = false;
     std::thread m_acceptor;
