--- a/bergamot/samples/dispatch_strategy.h
+++ b/bergamot/samples/dispatch_strategy.h
@@ -16,6 +16,7 @@
     bool borrowsIdleSlots = true; // false: a trainer never exceeds its share, and has engines of its own
     bool roundRobin = false; // engines in turn; false: by load, group prefix and version
     bool forecastsStaleness = true; // false: dispatched samples may come back too old
+    bool drainsBeforeSwap = false; // starts nothing on engines that are about to get newer weights
     double versionLagCost = 0; // load, in shares of an engine, that one version behind counts for
     double aheadShare = 1; // of a step's samples that may start before the trainer draws the step
     double stragglerFactor = 0; // elapsed over the usual time that makes a straggler; 0: none is replaced or moved
@@ -33,6 +34,9 @@
 inline constexpr DispatchStrategy StaticSplit{
     .name = "static-split", .borrowsIdleSlots = false, .roundRobin = true, .forecastsStaleness = false};
 
+/// Baseline: all samples end before weights are swapped, and none starts until they are.
+inline constexpr DispatchStrategy WaitForAll{.name = "wait-for-all", .drainsBeforeSwap = true};
+
 const DispatchStrategy &dispatchStrategy(SampleStrategy configured);
 
 } // namespace bergamot
--- a/bergamot/samples/fleet_picture.h
+++ b/bergamot/samples/fleet_picture.h
@@ -35,6 +35,7 @@
     std::vector<EngineView> engines;
     std::map<TrainerId, TrainerConfig> trainers;
     std::map<ModelId, ModelConfig> models;
+    std::map<ModelId, WeightVersion> published; // newest known; engines may not have it yet
 };
 
 } // namespace bergamot
--- a/bergamot/samples/fleet_view.cpp
+++ b/bergamot/samples/fleet_view.cpp
@@ -36,6 +36,9 @@
             picture.engines.push_back(std::move(*engine));
         }
     }
+    for (const auto &published : view.published) {
+        picture.published[ModelId(published->model)] = published->version;
+    }
     if (view.configuration.empty()) {
         return picture;
     }
--- a/bergamot/samples/sample_scheduler.cpp
+++ b/bergamot/samples/sample_scheduler.cpp
@@ -30,6 +30,7 @@
 {
     setTrainers(fleet.trainers);
     setNewest(fleet, now);
+    m_published = std::move(fleet.published);
     setEngines(std::move(fleet.engines));
     tick(now);
 }
@@ -90,11 +91,6 @@
     if (!m_trainers.contains(key.trainer)) {
         return failure(ErrorCode::NotFound, "trainer " + key.trainer.value() + " is not configured");
     }
-    for (const Step *earlier : m_book.stepsOf(key.trainer)) {
-        if (earlier->key().step < key.step && earlier->isOver()) {
-            drop(StepKey(earlier->key()), now);
-        }
-    }
     const bool known = m_book.find(key) != nullptr;
     Result<Step *> step = m_book.handIn(key, std::move(spec));
     if (!step) {
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -219,6 +219,7 @@
     // Hand-over (sample_scheduler_draws.cpp).
     void becameWhole(const SampleRef &sample);
     void startScorings(TimePoint now);
+    void dropEarlierSteps(const StepKey &drawn, TimePoint now);
     void serveDraws(TimePoint now);
     std::optional<AnswerDraw> answer(PendingDraw &draw, TimePoint now);
     bool addToAnswer(AnswerDraw &reply, Step &step, std::uint32_t offset);
@@ -235,6 +236,7 @@
     std::map<EndpointId, Engine> m_engines;
     std::map<TrainerId, Trainer> m_trainers;
     std::map<ModelId, StalenessRule> m_staleness;
+    std::map<ModelId, WeightVersion> m_published;
     std::unordered_map<std::string, Attempt> m_attempts; // by request id
     std::map<SampleRef, std::vector<std::string>> m_attemptsOf;
     std::map<SampleRef, Resumption> m_resumptions;
--- a/bergamot/samples/sample_scheduler_dispatch.cpp
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -185,6 +185,11 @@
         return false;
     }
     const Trainer &trainer = m_trainers.at(sample.step.trainer);
+    const auto published = m_published.find(trainer.config.model);
+    const bool swapAhead = published != m_published.end() && engine.version < published->second;
+    if (trainer.strategy->drainsBeforeSwap && swapAhead) {
+        return false;
+    }
     if (!trainer.strategy->forecastsStaleness) {
         return true;
     }
--- a/bergamot/samples/sample_scheduler_draws.cpp
+++ b/bergamot/samples/sample_scheduler_draws.cpp
@@ -97,6 +97,7 @@
     for (const std::uint32_t offset : *received) {
         cancelAttempts({request.step, offset});
     }
+    dropEarlierSteps(request.step, now);
     Trainer &trainer = m_trainers.at(request.step.trainer);
     trainer.named = request.namedVersion;
     trainer.everDrew = true;
@@ -113,6 +114,17 @@
     return {};
 }
 
+/// A trainer that draws from a step has all of those before it that were handed over whole. Were it not so, it would
+/// hand the earlier step in again, with its cursor.
+void SampleScheduler::dropEarlierSteps(const StepKey &drawn, TimePoint now)
+{
+    for (const Step *earlier : m_book.stepsOf(drawn.trainer)) {
+        if (earlier->key().step < drawn.step && earlier->isHandedOver()) {
+            drop(StepKey(earlier->key()), now);
+        }
+    }
+}
+
 void SampleScheduler::serveDraws(TimePoint now)
 {
     for (std::size_t i = 0; i < m_draws.size();) {
--- a/bergamot/samples/step_book.cpp
+++ b/bergamot/samples/step_book.cpp
@@ -182,9 +182,14 @@
     return result;
 }
 
-bool Step::isOver() const
+bool Step::isHandedOver() const
 {
-    return count(SampleState::Received) == m_spec.sampleCount;
+    const auto received = [this](std::uint32_t offset) {
+        return m_samples[offset].state == SampleState::Received;
+    };
+    const auto open = static_cast<std::uint32_t>(batch.size())
+        - static_cast<std::uint32_t>(std::count_if(batch.begin(), batch.end(), received));
+    return count(SampleState::Received) + open == m_spec.sampleCount;
 }
 
 StepBook::StepBook(StepLimits limits)
@@ -202,7 +207,7 @@
     }
     std::size_t unfinished = 0;
     for (const Step *step : stepsOf(key.trainer)) {
-        unfinished += step->isOver() ? 0 : 1;
+        unfinished += step->isHandedOver() ? 0 : 1;
     }
     if (unfinished >= m_limits.maxStepsPerTrainer) {
         return failure(ErrorCode::Overloaded,
--- a/bergamot/samples/step_book.h
+++ b/bergamot/samples/step_book.h
@@ -92,7 +92,8 @@
     Result<std::vector<std::uint32_t>> applyCursor(const Cursor &cursor);
     /// Whole or failed samples that the trainer has not, those with the oldest versions first.
     std::vector<std::uint32_t> deliverable() const;
-    bool isOver() const;
+    /// Every sample is received or in the last batch, so nothing is left to do unless a draw says otherwise.
+    bool isHandedOver() const;
 
     /// Whether the trainer waits for this step: it has drawn from it.
     bool drawn = false;
@@ -134,7 +135,7 @@
     explicit StepBook(StepLimits limits);
 
     /// The same step again is found; `Conflict` if it was handed in with other groups; `Overloaded` if the trainer
-    /// has too many unfinished steps.
+    /// has too many steps that are not handed over.
     Result<Step *> handIn(const StepKey &key, StepSpec spec);
     Step *find(const StepKey &key);
     const Step *find(const StepKey &key) const;
