Wire everything into bergamot-control

Ruled out: one thread per part (each part is confined to one loop, so none of them needs locks); waiting for the next round of dissemination to see a record of one's own (the instance that appended it reads it back itself, once); the keys stream on every instance (only the instance that claims a domain's keys reads it).

--- /dev/null
+++ b/bergamot/control/key_router.cpp
@@ -0,0 +1,118 @@
+#include "bergamot/control/key_router.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds PassOnTimeout{3000};
+constexpr std::uint64_t RetryAfterMilliseconds = 1000;
+
+template<typename T>
+void replyWith(const PeerServer::Reply &reply, const Result<T> &answer)
+{
+    if (!answer) {
+        reply(makeRefusal(answer.error()));
+        return;
+    }
+    inner::BodyUnion body;
+    body.Set(T(*answer));
+    reply(std::move(body));
+}
+
+} // namespace
+
+KeyPlace placeKey(const std::string &key, bool isPassedOn, const KeyPlacement &placement)
+{
+    const std::optional<FailureDomainId> home = keyHome(key, placement.configuredDomains);
+    if (!home) {
+        return {KeyPlace::Kind::Nowhere, {}, "no failure domain is configured yet"};
+    }
+    if (isPassedOn) {
+        const bool isHome = *home == placement.domain;
+        return isHome ? KeyPlace{KeyPlace::Kind::Here, {}, {}}
+                      : KeyPlace{KeyPlace::Kind::Nowhere, {}, "the key's home is domain " + home->value()};
+    }
+    const std::optional<InstanceId> committer = keyCommitter(*home, placement.eligible(*home));
+    if (!committer) {
+        return {KeyPlace::Kind::Nowhere, {}, "no instance of domain " + home->value() + " is known here"};
+    }
+    if (*committer == placement.self) {
+        return {KeyPlace::Kind::Here, {}, {}};
+    }
+    return {KeyPlace::Kind::Elsewhere, *committer, {}};
+}
+
+KeyRouter::KeyRouter(InstanceId self,
+                     FailureDomainId domain,
+                     FleetNode &node,
+                     PeerClient &peers,
+                     KeyService &keys,
+                     std::function<std::vector<FailureDomainId>()> configuredDomains)
+    : m_self(std::move(self))
+    , m_domain(std::move(domain))
+    , m_node(node)
+    , m_peers(peers)
+    , m_keys(keys)
+    , m_configuredDomains(std::move(configuredDomains))
+{ }
+
+KeyPlace KeyRouter::place(const std::string &key, const inner::FrameT &frame) const
+{
+    const KeyPlacement placement{.self = m_self,
+                                 .domain = m_domain,
+                                 .configuredDomains = m_configuredDomains(),
+                                 .eligible = [this](const FailureDomainId &domain) {
+                                     return m_node.eligible(domain);
+                                 }};
+    return placeKey(key, frame.sender != m_self.value(), placement);
+}
+
+void KeyRouter::handle(inner::FrameT frame, const PeerServer::Reply &reply)
+{
+    const inner::KeyClaimT *claim = frame.body.AsKeyClaim();
+    const inner::KeyOutcomeT *outcome = frame.body.AsKeyOutcome();
+    const KeyPlace where = place(claim != nullptr ? claim->key : outcome->key, frame);
+    if (where.kind == KeyPlace::Kind::Nowhere) {
+        reply(makeRefusal(errorCodeName(ErrorCode::Unavailable), where.problem, RetryAfterMilliseconds));
+    } else if (where.kind == KeyPlace::Kind::Elsewhere) {
+        passOn(where.instance, std::move(frame.body), reply);
+    } else if (claim != nullptr) {
+        claimHere(*claim, reply);
+    } else {
+        outcomeHere(*outcome, reply);
+    }
+}
+
+void KeyRouter::claimHere(const inner::KeyClaimT &claim, const PeerServer::Reply &reply)
+{
+    m_keys.claim(claim, [reply](const Result<inner::KeyClaimReplyT> &answer) {
+        replyWith(reply, answer);
+    });
+}
+
+void KeyRouter::outcomeHere(const inner::KeyOutcomeT &outcome, const PeerServer::Reply &reply)
+{
+    m_keys.outcome(outcome, [reply](const Result<inner::KeyOutcomeReplyT> &answer) {
+        replyWith(reply, answer);
+    });
+}
+
+void KeyRouter::passOn(const InstanceId &to, inner::BodyUnion body, const PeerServer::Reply &reply)
+{
+    const Result<Address> address = m_node.controlAddress(to);
+    if (!address) {
+        reply(makeRefusal(errorCodeName(ErrorCode::Unavailable), address.error().message, RetryAfterMilliseconds));
+        return;
+    }
+    m_peers.request(*address, std::move(body), PassOnTimeout, [reply](Result<inner::FrameT> answer) {
+        if (!answer) {
+            reply(makeRefusal(answer.error()));
+            return;
+        }
+        reply(std::move(answer->body));
+    });
+}
+
+} // namespace bergamot
--- a/bergamot/membership/dissemination.cpp
+++ b/bergamot/membership/dissemination.cpp
@@ -171,12 +171,37 @@
     }
 }
 
-void Dissemination::addLogReads(std::vector<Action> &actions, TimePoint now)
+std::vector<Action> Dissemination::expectedReads(TimePoint now)
 {
-    if (!m_isRelay && m_options.logReaders == LogReaders::Relays) {
-        return;
+    std::vector<Action> actions;
+    addLogReads(actions, now);
+    return actions;
+}
+
+bool Dissemination::readsLog(const std::string &stream)
+{
+    if (m_isRelay || m_options.logReaders == LogReaders::EveryInstance) {
+        return true;
+    }
+    const auto expected = m_expected.find(stream);
+    if (expected == m_expected.end()) {
+        return false;
     }
+    const bool isApplied = std::any_of(m_replicas.begin(), m_replicas.end(), [&expected](const StreamReplica *replica) {
+        return replica->stream() == expected->first && replica->applied() >= expected->second;
+    });
+    if (isApplied) {
+        m_expected.erase(expected);
+    }
+    return !isApplied;
+}
+
+void Dissemination::addLogReads(std::vector<Action> &actions, TimePoint now)
+{
     for (LogTail &tail : m_tails) {
+        if (!readsLog(tail.stream())) {
+            continue;
+        }
         if (const std::optional<LogRead> read = tail.nextRead(now)) {
             actions.emplace_back(ReadLog{tail.stream(), *read});
         }
--- a/bergamot/membership/dissemination.h
+++ b/bergamot/membership/dissemination.h
@@ -98,12 +98,20 @@
     /// News of this instance's own processes, passed on to the whole domain.
     void suspectSeen(const inner::SuspectT &suspect, TimePoint now);
     void published(const ModelId &model, WeightVersion version);
+    /// A record of this instance's own is on the log at `offset`: until it has been applied, this instance reads the
+    /// stream itself, whether it is a relay or not.
+    void expect(const std::string &stream, Offset offset);
+    /// The reads that are due because of `expect`.
+    std::vector<Action> expectedReads(TimePoint now);
+
     /// From the next digest on, peers are told that this instance takes no more duties.
     void startDraining();
 
     bool isRelay() const;
     /// True once a reader of the log has confirmed what this instance has.
     bool isConfirmed() const;
+    /// True if this instance has all of its streams by a recent read of the log, here or at a relay.
+    bool isCaughtUp(TimePoint now) const;
     /// Endpoints, members, suspects and published weights; the configuration is left to the caller.
     inner::ViewT view(TimePoint now) const;
     /// Rises whenever `view` may have changed.
@@ -127,6 +135,7 @@
     void expireSuspects(TimePoint now);
     std::uint64_t nextTick();
 
+    bool readsLog(const std::string &stream);
     void addLogReads(std::vector<Action> &actions, TimePoint now);
     void addListFetch(std::vector<Action> &actions, TimePoint now);
     void addPolls(std::vector<Action> &actions, TimePoint now);
@@ -188,7 +197,9 @@
     std::uint64_t m_revision = 0;
     TimePoint m_nextRebuild{};
     TimePoint m_nextAssign{};
+    std::optional<TimePoint> m_lastConfirmation; // by any relay
     std::optional<TimePoint> m_lastOutsideConfirmation; // by a relay of another domain
+    std::map<std::string, Offset> m_expected; // own records by stream, until they are applied
     std::optional<TimePoint> m_lastRelayAnswer;
     std::optional<TimePoint> m_startedAt;
 };
--- a/bergamot/membership/dissemination_receive.cpp
+++ b/bergamot/membership/dissemination_receive.cpp
@@ -36,6 +36,12 @@
     return isLogCurrent(now) || isOutsideFresh;
 }
 
+bool Dissemination::isCaughtUp(TimePoint now) const
+{
+    const bool isRelayFresh = m_lastConfirmation && now - *m_lastConfirmation <= m_options.logTail.freshness;
+    return isLogCurrent(now) || isRelayFresh;
+}
+
 inner::DigestReplyT Dissemination::digestReceived(const std::string &sender,
                                                   const std::string &domain,
                                                   const inner::DigestT &digest,
@@ -169,6 +175,7 @@
     takeRecords(peer, reply);
     if (reply.confirmed) {
         m_isConfirmed = true;
+        m_lastConfirmation = now;
         m_lastOutsideConfirmation = isOwnDomain(domain) ? m_lastOutsideConfirmation : now;
     }
     if (reply.delta) {
@@ -292,6 +299,17 @@
     }
 }
 
+void Dissemination::expect(const std::string &stream, Offset offset)
+{
+    Offset &expected = m_expected[stream];
+    expected = std::max(expected, offset);
+    for (LogTail &tail : m_tails) {
+        if (tail.stream() == stream) {
+            tail.readSoon();
+        }
+    }
+}
+
 void Dissemination::suspectSeen(const inner::SuspectT &suspect, TimePoint now)
 {
     m_table.mergeSuspect(suspect, nextTick());
--- a/bergamot/membership/log_tail.cpp
+++ b/bergamot/membership/log_tail.cpp
@@ -41,6 +41,12 @@
     return LogRead{m_follower->readFrom(), RecordsPerRead};
 }
 
+void LogTail::readSoon()
+{
+    m_nextRead = TimePoint{};
+    m_readAgain = m_inFlight;
+}
+
 void LogTail::readFailed(TimePoint now)
 {
     m_inFlight = false;
@@ -59,7 +65,8 @@
     m_inFlight = false;
     m_backoff = m_options.period;
     const bool waits = m_follower->caughtUp() || m_follower->state() == FollowState::Lost;
-    m_nextRead = waits ? now + m_options.period : now;
+    const bool isDue = std::exchange(m_readAgain, false) || !waits;
+    m_nextRead = isDue ? now : now + m_options.period;
     if (m_follower->caughtUp()) {
         m_lastCurrent = now;
     }
--- a/bergamot/membership/log_tail.h
+++ b/bergamot/membership/log_tail.h
@@ -42,6 +42,8 @@
 
     const std::string &stream() const;
     std::optional<LogRead> nextRead(TimePoint now);
+    /// The next read is due at once, also while the log seems to be out.
+    void readSoon();
     void pageRead(const Result<LogPage> &page, TimePoint now);
     /// True if the end of the stream was seen lately and everything before it has been applied.
     bool isCurrent(TimePoint now) const;
@@ -58,6 +60,7 @@
     Offset m_seenCheckpoint = 0;
     Offset m_appliedAtRead = 0;
     bool m_inFlight = false;
+    bool m_readAgain = false; // something was appended after the read in flight was sent
     TimePoint m_sentAt{};
     TimePoint m_nextRead{};
     Duration m_backoff;
