--- a/bergamot/standins/engine_core.cpp
+++ b/bergamot/standins/engine_core.cpp
@@ -259,7 +259,7 @@
     state.waiting = m_report->waiting;
     state.slots = m_options.slots;
     state.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_report->at);
-    state.leaving = m_runs.leaving();
+    state.leaving = m_runs.leaving() && m_tellsOfLeaving;
     state.crashes = m_crashes;
     return m_faults.answer<EngineState>("state", state);
 }
--- a/bergamot/standins/engine_core.h
+++ b/bergamot/standins/engine_core.h
@@ -59,10 +59,10 @@
 };
 
 /// Deterministic, single-threaded; times passed in never fall. Calls for faults: "generate", "cancel", "order",
-/// "state" and "export". Faults of its own: "crash" (`duration` until it is back), "leave" (`count` 0: no longer),
-/// "fail-swap" (the next `count` fail half-way; `text` "unusable": and leave no weights), "poison" (a prompt that
-/// contains `text` crashes it), "slow-slots" (`count` slots need `duration` for a token), "stall" (no token for
-/// `duration`), "ignore-fencing" (`count` 0: no longer).
+/// "state" and "export". Faults of its own: "crash" (`duration` until it is back), "leave" (`count` 0: no longer;
+/// `text` "list": its own state does not say so), "fail-swap" (the next `count` fail half-way; `text` "unusable": and
+/// leave no weights), "poison" (a prompt that contains `text` crashes it), "slow-slots" (`count` slots need `duration`
+/// for a token), "stall" (no token for `duration`), "ignore-fencing" (`count` 0: no longer).
 class EngineCore
 {
 public:
@@ -160,6 +160,7 @@
     std::uint64_t m_slowSlots = 0;
     Duration m_slowTokenTime{0};
     bool m_failureIsUnusable = false;
+    bool m_tellsOfLeaving = true;
 };
 
 } // namespace bergamot
--- a/bergamot/standins/engine_faults.cpp
+++ b/bergamot/standins/engine_faults.cpp
@@ -3,6 +3,13 @@
 namespace bergamot
 {
 
+namespace
+{
+
+constexpr std::string_view LeaveOnListOnly = "list";
+
+} // namespace
+
 Result<void> EngineCore::apply(const FaultCommand &command, TimePoint now)
 {
     using Apply = void (EngineCore::*)(const FaultCommand &, TimePoint);
@@ -33,6 +40,7 @@
 void EngineCore::applyLeave(const FaultCommand &command, TimePoint now)
 {
     m_runs.setLeaving(command.count > 0, now);
+    m_tellsOfLeaving = command.text != LeaveOnListOnly;
 }
 
 void EngineCore::applyFailSwap(const FaultCommand &command, TimePoint /*now*/)
--- a/bergamot/standins/fakes.cpp
+++ b/bergamot/standins/fakes.cpp
@@ -38,7 +38,7 @@
 Result<void> FakeLog::apply(const FaultCommand &command)
 {
     const std::lock_guard lock(m_mutex);
-    return m_core.faults().apply(command);
+    return m_core.apply(command);
 }
 
 void FakeLog::setOptions(LogCoreOptions options)
@@ -99,7 +99,7 @@
 Result<void> FakeInstanceList::apply(const FaultCommand &command)
 {
     const std::lock_guard lock(m_mutex);
-    return m_core.faults().apply(command);
+    return m_core.apply(command);
 }
 
 FakeWeightStore::FakeWeightStore(FakeTime &time, WeightStoreOptions options)
@@ -126,7 +126,7 @@
 Result<void> FakeWeightStore::apply(const FaultCommand &command)
 {
     const std::lock_guard lock(m_mutex);
-    return m_core.faults().apply(command);
+    return m_core.apply(command);
 }
 
 std::size_t FakeWeightStore::fetching()
@@ -173,7 +173,7 @@
 Result<void> FakeScoring::apply(const FaultCommand &command)
 {
     const std::lock_guard lock(m_mutex);
-    return m_core.faults().apply(command);
+    return m_core.apply(command);
 }
 
 std::uint64_t FakeScoring::scoreCount()
--- a/bergamot/standins/list_core.cpp
+++ b/bergamot/standins/list_core.cpp
@@ -62,9 +62,13 @@
     m_lag = lag;
 }
 
-FaultTable &ListCore::faults()
+Result<void> ListCore::apply(const FaultCommand &command)
 {
-    return m_faults;
+    if (command.fault != "lag") {
+        return m_faults.apply(command);
+    }
+    setLag(command.duration);
+    return {};
 }
 
 } // namespace bergamot
--- a/bergamot/standins/list_core.h
+++ b/bergamot/standins/list_core.h
@@ -18,7 +18,8 @@
 namespace bergamot
 {
 
-/// Deterministic, single-threaded. Calls for `faults()`: "fetch".
+/// Deterministic, single-threaded. Calls for faults: "fetch". A fault of its own: "lag" (`duration`, for changes made
+/// from now on).
 class ListCore
 {
 public:
@@ -34,7 +35,7 @@
 
     /// Holds for changes made from now on.
     void setLag(Duration lag);
-    FaultTable &faults();
+    Result<void> apply(const FaultCommand &command);
 
 private:
     struct Change
--- a/bergamot/standins/list_core_test.cpp
+++ b/bergamot/standins/list_core_test.cpp
@@ -42,9 +42,9 @@
 {
     ListCore list;
     list.put(engine("e1"), Start);
-    ASSERT_TRUE(list.faults().apply({.fault = "out"}));
+    ASSERT_TRUE(list.apply({.fault = "out"}));
     EXPECT_EQ(list.fetch(Start).result.error().code, ErrorCode::Unavailable);
-    ASSERT_TRUE(list.faults().apply({.fault = "out", .count = 0}));
+    ASSERT_TRUE(list.apply({.fault = "out", .count = 0}));
     EXPECT_EQ(list.fetch(Start).result.value().size(), 1U);
 }
 
--- a/bergamot/standins/log_core.cpp
+++ b/bergamot/standins/log_core.cpp
@@ -94,9 +94,20 @@
     return m_options;
 }
 
-FaultTable &LogCore::faults()
+Result<void> LogCore::apply(const FaultCommand &command)
 {
-    return m_faults;
+    LogCoreOptions changed = m_options;
+    if (command.fault == "limit") {
+        changed.appendsPerSecond = static_cast<std::uint32_t>(command.count);
+    } else if (command.fault == "retain") {
+        const bool given = command.duration > std::chrono::milliseconds::zero();
+        changed.retainedRecords = command.count;
+        changed.retainedFor = given ? Duration(command.duration) : m_options.retainedFor;
+    } else {
+        return m_faults.apply(command);
+    }
+    setOptions(changed);
+    return {};
 }
 
 std::vector<StoredRecord> LogCore::records(const std::string &stream) const
--- a/bergamot/standins/log_core.h
+++ b/bergamot/standins/log_core.h
@@ -26,7 +26,8 @@
     std::size_t recordsPerAppend = 1000; // a larger batch is refused
 };
 
-/// Deterministic, single-threaded. Calls for `faults()`: "append" and "read".
+/// Deterministic, single-threaded. Calls for faults: "append" and "read". Faults of its own: "limit" (`count` appends a
+/// second) and "retain" (`count` records of a stream, for `duration` unless 0).
 class LogCore
 {
 public:
@@ -38,7 +39,7 @@
     /// Changes the limits; records over them expire at the next call.
     void setOptions(LogCoreOptions options);
     const LogCoreOptions &options() const;
-    FaultTable &faults();
+    Result<void> apply(const FaultCommand &command);
     /// Every record of `stream` that is still kept, for checks.
     std::vector<StoredRecord> records(const std::string &stream) const;
     /// Appends that took effect, for checks from outside.
--- a/bergamot/standins/log_core_test.cpp
+++ b/bergamot/standins/log_core_test.cpp
@@ -107,13 +107,13 @@
 TEST_P(LogFaults, showOnAnAppend)
 {
     LogCore log;
-    ASSERT_TRUE(log.faults().apply(GetParam().command));
+    ASSERT_TRUE(log.apply(GetParam().command));
     const Answer<Offset> answer = log.append("a", batch(1), Start);
     EXPECT_EQ(codeOf(answer), GetParam().appendError);
     EXPECT_EQ(answer.fate, GetParam().fate);
     EXPECT_EQ(answer.delay, GetParam().delay);
     EXPECT_EQ(log.records("a").size(), GetParam().kept);
-    ASSERT_TRUE(log.faults().apply({.fault = "clear"}));
+    ASSERT_TRUE(log.apply({.fault = "clear"}));
     EXPECT_EQ(log.append("a", batch(1), Start).fate, AnswerFate::Whole);
 }
 
@@ -131,8 +131,8 @@
 TEST(FaultTable, namesWhatItDoesNotKnow)
 {
     LogCore log;
-    EXPECT_NE(log.faults().apply({.fault = "melt"}).error().message.find("melt"), std::string::npos);
-    EXPECT_NE(log.faults().apply({.fault = "out", .call = "push"}).error().message.find("append"), std::string::npos);
+    EXPECT_NE(log.apply({.fault = "melt"}).error().message.find("melt"), std::string::npos);
+    EXPECT_NE(log.apply({.fault = "out", .call = "push"}).error().message.find("append"), std::string::npos);
 }
 
 } // namespace
--- a/bergamot/standins/scoring_core.cpp
+++ b/bergamot/standins/scoring_core.cpp
@@ -28,9 +28,9 @@
     return m_scoreCount;
 }
 
-FaultTable &ScoringCore::faults()
+Result<void> ScoringCore::apply(const FaultCommand &command)
 {
-    return m_faults;
+    return m_faults.apply(command);
 }
 
 } // namespace bergamot
--- a/bergamot/standins/scoring_core.h
+++ b/bergamot/standins/scoring_core.h
@@ -13,7 +13,7 @@
 namespace bergamot
 {
 
-/// Deterministic, single-threaded. Calls for `faults()`: "score".
+/// Deterministic, single-threaded. Calls for faults: "score".
 class ScoringCore
 {
 public:
@@ -24,7 +24,7 @@
     Answer<double> score(const std::string &prompt, const std::string &text);
 
     std::uint64_t scoreCount() const;
-    FaultTable &faults();
+    Result<void> apply(const FaultCommand &command);
 
 private:
     Duration m_scoringTime;
--- a/bergamot/standins/scoring_core_test.cpp
+++ b/bergamot/standins/scoring_core_test.cpp
@@ -24,7 +24,7 @@
 TEST(ScoringCore, refusesWithoutScoring)
 {
     ScoringCore scoring;
-    ASSERT_TRUE(scoring.faults().apply({.fault = "refuse", .call = "score"}));
+    ASSERT_TRUE(scoring.apply({.fault = "refuse", .call = "score"}));
     EXPECT_EQ(scoring.score("p", "t").result.error().code, ErrorCode::Unavailable);
     EXPECT_EQ(scoring.scoreCount(), 0U);
     EXPECT_TRUE(scoring.score("p", "t").result);
--- a/bergamot/standins/service_core.cpp
+++ b/bergamot/standins/service_core.cpp
@@ -196,6 +196,7 @@
         crash(given ? Duration(command.duration) : m_options.restartTime, now);
     } else if (command.fault == "leave") {
         m_runs.setLeaving(command.count > 0, now);
+        m_tellsOfLeaving = command.text != "list";
     } else if (command.fault == "poison" && (command.text.empty() || command.count == 0)) {
         m_poison.clear();
     } else if (command.fault == "poison") {
@@ -218,6 +219,11 @@
     return m_downUntil.has_value();
 }
 
+bool ServiceCore::tellsOfLeaving() const
+{
+    return m_runs.leaving() && m_tellsOfLeaving;
+}
+
 const RunCounter &ServiceCore::runs() const
 {
     return m_runs;
--- a/bergamot/standins/service_core.h
+++ b/bergamot/standins/service_core.h
@@ -51,7 +51,8 @@
 
 /// Deterministic, single-threaded; times passed in never fall. Routes: GET /stock/{item}, POST /confirm {lot},
 /// GET /status/{application}, POST /pull {record}; the POSTs change something each time they run. Calls for faults:
-/// "run". Faults of its own: "crash" (`duration` until it is back), "leave" (`count` 0: no longer), "poison" (a path or
+/// "run". Faults of its own: "crash" (`duration` until it is back), "leave" (`count` 0: no longer; `text`
+/// "list": its answers do not say so), "poison" (a path or
 /// body that contains `text` crashes it), "slow" (each request takes `duration`; 0: as set up).
 class ServiceCore
 {
@@ -67,6 +68,8 @@
     std::vector<ServiceEvent> takeEvents();
 
     bool down() const;
+    /// Whether its answers say that it is leaving.
+    bool tellsOfLeaving() const;
     /// By method and path; for POSTs also by what the body names, for example "POST /confirm lot-7".
     const RunCounter &runs() const;
     std::uint64_t crashes() const;
@@ -103,6 +106,7 @@
     Duration m_slowTime{0};
     std::set<std::string> m_poison;
     std::uint64_t m_crashes = 0;
+    bool m_tellsOfLeaving = true;
 };
 
 /// What a read of `name` answers, so that a caller can check that it got its own answer.
--- a/bergamot/standins/weight_store_core.cpp
+++ b/bergamot/standins/weight_store_core.cpp
@@ -75,9 +75,9 @@
     return m_fetchesRefused;
 }
 
-FaultTable &WeightStoreCore::faults()
+Result<void> WeightStoreCore::apply(const FaultCommand &command)
 {
-    return m_faults;
+    return m_faults.apply(command);
 }
 
 } // namespace bergamot
--- a/bergamot/standins/weight_store_core.h
+++ b/bergamot/standins/weight_store_core.h
@@ -26,7 +26,7 @@
     std::uint32_t questionsPerSecond = 200; // also the largest burst
 };
 
-/// Deterministic, single-threaded. Calls for `faults()`: "published" and "fetch".
+/// Deterministic, single-threaded. Calls for faults: "published" and "fetch".
 class WeightStoreCore final : public WeightSource
 {
 public:
@@ -43,7 +43,7 @@
     std::size_t fetching() const;
     /// Fetches that were turned away because too many ran at once.
     std::uint64_t fetchesRefused() const;
-    FaultTable &faults();
+    Result<void> apply(const FaultCommand &command);
 
 private:
     WeightStoreOptions m_options;
