--- /dev/null
+++ b/bergamot/membership/log_tail.cpp
@@ -0,0 +1,89 @@
+#include "bergamot/membership/log_tail.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+constexpr std::size_t RecordsPerRead = 500;
+
+} // namespace
+
+LogTail::LogTail(StreamReplica &replica, LogTailOptions options, Duration checkpointDelay)
+    : m_replica(replica)
+    , m_options(options)
+    , m_backoff(options.period)
+{
+    m_options.checkpoints.maxAge += std::chrono::duration_cast<std::chrono::milliseconds>(checkpointDelay);
+    m_follower.emplace(m_replica);
+}
+
+const std::string &LogTail::stream() const
+{
+    return m_replica.stream();
+}
+
+std::optional<LogRead> LogTail::nextRead(TimePoint now)
+{
+    if (m_inFlight && now - m_sentAt >= m_options.readTimeout) {
+        readFailed(now);
+    }
+    if (m_inFlight || now < m_nextRead) {
+        return std::nullopt;
+    }
+    const bool peersHelped = m_replica.applied() != m_appliedAtRead;
+    if (peersHelped && m_follower->state() != FollowState::Following) {
+        m_follower.emplace(m_replica);
+    }
+    m_inFlight = true;
+    m_sentAt = now;
+    return LogRead{m_follower->readFrom(), RecordsPerRead};
+}
+
+void LogTail::readFailed(TimePoint now)
+{
+    m_inFlight = false;
+    m_nextRead = now + m_backoff;
+    m_backoff = std::min(m_backoff * 2, m_options.maxBackoff);
+}
+
+void LogTail::pageRead(const Result<LogPage> &page, TimePoint now)
+{
+    m_follower->answered(page);
+    m_appliedAtRead = m_replica.applied();
+    if (!page && page.error().code != ErrorCode::Expired) {
+        readFailed(now);
+        return;
+    }
+    m_inFlight = false;
+    m_backoff = m_options.period;
+    const bool waits = m_follower->caughtUp() || m_follower->state() == FollowState::Lost;
+    m_nextRead = waits ? now + m_options.period : now;
+    if (m_follower->caughtUp()) {
+        m_lastCurrent = now;
+    }
+}
+
+bool LogTail::isCurrent(TimePoint now) const
+{
+    return m_lastCurrent && now - *m_lastCurrent <= m_options.freshness;
+}
+
+std::optional<StreamCheckpoint> LogTail::dueCheckpoint(TimePoint now)
+{
+    if (!m_checkpoints) {
+        m_checkpoints.emplace(m_options.checkpoints, now);
+    }
+    if (m_seenCheckpoint != m_replica.lastCheckpointRecord()) {
+        m_seenCheckpoint = m_replica.lastCheckpointRecord();
+        m_checkpoints->seen(m_seenCheckpoint, now);
+    }
+    if (!isCurrent(now) || !m_checkpoints->due(m_replica.applied(), now)) {
+        return std::nullopt;
+    }
+    m_checkpoints->appended(now);
+    return StreamCheckpoint{m_replica.applied(), m_replica.checkpoint()};
+}
+
+} // namespace bergamot
