--- a/bergamot/standins/crashable_http_server.cpp
+++ b/bergamot/standins/crashable_http_server.cpp
@@ -326,7 +326,9 @@
             acceptor.close(ignored);
             return error;
         }
-        address.port = acceptor.local_endpoint().port();
+        if (address.port == 0) {
+            address.port = acceptor.local_endpoint().port();
+        }
         acceptNext();
         return {};
     }
