routing: instances share slots fairly; latency limit without a ratchet

Change: ReportLimit adds 2 requests or cuts by proportion, no dead band, starts at 8 and grows by 1.5; ConcurrencyLimit starts at 2, tolerance 1.25, 2 where load is reported; floor relearned after 200 windows.

--- a/bergamot/routing/concurrency_limit.cpp
+++ b/bergamot/routing/concurrency_limit.cpp
@@ -19,6 +19,7 @@
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyLimitOptions options)
     : m_options(options)
     , m_limit(options.initial)
+    , m_tolerance(options.tolerance)
 { }
 
 void ConcurrencyLimit::answered(Duration latency, std::uint32_t inFlight)
@@ -30,6 +31,11 @@
     }
 }
 
+void ConcurrencyLimit::setReported(bool reported)
+{
+    m_tolerance = reported ? m_options.reportedTolerance : m_options.tolerance;
+}
+
 void ConcurrencyLimit::overloaded()
 {
     if (m_reducedInWindow) {
@@ -53,7 +59,7 @@
 {
     const double mean = m_windowSum / m_windowCount;
     learnFloor(mean);
-    const double gradient = std::clamp(m_options.tolerance * m_floor / std::max(mean, 1e-9), SteepestCut, 1.0);
+    const double gradient = std::clamp(m_tolerance * m_floor / std::max(mean, 1e-9), SteepestCut, 1.0);
     const bool limitWasUsed = 2.0 * m_windowPeak >= m_limit;
     const double headroom = gradient < 1.0 || !limitWasUsed ? 0.0 : std::sqrt(m_limit);
     const double wanted = m_limit * gradient + headroom;
@@ -74,7 +80,7 @@
     if (mean < m_floor) {
         m_floor += FloorSmoothing * (mean - m_floor);
     }
-    const bool stuck = m_limit <= m_options.least + 0.5 && mean > m_options.tolerance * m_floor;
+    const bool stuck = m_limit <= m_options.least + 0.5 && mean > m_tolerance * m_floor;
     m_windowsAtLeast = stuck ? m_windowsAtLeast + 1 : 0;
     if (m_windowsAtLeast >= m_options.windowsToRelearn) {
         m_floor = std::min(mean, m_floor * FloorRise);
--- a/bergamot/routing/concurrency_limit.h
+++ b/bergamot/routing/concurrency_limit.h
@@ -17,13 +17,14 @@
 
 struct ConcurrencyLimitOptions
 {
-    double initial = 4;
+    double initial = 2;
     double least = 1;
     double most = 512;
-    double tolerance = 1.5; // how far the latency may rise over its floor before the limit shrinks
+    double tolerance = 1.25; // how far the latency may rise over its floor before the limit shrinks
+    double reportedTolerance = 2; // the same where the endpoint's reported load is the first guide
     double smoothing = 0.3; // share of each window's verdict that is taken over
     std::uint32_t windowSize = 24; // answers
-    std::uint32_t windowsToRelearn = 20; // at the least limit and still over the tolerance: the floor has risen
+    std::uint32_t windowsToRelearn = 200; // at the least limit and still over the tolerance: the floor has risen
 };
 
 /// Not thread-safe.
@@ -34,6 +35,8 @@
 
     /// One answer after `latency`; `inFlight` is what this instance had on the endpoint when it was dispatched.
     void answered(Duration latency, std::uint32_t inFlight);
+    /// Whether the endpoint reports its load; latency is then only a safeguard.
+    void setReported(bool reported);
     /// The endpoint refused for overload or ran into a timeout.
     void overloaded();
 
@@ -47,6 +50,7 @@
 
     ConcurrencyLimitOptions m_options;
     double m_limit;
+    double m_tolerance;
     double m_floor = 0; // seconds
     double m_windowSum = 0;
     std::uint32_t m_windowCount = 0;
--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -258,6 +258,7 @@
 
 void EndpointPool::takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const
 {
+    state.limit.setReported(endpoint.slots > 0);
     if (endpoint.slots > 0) {
         state.load.reported(endpoint.load, now - endpoint.loadAge);
     }
--- a/bergamot/routing/report_limit.cpp
+++ b/bergamot/routing/report_limit.cpp
@@ -9,7 +9,7 @@
 {
 
 constexpr double UsedShare = 0.8; // of the limit; a limit that was not used does not grow
-constexpr double StartGrowth = 2;
+constexpr double StartGrowth = 1.5;
 
 } // namespace
 
@@ -31,9 +31,9 @@
     }
     m_measuredAt = measuredAt;
     m_everFull = m_everFull || perSlot > m_options.fullAt;
-    if (perSlot > m_options.overFullAt) {
+    if (perSlot > m_options.fullAt) {
         m_limit *= std::clamp(m_options.target / perSlot, m_options.steepestCut, 1.0);
-    } else if (perSlot < m_options.fullAt && m_peak >= UsedShare * m_limit) {
+    } else if (m_peak >= UsedShare * m_limit) {
         grow();
     }
     m_limit = std::clamp(m_limit, m_options.least, m_options.most);
@@ -52,7 +52,7 @@
 
 void ReportLimit::grow()
 {
-    m_limit = m_everFull ? m_limit * m_options.growth + 1.0 : m_limit * StartGrowth;
+    m_limit = m_everFull ? m_limit + m_options.growth : m_limit * StartGrowth;
 }
 
 } // namespace bergamot
--- a/bergamot/routing/report_limit.h
+++ b/bergamot/routing/report_limit.h
@@ -17,13 +17,12 @@
 
 struct ReportLimitOptions
 {
-    double initial = 16;
+    double initial = 8;
     double least = 1;
     double most = 1e6;
-    double fullAt = 1.15; // requests for each slot, below which the limit may grow
-    double target = 1.25; // what is aimed at when there are too many
-    double overFullAt = 1.4;
-    double growth = 1.1; // factor for each report, plus one request
+    double target = 1.2; // requests for each slot that a cut aims at
+    double fullAt = 1.25; // requests for each slot above which the limit is cut and below which it grows
+    double growth = 2; // requests for each report
     double steepestCut = 0.7; // factor for one report
 };
 
@@ -48,7 +47,7 @@
     ReportLimitOptions m_options;
     double m_limit;
     bool m_reporting = false;
-    bool m_everFull = false; // before that the limit doubles
+    bool m_everFull = false; // before that the limit grows faster
     std::uint32_t m_peak = 0; // since the last report
     TimePoint m_measuredAt{};
 };
