--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -16,6 +16,14 @@
 // The list follows an endpoint's own word within this time.
 constexpr Duration OwnWordHolds = std::chrono::seconds(10);
 
+/// A rounding that is fixed for this instance and spread evenly over all.
+ReportLimitOptions withRounding(ReportLimitOptions options, const std::string &instance)
+{
+    constexpr double HashRange = 18446744073709551616.0;
+    options.rounding = static_cast<double>(stableHash(instance)) / HashRange;
+    return options;
+}
+
 double seconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -36,7 +44,7 @@
 EndpointPool::EndpointPool(EndpointPoolOptions options, std::unique_ptr<ChoiceStrategy> strategy)
     : m_options(std::move(options))
     , m_strategy(std::move(strategy))
-    , m_reportLimit(m_options.reportLimit)
+    , m_reportLimit(withRounding(m_options.reportLimit, m_options.instance))
 { }
 
 void EndpointPool::update(std::span<const RoutedEndpoint> endpoints, TimePoint now)
--- a/bergamot/routing/endpoint_pool_choice.cpp
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -1,3 +1,5 @@
+#include <cmath>
+
 #include "bergamot/routing/endpoint_pool.h"
 
 namespace bergamot
@@ -141,7 +143,9 @@
 bool EndpointPool::classHasRoom(TrafficClass trafficClass) const
 {
     const double share = m_options.classShare[static_cast<std::size_t>(trafficClass)];
-    return m_inFlight + 1.0 <= std::max(1.0, std::min(m_allowed, m_reportLimit.allowed()) * share);
+    const double allowed = std::min(m_allowed, m_reportLimit.allowed());
+    const double kept = std::floor(allowed * (1.0 - share));
+    return m_inFlight + 1.0 <= std::max(1.0, allowed - kept);
 }
 
 double EndpointPool::cost(const State &state, TimePoint now) const
--- a/bergamot/routing/report_limit.cpp
+++ b/bergamot/routing/report_limit.cpp
@@ -1,5 +1,6 @@
 #include "bergamot/routing/report_limit.h"
 
+#include <cmath>
 #include <limits>
 
 namespace bergamot
@@ -33,7 +34,7 @@
     m_everFull = m_everFull || perSlot > m_options.fullAt;
     if (perSlot > m_options.fullAt) {
         m_limit *= std::clamp(m_options.target / perSlot, m_options.steepestCut, 1.0);
-    } else if (m_peak >= UsedShare * m_limit) {
+    } else if (m_peak >= UsedShare * allowed()) {
         grow();
     }
     m_limit = std::clamp(m_limit, m_options.least, m_options.most);
@@ -47,12 +48,14 @@
 
 double ReportLimit::allowed() const
 {
-    return m_reporting ? m_limit : std::numeric_limits<double>::infinity();
+    return m_reporting ? std::max(1.0, std::floor(m_limit + m_options.rounding))
+                       : std::numeric_limits<double>::infinity();
 }
 
 void ReportLimit::grow()
 {
-    m_limit = m_everFull ? m_limit + m_options.growth : m_limit * StartGrowth;
+    m_limit =
+        m_everFull ? m_limit + m_options.growth * std::pow(m_limit, m_options.growthPower) : m_limit * StartGrowth;
 }
 
 } // namespace bergamot
--- a/bergamot/routing/routing_benchmark.cpp
+++ b/bergamot/routing/routing_benchmark.cpp
@@ -201,6 +201,7 @@
     std::string name;
     std::function<void(RouterOptions &)> adjust;
     bool usesReports = true;
+    std::size_t routers = 4;
 };
 
 template<typename Strategy>
@@ -258,6 +259,8 @@
         {"noEjection", withoutEjection},
         {"noHedges", withoutHedges},
         {"nothing", withNothing, false},
+        {"eighteenRouters", nullptr, true, 18},
+        {"eighteenRoutersNoReports", nullptr, false, 18},
     };
     return all;
 }
@@ -269,6 +272,7 @@
     options.seed = seed;
     options.reportsLoad = policy.usesReports;
     options.adjust = policy.adjust;
+    options.routers = policy.routers;
     return options;
 }
 
