--- a/bergamot/samples/dispatch_strategy.h
+++ b/bergamot/samples/dispatch_strategy.h
@@ -19,16 +19,17 @@
     bool drainsBeforeSwap = false; // starts nothing on engines that are about to get newer weights
     double versionLagCost = 0; // load, in shares of an engine, that one version behind counts for
     double aheadShare = 1; // of a step's samples that may start before the trainer draws the step
+    double aheadLead = 0; // a step starts this many times its expected duration before the trainer draws it; 0: at once
     double stragglerFactor = 0; // elapsed over the usual time that makes a straggler; 0: none is replaced or moved
 };
 
 /// For who weighs idle time more: starts the whole next step while the trainer still works on this one.
-inline constexpr DispatchStrategy IdleTimeFirst{
-    .name = "idle-time", .versionLagCost = 0.25, .aheadShare = 1, .stragglerFactor = 1.5};
+inline constexpr DispatchStrategy IdleTimeFirst{.name = "idle-time", .versionLagCost = 0.25, .stragglerFactor = 1.5};
 
-/// For who weighs staleness more: starts only a part of the next step ahead and prefers engines with newer weights.
+/// For who weighs staleness more: starts the next step as late as it can still be whole in time, and prefers engines
+/// with newer weights.
 inline constexpr DispatchStrategy StalenessFirst{
-    .name = "staleness", .versionLagCost = 1, .aheadShare = 0.5, .stragglerFactor = 1.5};
+    .name = "staleness", .versionLagCost = 1, .aheadLead = 1.2, .stragglerFactor = 1.5};
 
 /// Baseline: the engines are split among the trainers for good and taken in turn; nothing is replaced or moved.
 inline constexpr DispatchStrategy StaticSplit{
--- a/bergamot/samples/internal/trainer_model.cpp
+++ b/bergamot/samples/internal/trainer_model.cpp
@@ -69,7 +69,11 @@
     m_violations.wrongSample += m_has.size() == expected ? 0 : 1;
     m_training = true;
     m_trainingEnds = now + m_options.trainTime;
-    m_idle += now - m_waitingSince;
+    if (m_step > 1) {
+        m_idle += now - m_waitingSince;
+    } else {
+        m_firstTrainingAt = now;
+    }
     return true;
 }
 
--- a/bergamot/samples/internal/trainer_model.h
+++ b/bergamot/samples/internal/trainer_model.h
@@ -115,14 +115,16 @@
         return m_scoreless;
     }
 
+    /// Time in which it waited for samples, without its first step, which nothing could prepare.
     Duration idle() const
     {
         return m_idle;
     }
 
-    TimePoint finishedAt() const
+    /// From the end of its first wait to the end of its last training.
+    Duration activeFor() const
     {
-        return m_trainingEnds;
+        return m_trainingEnds - m_firstTrainingAt;
     }
 
 private:
@@ -138,6 +140,7 @@
     bool m_training = false;
     TimePoint m_trainingEnds;
     TimePoint m_waitingSince;
+    TimePoint m_firstTrainingAt;
     Duration m_idle{0};
     PromiseViolations m_violations;
     std::uint64_t m_receivedInAll = 0;
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -141,6 +141,8 @@
         std::uint32_t givingBack = 0;
         WeightVersion named = 0; // by its last draw
         bool everDrew = false;
+        TimePoint handedOverAt; // the end of its last whole step
+        Duration away{0}; // smoothed, from there to the first draw of the next step
         std::pair<WeightVersion, std::uint64_t> checked; // newest and bound at the last search for what is too old
     };
 
@@ -195,10 +197,12 @@
     void dispatch(TimePoint now);
     Round makeRound(const ModelId &model, TimePoint now) const;
     EngineLoad loadOf(const Engine &engine, double medianSpeed, TimePoint now) const;
-    std::uint32_t dispatchable(const Trainer &trainer, const Step &step) const;
-    std::uint32_t dispatchable(const TrainerId &trainer) const;
+    std::uint32_t dispatchable(const Trainer &trainer, const Step &step, TimePoint now) const;
+    std::uint32_t dispatchable(const TrainerId &trainer, TimePoint now) const;
+    bool mayStartAhead(const Trainer &trainer, const Step &step, TimePoint now) const;
+    Duration expectedDuration(const Trainer &trainer, const Step &step) const;
     bool placeOne(Round &round, std::size_t trainerIndex, TimePoint now);
-    std::optional<SampleRef> nextSample(const TrainerId &trainer, const Round &round);
+    std::optional<SampleRef> nextSample(const TrainerId &trainer, const Round &round, TimePoint now);
     bool permits(const SampleRef &sample, const EngineLoad &engine, TimePoint now) const;
     std::uint64_t forecast(const SampleRef &sample, WeightVersion version, TimePoint now) const;
     void start(Round &round,
--- a/bergamot/samples/sample_scheduler_dispatch.cpp
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -7,6 +7,7 @@
 {
 
 constexpr double UnknownSpeed = 1;
+constexpr std::uint64_t WholePercent = 100;
 
 double median(std::vector<double> values)
 {
@@ -57,7 +58,7 @@
             trainers.push_back(id);
             demands.push_back({.sharePercent = trainer.config.sharePercent,
                                .inFlight = trainer.inFlight,
-                               .waiting = dispatchable(id),
+                               .waiting = dispatchable(id, now),
                                .strategy = trainer.strategy});
         }
     }
@@ -82,30 +83,59 @@
             .speed = knownSpeed ? engine.tokensPerSecond / medianSpeed : UnknownSpeed};
 }
 
-std::uint32_t SampleScheduler::dispatchable(const Trainer &trainer, const Step &step) const
+Duration SampleScheduler::expectedDuration(const Trainer &trainer, const Step &step) const
+{
+    std::uint64_t slots = 0;
+    for (const auto &[id, engine] : m_engines) {
+        slots += engine.view.model == trainer.config.model && engine.view.reachable ? engine.view.slots : 0;
+    }
+    const std::uint64_t own = std::max<std::uint64_t>(slots * trainer.config.sharePercent / WholePercent, 1);
+    const std::uint64_t rounds = (step.count(SampleState::Waiting) + own - 1) / own;
+    return trainer.times.median() * static_cast<Duration::rep>(rounds);
+}
+
+bool SampleScheduler::mayStartAhead(const Trainer &trainer, const Step &step, TimePoint now) const
+{
+    const double lead = trainer.strategy->aheadLead;
+    if (lead <= 0 || !trainer.everDrew) {
+        return true;
+    }
+    // Only the next step, and only once the one before it is whole: until then its draw is far away.
+    for (const Step *earlier : m_book.stepsOf(step.key().trainer)) {
+        if (earlier->key() < step.key() && !earlier->isHandedOver()) {
+            return false;
+        }
+    }
+    const std::chrono::duration<double> duration = expectedDuration(trainer, step);
+    return now + std::chrono::duration_cast<Duration>(lead * duration) >= trainer.handedOverAt + trainer.away;
+}
+
+std::uint32_t SampleScheduler::dispatchable(const Trainer &trainer, const Step &step, TimePoint now) const
 {
     const std::uint32_t waiting = step.count(SampleState::Waiting);
-    if (step.drawn || trainer.strategy->aheadShare >= 1) {
+    if (step.drawn || waiting == 0) {
         return waiting;
     }
-    const auto allowed = static_cast<std::uint32_t>(trainer.strategy->aheadShare * step.spec().sampleCount);
-    return std::min(waiting, allowed - std::min(allowed, step.startedCount()));
+    const std::uint32_t started = step.spec().sampleCount - waiting;
+    const auto ahead = static_cast<std::uint32_t>(trainer.strategy->aheadShare * step.spec().sampleCount);
+    return ahead > started && mayStartAhead(trainer, step, now) ? std::min(waiting, ahead - started) : 0;
 }
 
-std::uint32_t SampleScheduler::dispatchable(const TrainerId &trainer) const
+std::uint32_t SampleScheduler::dispatchable(const TrainerId &trainer, TimePoint now) const
 {
     const Trainer &state = m_trainers.at(trainer);
     std::uint32_t samples = 0;
     for (const Step *step : m_book.stepsOf(trainer)) {
-        samples += dispatchable(state, *step);
+        samples += dispatchable(state, *step, now);
     }
     return samples;
 }
 
-std::optional<SampleScheduler::SampleRef> SampleScheduler::nextSample(const TrainerId &trainer, const Round &round)
+std::optional<SampleScheduler::SampleRef>
+SampleScheduler::nextSample(const TrainerId &trainer, const Round &round, TimePoint now)
 {
     for (Step *step : m_book.stepsOf(trainer)) {
-        if (dispatchable(m_trainers.at(trainer), *step) == 0) {
+        if (dispatchable(m_trainers.at(trainer), *step, now) == 0) {
             continue;
         }
         const auto mayStartSomewhere = [&](std::uint32_t offset) {
@@ -124,7 +154,7 @@
 bool SampleScheduler::placeOne(Round &round, std::size_t trainerIndex, TimePoint now)
 {
     const TrainerId &trainer = round.trainers[trainerIndex];
-    const std::optional<SampleRef> sample = nextSample(trainer, round);
+    const std::optional<SampleRef> sample = nextSample(trainer, round, now);
     if (!sample) {
         return false;
     }
--- a/bergamot/samples/sample_scheduler_draws.cpp
+++ b/bergamot/samples/sample_scheduler_draws.cpp
@@ -5,6 +5,13 @@
 namespace bergamot
 {
 
+namespace
+{
+
+constexpr int AwaySmoothing = 2; // one new time counts for a half
+
+} // namespace
+
 void SampleScheduler::becameWhole(const SampleRef &sample)
 {
     Step &step = *m_book.find(sample.step);
@@ -100,6 +107,10 @@
     dropEarlierSteps(request.step, now);
     Trainer &trainer = m_trainers.at(request.step.trainer);
     trainer.named = request.namedVersion;
+    if (!step->drawn && trainer.handedOverAt != TimePoint()) {
+        const Duration away = now - trainer.handedOverAt;
+        trainer.away = trainer.away == Duration::zero() ? away : trainer.away + (away - trainer.away) / AwaySmoothing;
+    }
     trainer.everDrew = true;
     step->drawn = true;
     for (PendingDraw &older : m_draws) {
@@ -171,6 +182,9 @@
     }
     reply.cursor = encodeCursor(next);
     reply.done = next.isWhole();
+    if (reply.done && !repeated) {
+        m_trainers.at(step.key().trainer).handedOverAt = now;
+    }
     m_counters.handedOver += repeated ? 0 : reply.samples.size();
     if (!taken.empty()) {
         step.batchCursor = draw.request.cursor;
--- a/bergamot/samples/step_book.cpp
+++ b/bergamot/samples/step_book.cpp
@@ -56,11 +56,6 @@
     return m_missingInGroup[group];
 }
 
-std::uint32_t Step::startedCount() const
-{
-    return m_started;
-}
-
 void Step::change(std::uint32_t offset, SampleState state)
 {
     Sample &sample = m_samples[offset];
@@ -69,10 +64,6 @@
     missing -= isUnfinished(sample.state) ? 1 : 0;
     --m_counts[index(sample.state)];
     ++m_counts[index(state)];
-    if (state != SampleState::Waiting && !sample.everStarted) {
-        sample.everStarted = true;
-        ++m_started;
-    }
     sample.state = state;
 }
 
--- a/bergamot/samples/step_book.h
+++ b/bergamot/samples/step_book.h
@@ -71,8 +71,6 @@
     std::uint32_t count(SampleState state) const;
     /// Samples of one group that are not whole yet.
     std::uint32_t missingInGroup(std::uint32_t group) const;
-    /// Samples that have left the queue at least once or are done.
-    std::uint32_t startedCount() const;
 
     void start(std::uint32_t offset);
     /// Back to the front of the queue, because an attempt was lost, moved or too old. `resumeFrom` may be empty.
@@ -111,7 +109,6 @@
     {
         SampleState state = SampleState::Waiting;
         bool queued = false;
-        bool everStarted = false;
         std::unique_ptr<FinishedSample> finished;
     };
 
@@ -123,7 +120,6 @@
     std::vector<std::uint32_t> m_missingInGroup;
     std::deque<std::uint32_t> m_queue; // may hold samples that no longer wait; they are skipped
     std::array<std::uint32_t, 6> m_counts{};
-    std::uint32_t m_started = 0;
     std::map<std::uint32_t, std::string> m_resumeHandles;
     std::map<std::uint32_t, std::string> m_failures;
 };
