--- /dev/null
+++ b/bergamot/membership/stream_replica.cpp
@@ -0,0 +1,136 @@
+#include "bergamot/membership/stream_replica.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+std::size_t sizeOf(const Record &record)
+{
+    return record.id.writer.size() + record.kind.size() + record.payload.size() + sizeof(StoredRecord);
+}
+
+std::unique_ptr<inner::LogRecordT> toInner(const StoredRecord &stored)
+{
+    auto record = std::make_unique<inner::LogRecordT>();
+    record->offset = stored.offset;
+    record->writer = stored.record.id.writer;
+    record->incarnation = stored.record.id.incarnation;
+    record->sequence = stored.record.id.sequence;
+    record->kind = stored.record.kind;
+    record->payload = stored.record.payload;
+    return record;
+}
+
+StoredRecord fromInner(const inner::LogRecordT &record)
+{
+    return {record.offset, {{record.writer, record.incarnation, record.sequence}, record.kind, record.payload}};
+}
+
+} // namespace
+
+StreamReplica::StreamReplica(std::string stream, StreamFold &fold, StreamReplicaLimits limits)
+    : m_stream(std::move(stream))
+    , m_fold(fold)
+    , m_limits(limits)
+{ }
+
+const std::string &StreamReplica::stream() const
+{
+    return m_stream;
+}
+
+Offset StreamReplica::applied() const
+{
+    return m_fold.applied();
+}
+
+std::size_t StreamReplica::apply(std::span<const StoredRecord> records)
+{
+    std::size_t count = 0;
+    for (const StoredRecord &record : records) {
+        if (record.offset == m_fold.applied() + 1) {
+            apply(record);
+            ++count;
+        }
+    }
+    return count;
+}
+
+void StreamReplica::apply(const StoredRecord &stored)
+{
+    m_fold.apply(stored);
+    if (stored.record.kind == CheckpointKind) {
+        m_lastCheckpointRecord = stored.offset;
+    }
+    m_recent.push_back(stored);
+    m_recentBytes += sizeOf(stored.record);
+    while (m_recent.size() > m_limits.recentRecords || m_recentBytes > m_limits.recentBytes) {
+        m_recentBytes -= sizeOf(m_recent.front().record);
+        m_recent.pop_front();
+    }
+}
+
+std::string StreamReplica::checkpoint() const
+{
+    return m_fold.checkpoint();
+}
+
+Result<void> StreamReplica::restore(const std::string &checkpoint, Offset offset)
+{
+    if (offset <= m_fold.applied()) {
+        return {}; // versions never fall
+    }
+    if (Result<void> restored = m_fold.restore(checkpoint, offset); !restored) {
+        return restored;
+    }
+    m_recent.clear();
+    m_recentBytes = 0;
+    return {};
+}
+
+inner::StreamRecordsT StreamReplica::recordsAfter(Offset offset) const
+{
+    inner::StreamRecordsT news;
+    news.stream = m_stream;
+    if (offset >= applied()) {
+        return news;
+    }
+    const Offset oldest = m_recent.empty() ? applied() + 1 : m_recent.front().offset;
+    if (offset + 1 < oldest) {
+        news.checkpoint = m_fold.checkpoint();
+        news.checkpoint_offset = applied();
+        return news;
+    }
+    std::size_t bytes = 0;
+    for (auto record = m_recent.begin() + static_cast<std::ptrdiff_t>(offset + 1 - oldest);
+         record != m_recent.end() && bytes < m_limits.replyBytes;
+         ++record) {
+        bytes += sizeOf(record->record);
+        news.records.push_back(toInner(*record));
+    }
+    return news;
+}
+
+bool StreamReplica::accept(const inner::StreamRecordsT &news)
+{
+    const Offset before = applied();
+    if (news.checkpoint_offset > before && !restore(news.checkpoint, news.checkpoint_offset)) {
+        return false;
+    }
+    std::vector<StoredRecord> records;
+    records.reserve(news.records.size());
+    for (const auto &record : news.records) {
+        records.push_back(fromInner(*record));
+    }
+    apply(records);
+    return applied() > before;
+}
+
+Offset StreamReplica::lastCheckpointRecord() const
+{
+    return m_lastCheckpointRecord;
+}
+
+} // namespace bergamot
