Test an intent of the cut-off side after the cut heals

Change: one test of IntentService. Conclusion: the cut-off side's intent is not accepted and later planned against the other side's version.

--- a/bergamot/intents/intent_service_test.cpp
+++ b/bergamot/intents/intent_service_test.cpp
@@ -223,6 +223,23 @@
                                          LogFault{ErrorCode::Unknown, false, 502, "ask again with the same id"},
                                          LogFault{ErrorCode::Unknown, true, 502, "ask again with the same id"}));
 
+TEST_F(IntentServiceTest, plansAnIntentOfTheCutOffSideAgainstTheOtherSidesVersionAfterTheCut)
+{
+    const Reply cutOff = post("here");
+    fail(ErrorCode::Unavailable);
+    EXPECT_EQ(cutOff->captured->status, 503);
+    const Result<Intent> other =
+        parseIntent(*parseJson(R"({"id":"there","operator":"op","set":{"models":{"m":{"version":4}}}})"));
+    fold.apply({1, {{"other", 1, 1}, "intent", intentPayload(*other, 0, value::object(), {})}});
+    fold.apply({2, {{"other", 1, 2}, "confirm", confirmPayload(PlanId("plan-there"), "op")}});
+    service.onApplied();
+    const Reply again = post("here", R"({"models":{"n":{}}})");
+    land();
+    EXPECT_EQ(again->body().at("base_version").as_integer(), 1);
+    EXPECT_EQ(again->body().at("state").as_string(), "planned");
+    EXPECT_EQ(fold.configuration().models.at(ModelId("m")).version, 4U);
+}
+
 TEST_F(IntentServiceTest, answersUnknownWhenTheFoldIsNotSeenToAdvance)
 {
     const Reply reply = post("a");
