--- a/bergamot/samples/dispatch_strategy.h
+++ b/bergamot/samples/dispatch_strategy.h
@@ -3,6 +3,7 @@
 // How a deployment weighs trainer idle time against staleness, and the baselines that the strategies are measured
 // against. A strategy is a value; `dispatchStrategy` gives the one that an operator has configured for a trainer.
 
+#include <chrono>
 #include <string_view>
 
 #include "bergamot/config/configuration.h"
@@ -17,6 +18,7 @@
     bool roundRobin = false; // engines in turn; false: by load, group prefix and version
     bool forecastsStaleness = true; // false: dispatched samples may come back too old
     bool drainsBeforeSwap = false; // starts nothing on engines that are about to get newer weights
+    std::chrono::milliseconds swapPatience{0}; // for how long a step that is drawn waits for newer weights
     double versionLagCost = 0; // load, in shares of an engine, that one version behind counts for
     double aheadShare = 1; // of a step's samples that may start before the trainer draws the step
     double aheadLead = 0; // a step starts this many times its expected duration before the trainer draws it; 0: at once
@@ -26,10 +28,14 @@
 /// For who weighs idle time more: starts the whole next step while the trainer still works on this one.
 inline constexpr DispatchStrategy IdleTimeFirst{.name = "idle-time", .versionLagCost = 0.25, .stragglerFactor = 1.5};
 
-/// For who weighs staleness more: starts the next step as late as it can still be whole in time, and prefers engines
-/// with newer weights.
-inline constexpr DispatchStrategy StalenessFirst{
-    .name = "staleness", .versionLagCost = 1, .aheadLead = 1.2, .stragglerFactor = 1.5};
+/// For who weighs staleness more: starts only a part of the next step ahead, as late as it can still be whole in time,
+/// and lets the rest wait until engines have the newest weights.
+inline constexpr DispatchStrategy StalenessFirst{.name = "staleness",
+                                                 .swapPatience = std::chrono::seconds(16),
+                                                 .versionLagCost = 1,
+                                                 .aheadShare = 0.3,
+                                                 .aheadLead = 1.2,
+                                                 .stragglerFactor = 1.5};
 
 /// Baseline: the engines are split among the trainers for good and taken in turn; nothing is replaced or moved.
 inline constexpr DispatchStrategy StaticSplit{
--- a/bergamot/samples/internal/sample_world.cpp
+++ b/bergamot/samples/internal/sample_world.cpp
@@ -99,8 +99,9 @@
             readEngine(i);
         }
         publishView();
-        planRollouts();
+        setRolloutEngines();
     }
+    planRollouts();
     m_scheduler->tick(now());
     perform();
     tickTrainers();
@@ -222,17 +223,9 @@
     sendDraw(index);
 }
 
-void SampleWorld::planRollouts()
+void SampleWorld::setRolloutEngines()
 {
-    if (m_options.drainBeforeSwap && m_inFlight > 0) {
-        return;
-    }
     for (std::size_t domain = 0; domain < m_rollouts.size(); ++domain) {
-        RolloutGoal goal;
-        goal.model = Model;
-        goal.published = m_published;
-        goal.capacityFloorPercent = m_options.capacityFloorPercent;
-        goal.concurrentFetches = std::max<std::uint64_t>(m_options.concurrentFetches / m_options.domains, 1);
         std::vector<RolloutEngine> engines;
         for (std::size_t i = domain; i < m_views.size(); i += m_rollouts.size()) {
             const EngineView &view = m_views[i];
@@ -244,8 +237,22 @@
                                .leaving = view.leaving,
                                .reachable = view.reachable});
         }
-        m_rollouts[domain].setGoal(goal);
         m_rollouts[domain].setEngines(engines);
+    }
+}
+
+void SampleWorld::planRollouts()
+{
+    if (m_options.drainBeforeSwap && m_inFlight > 0) {
+        return;
+    }
+    RolloutGoal goal;
+    goal.model = Model;
+    goal.published = m_published;
+    goal.capacityFloorPercent = m_options.capacityFloorPercent;
+    goal.concurrentFetches = std::max<std::uint64_t>(m_options.concurrentFetches / m_options.domains, 1);
+    for (std::size_t domain = 0; domain < m_rollouts.size(); ++domain) {
+        m_rollouts[domain].setGoal(goal);
         for (const RolloutAction &action : m_rollouts[domain].plan(now(), Fencing)) {
             performRollout(domain, action);
         }
--- a/bergamot/samples/internal/sample_world.h
+++ b/bergamot/samples/internal/sample_world.h
@@ -132,6 +132,7 @@
     void sendDraw(std::size_t index);
     void deliverDraw(std::size_t index, const DrawRequest &request);
     void endTraining(std::size_t index);
+    void setRolloutEngines();
     void planRollouts();
     void performRollout(std::size_t domain, const RolloutAction &action);
     void perform();
--- a/bergamot/samples/sample_scheduler.cpp
+++ b/bergamot/samples/sample_scheduler.cpp
@@ -30,11 +30,21 @@
 {
     setTrainers(fleet.trainers);
     setNewest(fleet, now);
-    m_published = std::move(fleet.published);
+    for (const auto &[model, version] : fleet.published) {
+        heardOf(model, version, now);
+    }
     setEngines(std::move(fleet.engines));
     tick(now);
 }
 
+void SampleScheduler::heardOf(const ModelId &model, WeightVersion version, TimePoint now)
+{
+    std::pair<WeightVersion, TimePoint> &published = m_published[model];
+    if (version > published.first) {
+        published = {version, now};
+    }
+}
+
 void SampleScheduler::setEngines(std::vector<EngineView> views)
 {
     std::map<EndpointId, Engine> next;
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -178,6 +178,7 @@
     };
 
     // Fleet and events (sample_scheduler.cpp); lost attempts (sample_scheduler_losses.cpp).
+    void heardOf(const ModelId &model, WeightVersion version, TimePoint now);
     void setEngines(std::vector<EngineView> views);
     void setTrainers(const std::map<TrainerId, TrainerConfig> &configured);
     void setNewest(const FleetPicture &fleet, TimePoint now);
@@ -204,6 +205,7 @@
     bool placeOne(Round &round, std::size_t trainerIndex, TimePoint now);
     std::optional<SampleRef> nextSample(const TrainerId &trainer, const Round &round, TimePoint now);
     bool permits(const SampleRef &sample, const EngineLoad &engine, TimePoint now) const;
+    bool waitsForSwap(const Trainer &trainer, const Step &step, const EngineLoad &engine, TimePoint now) const;
     std::uint64_t forecast(const SampleRef &sample, WeightVersion version, TimePoint now) const;
     void start(Round &round,
                std::size_t trainerIndex,
@@ -240,7 +242,7 @@
     std::map<EndpointId, Engine> m_engines;
     std::map<TrainerId, Trainer> m_trainers;
     std::map<ModelId, StalenessRule> m_staleness;
-    std::map<ModelId, WeightVersion> m_published;
+    std::map<ModelId, std::pair<WeightVersion, TimePoint>> m_published; // and since when it is known
     std::unordered_map<std::string, Attempt> m_attempts; // by request id
     std::map<SampleRef, std::vector<std::string>> m_attemptsOf;
     std::map<SampleRef, Resumption> m_resumptions;
--- a/bergamot/samples/sample_scheduler_dispatch.cpp
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -209,21 +209,32 @@
     return std::max(whole, byDraws);
 }
 
+bool SampleScheduler::waitsForSwap(const Trainer &trainer,
+                                   const Step &step,
+                                   const EngineLoad &engine,
+                                   TimePoint now) const
+{
+    const auto published = m_published.find(trainer.config.model);
+    if (published == m_published.end() || engine.version >= published->second.first) {
+        return false;
+    }
+    const bool patient = step.drawn && now < published->second.second + trainer.strategy->swapPatience;
+    return trainer.strategy->drainsBeforeSwap || patient;
+}
+
 bool SampleScheduler::permits(const SampleRef &sample, const EngineLoad &engine, TimePoint now) const
 {
     if (!m_crashes.mayStart(groupOf(sample), engine.engine)) {
         return false;
     }
     const Trainer &trainer = m_trainers.at(sample.step.trainer);
-    const auto published = m_published.find(trainer.config.model);
-    const bool swapAhead = published != m_published.end() && engine.version < published->second;
-    if (trainer.strategy->drainsBeforeSwap && swapAhead) {
+    const Step *step = m_book.find(sample.step);
+    if (waitsForSwap(trainer, *step, engine, now)) {
         return false;
     }
     if (!trainer.strategy->forecastsStaleness) {
         return true;
     }
-    const Step *step = m_book.find(sample.step);
     if (step->drawn && engine.version >= newestFor(trainer)) {
         return true; // nothing newer can be had
     }
--- a/bergamot/samples/sample_scheduler_draws.cpp
+++ b/bergamot/samples/sample_scheduler_draws.cpp
@@ -107,6 +107,7 @@
     dropEarlierSteps(request.step, now);
     Trainer &trainer = m_trainers.at(request.step.trainer);
     trainer.named = request.namedVersion;
+    heardOf(trainer.config.model, request.namedVersion, now);
     if (!step->drawn && trainer.handedOverAt != TimePoint()) {
         const Duration away = now - trainer.handedOverAt;
         trainer.away = trainer.away == Duration::zero() ? away : trainer.away + (away - trainer.away) / AwaySmoothing;
--- a/bergamot/samples/sample_scheduler_test.cpp
+++ b/bergamot/samples/sample_scheduler_test.cpp
@@ -258,6 +258,20 @@
     EXPECT_EQ(m_exported.size(), 4U);
 }
 
+TEST_F(SampleSchedulerTest, anEngineThatRefusedRestsBeforeItIsAskedAgain)
+{
+    ASSERT_TRUE(handIn(1));
+    collect();
+    for (const std::string &request : std::exchange(m_started, {})) {
+        m_scheduler.generationEnded(request, failure(ErrorCode::Unavailable, "no"), m_now);
+    }
+    collect();
+    EXPECT_TRUE(m_started.empty());
+    m_scheduler.tick(m_now + seconds(1));
+    collect();
+    EXPECT_EQ(m_started.size(), 4U);
+}
+
 TEST_F(SampleSchedulerTest, aDrawIsAnsweredByItsDeadline)
 {
     ASSERT_TRUE(handIn(1));
--- a/bergamot/samples/samples_benchmark.cpp
+++ b/bergamot/samples/samples_benchmark.cpp
@@ -2,7 +2,7 @@
 // deployments, with and without faults. Prints one line for each run; every figure follows from the seed alone.
 //
 //     samples_benchmark [steps]          every strategy
-//     samples_benchmark [steps] sweep    values of aheadShare and aheadLead, for choosing them
+//     samples_benchmark [steps] sweep    values of aheadShare and swapPatience, for choosing them
 //     samples_benchmark 0 memory         17 trainers with 4,096 samples each
 
 #include <cstdio>
@@ -301,11 +301,11 @@
 {
     static DispatchStrategy strategy = StalenessFirst;
     for (const int trainers : {1, 3}) {
-        for (const double lead : {0.0, 1.0}) {
-            for (const double share : {0.4, 0.55, 0.7, 0.85, 1.0}) {
+        for (const int patience : {0, 8, 16}) {
+            for (const double share : {0.3, 0.5, 0.7, 0.9, 1.0}) {
                 strategy.aheadShare = share;
-                strategy.aheadLead = lead;
-                std::printf("share %.2f lead %.1f: ", share, lead);
+                strategy.swapPatience = seconds(patience);
+                std::printf("share %.2f patience %2d s: ", share, patience);
                 const Contender contender{&strategy, false};
                 print(
                     Deployments[0], contender, trainers, false, run(Deployments[0], contender, trainers, false, steps));
