control: keys whose home domain is gone are claimed by another domain

Cause: with one of three failure domains lost, every keyed request whose home it was is refused for as long as it is away: a third of the lot confirmations. Ruled out: moving the keys' home (two streams would then decide about one key); a lease for the committer (the log's order already decides, so a second committer does no harm). Change: KeyHomes holds fold, reader and service for each home that this instance claims for; while no instance of a home is known, the committer comes from all instances.

--- a/bergamot/control/control_process.cpp
+++ b/bergamot/control/control_process.cpp
@@ -5,7 +5,6 @@
 #include "bergamot/base/metrics.h"
 #include "bergamot/control/control_routes.h"
 #include "bergamot/control/key_router.h"
-#include "bergamot/control/keys_tail.h"
 #include "bergamot/control/trainer_router.h"
 #include "bergamot/control/watched_appender.h"
 #include "bergamot/evidence/evidence_chain.h"
@@ -84,19 +83,17 @@
 
     ConfigurationFold configuration;
     LeaseFold duties;
-    KeyFold keyFold;
     StreamReplica configurationReplica;
     StreamReplica dutiesReplica;
     std::string configurationText;
     std::uint64_t configurationTextVersion = 0;
 
     FleetNode node;
-    KeysTail keysTail;
+    KeyHomes keys;
     EvidenceChain evidence;
     LeaseKeeper leases;
     GuardedBy<LeaseKeeper> guard;
     IntentService intents;
-    KeyService keys;
     RolloutService rollout;
     SampleService samples;
     KeyRouter keyRouter;
@@ -133,26 +130,12 @@
            {loop, clock, peers, platformLog, list, appender, probe},
            {&configurationReplica, &dutiesReplica},
            nodeEvents())
-    , keysTail(keysStream(options.domain),
-               keyFold,
-               {loop, clock, platformLog, appender},
-               [this] {
-                   keys.onApplied();
-               })
+    , keys({.writer = options.instance.value(), .incarnation = options.incarnation},
+           {loop, clock, platformLog, appender})
     , evidence({.instance = options.instance.value(), .incarnation = options.incarnation}, loop, clock, appender)
     , leases({.holder = options.instance.value(), .incarnation = options.incarnation}, loop, clock, appender, duties)
     , guard(leases)
     , intents({}, loop, clock, appender, configuration, fleetView())
-    , keys({.writer = options.instance.value(),
-            .incarnation = options.incarnation,
-            .stream = keysStream(options.domain)},
-           loop,
-           clock,
-           appender,
-           keyFold,
-           [this] {
-               return keysTail.isCaughtUp();
-           })
     , rollout({.domain = options.domain}, loop, clock, engines, store, guard, evidence)
     , samples(
           {.instance = options.instance.value(), .incarnation = options.incarnation},
@@ -273,9 +256,7 @@
 void ControlProcess::Impl::tick()
 {
     node.tick();
-    const std::optional<InstanceId> committer = keyCommitter(options.domain, node.eligible(options.domain));
-    keysTail.setActive(committer == options.instance);
-    keysTail.tick();
+    keyRouter.tick();
     if (!isDraining) {
         rollout.tick();
     }
@@ -308,9 +289,10 @@
 
 void ControlProcess::Impl::landed(const std::string &stream, Offset offset)
 {
-    if (stream == keysStream(options.domain)) {
-        keysTail.readSoon();
-    } else if (stream == ConfigurationStream || stream == DutiesStream) {
+    if (keys.landed(stream)) {
+        return;
+    }
+    if (stream == ConfigurationStream || stream == DutiesStream) {
         node.expect(stream, offset);
     }
 }
--- a/bergamot/control/key_router.cpp
+++ b/bergamot/control/key_router.cpp
@@ -23,78 +23,99 @@
 
 } // namespace
 
+std::optional<InstanceId> committerOf(const FailureDomainId &home, const KeyPlacement &placement)
+{
+    const std::vector<InstanceId> atHome = placement.eligible(home);
+    return keyCommitter(home, atHome.empty() ? placement.eligibleEverywhere() : atHome);
+}
+
 KeyPlace placeKey(const std::string &key, bool isPassedOn, const KeyPlacement &placement)
 {
     const std::optional<FailureDomainId> home = keyHome(key, placement.configuredDomains);
     if (!home) {
-        return {KeyPlace::Kind::Nowhere, {}, "no failure domain is configured yet"};
+        return {KeyPlace::Kind::Nowhere, {}, {}, "no failure domain is configured yet"};
     }
     if (isPassedOn) {
-        const bool isHome = *home == placement.domain;
-        return isHome ? KeyPlace{KeyPlace::Kind::Here, {}, {}}
-                      : KeyPlace{KeyPlace::Kind::Nowhere, {}, "the key's home is domain " + home->value()};
+        const bool isOurs = *home == placement.domain || placement.eligible(*home).empty();
+        return isOurs ? KeyPlace{KeyPlace::Kind::Here, *home, {}, {}}
+                      : KeyPlace{KeyPlace::Kind::Nowhere, {}, {}, "the key's home is domain " + home->value()};
     }
-    const std::optional<InstanceId> committer = keyCommitter(*home, placement.eligible(*home));
+    const std::optional<InstanceId> committer = committerOf(*home, placement);
     if (!committer) {
-        return {KeyPlace::Kind::Nowhere, {}, "no instance of domain " + home->value() + " is known here"};
+        return {KeyPlace::Kind::Nowhere, {}, {}, "no instance is known here"};
     }
     if (*committer == placement.self) {
-        return {KeyPlace::Kind::Here, {}, {}};
+        return {KeyPlace::Kind::Here, *home, {}, {}};
     }
-    return {KeyPlace::Kind::Elsewhere, *committer, {}};
+    return {KeyPlace::Kind::Elsewhere, *home, *committer, {}};
 }
 
 KeyRouter::KeyRouter(InstanceId self,
                      FailureDomainId domain,
                      FleetNode &node,
                      PeerClient &peers,
-                     KeyService &keys,
+                     KeyHomes &homes,
                      std::function<std::vector<FailureDomainId>()> configuredDomains)
     : m_self(std::move(self))
     , m_domain(std::move(domain))
     , m_node(node)
     , m_peers(peers)
-    , m_keys(keys)
+    , m_homes(homes)
     , m_configuredDomains(std::move(configuredDomains))
 { }
 
-KeyPlace KeyRouter::place(const std::string &key, const inner::FrameT &frame) const
+KeyPlacement KeyRouter::placement() const
 {
-    const KeyPlacement placement{.self = m_self,
-                                 .domain = m_domain,
-                                 .configuredDomains = m_configuredDomains(),
-                                 .eligible = [this](const FailureDomainId &domain) {
-                                     return m_node.eligible(domain);
-                                 }};
-    return placeKey(key, frame.sender != m_self.value(), placement);
+    return {.self = m_self,
+            .domain = m_domain,
+            .configuredDomains = m_configuredDomains(),
+            .eligible =
+                [this](const FailureDomainId &domain) {
+                    return m_node.eligible(domain);
+                },
+            .eligibleEverywhere =
+                [this] {
+                    return m_node.eligibleEverywhere();
+                }};
+}
+
+void KeyRouter::tick()
+{
+    const KeyPlacement now = placement();
+    for (const FailureDomainId &home : now.configuredDomains) {
+        m_homes.setCommitting(home, committerOf(home, now) == m_self);
+    }
 }
 
 void KeyRouter::handle(inner::FrameT frame, const PeerServer::Reply &reply)
 {
     const inner::KeyClaimT *claim = frame.body.AsKeyClaim();
     const inner::KeyOutcomeT *outcome = frame.body.AsKeyOutcome();
-    const KeyPlace where = place(claim != nullptr ? claim->key : outcome->key, frame);
+    const bool isPassedOn = frame.sender != m_self.value();
+    const KeyPlace where = placeKey(claim != nullptr ? claim->key : outcome->key, isPassedOn, placement());
     if (where.kind == KeyPlace::Kind::Nowhere) {
         reply(makeRefusal(errorCodeName(ErrorCode::Unavailable), where.problem, RetryAfterMilliseconds));
     } else if (where.kind == KeyPlace::Kind::Elsewhere) {
         passOn(where.instance, std::move(frame.body), reply);
     } else if (claim != nullptr) {
-        claimHere(*claim, reply);
+        claimHere(where.home, *claim, reply);
     } else {
-        outcomeHere(*outcome, reply);
+        outcomeHere(where.home, *outcome, reply);
     }
 }
 
-void KeyRouter::claimHere(const inner::KeyClaimT &claim, const PeerServer::Reply &reply)
+void KeyRouter::claimHere(const FailureDomainId &home, const inner::KeyClaimT &claim, const PeerServer::Reply &reply)
 {
-    m_keys.claim(claim, [reply](const Result<inner::KeyClaimReplyT> &answer) {
+    m_homes.service(home).claim(claim, [reply](const Result<inner::KeyClaimReplyT> &answer) {
         replyWith(reply, answer);
     });
 }
 
-void KeyRouter::outcomeHere(const inner::KeyOutcomeT &outcome, const PeerServer::Reply &reply)
+void KeyRouter::outcomeHere(const FailureDomainId &home,
+                            const inner::KeyOutcomeT &outcome,
+                            const PeerServer::Reply &reply)
 {
-    m_keys.outcome(outcome, [reply](const Result<inner::KeyOutcomeReplyT> &answer) {
+    m_homes.service(home).outcome(outcome, [reply](const Result<inner::KeyOutcomeReplyT> &answer) {
         replyWith(reply, answer);
     });
 }
