--- a/bergamot/entry/data_path_test_fixture.h
+++ b/bergamot/entry/data_path_test_fixture.h
@@ -277,6 +277,7 @@
         options.instance = InstanceId(instance);
         options.router.target.pool.instance = instance;
         options.router.target.pool.domain = FailureDomainId("a");
+        options.router.target.pool.limit.initial = 16;
         options.shutdown.balancerGrace = std::chrono::milliseconds(20);
         options.viewPeriod = std::chrono::milliseconds(10);
         options.seed = 3;
--- a/bergamot/routing/concurrency_limit.cpp
+++ b/bergamot/routing/concurrency_limit.cpp
@@ -31,9 +31,12 @@
     }
 }
 
-void ConcurrencyLimit::setReported(bool reported)
+void ConcurrencyLimit::setReportedSlots(std::uint32_t slots)
 {
-    m_tolerance = reported ? m_options.reportedTolerance : m_options.tolerance;
+    m_tolerance = slots > 0 ? m_options.reportedTolerance : m_options.tolerance;
+    if (m_floor <= 0) {
+        m_limit = std::clamp(std::max<double>(m_limit, slots), m_options.least, m_options.most);
+    }
 }
 
 void ConcurrencyLimit::overloaded()
--- a/bergamot/routing/concurrency_limit.h
+++ b/bergamot/routing/concurrency_limit.h
@@ -35,8 +35,9 @@
 
     /// One answer after `latency`; `inFlight` is what this instance had on the endpoint when it was dispatched.
     void answered(Duration latency, std::uint32_t inFlight);
-    /// Whether the endpoint reports its load; latency is then only a safeguard.
-    void setReported(bool reported);
+    /// The endpoint reports its load and runs `slots` requests at once (0: it does not report). Latency is then only a
+    /// safeguard, and the limit starts at `slots`.
+    void setReportedSlots(std::uint32_t slots);
     /// The endpoint refused for overload or ran into a timeout.
     void overloaded();
 
--- a/bergamot/routing/crash_quarantine.cpp
+++ b/bergamot/routing/crash_quarantine.cpp
@@ -52,6 +52,19 @@
     publish(fingerprint, entry, false);
 }
 
+void CrashQuarantine::exonerate(std::uint64_t fingerprint, const EndpointId &endpoint, TimePoint now)
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end() || found->second.endpoints.erase(endpoint) == 0) {
+        return;
+    }
+    found->second.ranAlone = false;
+    if (found->second.endpoints.empty()) {
+        publish(fingerprint, found->second, true);
+        found->second = Entry{.endpoints = {}, .ranAlone = false, .changedAt = now, .clearedAt = now};
+    }
+}
+
 void CrashQuarantine::finished(std::uint64_t fingerprint, TimePoint now)
 {
     if (m_entries.empty()) {
--- a/bergamot/routing/crash_quarantine.h
+++ b/bergamot/routing/crash_quarantine.h
@@ -62,6 +62,8 @@
     /// The connection to `endpoint` broke while the request ran there. A second endpoint counts only if the request
     /// ran alone: a bystander that is unlucky twice stays a suspect.
     void endpointLost(std::uint64_t fingerprint, const EndpointId &endpoint, RunMode mode, TimePoint now);
+    /// `endpoint` has answered a request that was in flight when the connection broke, so it had not died.
+    void exonerate(std::uint64_t fingerprint, const EndpointId &endpoint, TimePoint now);
     /// The request finished normally.
     void finished(std::uint64_t fingerprint, TimePoint now);
     /// Whether `endpoint` has died under the request before.
--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -96,7 +96,7 @@
     State &state = m_states[slot];
     state.load.finished(now);
     --m_inFlight;
-    if (failure == EndpointFailure::Faulty && !state.health.ejected() && !mayDoubtMore()) {
+    if (failure != EndpointFailure::Refused && !state.health.ejected() && !mayDoubtMore()) {
         return;
     }
     state.health.failed(failure, now, random);
@@ -258,7 +258,7 @@
 
 void EndpointPool::takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const
 {
-    state.limit.setReported(endpoint.slots > 0);
+    state.limit.setReportedSlots(endpoint.slots);
     if (endpoint.slots > 0) {
         state.load.reported(endpoint.load, now - endpoint.loadAge);
     }
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -37,7 +37,7 @@
     std::array<double, TrafficClassCount> classShare{1.0, 0.97, 0.92}; // of the sum of the limits, by class
     double slotMargin = 0.125; // requests beyond an engine's slots, as a share, that cover the lag of its report
     double slowFactor = 4; // an endpoint slower than this multiple of the median is ejected
-    double mostDoubtful = 0.34; // share of the endpoints that may be ejected although they answer
+    double mostDoubtful = 0.34; // share of the endpoints that may be ejected although they take connections
     ConcurrencyLimitOptions limit; // of each endpoint, by latency
     ReportLimitOptions reportLimit; // of all together, by reported load
     EndpointHealthOptions health;
@@ -123,7 +123,8 @@
     void sumReports(TimePoint now);
     double cost(const State &state, TimePoint now) const;
     bool tooSlow(double unitSeconds) const;
-    /// Whether one more endpoint may be ejected although it answers.
+    /// Whether one more endpoint may be ejected although it takes connections. If most of them fail, what they have
+    /// in common fails, and leaving them all alone helps nobody.
     bool mayDoubtMore() const;
     std::optional<std::size_t> tryOrder(const std::vector<std::size_t> &order,
                                         const PickRequest &request,
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -146,6 +146,7 @@
     void pump(TargetState &target, TimePoint now);
     void pumpQuarantine(TargetState &target, TimePoint now);
     void quarantine(Pending &pending, TimePoint now);
+    void exonerate(const Attempt &answered, TimePoint now);
     void hedge(Pending &pending, TimePoint now);
     void runTimers(TimePoint now);
     void deadlinePassed(Pending &pending, TimePoint now);
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -154,6 +154,33 @@
     });
 }
 
+void Router::exonerate(const Attempt &answered, TimePoint now)
+{
+    TargetState &target = *answered.target;
+    const auto lived = [&](const ConnectionLoss &loss) {
+        return loss.slot == answered.slot && loss.at > answered.dispatchedAt;
+    };
+    for (const ConnectionLoss &loss : target.losses) {
+        if (lived(loss)) {
+            m_quarantine.exonerate(loss.fingerprint, target.pool.endpoint(loss.slot), now);
+        }
+    }
+    if (std::erase_if(target.losses, lived) == 0) {
+        return;
+    }
+    for (const RequestId id : std::exchange(target.suspects, {})) {
+        Pending *pending = find(id);
+        if (pending == nullptr) {
+            continue;
+        }
+        if (m_quarantine.standing(pending->request.fingerprint, now) == Standing::Suspect) {
+            target.suspects.push_back(id);
+        } else {
+            admit(*pending, now);
+        }
+    }
+}
+
 void Router::hedge(Pending &pending, TimePoint now)
 {
     TargetState &target = *pending.target;
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -8,6 +8,7 @@
 
 constexpr Duration RetryAfterFailure = std::chrono::seconds(1);
 constexpr std::int32_t FirstServerError = 500;
+constexpr std::size_t MostLosses = 256;
 
 bool endpointOverloaded(const AttemptAnswer &answer)
 {
@@ -57,6 +58,7 @@
     }
     std::erase(pending->attempts, id);
     m_quarantine.finished(pending->request.fingerprint, now);
+    exonerate(*attempt, now);
     if (answer.notRun && !pending->streamStarted) {
         pending->retryAfter = answer.retryAfter;
         const FailureFacts facts{.proof = DeliveryProof::NotRun, .otherInFlight = !pending->attempts.empty()};
@@ -198,6 +200,11 @@
     }
     if (!failure.timedOut) {
         m_quarantine.endpointLost(fingerprint, pool.endpoint(attempt.slot), attempt.mode, now);
+        std::deque<ConnectionLoss> &losses = attempt.target->losses;
+        losses.push_back({.slot = attempt.slot, .fingerprint = fingerprint, .at = now});
+        if (losses.size() > MostLosses) {
+            losses.pop_front();
+        }
         pool.failed(attempt.slot, EndpointFailure::Lost, now, m_random);
         return;
     }
--- a/bergamot/routing/router_test.cpp
+++ b/bergamot/routing/router_test.cpp
@@ -418,6 +418,37 @@
     EXPECT_EQ(dispatchesOf(again), 0U);
 }
 
+TEST_F(RouterTest, BrokenConnectionsToLivingEndpointsLeaveNoSuspects)
+{
+    showEndpoints(1);
+    const auto repeatable = [](CallerRequest &request) {
+        request.repeatable = true;
+    };
+    const RequestId broken = send(repeatable);
+    send(repeatable);
+    m_now += 1ms;
+    fail(m_dispatches[0].attempt, ConnectionLost);
+    EXPECT_EQ(dispatchesOf(broken), 1U) << "It may have killed its endpoint.";
+    m_now += 1ms;
+    answer(m_dispatches[1].attempt);
+    const RequestId again = send([&](CallerRequest &request) {
+        request.repeatable = true;
+        request.fingerprint = broken;
+    });
+    EXPECT_EQ(dispatchesOf(again), 1U);
+}
+
+TEST_F(RouterTest, TroubleOfAllEndpointsEjectsOnlySome)
+{
+    showEndpoints(9);
+    for (int count = 0; count < 200; ++count) {
+        send();
+        m_now += 1ms;
+        fail(m_dispatches.back().attempt, ConnectionLost);
+    }
+    EXPECT_EQ(m_dispatches.size(), 200U);
+}
+
 TEST_F(RouterTest, DomainsVerdictCountsHere)
 {
     m_suspects = {{.fingerprint = 666, .endpoints = {EndpointId("x"), EndpointId("y")}, .ranAlone = true}};
--- a/bergamot/routing/routing_benchmark.cpp
+++ b/bergamot/routing/routing_benchmark.cpp
@@ -327,10 +327,23 @@
     }
 }
 
+/// Half of all requests broken, everywhere, at half load: what callers' requests turn into.
+void outage(benchmark::State &state, const Policy &policy)
+{
+    for (auto _ : state) {
+        SimulationOptions options = simulationOf(policy, 0.5, static_cast<std::uint64_t>(state.range(0)));
+        options.lostShare = 0.5;
+        const SimulationResult result = simulate(options);
+        state.counters["attempts"] = result.amplification();
+        state.counters["interactive_answered"] = result.answeredShare(TrafficClass::Interactive);
+        state.counters["batch_answered"] = result.answeredShare(TrafficClass::Batch);
+    }
+}
+
 [[maybe_unused]] const bool Registered = [] {
     using Scenario = void (*)(benchmark::State &, const Policy &);
     const std::vector<std::pair<std::string, Scenario>> scenarios{
-        {"overload", overload}, {"slowEndpoint", slowEndpoint}, {"failures", failures}};
+        {"overload", overload}, {"slowEndpoint", slowEndpoint}, {"failures", failures}, {"outage", outage}};
     for (const auto &[name, scenario] : scenarios) {
         for (const Policy &policy : policies()) {
             benchmark::RegisterBenchmark((name + "/" + policy.name).c_str(),
--- a/bergamot/routing/routing_table.cpp
+++ b/bergamot/routing/routing_table.cpp
@@ -35,6 +35,8 @@
 
 RoutedEndpoint routedEndpoint(const inner::EndpointT &endpoint, Address address)
 {
+    // A plain service that is only probed for its health is listed with one slot.
+    const bool reportsLoad = endpoint.kind == inner::EndpointKind::Engine || endpoint.slots > 1;
     return {
         .id = EndpointId(endpoint.id),
         .domain = FailureDomainId(endpoint.domain),
@@ -42,8 +44,8 @@
         .leaving = endpoint.leaving,
         .reachable = endpoint.reachable,
         .loading = endpoint.loading != 0,
-        .load = endpoint.running + endpoint.waiting,
-        .slots = endpoint.slots,
+        .load = reportsLoad ? endpoint.running + endpoint.waiting : 0,
+        .slots = reportsLoad ? endpoint.slots : 0,
         .loadAge = std::chrono::milliseconds(endpoint.load_age_ms),
     };
 }
--- a/bergamot/routing/target_state.h
+++ b/bergamot/routing/target_state.h
@@ -33,6 +33,14 @@
     bool running = false;
 };
 
+/// A connection that broke under a request.
+struct ConnectionLoss
+{
+    std::size_t slot = 0;
+    std::uint64_t fingerprint = 0;
+    TimePoint at{};
+};
+
 struct TargetState
 {
     explicit TargetState(const TargetOptions &options)
@@ -62,6 +70,7 @@
     LatencyQuantile lateUnit;
     std::deque<RequestId> suspects;
     std::vector<QuarantineLane> lanes;
+    std::deque<ConnectionLoss> losses; // the newest ones, oldest first
 };
 
 } // namespace bergamot
