--- a/bergamot/routing/limits_test.cpp
+++ b/bergamot/routing/limits_test.cpp
@@ -105,7 +105,7 @@
 {
     constexpr double Slots = 80;
     std::array<ReportLimit, 2> limits{ReportLimit({.initial = 120}), ReportLimit({.initial = 20})};
-    for (int report = 0; report < 400; ++report) {
+    for (int report = 0; report < 200; ++report) {
         const double perSlot = (std::min(limits[0].allowed(), 200.0) + std::min(limits[1].allowed(), 200.0)) / Slots;
         for (ReportLimit &limit : limits) {
             limit.reported(perSlot, Now + std::chrono::seconds(report));
--- a/bergamot/routing/report_limit.h
+++ b/bergamot/routing/report_limit.h
@@ -22,21 +22,10 @@
     double most = 1e6;
     double target = 1.1; // requests for each slot that a cut aims at
     double fullAt = 1.25; // requests for each slot above which the limit is cut and below which it grows
-<<<<<<< HEAD
-<<<<<<< Updated upstream
-    double growth = 2; // requests for each report
-=======
     double growth = 0.3; // for each report, times the limit to the power of `growthPower`
     double growthPower = 0.5; // below 1, so that small limits catch up with large ones
     double rounding = 0; // in [0, 1), added before the limit is cut to a whole number; differs between instances, so
                          // that not all step over the same number at once
->>>>>>> Stashed changes
-=======
-    double growth = 0.12; // for each report, times the limit to the power of `growthPower`
-    double growthPower = 0.75; // below 1, so that small limits catch up with large ones
-    double rounding = 0; // in [0, 1), added before the limit is cut to a whole number; differs between instances, so
-                         // that not all step over the same number at once
->>>>>>> main
     double steepestCut = 0.7; // factor for one report
 };
 
