control: an instance that does not answer is passed over at once for keys and trainers

Ruled out: a shorter silence (the list's word stands for other domains; relays speak every 5 s only). Change: FleetNode::ask notes whether an instance answered; two misses in a row make it ineligible for a while; a frame that never arrived is dealt with again, at most three times.

--- a/bergamot/control/control_process.cpp
+++ b/bergamot/control/control_process.cpp
@@ -150,14 +150,12 @@
     , keyRouter(options.instance,
                 options.domain,
                 node,
-                peers,
                 keys,
                 [this] {
                     return configuration.configuration().domains;
                 })
     , trainerRouter(options.instance,
                     node,
-                    peers,
                     [this](const HttpRequest &request, const ResponderPtr &responder) {
                         samples.handle(request, responder);
                     })
--- a/bergamot/control/fleet_node.cpp
+++ b/bergamot/control/fleet_node.cpp
@@ -219,13 +219,30 @@
     return all;
 }
 
-Result<Address> FleetNode::controlAddress(const InstanceId &instance) const
+void FleetNode::ask(const InstanceId &instance,
+                    inner::BodyUnion body,
+                    std::chrono::milliseconds timeout,
+                    Callback<inner::FrameT> done)
 {
     const std::optional<Member> member = m_dissemination.members().find(instance);
-    if (!member) {
-        return failure(ErrorCode::NotFound, "instance " + instance.value() + " is not known here");
+    const Result<Address> address = parseAddress(member ? member->controlAddress : std::string());
+    if (!address) {
+        done(failure(ErrorCode::Unavailable, "the address of instance " + instance.value() + " is not known here"));
+        return;
     }
-    return parseAddress(member->controlAddress);
+    const auto answered = [this, post = poster(), instance, done = std::move(done)](Result<inner::FrameT> reply) {
+        const auto moved = std::make_shared<Result<inner::FrameT>>(std::move(reply));
+        post([this, instance, done, moved] {
+            const TimePoint now = m_parts.clock.now();
+            if (*moved) {
+                m_dissemination.answered(instance, now);
+            } else {
+                m_dissemination.unanswered(instance, now);
+            }
+            done(std::move(*moved));
+        });
+    };
+    m_parts.peers.request(*address, std::move(body), timeout, answered);
 }
 
 std::shared_ptr<const inner::ViewT> FleetNode::view() const
--- a/bergamot/control/fleet_node.h
+++ b/bergamot/control/fleet_node.h
@@ -80,8 +80,12 @@
     /// Present instances of `domain` that take duties.
     std::vector<InstanceId> eligible(const FailureDomainId &domain) const;
     std::vector<InstanceId> eligibleEverywhere() const;
-    /// Where an instance takes frames; `NotFound` if that is not known.
-    Result<Address> controlAddress(const InstanceId &instance) const;
+    /// Sends a request to another instance; `done` runs on the loop. One that does not answer twice in a row is no
+    /// longer eligible for a while. `Unavailable`: the request did not reach it.
+    void ask(const InstanceId &instance,
+             inner::BodyUnion body,
+             std::chrono::milliseconds timeout,
+             Callback<inner::FrameT> done);
     std::shared_ptr<const inner::ViewT> view() const;
 
 private:
--- a/bergamot/control/key_router.cpp
+++ b/bergamot/control/key_router.cpp
@@ -8,6 +8,7 @@
 
 constexpr std::chrono::milliseconds PassOnTimeout{3000};
 constexpr std::uint64_t RetryAfterMilliseconds = 1000;
+constexpr std::uint32_t MostAttempts = 3; // instances that one frame is passed on to
 
 template<typename T>
 void replyWith(const PeerServer::Reply &reply, const Result<T> &answer)
@@ -53,13 +54,11 @@
 KeyRouter::KeyRouter(InstanceId self,
                      FailureDomainId domain,
                      FleetNode &node,
-                     PeerClient &peers,
                      KeyHomes &homes,
                      std::function<std::vector<FailureDomainId>()> configuredDomains)
     : m_self(std::move(self))
     , m_domain(std::move(domain))
     , m_node(node)
-    , m_peers(peers)
     , m_homes(homes)
     , m_configuredDomains(std::move(configuredDomains))
 { }
@@ -89,14 +88,19 @@
 
 void KeyRouter::handle(inner::FrameT frame, const PeerServer::Reply &reply)
 {
-    const inner::KeyClaimT *claim = frame.body.AsKeyClaim();
-    const inner::KeyOutcomeT *outcome = frame.body.AsKeyOutcome();
-    const bool isPassedOn = frame.sender != m_self.value();
+    deal(std::make_shared<inner::FrameT>(std::move(frame)), 1, reply);
+}
+
+void KeyRouter::deal(std::shared_ptr<inner::FrameT> frame, std::uint32_t attempt, const PeerServer::Reply &reply)
+{
+    const inner::KeyClaimT *claim = frame->body.AsKeyClaim();
+    const inner::KeyOutcomeT *outcome = frame->body.AsKeyOutcome();
+    const bool isPassedOn = frame->sender != m_self.value();
     const KeyPlace where = placeKey(claim != nullptr ? claim->key : outcome->key, isPassedOn, placement());
     if (where.kind == KeyPlace::Kind::Nowhere) {
         reply(makeRefusal(errorCodeName(ErrorCode::Unavailable), where.problem, RetryAfterMilliseconds));
     } else if (where.kind == KeyPlace::Kind::Elsewhere) {
-        passOn(where.instance, std::move(frame.body), reply);
+        passOn(where.instance, std::move(frame), attempt, reply);
     } else if (claim != nullptr) {
         claimHere(where.home, *claim, reply);
     } else {
@@ -120,19 +124,20 @@
     });
 }
 
-void KeyRouter::passOn(const InstanceId &to, inner::BodyUnion body, const PeerServer::Reply &reply)
+void KeyRouter::passOn(const InstanceId &to,
+                       std::shared_ptr<inner::FrameT> frame,
+                       std::uint32_t attempt,
+                       const PeerServer::Reply &reply)
 {
-    const Result<Address> address = m_node.controlAddress(to);
-    if (!address) {
-        reply(makeRefusal(errorCodeName(ErrorCode::Unavailable), address.error().message, RetryAfterMilliseconds));
-        return;
-    }
-    m_peers.request(*address, std::move(body), PassOnTimeout, [reply](Result<inner::FrameT> answer) {
-        if (!answer) {
+    m_node.ask(to, frame->body, PassOnTimeout, [this, frame, attempt, reply](Result<inner::FrameT> answer) {
+        if (answer) {
+            reply(std::move(answer->body));
+        } else if (answer.error().code == ErrorCode::Unavailable && attempt < MostAttempts) {
+            // It never arrived; after two such failures another instance is chosen.
+            deal(frame, attempt + 1, reply);
+        } else {
             reply(makeRefusal(answer.error()));
-            return;
         }
-        reply(std::move(answer->body));
     });
 }
 
--- a/bergamot/control/key_router.h
+++ b/bergamot/control/key_router.h
@@ -4,7 +4,7 @@
 // instance that claims keys for the key's home domain: one of that domain, or of any other while none of it is left.
 // Nothing rests on the choice: the log decides.
 //
-//     KeyRouter router(self, domain, node, peers, homes, domains);
+//     KeyRouter router(self, domain, node, homes, domains);
 //     router.handle(std::move(frame), reply);
 
 #include <functional>
@@ -50,11 +50,10 @@
 class KeyRouter
 {
 public:
-    /// `node`, `peers` and `homes` outlive the router.
+    /// `node` and `homes` outlive the router.
     KeyRouter(InstanceId self,
               FailureDomainId domain,
               FleetNode &node,
-              PeerClient &peers,
               KeyHomes &homes,
               std::function<std::vector<FailureDomainId>()> configuredDomains);
 
@@ -67,12 +66,15 @@
     KeyPlacement placement() const;
     void claimHere(const FailureDomainId &home, const inner::KeyClaimT &claim, const PeerServer::Reply &reply);
     void outcomeHere(const FailureDomainId &home, const inner::KeyOutcomeT &outcome, const PeerServer::Reply &reply);
-    void passOn(const InstanceId &to, inner::BodyUnion body, const PeerServer::Reply &reply);
+    void deal(std::shared_ptr<inner::FrameT> frame, std::uint32_t attempt, const PeerServer::Reply &reply);
+    void passOn(const InstanceId &to,
+                std::shared_ptr<inner::FrameT> frame,
+                std::uint32_t attempt,
+                const PeerServer::Reply &reply);
 
     InstanceId m_self;
     FailureDomainId m_domain;
     FleetNode &m_node;
-    PeerClient &m_peers;
     KeyHomes &m_homes;
     std::function<std::vector<FailureDomainId>()> m_configuredDomains;
 };
--- a/bergamot/control/trainer_router.cpp
+++ b/bergamot/control/trainer_router.cpp
@@ -13,6 +13,7 @@
 constexpr std::string_view TrainersPrefix = "/v1/trainers/";
 constexpr std::chrono::milliseconds PassOnTimeout{40'000}; // longer than the longest wait of a draw
 constexpr std::chrono::milliseconds RetryAfter{1000};
+constexpr std::uint32_t MostAttempts = 3; // instances that one request is passed on to
 
 Error notPassedOn(const Error &error, const InstanceId &to)
 {
@@ -42,14 +43,21 @@
     return owner == instances.end() ? std::nullopt : std::optional(*owner);
 }
 
-TrainerRouter::TrainerRouter(InstanceId self, FleetNode &node, PeerClient &peers, Handler here)
+TrainerRouter::TrainerRouter(InstanceId self, FleetNode &node, Handler here)
     : m_self(std::move(self))
     , m_node(node)
-    , m_peers(peers)
     , m_here(std::move(here))
 { }
 
 void TrainerRouter::handle(const HttpRequest &request, const ResponderPtr &responder, std::uint32_t hops)
+{
+    handleAttempt(request, responder, hops, 1);
+}
+
+void TrainerRouter::handleAttempt(const HttpRequest &request,
+                                  const ResponderPtr &responder,
+                                  std::uint32_t hops,
+                                  std::uint32_t attempt)
 {
     const std::optional<TrainerId> trainer = trainerIn(request.path);
     const std::optional<InstanceId> owner =
@@ -58,29 +66,31 @@
         m_here(request, responder);
         return;
     }
-    passOn(*owner, request, responder, hops + 1);
+    passOn(*owner, request, responder, hops + 1, attempt);
 }
 
 void TrainerRouter::passOn(const InstanceId &to,
                            const HttpRequest &request,
                            const ResponderPtr &responder,
-                           std::uint32_t hops)
+                           std::uint32_t hops,
+                           std::uint32_t attempt)
 {
-    const Result<Address> address = m_node.controlAddress(to);
-    if (!address) {
-        responder->reply(errorResponse(notPassedOn(address.error(), to)));
-        return;
-    }
     inner::BodyUnion body;
     body.Set(toForwardRequest(request, hops));
-    m_peers.request(*address, std::move(body), PassOnTimeout, [to, responder](Result<inner::FrameT> reply) {
+    const auto answered = [this, to, request, responder, hops, attempt](const Result<inner::FrameT> &reply) {
         if (reply && reply->body.AsForwardReply() != nullptr) {
             responder->reply(fromForwardReply(*reply->body.AsForwardReply()));
             return;
         }
         const Error error = reply ? Error{ErrorCode::Internal, "another kind of frame", std::nullopt} : reply.error();
+        if (error.code == ErrorCode::Unavailable && attempt < MostAttempts) {
+            // It never arrived; after two such failures another instance is the owner.
+            handleAttempt(request, responder, hops - 1, attempt + 1);
+            return;
+        }
         responder->reply(errorResponse(notPassedOn(error, to)));
-    });
+    };
+    m_node.ask(to, std::move(body), PassOnTimeout, answered);
 }
 
 } // namespace bergamot
--- a/bergamot/control/trainer_router.h
+++ b/bergamot/control/trainer_router.h
@@ -3,7 +3,7 @@
 // Takes a trainer's requests to the instance that owns the trainer: the present one with the highest rendezvous weight.
 // No lease is needed: that samples are handed over once rests on the trainer's own cursor.
 //
-//     TrainerRouter router(self, node, peers, [&](const HttpRequest &r, ResponderPtr a) { samples.handle(r, a); });
+//     TrainerRouter router(self, node, [&](const HttpRequest &r, ResponderPtr a) { samples.handle(r, a); });
 //     router.handle(request, responder, 0);
 
 #include <functional>
@@ -29,18 +29,23 @@
 public:
     using Handler = std::function<void(const HttpRequest &request, const ResponderPtr &responder)>;
 
-    /// `node` and `peers` outlive the router.
-    TrainerRouter(InstanceId self, FleetNode &node, PeerClient &peers, Handler here);
+    /// `node` outlives the router.
+    TrainerRouter(InstanceId self, FleetNode &node, Handler here);
 
     /// `hops` says how often the request has been passed on.
     void handle(const HttpRequest &request, const ResponderPtr &responder, std::uint32_t hops);
 
 private:
-    void passOn(const InstanceId &to, const HttpRequest &request, const ResponderPtr &responder, std::uint32_t hops);
+    void
+    handleAttempt(const HttpRequest &request, const ResponderPtr &responder, std::uint32_t hops, std::uint32_t attempt);
+    void passOn(const InstanceId &to,
+                const HttpRequest &request,
+                const ResponderPtr &responder,
+                std::uint32_t hops,
+                std::uint32_t attempt);
 
     InstanceId m_self;
     FleetNode &m_node;
-    PeerClient &m_peers;
     Handler m_here;
 };
 
--- a/bergamot/membership/dissemination.h
+++ b/bergamot/membership/dissemination.h
@@ -91,6 +91,9 @@
                        const inner::DigestReplyT &reply,
                        TimePoint now);
     void replyFailed(const std::string &peer, TimePoint now);
+    /// An instance did or did not answer a request that is no digest.
+    void answered(const InstanceId &instance, TimePoint now);
+    void unanswered(const InstanceId &instance, TimePoint now);
     void logRead(const std::string &stream, const Result<LogPage> &page, TimePoint now);
     void listFetched(const Result<std::vector<ListedMember>> &list, TimePoint now);
     void endpointPolled(const EndpointId &endpoint, const Result<EngineState> &state, TimePoint now);
--- a/bergamot/membership/dissemination_receive.cpp
+++ b/bergamot/membership/dissemination_receive.cpp
@@ -264,6 +264,16 @@
     m_members.unanswered(InstanceId(peer), now);
 }
 
+void Dissemination::answered(const InstanceId &instance, TimePoint now)
+{
+    m_members.answered(instance, now);
+}
+
+void Dissemination::unanswered(const InstanceId &instance, TimePoint now)
+{
+    m_members.unanswered(instance, now);
+}
+
 void Dissemination::logRead(const std::string &stream, const Result<LogPage> &page, TimePoint now)
 {
     for (LogTail &tail : m_tails) {
