--- a/bergamot/control/trainer_router_test.cpp
+++ b/bergamot/control/trainer_router_test.cpp
@@ -32,6 +32,7 @@
 TEST(TrainerOwner, staysWhereItIsWhenAnotherInstanceGoes)
 {
     std::vector<InstanceId> instances;
+    instances.reserve(18);
     for (int i = 0; i < 18; ++i) {
         instances.emplace_back("i" + std::to_string(i));
     }
--- a/bergamot/membership/log_tail.h
+++ b/bergamot/membership/log_tail.h
@@ -28,7 +28,7 @@
     Duration period = std::chrono::milliseconds(500); // between reads at the end of the stream
     Duration maxBackoff = std::chrono::seconds(2); // between reads while the log is out
     Duration readTimeout = std::chrono::seconds(3); // a read without an answer is given up
-    Duration freshness = std::chrono::seconds(10); // how long one look at the end of the stream counts as recent
+    Duration freshness = std::chrono::seconds(4); // how long one look at the end of the stream counts as recent
     CheckpointTimerOptions checkpoints{.maxAge = std::chrono::minutes(5)};
 };
 
