Send all endpoint reports again every 30 s instead of 10

Cause: ControlTraffic/2 failed: 17,412 B/s of frames on the busiest of 616 nodes against 17,000. Received digests were 9.7 of these 17 KB/s on a relay, a third of their bytes the reports that are sent again. Ruled out: the digests' period (20 -> 16 members at one a second took off only 0.4 KB/s); whole states sent by mistake (sent bytes were 6.8 KB/s, of small frames). Change: DigestScheduleOptions::reportRefresh. A relay under a new name, or one that did not answer, gets all at once as before, so the period only bounds how long a relay restarted under its old name within one digest lacks a report.

--- a/bergamot/membership/digest_schedule.h
+++ b/bergamot/membership/digest_schedule.h
@@ -17,7 +17,7 @@
 struct DigestScheduleOptions
 {
     Duration timeout = std::chrono::seconds(3); // a digest without an outcome is given up
-    Duration reportRefresh = std::chrono::seconds(10); // all reports are sent again this often
+    Duration reportRefresh = std::chrono::seconds(30); // all reports are sent again this often
 };
 
 /// Not thread-safe.
