--- a/bergamot/samples/dispatch_strategy.h
+++ b/bergamot/samples/dispatch_strategy.h
@@ -26,7 +26,8 @@
 };
 
 /// For who weighs idle time more: starts the whole next step while the trainer still works on this one.
-inline constexpr DispatchStrategy IdleTimeFirst{.name = "idle-time", .versionLagCost = 0.25, .stragglerFactor = 1.5};
+inline constexpr DispatchStrategy IdleTimeFirst{
+    .name = "idle-time", .versionLagCost = 0.25, .aheadLead = 2, .stragglerFactor = 1.5};
 
 /// For who weighs staleness more: starts only a part of the next step ahead, as late as it can still be whole in time,
 /// and lets the rest wait until engines have the newest weights.
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -194,7 +194,7 @@
     void observeSpeed(const Attempt &attempt, const Generation &generation, TimePoint now);
     void record(std::string kind, const SampleRef &sample, std::vector<std::pair<std::string, std::string>> fields);
 
-    // Dispatch (sample_scheduler_dispatch.cpp).
+    // Dispatch (sample_scheduler_dispatch.cpp); moving and replacing (sample_scheduler_stragglers.cpp).
     void dispatch(TimePoint now);
     Round makeRound(const ModelId &model, TimePoint now) const;
     EngineLoad loadOf(const Engine &engine, double medianSpeed, TimePoint now) const;
