--- a/bergamot/samples/samples_benchmark.cpp
+++ b/bergamot/samples/samples_benchmark.cpp
@@ -125,7 +125,7 @@
             break;
         case 2:
             report(world.engines().apply(address, {.fault = "slow-slots", .count = 8, .duration = milliseconds(1200)}));
-            m_slow.push_back({now + seconds(60), address});
+            m_slow.emplace_back(now + seconds(60), address);
             break;
         default:
             world.loseAnswers(1);
