--- a/bergamot/routing/report_limit.h
+++ b/bergamot/routing/report_limit.h
@@ -17,13 +17,15 @@
 
 struct ReportLimitOptions
 {
-    double initial = 16;
+    double initial = 8;
     double least = 1;
     double most = 1e6;
-    double fullAt = 1.15; // requests for each slot, below which the limit may grow
-    double target = 1.25; // what is aimed at when there are too many
-    double overFullAt = 1.4;
-    double growth = 1.1; // factor for each report, plus one request
+    double target = 1.1; // requests for each slot that a cut aims at
+    double fullAt = 1.25; // requests for each slot above which the limit is cut and below which it grows
+    double growth = 0.3; // for each report, times the limit to the power of `growthPower`
+    double growthPower = 0.5; // below 1, so that small limits catch up with large ones
+    double rounding = 0; // in [0, 1), added before the limit is cut to a whole number; differs between instances, so
+                         // that not all step over the same number at once
     double steepestCut = 0.7; // factor for one report
 };
 
@@ -48,7 +50,7 @@
     ReportLimitOptions m_options;
     double m_limit;
     bool m_reporting = false;
-    bool m_everFull = false; // before that the limit doubles
+    bool m_everFull = false; // before that the limit grows faster
     std::uint32_t m_peak = 0; // since the last report
     TimePoint m_measuredAt{};
 };
