--- a/bergamot/load/caller.cpp
+++ b/bergamot/load/caller.cpp
@@ -26,15 +26,18 @@
 
 void CallerGroup::start()
 {
-    m_context.loop.post([this] {
-        scheduleNext();
+    m_context.loop.post([this, gate = m_gate] {
+        const std::lock_guard lock(gate->mutex);
+        if (!gate->isStopped) {
+            scheduleNext();
+        }
     });
 }
 
 void CallerGroup::stop()
 {
-    const std::lock_guard lock(m_mutex);
-    m_stopped = true;
+    const std::lock_guard lock(m_gate->mutex);
+    m_gate->isStopped = true;
 }
 
 bool CallerGroup::waitUntilIdle(std::chrono::milliseconds limit)
@@ -55,8 +58,11 @@
 {
     std::exponential_distribution<double> gap(m_caller.ratePerSecond);
     const auto delay = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(m_random)));
-    m_context.loop.postAfter(delay, [this] {
-        arrive();
+    m_context.loop.postAfter(delay, [this, gate = m_gate] {
+        const std::lock_guard lock(gate->mutex);
+        if (!gate->isStopped) {
+            arrive();
+        }
     });
 }
 
@@ -65,9 +71,6 @@
     Call call;
     {
         const std::lock_guard lock(m_mutex);
-        if (m_stopped) {
-            return;
-        }
         ++m_inFlight;
         ++m_next;
         call.name = "c" + std::to_string(m_index) + "-" + std::to_string(m_next);
--- a/bergamot/load/caller.h
+++ b/bergamot/load/caller.h
@@ -49,6 +49,7 @@
     CallerGroup(const RunContext &context, const CallerScenario &caller, std::size_t index);
 
     void start();
+    /// No request begins after it returns; the group may be destroyed once those in flight have ended.
     void stop();
     /// False if requests were still unanswered after `limit`.
     bool waitUntilIdle(std::chrono::milliseconds limit);
@@ -67,6 +68,13 @@
         std::string firstAnswer;
     };
 
+    /// Lets timers that outlive the group find that it has stopped.
+    struct Gate
+    {
+        std::mutex mutex;
+        bool isStopped = false;
+    };
+
     void scheduleNext();
     void arrive();
     void send(Call call);
@@ -90,7 +98,7 @@
     std::set<Address> m_terminated;
     mutable std::mutex m_mutex;
     std::condition_variable m_idle;
-    bool m_stopped = false;
+    std::shared_ptr<Gate> m_gate = std::make_shared<Gate>();
     std::uint64_t m_next = 0;
     std::size_t m_inFlight = 0;
     std::map<std::string, WorkLimit> m_works;
--- a/bergamot/load/watchers.cpp
+++ b/bergamot/load/watchers.cpp
@@ -55,8 +55,11 @@
 
 void ConfigurationWatcher::stop()
 {
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
     m_stopped = true;
+    m_answered.wait(lock, [this] {
+        return m_outstanding == 0;
+    });
 }
 
 void ConfigurationWatcher::poll()
@@ -67,6 +70,7 @@
             return;
         }
         judge();
+        m_outstanding += m_context.scenario.controls.size();
     }
     askAll();
     m_context.loop.postAfter(PollPeriod, [this] {
@@ -79,20 +83,25 @@
     for (const Address &control : m_context.scenario.controls) {
         const CallOptions options{.timeout = StatusTimeout, .repeatable = false};
         m_context.client.call(control, {.path = "/v1/status"}, options, [this, control](const CallOutcome &outcome) {
-            if (!outcome || outcome->status != 200) {
-                return;
-            }
-            const Result<web::json::value> json = parseJson(outcome->body);
-            if (json) {
-                received(control, FieldReader(*json, "status").optionalUnsigned("version", 0));
-            }
+            answered(control, outcome);
         });
     }
 }
 
-void ConfigurationWatcher::received(const Address &control, std::uint64_t version)
+void ConfigurationWatcher::answered(const Address &control, const CallOutcome &outcome)
 {
     const std::lock_guard lock(m_mutex);
+    if (outcome && outcome->status == 200) {
+        if (const Result<web::json::value> json = parseJson(outcome->body)) {
+            received(control, FieldReader(*json, "status").optionalUnsigned("version", 0));
+        }
+    }
+    --m_outstanding;
+    m_answered.notify_all();
+}
+
+void ConfigurationWatcher::received(const Address &control, std::uint64_t version)
+{
     std::uint64_t &highest = m_versions[control];
     m_context.ledger.check(Promise::Configuration,
                            version >= highest,
--- a/bergamot/load/watchers.h
+++ b/bergamot/load/watchers.h
@@ -26,6 +26,7 @@
     explicit ConfigurationWatcher(const RunContext &context);
 
     void start();
+    /// Waits for the questions in flight; the watcher may be destroyed after the loop has stopped.
     void stop();
 
 private:
@@ -37,11 +38,14 @@
 
     void poll();
     void askAll();
+    void answered(const Address &control, const CallOutcome &outcome);
     void received(const Address &control, std::uint64_t version);
     void judge();
 
     RunContext m_context;
     std::mutex m_mutex;
+    std::condition_variable m_answered;
+    std::size_t m_outstanding = 0;
     bool m_stopped = false;
     std::map<Address, std::uint64_t> m_versions; // the highest that each one answered
     std::map<Address, TimePoint> m_lastAnswer;
