routing: the router's tests in two files over one fixture

Ruled out: a file for each rule (most share the fixture and a few lines). Change: the fixture moves to a header of its own; crashing requests, trouble, overload and hedges to router_trouble_test.cpp. No test changed.

--- /dev/null
+++ b/bergamot/routing/router_trouble_test.cpp
@@ -0,0 +1,190 @@
+// Crashing requests, trouble of many endpoints, overload, hedges and retries.
+
+#include "bergamot/routing/internal/router_test_fixture.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+TEST_F(RouterTest, GuiltyRequestIsRefusedAfterTwoEndpointsAndInnocentsAreCleared)
+{
+    showEndpoints(4);
+    constexpr std::uint64_t Guilty = 666;
+    const auto guilty = [](CallerRequest &request) {
+        request.fingerprint = Guilty;
+        request.repeatable = true;
+    };
+    const RequestId first = send(guilty);
+    const AttemptId firstAttempt = m_dispatches.back().attempt;
+    const EndpointId died = m_dispatches.back().endpoint;
+    std::vector<RequestId> innocents;
+    innocents.reserve(12);
+    for (int count = 0; count < 12; ++count) {
+        innocents.push_back(send([](CallerRequest &request) {
+            request.repeatable = true;
+        }));
+    }
+    const std::vector<DispatchAction> running = m_dispatches;
+    fail(firstAttempt, ConnectionLost);
+    for (const DispatchAction &dispatch : running) {
+        if (dispatch.endpoint == died && dispatch.attempt != firstAttempt) {
+            fail(dispatch.attempt, ConnectionLost);
+        }
+    }
+    std::set<EndpointId> killed{died};
+    for (std::size_t next = 1; next < m_dispatches.size(); ++next) {
+        const DispatchAction dispatch = m_dispatches[next];
+        if (dispatch.request == first) {
+            killed.insert(dispatch.endpoint);
+            fail(dispatch.attempt, ConnectionLost);
+        } else if (!m_ends.contains(dispatch.request)) {
+            answer(dispatch.attempt);
+        }
+        pass(1ms);
+    }
+    EXPECT_EQ(killed.size(), 2U);
+    EXPECT_EQ(m_ends[first], 1);
+    EXPECT_EQ(m_refusals[first].outcome, RequestOutcome::MaybeRan);
+    for (const RequestId id : innocents) {
+        EXPECT_TRUE(m_forwarded.contains(id)) << id;
+    }
+    const RequestId again = send(guilty);
+    EXPECT_EQ(m_refusals[again].reason, RefusalReason::CrashSuspect);
+    EXPECT_EQ(m_refusals[again].outcome, RequestOutcome::RefusedNotRun);
+    EXPECT_EQ(dispatchesOf(again), 0U);
+}
+
+TEST_F(RouterTest, BrokenConnectionsToLivingEndpointsLeaveNoSuspects)
+{
+    showEndpoints(1);
+    const auto repeatable = [](CallerRequest &request) {
+        request.repeatable = true;
+    };
+    const RequestId broken = send(repeatable);
+    send(repeatable);
+    m_now += 1ms;
+    fail(m_dispatches[0].attempt, ConnectionLost);
+    EXPECT_EQ(dispatchesOf(broken), 1U) << "It may have killed its endpoint.";
+    m_now += 1ms;
+    answer(m_dispatches[1].attempt);
+    const RequestId again = send([&](CallerRequest &request) {
+        request.repeatable = true;
+        request.fingerprint = broken;
+    });
+    EXPECT_EQ(dispatchesOf(again), 1U);
+}
+
+TEST_F(RouterTest, TroubleOfAllEndpointsEjectsOnlySome)
+{
+    showEndpoints(9);
+    for (int count = 0; count < 200; ++count) {
+        send();
+        m_now += 1ms;
+        fail(m_dispatches.back().attempt, ConnectionLost);
+    }
+    EXPECT_EQ(m_dispatches.size(), 200U);
+}
+
+TEST_F(RouterTest, DomainsVerdictCountsHere)
+{
+    m_suspects = {{.fingerprint = 666, .endpoints = {EndpointId("x"), EndpointId("y")}, .ranAlone = true}};
+    showEndpoints(3);
+    const RequestId id = send([](CallerRequest &request) {
+        request.fingerprint = 666;
+    });
+    EXPECT_EQ(m_refusals[id].reason, RefusalReason::CrashSuspect);
+    EXPECT_TRUE(m_dispatches.empty());
+}
+
+TEST_F(RouterTest, InteractiveIsServedBeforeBatch)
+{
+    showEndpoints(1, [](RoutedEndpoint &endpoint) {
+        endpoint.slots = 1;
+    });
+    std::vector<RequestId> batch;
+    batch.reserve(10);
+    for (int count = 0; count < 10; ++count) {
+        batch.push_back(send([](CallerRequest &request) {
+            request.trafficClass = TrafficClass::Batch;
+        }));
+    }
+    const std::size_t before = m_dispatches.size();
+    ASSERT_LT(before, 10U);
+    const RequestId interactive = send();
+    answer(m_dispatches[0].attempt);
+    ASSERT_GT(m_dispatches.size(), before);
+    EXPECT_EQ(m_dispatches[before].request, interactive);
+}
+
+TEST_F(RouterTest, RequestWithoutAChanceIsRefusedAtOnce)
+{
+    showEndpoints(1, [](RoutedEndpoint &endpoint) {
+        endpoint.slots = 1;
+    });
+    send();
+    m_now += 900ms;
+    answer(m_dispatches[0].attempt);
+    showEndpoints(1, [](RoutedEndpoint &endpoint) {
+        endpoint.slots = 1;
+    });
+    RequestId last = 0;
+    for (int count = 0; count < 12; ++count) {
+        last = send();
+    }
+    ASSERT_TRUE(m_refusals.contains(last));
+    EXPECT_EQ(m_refusals[last].status, 429);
+    EXPECT_EQ(m_refusals[last].outcome, RequestOutcome::RefusedNotRun);
+    EXPECT_GE(m_refusals[last].retryAfter, 1s);
+}
+
+TEST_F(RouterTest, NobodyWaitsForEndpointsThatAreAllGone)
+{
+    const RequestId id = send();
+    showEndpoints(0);
+    const RequestId next = send();
+    EXPECT_EQ(m_refusals[next].reason, RefusalReason::NoEndpoint);
+    answer(m_dispatches[0].attempt);
+    EXPECT_TRUE(m_forwarded.contains(id));
+}
+
+TEST_F(RouterTest, LateInteractiveRequestIsHedgedOnceAndTheLoserCancelled)
+{
+    const auto interactive = [](CallerRequest &request) {
+        request.repeatable = true;
+    };
+    for (int count = 0; count < 100; ++count) {
+        send(interactive);
+        m_now += 10ms;
+        answer(m_dispatches.back().attempt);
+    }
+    const std::size_t before = m_dispatches.size();
+    const RequestId id = send(interactive);
+    pass(100ms);
+    ASSERT_EQ(m_dispatches.size(), before + 2);
+    EXPECT_NE(m_dispatches[before].endpoint, m_dispatches[before + 1].endpoint);
+    answer(m_dispatches[before + 1].attempt);
+    EXPECT_EQ(m_forwarded[id], m_dispatches[before + 1].attempt);
+    EXPECT_EQ(m_cancelled, std::vector<AttemptId>{m_dispatches[before].attempt});
+}
+
+TEST_F(RouterTest, RetriesStayWithinTheBudget)
+{
+    for (int count = 0; count < 200; ++count) {
+        send([](CallerRequest &request) {
+            request.repeatable = true;
+            request.deadline = TimePoint(2h);
+        });
+        answer(m_dispatches.back().attempt, {.status = 200, .notRun = true});
+        pass(2s);
+    }
+    const RouterOptions options = testOptions();
+    EXPECT_LE(m_router.retries(), static_cast<std::uint64_t>(options.target.retries.most) + 200U * 6U / 100U);
+}
+
+} // namespace
+
+} // namespace bergamot
