routing: a time in a signature is a std::chrono type here too

Cause: two private functions of EndpointPool took seconds as double. Ruled out: making the smoothed members durations as well (they are averages that the choice multiplies with loads). Change: both take std::chrono::duration<double>. Conclusion: no change of behaviour.

--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -80,11 +80,11 @@
 void EndpointPool::answered(std::size_t slot, Duration latency, double work, TimePoint now, std::mt19937_64 &random)
 {
     State &state = m_states[slot];
-    const double unitSeconds = seconds(latency) / std::max(1.0, work);
+    const std::chrono::duration<double> perUnit = latency / std::max(1.0, work);
     const std::uint32_t inFlightBefore = state.load.inFlight();
     state.load.finished(now);
     --m_inFlight;
-    if (state.health.ejected() && tooSlow(unitSeconds)) {
+    if (state.health.ejected() && tooSlow(perUnit)) {
         state.health.failed(EndpointFailure::Slow, now, random);
         return;
     }
@@ -94,9 +94,9 @@
     }
     state.health.succeeded(now);
     const std::uint32_t allowedBefore = state.limit.allowed();
-    state.limit.answered(fromSeconds(unitSeconds), inFlightBefore);
+    state.limit.answered(fromSeconds(perUnit.count()), inFlightBefore);
     m_allowed += static_cast<double>(state.limit.allowed()) - allowedBefore;
-    learnLatency(state, latency, unitSeconds);
+    learnLatency(state, latency, perUnit);
 }
 
 void EndpointPool::failed(std::size_t slot, EndpointFailure failure, TimePoint now, std::mt19937_64 &random)
@@ -153,7 +153,7 @@
     m_medianUnitSeconds = *middle;
     for (State &state : m_states) {
         const bool judged = state.present && state.answers >= AnswersToJudge && !state.health.ejected();
-        if (judged && tooSlow(state.unitSeconds) && mayDoubtMore()) {
+        if (judged && tooSlow(std::chrono::duration<double>(state.unitSeconds)) && mayDoubtMore()) {
             state.health.failed(EndpointFailure::Slow, now, random);
         }
     }
@@ -272,9 +272,9 @@
     }
 }
 
-bool EndpointPool::tooSlow(double unitSeconds) const
+bool EndpointPool::tooSlow(std::chrono::duration<double> perUnit) const
 {
-    return m_medianUnitSeconds > 0 && unitSeconds > m_options.slowFactor * m_medianUnitSeconds;
+    return m_medianUnitSeconds > 0 && perUnit.count() > m_options.slowFactor * m_medianUnitSeconds;
 }
 
 void EndpointPool::sumLimits()
@@ -315,11 +315,11 @@
     return static_cast<double>(ejected + 1) <= m_options.mostDoubtful * static_cast<double>(listed());
 }
 
-void EndpointPool::learnLatency(State &state, Duration latency, double unitSeconds)
+void EndpointPool::learnLatency(State &state, Duration latency, std::chrono::duration<double> perUnit)
 {
     ++state.answers;
-    smooth(state.unitSeconds, unitSeconds, LatencySmoothing);
-    smooth(m_unitSeconds, unitSeconds, PoolSmoothing);
+    smooth(state.unitSeconds, perUnit.count(), LatencySmoothing);
+    smooth(m_unitSeconds, perUnit.count(), PoolSmoothing);
     smooth(m_requestSeconds, seconds(latency), PoolSmoothing);
 }
 
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -122,7 +122,7 @@
     void sumLimits();
     void sumReports(TimePoint now);
     double cost(const State &state, TimePoint now) const;
-    bool tooSlow(double unitSeconds) const;
+    bool tooSlow(std::chrono::duration<double> perUnit) const;
     /// Whether one more endpoint may be ejected although it takes connections. If most of them fail, what they have
     /// in common fails, and leaving them all alone helps nobody.
     bool mayDoubtMore() const;
@@ -131,7 +131,7 @@
                                         double share,
                                         TimePoint now,
                                         std::mt19937_64 &random);
-    void learnLatency(State &state, Duration latency, double unitSeconds);
+    void learnLatency(State &state, Duration latency, std::chrono::duration<double> perUnit);
 
     EndpointPoolOptions m_options;
     std::unique_ptr<ChoiceStrategy> m_strategy;
