A paused control process no longer lets a leaving endpoint get new work

Cause: seen by hand, an endpoint got new work 3,079 ms after it said that it was leaving (bound 3 s) while a control process was stopped for 4 s. Traced in the simulated fleet, with instances that can be paused, and with real processes: (1) the entry beside the stopped process keeps its view until that one wakes; (2) followers of a stopped relay learn up to 3,250 ms late, and some lose every endpoint meanwhile: an instance that was no relay yet gave its own table, rows stamped 0 left out, and the asker cleared its own first; (3) a woken relay is passed over by the others for up to 10 s, so nobody tells it anything, and its stale state goes out to whoever still follows it; (4) a promoted relay forgets what polls found until they report to it. Ruled out: the entry's period alone (500 ms), polls (two per endpoint, the second one goes on). Change: views carry the age of their state; the entry asks another control process (of the domain, then of others) while its own does not answer within 500 ms, is behind by 3 s or has started anew, and takes no older view; period 250 ms. A relay late by 500 ms is passed over; a state from no relay, or an incomplete one, never replaces one; a new relay inherits what the last one showed; a woken instance tells its domain at once and serves no state until it has heard it. Keyed requests at that entry are still refused as not run while its control process is stopped.

--- a/bergamot/control/fleet_node.cpp
+++ b/bergamot/control/fleet_node.cpp
@@ -5,6 +5,16 @@
 namespace bergamot
 {
 
+namespace
+{
+
+std::uint64_t wholeMilliseconds(Duration age)
+{
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, age / std::chrono::milliseconds(1)));
+}
+
+} // namespace
+
 FleetNode::FleetNode(FleetNodeOptions options,
                      FleetNodeParts parts,
                      std::vector<StreamReplica *> replicas,
@@ -136,9 +146,13 @@
 {
     const std::uint64_t version = m_events.configVersion();
     const bool isChanged = m_dissemination.viewRevision() != m_viewRevision || version != m_viewVersion;
+    if (!isChanged) {
+        m_viewKnownAt = m_dissemination.stateKnownAt();
+    }
     if (!isChanged || now < m_nextView) {
         return;
     }
+    m_viewKnownAt = m_dissemination.stateKnownAt();
     m_nextView = now + m_options.viewPeriod;
     m_viewRevision = m_dissemination.viewRevision();
     m_viewVersion = version;
@@ -168,6 +182,7 @@
     }
     inner::ViewReplyT reply;
     reply.view_hash = m_viewHash;
+    reply.age_ms = m_viewKnownAt ? wholeMilliseconds(m_parts.clock.now() - *m_viewKnownAt) : NeverWholeAge;
     if (request.view_hash != m_viewHash) {
         reply.view = std::make_unique<inner::ViewT>(*m_view);
     }
--- a/bergamot/control/fleet_node.h
+++ b/bergamot/control/fleet_node.h
@@ -110,6 +110,7 @@
     std::uint64_t m_viewHash = 0;
     std::uint64_t m_viewRevision = 0;
     std::uint64_t m_viewVersion = 0; // of the configuration in it
+    std::optional<TimePoint> m_viewKnownAt; // when the state in it was last whole
     TimePoint m_nextView{};
     bool m_wasRelay = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
--- a/bergamot/entry/data_path.cpp
+++ b/bergamot/entry/data_path.cpp
@@ -46,7 +46,7 @@
         , entryMetrics(givenMetrics)
         , router(options.router, options.seed)
         , keys(link, options.instance.value() + "-" + std::to_string(options.seed) + "-")
-        , views(std::move(link))
+        , views(options.instance, options.domain, std::move(link))
         , shutdown(options.shutdown)
         , drained(closed.get_future())
     { }
@@ -93,9 +93,9 @@
                 impl.keyReply(id, reply);
             });
         };
-        viewCame = [posted](Result<ViewNews> news) {
-            posted([news = std::move(news)](Impl &impl) {
-                impl.takeView(news);
+        viewCame = [posted](const ViewSource &source, Result<ViewNews> news) {
+            posted([source, news = std::move(news)](Impl &impl) {
+                impl.takeView(source, news);
             });
         };
         loop.post([this] {
@@ -158,9 +158,13 @@
         views.ask(router.takeSuspectNews(), viewCame);
     }
 
-    void takeView(const Result<ViewNews> &news)
+    void takeView(const ViewSource &source, const Result<ViewNews> &news)
     {
-        const std::shared_ptr<const RoutingTable> next = views.take(news);
+        const bool wasDistrusted = !views.followsOwn();
+        const std::shared_ptr<const RoutingTable> next = views.take(source, news, clock.now());
+        if (!wasDistrusted && !views.followsOwn()) {
+            askForView(); // another control process, at once
+        }
         if (!next) {
             return;
         }
@@ -300,7 +304,7 @@
     std::unordered_map<RequestId, Call> pending;
     RequestId lastRequest = 0;
     std::function<void(RequestId, Result<inner::KeyClaimReplyT>)> keyReplied;
-    Callback<ViewNews> viewCame;
+    ViewReader::Came viewCame;
     std::promise<void> closed;
     std::shared_future<void> drained;
     EventLoop loop;
--- a/bergamot/entry/data_path.h
+++ b/bergamot/entry/data_path.h
@@ -29,7 +29,8 @@
     InstanceId instance;
     RouterOptions router;
     ShutdownOptions shutdown;
-    Duration viewPeriod = std::chrono::milliseconds(500);
+    FailureDomainId domain;
+    Duration viewPeriod = std::chrono::milliseconds(250);
     Duration tickPeriod = std::chrono::milliseconds(5);
     std::uint64_t seed = 1;
 };
--- a/bergamot/entry/data_path_test_fixture.h
+++ b/bergamot/entry/data_path_test_fixture.h
@@ -74,18 +74,17 @@
         : m_keys(std::move(keys))
     { }
 
-    void
-    fetchView(std::uint64_t knownHash, const std::vector<SuspectReport> &suspects, Callback<ViewNews> done) override
+    void fetchView(const ViewQuestion &question, Callback<ViewNews> done) override
     {
         const std::unique_lock lock(m_mutex);
         if (m_gone) {
             done(failure(ErrorCode::Unavailable, "gone"));
             return;
         }
-        m_suspects.insert(m_suspects.end(), suspects.begin(), suspects.end());
+        m_suspects.insert(m_suspects.end(), question.suspects.begin(), question.suspects.end());
         ++m_fetches;
         m_changed.notify_all();
-        done(ViewNews{.hash = m_hash, .view = knownHash == m_hash ? nullptr : m_view});
+        done(ViewNews{.hash = m_hash, .view = question.knownHash == m_hash ? nullptr : m_view});
     }
 
     void claimKey(const inner::KeyClaimT &claim,
@@ -275,6 +274,7 @@
     {
         DataPathOptions options;
         options.instance = InstanceId(instance);
+        options.domain = FailureDomainId("a");
         options.router.target.pool.instance = instance;
         options.router.target.pool.domain = FailureDomainId("a");
         options.router.target.pool.limit.initial = 16;
@@ -292,6 +292,12 @@
     }
 
     static void showTo(FakeControl &control, const std::vector<Listed> &endpoints)
+    {
+        control.show(viewOf(endpoints));
+        ASSERT_TRUE(control.waitUntilTaken());
+    }
+
+    static inner::ViewT viewOf(const std::vector<Listed> &endpoints)
     {
         Configuration configuration;
         configuration.version = 1;
@@ -299,6 +305,7 @@
         configuration.services[ServiceId("stock")].service = ServiceId("stock");
         configuration.models[ModelId("agent")].model = ModelId("agent");
         inner::ViewT view;
+        view.config_version = configuration.version;
         view.configuration = toJson(configuration).serialize();
         for (const inner::EndpointKind kind : {inner::EndpointKind::Service, inner::EndpointKind::Engine}) {
             for (const Listed &listed : endpoints) {
@@ -313,8 +320,7 @@
                 view.endpoints.push_back(std::move(endpoint));
             }
         }
-        control.show(std::move(view));
-        ASSERT_TRUE(control.waitUntilTaken());
+        return view;
     }
 
     static std::shared_ptr<TestCaller> send(DataPath &path, HttpRequest request)
--- a/bergamot/entry/forwarding_benchmark.cpp
+++ b/bergamot/entry/forwarding_benchmark.cpp
@@ -45,9 +45,9 @@
         m_view->endpoints.push_back(std::move(listed));
     }
 
-    void fetchView(std::uint64_t, const std::vector<SuspectReport> &, Callback<ViewNews> done) override
+    void fetchView(const ViewQuestion &, Callback<ViewNews> done) override
     {
-        done(ViewNews{1, m_view});
+        done(ViewNews{.hash = 1, .view = m_view});
     }
 
     void claimKey(const inner::KeyClaimT &, std::chrono::milliseconds, Callback<inner::KeyClaimReplyT> done) override
--- a/bergamot/entry/internal/view_reader.h
+++ b/bergamot/entry/internal/view_reader.h
@@ -1,13 +1,14 @@
 #pragma once
 
-// Keeps the entry process's view current: asks the control process, hands over suspects until they have arrived, and
+// Keeps the entry process's view current: asks the control processes, hands over suspects until they have arrived, and
 // makes a routing table of each new view.
 
+#include <functional>
 #include <memory>
 #include <vector>
 
 #include "bergamot/base/logging.h"
-#include "bergamot/entry/control_link.h"
+#include "bergamot/entry/internal/view_sources.h"
 #include "bergamot/routing/routing_table.h"
 
 namespace bergamot::entry_internal
@@ -17,21 +18,31 @@
 class ViewReader
 {
 public:
-    explicit ViewReader(std::shared_ptr<ControlLink> control);
+    using Came = std::function<void(const ViewSource &source, Result<ViewNews> news)>;
 
-    /// Asks unless an answer is still awaited.
-    void ask(const std::vector<SuspectReport> &news, const Callback<ViewNews> &done);
-    /// The table of a new view; null if nothing changed or nothing can be read. The last one then goes on.
-    std::shared_ptr<const RoutingTable> take(const Result<ViewNews> &news);
+    ViewReader(InstanceId self, FailureDomainId domain, std::shared_ptr<ControlLink> control);
+
+    /// Asks those whose answer is not still awaited.
+    void ask(const std::vector<SuspectReport> &news, const Came &came);
+    /// The table of a new view; null if nothing changed, nothing can be read, or the view is older than the one in use.
+    /// The last one then goes on.
+    std::shared_ptr<const RoutingTable> take(const ViewSource &source, const Result<ViewNews> &news, TimePoint now);
+    /// False while another instance's control process is asked too.
+    bool followsOwn() const;
 
 private:
+    bool isToBeTaken(const ViewSource &source, const Result<ViewNews> &news, TimePoint now);
+    std::shared_ptr<const RoutingTable> adopt(const ViewNews &news);
+
     std::shared_ptr<ControlLink> m_control;
+    ViewSources m_sources;
     PartLogger m_log{"entry"};
     std::vector<SuspectReport> m_unsent;
-    std::size_t m_sent = 0; // of `m_unsent`, in the question under way
-    bool m_asking = false;
-    bool m_connected = true;
+    bool m_isHandingOver = false; // a question under way, to `m_suspectsTo`, carries `m_sent` of `m_unsent`
+    ViewSource m_suspectsTo;
+    std::size_t m_sent = 0;
     std::uint64_t m_hash = 0;
+    std::uint64_t m_configVersion = 0;
 };
 
 } // namespace bergamot::entry_internal
--- a/bergamot/entry/main.cpp
+++ b/bergamot/entry/main.cpp
@@ -38,8 +38,9 @@
 {
     DataPathOptions options;
     options.instance = InstanceId(settings.text("instance"));
+    options.domain = FailureDomainId(settings.text("domain"));
     options.router.target.pool.instance = settings.text("instance");
-    options.router.target.pool.domain = FailureDomainId(settings.text("domain"));
+    options.router.target.pool.domain = options.domain;
     options.router.target.queue.most = settings.number("max-queued");
     options.shutdown.balancerGrace = settings.milliseconds("balancer-grace-ms");
     options.shutdown.limit = settings.milliseconds("drain-limit-ms");
--- a/bergamot/entry/peer_control_link.cpp
+++ b/bergamot/entry/peer_control_link.cpp
@@ -10,7 +10,8 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::chrono::milliseconds ViewTimeout = 1s;
+constexpr std::chrono::milliseconds ViewTimeout = 500ms;
+constexpr std::uint64_t OldestAge = std::chrono::milliseconds(24h).count(); // an older view counts as of this age
 constexpr std::chrono::milliseconds OutcomeTimeout = 2s;
 constexpr int OutcomeTries = 3;
 
@@ -19,6 +20,14 @@
     return failure(ErrorCode::Internal, "The control process answered with another kind of frame.");
 }
 
+std::optional<Duration> ageOf(const inner::ViewReplyT &reply)
+{
+    if (reply.age_ms == NeverWholeAge) {
+        return std::nullopt;
+    }
+    return std::chrono::milliseconds(std::min(reply.age_ms, OldestAge));
+}
+
 } // namespace
 
 struct PeerControlLink::Impl
@@ -53,16 +62,15 @@
 
 PeerControlLink::~PeerControlLink() = default;
 
-void PeerControlLink::fetchView(std::uint64_t knownHash,
-                                const std::vector<SuspectReport> &suspects,
-                                Callback<ViewNews> done)
+void PeerControlLink::fetchView(const ViewQuestion &question, Callback<ViewNews> done)
 {
     inner::ViewRequestT request;
-    request.view_hash = knownHash;
-    request.suspects = toFrames(suspects);
+    request.view_hash = question.knownHash;
+    request.suspects = toFrames(question.suspects);
     inner::BodyUnion body;
     body.Set(std::move(request));
-    m_impl->client.request(m_impl->control, std::move(body), ViewTimeout, [done](Result<inner::FrameT> reply) {
+    const Address &from = question.source.value_or(m_impl->control);
+    m_impl->client.request(from, std::move(body), ViewTimeout, [done](Result<inner::FrameT> reply) {
         if (!reply) {
             done(tl::unexpected(reply.error()));
             return;
@@ -72,7 +80,7 @@
             done(unexpectedBody());
             return;
         }
-        done(ViewNews{.hash = view->view_hash, .view = std::move(view->view)});
+        done(ViewNews{.hash = view->view_hash, .view = std::move(view->view), .age = ageOf(*view)});
     });
 }
 
--- a/bergamot/entry/peer_control_link.h
+++ b/bergamot/entry/peer_control_link.h
@@ -17,8 +17,7 @@
     PeerControlLink(PeerIdentity identity, Address control);
     ~PeerControlLink() override;
 
-    void
-    fetchView(std::uint64_t knownHash, const std::vector<SuspectReport> &suspects, Callback<ViewNews> done) override;
+    void fetchView(const ViewQuestion &question, Callback<ViewNews> done) override;
     void claimKey(const inner::KeyClaimT &claim,
                   std::chrono::milliseconds timeout,
                   Callback<inner::KeyClaimReplyT> done) override;
--- a/bergamot/membership/digest_schedule.cpp
+++ b/bergamot/membership/digest_schedule.cpp
@@ -42,6 +42,12 @@
     entry.reportsKnown = 0;
 }
 
+bool DigestSchedule::isLate(const std::string &peer, Duration patience, TimePoint now) const
+{
+    const auto entry = m_entries.find(peer);
+    return entry != m_entries.end() && entry->second.inFlight && now - entry->second.sentAt >= patience;
+}
+
 void DigestSchedule::hurry(const std::string &peer)
 {
     if (const auto entry = m_entries.find(peer); entry != m_entries.end()) {
--- a/bergamot/membership/digest_schedule.h
+++ b/bergamot/membership/digest_schedule.h
@@ -31,6 +31,8 @@
     void sent(const std::string &peer, std::uint64_t reportTick, Duration period, TimePoint now);
     void answered(const std::string &peer);
     void failed(const std::string &peer);
+    /// A digest has been without an outcome for `patience`.
+    bool isLate(const std::string &peer, Duration patience, TimePoint now) const;
     /// The next digest to `peer` is due at once.
     void hurry(const std::string &peer);
     /// The next digest to every peer is due at once.
--- a/bergamot/membership/dissemination.cpp
+++ b/bergamot/membership/dissemination.cpp
@@ -48,6 +48,8 @@
 std::vector<Action> Dissemination::tick(TimePoint now)
 {
     m_startedAt = m_startedAt.value_or(now);
+    const bool isWoken = isPaused(now);
+    noteTime(now);
     m_members.setConfigVersion(m_configVersion());
     std::erase_if(m_news, [now](const News &news) {
         return now >= news.until;
@@ -61,9 +63,41 @@
     addListFetch(actions, now);
     addPolls(actions, now);
     addDigests(actions, now);
+    if (isWoken) {
+        addAnnouncements(actions, now);
+    }
     return actions;
 }
 
+bool Dissemination::isPaused(TimePoint now) const
+{
+    return m_lastTick && now - *m_lastTick > m_options.pauseLimit;
+}
+
+bool Dissemination::isRecovering(TimePoint now) const
+{
+    return isPaused(now) || now < m_recoveredAt;
+}
+
+void Dissemination::noteTime(TimePoint now)
+{
+    if (isPaused(now)) {
+        m_recoveredAt = now + digestPeriod(now);
+        m_schedule.hurryAll();
+    }
+    m_lastTick = now;
+    const bool isSettled = !isRecovering(now) && now - *m_startedAt >= m_options.digestPeriod;
+    const bool hasEndpoints = m_builder.hasList() || !m_table.endpoints.rows().empty();
+    if (m_isRelay && isSettled && hasEndpoints) {
+        m_stateKnownAt = now;
+    }
+}
+
+std::optional<TimePoint> Dissemination::stateKnownAt() const
+{
+    return m_stateKnownAt;
+}
+
 bool Dissemination::isOwnDomain(const std::string &domain) const
 {
     return domain == m_options.self.domain.value();
@@ -93,6 +127,10 @@
         }
         m_builder.adoptList(endpoints);
     }
+    m_builder.expire(now);
+    for (const auto &[id, row] : m_table.endpoints.rows()) {
+        m_builder.inherit(row.value, now);
+    }
     const std::string start = m_options.self.instance.value() + '/' + std::to_string(m_options.incarnation) + '/'
         + std::to_string(++m_roleChanges);
     m_epoch = 1 + stableHash(start) % EpochBits;
@@ -285,6 +323,11 @@
 
 void Dissemination::choosePrimary(const std::vector<InstanceId> &relays, TimePoint now)
 {
+    for (const InstanceId &relay : relays) {
+        if (m_schedule.isLate(relay.value(), m_options.relayPatience, now)) {
+            m_lastWithoutDelta[relay.value()] = now;
+        }
+    }
     std::erase_if(m_lastWithoutDelta, [this, now](const auto &entry) {
         return now - entry.second > m_options.orphanedAfter;
     });
@@ -297,6 +340,7 @@
     if (primary != m_primary) {
         m_primary = primary;
         m_seenTick = 0;
+        m_schedule.hurry(primary);
     }
 }
 
@@ -336,6 +380,15 @@
     }
 }
 
+void Dissemination::addAnnouncements(std::vector<Action> &actions, TimePoint now)
+{
+    for (const inner::MemberStatusT &status : m_members.statuses(now)) {
+        if (isOwnDomain(status.domain) && status.instance != m_options.self.instance.value()) {
+            addDigest(actions, InstanceId(status.instance), m_options.digestPeriod, now);
+        }
+    }
+}
+
 void Dissemination::addDigest(std::vector<Action> &actions, const InstanceId &to, Duration period, TimePoint now)
 {
     const std::optional<Member> member = m_members.find(to);
@@ -369,6 +422,11 @@
     const bool isNeighbour = member && isOwnDomain(member->domain.value());
     const bool isBare = m_isRelay ? !m_builder.hasList() : m_table.members.rows().empty();
     digest.want_delta = peer == m_primary || (isBare && (isNeighbour || peer.starts_with(SeedPrefix)));
+    if (digest.want_delta) {
+        m_deltaAsked.insert(peer);
+    } else {
+        m_deltaAsked.erase(peer);
+    }
     digest.seen_tick = peer == m_primary ? m_seenTick : 0;
     if (!isNeighbour) {
         if (m_hasNewsForOthers) {
--- a/bergamot/membership/dissemination.h
+++ b/bergamot/membership/dissemination.h
@@ -68,6 +68,8 @@
     Duration crossDomainPeriod = std::chrono::seconds(5); // between relays of different domains while the log is read
     Duration listPeriod = std::chrono::seconds(1);
     Duration listPeriodPerEntry = std::chrono::milliseconds(40); // a long list is fetched less often
+    Duration relayPatience = std::chrono::milliseconds(500); // then the other relay is asked for what has changed
+    Duration pauseLimit = std::chrono::seconds(1); // without a tick for longer, this instance was paused
     Duration orphanedAfter = std::chrono::seconds(3); // without an answer from a relay, ask the list and the seeds
     Duration suspectLifetime = std::chrono::minutes(10);
     LogTailOptions logTail;
@@ -117,6 +119,9 @@
     bool isCaughtUp(TimePoint now) const;
     /// Endpoints, members, suspects and published weights; the configuration is left to the caller.
     inner::ViewT view(TimePoint now) const;
+    /// When the state of the endpoints was last known to be whole here; none: it never was. It stands still while no
+    /// relay answers, and after a pause of this process until it has heard the others again.
+    std::optional<TimePoint> stateKnownAt() const;
     /// Rises whenever `view` may have changed.
     std::uint64_t viewRevision() const;
     FleetStatus status() const;
@@ -130,6 +135,9 @@
     };
 
     bool isOwnDomain(const std::string &domain) const;
+    bool isPaused(TimePoint now) const;
+    bool isRecovering(TimePoint now) const;
+    void noteTime(TimePoint now);
     void updateRole(TimePoint now);
     void becomeRelay(TimePoint now);
     void rebuildTable(TimePoint now);
@@ -148,6 +156,7 @@
     void choosePrimary(const std::vector<InstanceId> &relays, TimePoint now);
     void addCrossDomainDigests(std::vector<Action> &actions, TimePoint now);
     void addSeedDigests(std::vector<Action> &actions, TimePoint now);
+    void addAnnouncements(std::vector<Action> &actions, TimePoint now);
     void
     send(std::vector<Action> &actions, const std::string &peer, std::string address, Duration period, TimePoint now);
     inner::DigestT makeDigest(const std::string &peer, TimePoint now);
@@ -169,6 +178,7 @@
     void addDelta(inner::DigestReplyT &reply, const std::string &sender, const inner::DigestT &digest, TimePoint now);
     void takeRecords(const std::string &peer, const inner::DigestReplyT &reply);
     void takeDelta(const std::string &peer, const std::string &domain, const inner::ViewDeltaT &delta, TimePoint now);
+    bool replaceTable(const inner::ViewDeltaT &delta);
     void takeMembers(const inner::ViewDeltaT &delta, TimePoint now);
     void adopt(const inner::ViewDeltaT &delta, TimePoint now);
 
@@ -194,7 +204,8 @@
     TimePoint m_nextList{};
     std::size_t m_listEntries = 0;
     std::string m_primary; // the peer whose deltas this instance follows
-    std::map<std::string, TimePoint> m_lastWithoutDelta; // when a peer asked for a delta last gave none
+    std::map<std::string, TimePoint> m_lastWithoutDelta; // when a peer asked for a delta last gave none, or was late
+    std::set<std::string> m_deltaAsked; // peers whose last digest asked for a delta
     std::uint64_t m_seenTick = 0; // of that peer
     std::uint64_t m_epoch = 0; // of this instance's own deltas
     std::uint64_t m_tick = 0;
@@ -209,6 +220,9 @@
     std::map<std::string, Offset> m_expected; // own records by stream, until they are applied
     std::optional<TimePoint> m_lastRelayAnswer;
     std::optional<TimePoint> m_startedAt;
+    std::optional<TimePoint> m_lastTick;
+    TimePoint m_recoveredAt{}; // when every instance of the domain has reported again after a pause of this one
+    std::optional<TimePoint> m_stateKnownAt;
 };
 
 } // namespace bergamot
--- a/bergamot/membership/dissemination_receive.cpp
+++ b/bergamot/membership/dissemination_receive.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr Duration NewsLifetime = std::chrono::seconds(5);
+constexpr std::uint64_t NoRelayTick = 0; // of a state that comes from no relay
 constexpr std::size_t RecordsThatMeanMore = 200; // in one reply
 
 constexpr std::string_view DomainPollerPrefix = "domain/";
@@ -147,10 +148,13 @@
                              const inner::DigestT &digest,
                              TimePoint now)
 {
+    if (isRecovering(now)) {
+        return; // what the asker has is newer; it turns to another relay
+    }
     if (!m_isRelay) {
-        // An asker without anything gets what there is; tick 0 makes it ask a relay for everything again.
+        // An asker without anything gets what there is; the tick makes it ask a relay for everything again.
         if (digest.seen_tick == 0) {
-            reply.delta = std::make_unique<inner::ViewDeltaT>(m_table.deltaSince(0, 0));
+            reply.delta = std::make_unique<inner::ViewDeltaT>(m_table.deltaSince(0, NoRelayTick));
         }
         return;
     }
@@ -186,9 +190,11 @@
             m_members.answeredAs(*status, now);
         }
     }
-    if (peer == m_primary && reply.delta) {
+    const bool isFromRelay = reply.delta && reply.delta->tick != NoRelayTick;
+    if (peer == m_primary && isFromRelay) {
         m_lastRelayAnswer = now;
-    } else if (peer == m_primary) {
+        m_stateKnownAt = now;
+    } else if (peer == m_primary && m_deltaAsked.contains(peer)) {
         m_lastWithoutDelta[peer] = now; // it takes itself for no relay
     }
     takeRecords(peer, reply);
@@ -246,12 +252,26 @@
     if (!isFromPrimary && !m_table.members.rows().empty()) {
         return;
     }
-    const bool isUsable = m_table.apply(delta);
+    const bool hasState = !m_table.members.rows().empty();
+    if (hasState && delta.tick == NoRelayTick) {
+        return; // no relay; what is here came from one
+    }
+    const bool isUsable = hasState && delta.since == 0 ? replaceTable(delta) : m_table.apply(delta);
     m_seenTick = isUsable && isFromPrimary ? delta.tick : 0;
     takeMembers(delta, now);
     ++m_revision;
 }
 
+bool Dissemination::replaceTable(const inner::ViewDeltaT &delta)
+{
+    FleetTable next = m_table;
+    if (!next.apply(delta)) {
+        return false; // an incomplete state does not take the place of a whole one
+    }
+    m_table = std::move(next);
+    return true;
+}
+
 void Dissemination::takeMembers(const inner::ViewDeltaT &delta, TimePoint now)
 {
     for (const auto &member : delta.members) {
--- a/bergamot/membership/internal/simulated_fleet.cpp
+++ b/bergamot/membership/internal/simulated_fleet.cpp
@@ -135,6 +135,11 @@
     }
 }
 
+void SimulatedFleet::pause(const std::string &instance, Duration span)
+{
+    m_nodes.at(instance)->pausedUntil = m_now + span;
+}
+
 void SimulatedFleet::unlist(const std::string &instance)
 {
     m_list.erase(instance);
@@ -200,6 +205,20 @@
     m_events.emplace(m_now + delay, std::move(event));
 }
 
+void SimulatedFleet::atNode(const std::weak_ptr<Node> &node,
+                            Duration delay,
+                            std::function<void(const NodePtr &node)> event)
+{
+    at(delay, [this, node, event = std::move(event)] {
+        const NodePtr alive = node.lock();
+        if (alive && m_now < alive->pausedUntil) {
+            atNode(node, alive->pausedUntil - m_now, event);
+        } else if (alive) {
+            event(alive);
+        }
+    });
+}
+
 void SimulatedFleet::run(Duration span)
 {
     const TimePoint end = m_now + span;
@@ -213,11 +232,7 @@
 
 void SimulatedFleet::scheduleTick(const std::weak_ptr<Node> &node, Duration delay)
 {
-    at(delay, [this, node] {
-        const NodePtr alive = node.lock();
-        if (!alive) {
-            return;
-        }
+    atNode(node, delay, [this, node](const NodePtr &alive) {
         for (Action &action : alive->decision->tick(m_now)) {
             perform(alive, std::move(action));
         }
@@ -261,10 +276,8 @@
 
 void SimulatedFleet::fail(const NodePtr &node, const std::string &peer, Duration delay)
 {
-    at(delay, [this, weak = std::weak_ptr(node), peer] {
-        if (const NodePtr alive = weak.lock()) {
-            alive->decision->replyFailed(peer, m_now);
-        }
+    atNode(node, delay, [this, peer](const NodePtr &alive) {
+        alive->decision->replyFailed(peer, m_now);
     });
 }
 
@@ -293,7 +306,10 @@
     at(Latency, [this, from = std::weak_ptr(node), receiver = std::weak_ptr(to), action = std::move(action)] {
         const NodePtr sender = from.lock();
         const NodePtr alive = receiver.lock();
-        if (sender && alive) {
+        if (sender && alive && m_now < alive->pausedUntil) {
+            fail(sender, action.peer, RequestTimeout);
+            deliverLate(sender, alive, action);
+        } else if (sender && alive) {
             deliverDigest(sender, alive, action);
         } else if (sender) {
             fail(sender, action.peer, Latency);
@@ -301,6 +317,13 @@
     });
 }
 
+void SimulatedFleet::deliverLate(const NodePtr &from, const NodePtr &to, const SendDigest &action)
+{
+    atNode(to, to->pausedUntil - m_now, [this, name = from->name, domain = from->domain, action](const NodePtr &alive) {
+        alive->decision->digestReceived(name, domain, action.digest, m_now);
+    });
+}
+
 void SimulatedFleet::deliverDigest(const NodePtr &from, const NodePtr &to, const SendDigest &action)
 {
     inner::BodyUnion digestBody;
@@ -315,22 +338,17 @@
         fail(from, action.peer, RequestTimeout);
         return;
     }
-    at(Latency, [this, weak = std::weak_ptr(from), peer = action.peer, name = to->name, domain = to->domain, reply] {
-        if (const NodePtr alive = weak.lock()) {
+    atNode(
+        from, Latency, [this, peer = action.peer, name = to->name, domain = to->domain, reply](const NodePtr &alive) {
             alive->decision->replyReceived(peer, name, domain, *reply, m_now);
-        }
-    });
+        });
 }
 
 void SimulatedFleet::readLog(const NodePtr &node, const ReadLog &action)
 {
     ++node->traffic.logReads;
     const bool isOut = m_isLogOut || isPlatformCut(*node);
-    at(isOut ? RequestTimeout : PlatformLatency, [this, weak = std::weak_ptr(node), action, isOut] {
-        const NodePtr alive = weak.lock();
-        if (!alive) {
-            return;
-        }
+    atNode(node, isOut ? RequestTimeout : PlatformLatency, [this, action, isOut](const NodePtr &alive) {
         if (isOut) {
             alive->decision->logRead(action.stream, failure(ErrorCode::Unavailable, "out"), m_now);
             return;
@@ -360,11 +378,7 @@
 {
     ++node->traffic.listFetches;
     const bool isOut = m_isListOut || isPlatformCut(*node);
-    at(isOut ? RequestTimeout : PlatformLatency, [this, weak = std::weak_ptr(node), isOut] {
-        const NodePtr alive = weak.lock();
-        if (!alive) {
-            return;
-        }
+    atNode(node, isOut ? RequestTimeout : PlatformLatency, [this, isOut](const NodePtr &alive) {
         if (isOut) {
             alive->decision->listFetched(failure(ErrorCode::Unavailable, "out"), m_now);
         } else {
@@ -377,16 +391,12 @@
 {
     ++node->traffic.polls;
     at(Latency, [this, weak = std::weak_ptr(node), endpoint] {
-        const NodePtr alive = weak.lock();
-        if (!alive) {
-            return;
-        }
         const std::optional<EngineState> &state = m_engines[endpoint.endpoint.value()];
-        if (state) {
-            alive->decision->endpointPolled(endpoint.endpoint, *state, m_now);
-        } else {
-            alive->decision->endpointPolled(endpoint.endpoint, failure(ErrorCode::Unavailable, "refused"), m_now);
-        }
+        const Result<EngineState> answer =
+            state ? Result<EngineState>(*state) : failure(ErrorCode::Unavailable, "refused");
+        atNode(weak, Duration{}, [this, endpoint, answer](const NodePtr &alive) {
+            alive->decision->endpointPolled(endpoint.endpoint, answer, m_now);
+        });
     });
 }
 
--- a/bergamot/membership/internal/simulated_fleet.h
+++ b/bergamot/membership/internal/simulated_fleet.h
@@ -74,6 +74,8 @@
 
     void start(const std::string &instance, const std::string &domain, std::vector<std::string> seedPeers = {});
     void kill(const std::string &instance);
+    /// The instance does nothing for `span`, and then handles what has come meanwhile, as after SIGSTOP and SIGCONT.
+    void pause(const std::string &instance, Duration span);
     void unlist(const std::string &instance);
     void setLogOut(bool isOut);
     void setListOut(bool isOut);
@@ -111,14 +113,18 @@
         std::unique_ptr<StreamReplica> replica;
         std::unique_ptr<Dissemination> decision;
         NodeTraffic traffic;
+        TimePoint pausedUntil{};
     };
     using NodePtr = std::shared_ptr<Node>;
     using Event = std::function<void()>;
 
     void at(Duration delay, Event event);
+    /// Runs `event` unless the node has gone, and not before its pause is over.
+    void atNode(const std::weak_ptr<Node> &node, Duration delay, std::function<void(const NodePtr &node)> event);
     void scheduleTick(const std::weak_ptr<Node> &node, Duration delay);
     void perform(const NodePtr &node, Action action);
     void sendDigest(const NodePtr &node, SendDigest action);
+    void deliverLate(const NodePtr &from, const NodePtr &to, const SendDigest &action);
     void deliverDigest(const NodePtr &from, const NodePtr &to, const SendDigest &action);
     void readLog(const NodePtr &node, const ReadLog &action);
     void appendCheckpoint(const NodePtr &node, const AppendCheckpoint &action);
--- a/bergamot/membership/view_builder.cpp
+++ b/bergamot/membership/view_builder.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr std::uint64_t LoadAgeUnitMilliseconds = 100;
+constexpr std::string_view InheritedFinding = "inherited/"; // no name of an instance has a slash
 
 inner::EndpointT toEndpoint(const ListedMember &member)
 {
@@ -81,7 +82,11 @@
 
 bool ViewBuilder::report(const std::string &poller, const inner::EndpointReportT &report, TimePoint now)
 {
-    auto [finding, isNew] = m_findings[report.endpoint].try_emplace(poller);
+    auto &findings = m_findings[report.endpoint];
+    if (poller != InheritedFinding) {
+        findings.erase(std::string(InheritedFinding));
+    }
+    auto [finding, isNew] = findings.try_emplace(poller);
     const bool isNews = isNew || !sameFinding(finding->second.report, report);
     if (isNews) {
         finding->second.changedAt = now;
@@ -91,6 +96,21 @@
     return isNews;
 }
 
+void ViewBuilder::inherit(const inner::EndpointT &endpoint, TimePoint now)
+{
+    if (const auto known = m_findings.find(endpoint.id); known != m_findings.end() && !known->second.empty()) {
+        return;
+    }
+    inner::EndpointReportT shown;
+    shown.endpoint = endpoint.id;
+    shown.reachable = endpoint.reachable;
+    shown.leaving = endpoint.leaving;
+    shown.version = endpoint.version;
+    shown.loading = endpoint.loading;
+    shown.slots = endpoint.slots;
+    report(std::string(InheritedFinding), shown, now);
+}
+
 void ViewBuilder::reportLoads(const std::string &poller, const std::vector<inner::PolledLoad> &loads, TimePoint now)
 {
     for (auto &[endpoint, findings] : m_findings) {
--- a/bergamot/membership/view_builder.h
+++ b/bergamot/membership/view_builder.h
@@ -40,6 +40,8 @@
 
     /// What `poller` found, apart from the load. Returns true if that is news.
     bool report(const std::string &poller, const inner::EndpointReportT &report, TimePoint now);
+    /// What another relay has shown of the endpoint; believed until a poller has reported it here.
+    void inherit(const inner::EndpointT &endpoint, TimePoint now);
     /// The loads that `poller` found; they also show that its earlier reports still hold.
     void reportLoads(const std::string &poller, const std::vector<inner::PolledLoad> &loads, TimePoint now);
     /// Drops reports of pollers that went silent.
--- a/bergamot/protocol/frame.h
+++ b/bergamot/protocol/frame.h
@@ -12,6 +12,7 @@
 //     Result<inner::FrameT> frame = decodeFrame(**payload);
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,6 +25,7 @@
 
 inline constexpr std::uint32_t NewestProtocol = 1;
 inline constexpr std::uint32_t OldestProtocol = 1;
+inline constexpr std::uint64_t NeverWholeAge = std::numeric_limits<std::uint64_t>::max(); // in a ViewReply
 inline constexpr std::size_t FrameLengthBytes = 4;
 inline constexpr std::size_t MaxFrameBytes = 16U << 20U;
 
