standins: a port that refuses stays reserved

FaultyTcpServer closes its port by shutting its listener down; the kernel then gives the port back, and with 10 test programs side by side another one's server took it and answered in the endpoint's place. The same holds for CrashableHttpServer::stop and for two tests that closed a server to have a port that refuses.

Ruled out: an answer of the router's own (the outcome "answered" is written only after an endpoint's answer); a second address in the view (the test shows one); key state of another test (keys live in the fixture).

Change: ReservedPort holds a free port without listening; the two servers listen beside it with SO_REUSEPORT.

--- a/bergamot/standins/faulty_tcp_server.h
+++ b/bergamot/standins/faulty_tcp_server.h
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "bergamot/base/address.h"
+#include "bergamot/standins/reserved_port.h"
 
 namespace bergamot
 {
@@ -52,7 +53,7 @@
     FaultyTcpServer &operator=(const FaultyTcpServer &) = delete;
 
     Address address() const;
-    /// Closes the port: new connections are refused, open ones go on.
+    /// New connections are refused, open ones go on. The port stays reserved.
     void refuseConnections();
     /// Sends the answers held back by `TcpFault::LateAnswer`; later ones are not held back.
     void releaseLateAnswers();
@@ -85,7 +86,7 @@
     bool waitForRelease();
 
     FaultyTcpServerOptions m_options;
-    Address m_address;
+    ReservedPort m_port{"127.0.0.1"};
     int m_listener = -1;
     mutable std::mutex m_mutex;
     mutable std::condition_variable m_changed;
