--- a/bergamot/control/control_process.cpp
+++ b/bergamot/control/control_process.cpp
@@ -130,7 +130,9 @@
            {loop, clock, peers, platformLog, list, appender, probe},
            {&configurationReplica, &dutiesReplica},
            nodeEvents())
-    , keys({.writer = options.instance.value(), .incarnation = options.incarnation},
+    , keys({.writer = options.instance.value(),
+            .incarnation = options.incarnation,
+            .logTail = disseminationOptions(options).logTail},
            {loop, clock, platformLog, appender})
     , evidence({.instance = options.instance.value(), .incarnation = options.incarnation}, loop, clock, appender)
     , leases({.holder = options.instance.value(), .incarnation = options.incarnation}, loop, clock, appender, duties)
--- a/bergamot/control/key_homes.cpp
+++ b/bergamot/control/key_homes.cpp
@@ -6,7 +6,7 @@
 struct KeyHomes::Home
 {
     Home(const KeyHomesOptions &options, const KeysTailParts &parts, const std::string &stream)
-        : tail(stream,
+        : tail({stream, options.logTail},
                fold,
                parts,
                [this] {
--- a/bergamot/control/key_homes.h
+++ b/bergamot/control/key_homes.h
@@ -23,6 +23,7 @@
 {
     std::string writer; // the appender's
     std::uint64_t incarnation = 0; // the appender's
+    LogTailOptions logTail;
 };
 
 /// Confined to the thread of the loop.
--- a/bergamot/control/keys_tail.cpp
+++ b/bergamot/control/keys_tail.cpp
@@ -11,10 +11,10 @@
 
 } // namespace
 
-KeysTail::KeysTail(std::string stream, KeyFold &fold, KeysTailParts parts, std::function<void()> applied)
+KeysTail::KeysTail(KeysTailOptions options, KeyFold &fold, KeysTailParts parts, std::function<void()> applied)
     : m_parts(parts)
-    , m_replica(std::move(stream), fold, NoPeers)
-    , m_tail(m_replica, {}, Duration::zero())
+    , m_replica(std::move(options.stream), fold, NoPeers)
+    , m_tail(m_replica, options.logTail, Duration::zero())
     , m_appliedEvent(std::move(applied))
 { }
 
@@ -31,8 +31,8 @@
         return;
     }
     read();
-    if (const std::optional<StreamCheckpoint> due = m_tail.dueCheckpoint(m_parts.clock.now())) {
-        m_parts.appender.append(m_tail.stream(), std::string(CheckpointKind), checkpointPayload(*due), nullptr);
+    if (std::optional<std::string> part = m_tail.dueCheckpointPart(m_parts.clock.now())) {
+        m_parts.appender.append(m_tail.stream(), std::string(CheckpointKind), std::move(*part), nullptr);
     }
 }
 
--- a/bergamot/control/keys_tail.h
+++ b/bergamot/control/keys_tail.h
@@ -3,7 +3,7 @@
 // Reads this domain's stream of idempotency keys while this instance claims keys for the domain. No other instance
 // needs it: the next committer reads the stream when its turn comes.
 //
-//     KeysTail tail(stream, fold, {loop, clock, log, appender}, [&] { keys.onApplied(); });
+//     KeysTail tail({stream}, fold, {loop, clock, log, appender}, [&] { keys.onApplied(); });
 //     tail.setActive(isCommitter);
 //     tail.tick();
 
@@ -27,11 +27,17 @@
     Appender &appender;
 };
 
+struct KeysTailOptions
+{
+    std::string stream;
+    LogTailOptions logTail;
+};
+
 /// Confined to the thread of the loop.
 class KeysTail
 {
 public:
-    KeysTail(std::string stream, KeyFold &fold, KeysTailParts parts, std::function<void()> applied);
+    KeysTail(KeysTailOptions options, KeyFold &fold, KeysTailParts parts, std::function<void()> applied);
     ~KeysTail();
     KeysTail(const KeysTail &) = delete;
     KeysTail &operator=(const KeysTail &) = delete;
--- a/bergamot/control/main.cpp
+++ b/bergamot/control/main.cpp
@@ -35,7 +35,7 @@
         "seed-peers", "", "IP:PORT,... of other control processes, for a start without the list.", isAddressList);
     parser.optional("log-readers", "relays", "Who reads the log: relays, or all for comparison.", isLogReaders);
     parser.optional(
-        "checkpoint-age-ms", "300000", "Age of a checkpoint, under half the log's retention.", isWholeNumber);
+        "checkpoint-age-ms", "300000", "Age of a checkpoint, a third of the log's retention at most.", isWholeNumber);
     parser.optional(
         "drain-limit-ms", "30000", "How long a shutdown may take to finish what is in flight.", isWholeNumber);
     parser.optional("log-level", "info", "debug, info, warning or error.", isLogLevel);
--- a/bergamot/journal/checkpoint_timer.cpp
+++ b/bergamot/journal/checkpoint_timer.cpp
@@ -1,5 +1,7 @@
 #include "bergamot/journal/checkpoint_timer.h"
 
+#include <algorithm>
+
 namespace bergamot
 {
 
@@ -9,9 +11,8 @@
     , m_notBefore(now)
 { }
 
-void CheckpointTimer::seen(Offset offset, TimePoint now)
+void CheckpointTimer::seen(TimePoint now)
 {
-    m_newest = std::max(m_newest, offset);
     m_seenAt = now;
 }
 
@@ -20,13 +21,13 @@
     m_notBefore = now + m_options.minGap;
 }
 
-bool CheckpointTimer::due(Offset applied, TimePoint now) const
+bool CheckpointTimer::due(const StreamGrowth &growth, TimePoint now) const
 {
-    if (applied == 0 || now < m_notBefore) {
+    if (growth.applied == 0 || now < m_notBefore) {
         return false;
     }
-    const std::uint64_t records = applied > m_newest ? applied - m_newest : 0;
-    return records >= m_options.maxRecords || now - m_seenAt >= m_options.maxAge;
+    const bool pays = growth.bytesSince >= std::max(m_options.minBytes, growth.lastBytes);
+    return pays || now - m_seenAt >= m_options.maxAge;
 }
 
 } // namespace bergamot
--- a/bergamot/journal/checkpoint_timer_test.cpp
+++ b/bergamot/journal/checkpoint_timer_test.cpp
@@ -9,21 +9,47 @@
 
 using namespace std::chrono_literals;
 
-TEST(CheckpointTimer, isDueByAgeOrByRecordsAndNotTwiceInARow)
+struct DueCase
 {
-    ManualClock clock;
-    CheckpointTimer timer({.maxAge = 60s, .maxRecords = 10, .minGap = 5s}, clock.now());
-    EXPECT_FALSE(timer.due(9, clock.now()));
-    EXPECT_TRUE(timer.due(10, clock.now()));
-    timer.appended(clock.now());
-    EXPECT_FALSE(timer.due(10, clock.now()));
-    clock.advance(5s);
-    EXPECT_TRUE(timer.due(10, clock.now()));
-    timer.seen(11, clock.now());
-    EXPECT_FALSE(timer.due(11, clock.now()));
-    clock.advance(60s);
-    EXPECT_TRUE(timer.due(11, clock.now()));
-    EXPECT_FALSE(timer.due(0, clock.now()));
+    std::string name;
+    StreamGrowth growth;
+    Duration after; // since the newest checkpoint was seen
+    bool due;
+};
+
+class CheckpointDue : public testing::TestWithParam<DueCase>
+{ };
+
+TEST_P(CheckpointDue, byAgeOrOnceTheRecordsOutweighIt)
+{
+    const TimePoint begin(1h);
+    CheckpointTimer timer({.maxAge = 60s, .minBytes = 100, .minGap = 5s}, begin);
+    timer.seen(begin);
+    EXPECT_EQ(timer.due(GetParam().growth, begin + GetParam().after), GetParam().due);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Table,
+    CheckpointDue,
+    testing::Values(DueCase{"emptyStream", {.applied = 0, .bytesSince = 1000}, 1h, false},
+                    DueCase{"fewBytes", {.applied = 9, .bytesSince = 99}, 59s, false},
+                    DueCase{"enoughBytes", {.applied = 9, .bytesSince = 100}, 0s, true},
+                    DueCase{"lessThanTheLastOne", {.applied = 9, .bytesSince = 999, .lastBytes = 1000}, 59s, false},
+                    DueCase{"asMuchAsTheLastOne", {.applied = 9, .bytesSince = 1000, .lastBytes = 1000}, 0s, true},
+                    DueCase{"old", {.applied = 9, .bytesSince = 0, .lastBytes = 1000}, 60s, true}),
+    [](const auto &testCase) {
+        return testCase.param.name;
+    });
+
+TEST(CheckpointTimer, waitsBetweenTwoAttempts)
+{
+    const TimePoint begin(1h);
+    CheckpointTimer timer({.maxAge = 60s, .minBytes = 100, .minGap = 5s}, begin);
+    const StreamGrowth growth{.applied = 9, .bytesSince = 100};
+    EXPECT_TRUE(timer.due(growth, begin));
+    timer.appended(begin);
+    EXPECT_FALSE(timer.due(growth, begin + 4s));
+    EXPECT_TRUE(timer.due(growth, begin + 5s));
 }
 
 } // namespace
--- /dev/null
+++ b/bergamot/journal/checkpoint_writer.cpp
@@ -0,0 +1,39 @@
+#include "bergamot/journal/checkpoint_writer.h"
+
+namespace bergamot
+{
+
+CheckpointWriter::CheckpointWriter(CheckpointWriterOptions options)
+    : m_options(options)
+{ }
+
+void CheckpointWriter::begin(const StreamCheckpoint &checkpoint, TimePoint now)
+{
+    std::vector<std::string> payloads = checkpointPayloads(checkpoint, m_options.partBytes);
+    m_gap = std::min(m_options.maxGap, m_options.spread / static_cast<Duration::rep>(payloads.size()));
+    m_parts.assign(std::make_move_iterator(payloads.begin()), std::make_move_iterator(payloads.end()));
+    m_next = now;
+}
+
+void CheckpointWriter::drop()
+{
+    m_parts.clear();
+}
+
+bool CheckpointWriter::busy() const
+{
+    return !m_parts.empty();
+}
+
+std::optional<std::string> CheckpointWriter::nextPart(TimePoint now)
+{
+    if (m_parts.empty() || now < m_next) {
+        return std::nullopt;
+    }
+    std::string payload = std::move(m_parts.front());
+    m_parts.pop_front();
+    m_next = now + m_gap;
+    return payload;
+}
+
+} // namespace bergamot
--- a/bergamot/journal/random_log.cpp
+++ b/bergamot/journal/random_log.cpp
@@ -10,7 +10,8 @@
 
 constexpr std::size_t RetainedRecords = 80;
 constexpr std::size_t PageRecords = 16;
-constexpr CheckpointTimerOptions Checkpoints{.maxAge = 60s, .maxRecords = 25, .minGap = 2s};
+constexpr CheckpointTimerOptions Checkpoints{.maxAge = 60s, .minBytes = 4096, .minGap = 2s};
+constexpr std::size_t CheckpointParts = 3;
 
 } // namespace
 
@@ -154,9 +155,7 @@
         m_reading = false;
         m_follower.answered(*page);
         for (const StoredRecord &stored : *page ? (*page)->records : std::vector<StoredRecord>()) {
-            if (stored.record.kind == CheckpointKind) {
-                m_timer.seen(stored.offset, m_log.clock.now());
-            }
+            noteRecord(stored);
         }
     }
     if (!m_reading) {
@@ -172,16 +171,31 @@
     return m_fold.applied() != before;
 }
 
+void RandomLogClient::noteRecord(const StoredRecord &stored)
+{
+    if (stored.record.kind != CheckpointKind) {
+        m_bytesSinceCheckpoint += stored.record.payload.size();
+        return;
+    }
+    const Result<CheckpointPart> part = parseCheckpointPart(stored.record.payload);
+    if (part && m_checkpointParts.add(*part)) {
+        m_timer.seen(m_log.clock.now());
+        m_bytesSinceCheckpoint = 0;
+    }
+}
+
 void RandomLogClient::checkpointIfDue()
 {
     const TimePoint now = m_log.clock.now();
-    if (!caughtUp() || !m_timer.due(m_fold.applied(), now)) {
+    const StreamGrowth growth{.applied = m_fold.applied(), .bytesSince = m_bytesSinceCheckpoint};
+    if (!caughtUp() || !m_timer.due(growth, now)) {
         return;
     }
-    append(m_log.stream,
-           std::string(CheckpointKind),
-           checkpointPayload({m_fold.applied(), m_fold.checkpoint()}),
-           [](const Result<Offset> &) {});
+    const StreamCheckpoint checkpoint{m_fold.applied(), m_fold.checkpoint()};
+    const std::size_t partBytes = checkpoint.state.size() / CheckpointParts + 1;
+    for (std::string &payload : checkpointPayloads(checkpoint, partBytes)) {
+        append(m_log.stream, std::string(CheckpointKind), std::move(payload), [](const Result<Offset> &) {});
+    }
     m_timer.appended(now);
 }
 
--- a/bergamot/journal/random_log.h
+++ b/bergamot/journal/random_log.h
@@ -79,6 +79,7 @@
 
     void send(AppendSend send);
     void startRead();
+    void noteRecord(const StoredRecord &stored);
     void checkpointIfDue();
 
     RandomLog &m_log;
@@ -88,6 +89,8 @@
     AppendQueue m_queue;
     StreamFollower m_follower;
     CheckpointTimer m_timer;
+    CheckpointAssembler m_checkpointParts;
+    std::uint64_t m_bytesSinceCheckpoint = 0;
     std::uint64_t m_sequence = 0;
     bool m_reading = false;
     std::shared_ptr<Link> m_link; // shared with events that outlive the client
--- a/bergamot/journal/stream_follower.cpp
+++ b/bergamot/journal/stream_follower.cpp
@@ -1,8 +1,5 @@
 #include "bergamot/journal/stream_follower.h"
 
-#include "bergamot/base/hash.h"
-#include "bergamot/base/json.h"
-
 namespace bergamot
 {
 
@@ -12,41 +9,14 @@
 // Beyond every offset, and exact in every JSON parser: the answer to a read from here tells what is retained.
 constexpr Offset BeyondEnd = Offset{1} << 52U;
 
-std::string checkpointHash(const StreamCheckpoint &checkpoint)
+bool endsCheckpoint(const std::string &payload)
 {
-    return sha256Hex(std::to_string(checkpoint.offset) + "\n" + checkpoint.state);
+    const Result<CheckpointPart> part = parseCheckpointPart(payload);
+    return part && part->part + 1 == part->parts;
 }
 
 } // namespace
 
-std::string checkpointPayload(const StreamCheckpoint &checkpoint)
-{
-    web::json::value json = web::json::value::object();
-    json["state"] = web::json::value(checkpoint.state);
-    json["offset"] = web::json::value::number(checkpoint.offset);
-    json["hash"] = web::json::value(checkpointHash(checkpoint));
-    return json.serialize();
-}
-
-Result<StreamCheckpoint> parseCheckpoint(const std::string &payload)
-{
-    const Result<web::json::value> json = parseJson(payload);
-    if (!json) {
-        return tl::unexpected(json.error());
-    }
-    FieldReader reader(*json, "checkpoint");
-    StreamCheckpoint checkpoint;
-    checkpoint.state = reader.requiredString("state");
-    checkpoint.offset = reader.requiredUnsigned("offset");
-    if (reader.requiredString("hash") != checkpointHash(checkpoint)) {
-        reader.reject("hash", "must be the SHA-256 of the offset and the state");
-    }
-    if (Result<void> read = reader.finish(); !read) {
-        return tl::unexpected(read.error());
-    }
-    return checkpoint;
-}
-
 StreamFollower::StreamFollower(StreamFold &fold)
     : m_fold(fold)
 { }
@@ -95,6 +65,7 @@
 {
     m_state = FollowState::Probing;
     m_scanned.clear();
+    m_assembler = {};
 }
 
 std::size_t StreamFollower::follow(const LogPage &page)
@@ -132,7 +103,7 @@
 {
     for (const StoredRecord &stored : page.records) {
         m_scanFrom = stored.offset + 1;
-        if (stored.record.kind == CheckpointKind) {
+        if (stored.record.kind == CheckpointKind && endsCheckpoint(stored.record.payload)) {
             probe();
         }
     }
@@ -143,10 +114,15 @@
     if (stored.record.kind != CheckpointKind) {
         return false;
     }
-    const Result<StreamCheckpoint> checkpoint = parseCheckpoint(stored.record.payload);
-    const bool continued = checkpoint && checkpoint->offset + 1 >= m_scanned.front().offset
-        && checkpoint->offset < stored.offset && checkpoint->offset > m_fold.applied();
-    return continued && m_fold.restore(checkpoint->state, checkpoint->offset).has_value();
+    const Result<CheckpointPart> part = parseCheckpointPart(stored.record.payload);
+    const bool continued = part && part->offset + 1 >= m_scanned.front().offset && part->offset < stored.offset
+        && part->offset > m_fold.applied();
+    if (!continued) {
+        return false;
+    }
+    const std::optional<StreamCheckpoint> checkpoint = m_assembler.add(*part);
+    return checkpoint && isIntact(*checkpoint, part->hash)
+        && m_fold.restore(checkpoint->state, checkpoint->offset).has_value();
 }
 
 std::size_t StreamFollower::applyScanned()
@@ -159,6 +135,7 @@
         }
     }
     m_scanned.clear();
+    m_assembler = {};
     m_state = FollowState::Following;
     return applied;
 }
--- a/bergamot/journal/stream_follower.h
+++ b/bergamot/journal/stream_follower.h
@@ -11,30 +11,13 @@
 #include <vector>
 
 #include "bergamot/base/error.h"
+#include "bergamot/journal/checkpoint.h"
 #include "bergamot/journal/fold.h"
 #include "bergamot/platform/log.h"
 
 namespace bergamot
 {
 
-/// The record kind of checkpoints, on every stream.
-inline constexpr std::string_view CheckpointKind = "checkpoint";
-
-/// A fold's state in the form that checkpoint records carry.
-struct StreamCheckpoint
-{
-    Offset offset = 0; // the state holds after this one
-    std::string state;
-
-    bool operator==(const StreamCheckpoint &) const = default;
-};
-
-/// The payload of a checkpoint record: {"state", "offset", "hash"}.
-std::string checkpointPayload(const StreamCheckpoint &checkpoint);
-
-/// The inverse; `InvalidArgument` if it is malformed or its hash does not fit.
-Result<StreamCheckpoint> parseCheckpoint(const std::string &payload);
-
 enum class FollowState {
     Following, // reads the records after the fold's offset
     Probing, // asks which offsets are retained
@@ -72,6 +55,7 @@
     bool m_caughtUp = false;
     Offset m_scanFrom = 1;
     std::vector<StoredRecord> m_scanned;
+    CheckpointAssembler m_assembler; // of the checkpoints among them
 };
 
 } // namespace bergamot
--- a/bergamot/journal/stream_follower_test.cpp
+++ b/bergamot/journal/stream_follower_test.cpp
@@ -89,7 +89,7 @@
         stream.add("k", payload);
         writer.apply(stream.records.back());
         if (payload == std::string("c")) {
-            const std::string checkpoint = checkpointPayload({writer.applied(), writer.checkpoint()});
+            const std::string checkpoint = checkpointPayloads({writer.applied(), writer.checkpoint()}).front();
             stream.add("k", "x");
             writer.apply(stream.records.back());
             stream.add(std::string(CheckpointKind), checkpoint);
@@ -147,7 +147,7 @@
     StreamFollower follower(fold);
     poll(follower, stream, 4);
     EXPECT_EQ(follower.state(), FollowState::Lost);
-    stream.add(std::string(CheckpointKind), checkpointPayload({2, "state:ab"}));
+    stream.add(std::string(CheckpointKind), checkpointPayloads({2, "state:ab"}).front());
     stream.add("k", "c");
     poll(follower, stream, 6);
     EXPECT_TRUE(follower.caughtUp());
@@ -166,15 +166,73 @@
     EXPECT_EQ(follower.state(), FollowState::Following);
 }
 
-TEST(Checkpoint, isRefusedIfItsHashDoesNotFit)
+struct PartsCase
 {
-    const StreamCheckpoint checkpoint{7, "state"};
-    std::string payload = checkpointPayload(checkpoint);
-    EXPECT_EQ(parseCheckpoint(payload), checkpoint);
-    payload.replace(payload.find("state\":\"state") + 8, 5, "stale");
-    EXPECT_FALSE(parseCheckpoint(payload));
-    EXPECT_FALSE(parseCheckpoint("{"));
+    std::string name;
+    std::function<void(std::vector<std::string> &payloads)> change; // of the three parts
+    FollowState state;
+};
+
+class CheckpointInParts : public testing::TestWithParam<PartsCase>
+{ };
+
+TEST_P(CheckpointInParts, isUsedOnlyWhenItIsWhole)
+{
+    constexpr std::size_t PartBytes = 3;
+    Stream stream;
+    TextFold writer;
+    for (const char *payload : {"a", "b", "c"}) {
+        stream.add("k", payload);
+        writer.apply(stream.records.back());
+    }
+    std::vector<std::string> payloads = checkpointPayloads({writer.applied(), writer.checkpoint()}, PartBytes);
+    ASSERT_EQ(payloads.size(), 3U);
+    GetParam().change(payloads);
+    for (const std::string &payload : payloads) {
+        stream.add(std::string(CheckpointKind), payload);
+        stream.add("k", "x");
+    }
+    for (std::size_t i = 3; i < stream.records.size(); ++i) {
+        writer.apply(stream.records[i]);
+    }
+    stream.firstRetained = 4;
+    TextFold fold;
+    StreamFollower follower(fold);
+    poll(follower, stream, 12);
+    EXPECT_EQ(follower.state(), GetParam().state);
+    if (GetParam().state == FollowState::Following) {
+        EXPECT_EQ(fold.checkpoint(), writer.checkpoint());
+    }
 }
 
+INSTANTIATE_TEST_SUITE_P(Table,
+                         CheckpointInParts,
+                         testing::Values(PartsCase{"whole", [](std::vector<std::string> &) {}, FollowState::Following},
+                                         PartsCase{"aCopy",
+                                                   [](std::vector<std::string> &payloads) {
+                                                       payloads.push_back(payloads[1]);
+                                                   },
+                                                   FollowState::Following},
+                                         PartsCase{"reordered",
+                                                   [](std::vector<std::string> &payloads) {
+                                                       std::swap(payloads[0], payloads[2]);
+                                                   },
+                                                   FollowState::Following},
+                                         PartsCase{"onePartLost",
+                                                   [](std::vector<std::string> &payloads) {
+                                                       payloads.erase(payloads.begin() + 1);
+                                                   },
+                                                   FollowState::Lost},
+                                         PartsCase{"onePartChanged",
+                                                   [](std::vector<std::string> &payloads) {
+                                                       std::string &changed = payloads[1];
+                                                       const std::string field = "state\":\"";
+                                                       changed[changed.find(field) + field.size()] = 'z';
+                                                   },
+                                                   FollowState::Lost}),
+                         [](const auto &testCase) {
+                             return testCase.param.name;
+                         });
+
 } // namespace
 } // namespace bergamot
--- a/bergamot/membership/dissemination.cpp
+++ b/bergamot/membership/dissemination.cpp
@@ -208,8 +208,8 @@
         if (!m_isRelay) {
             continue;
         }
-        if (const std::optional<StreamCheckpoint> checkpoint = tail.dueCheckpoint(now)) {
-            actions.emplace_back(AppendCheckpoint{tail.stream(), checkpointPayload(*checkpoint)});
+        if (std::optional<std::string> part = tail.dueCheckpointPart(now)) {
+            actions.emplace_back(AppendCheckpoint{tail.stream(), std::move(*part)});
         }
     }
 }
--- a/bergamot/membership/log_tail.cpp
+++ b/bergamot/membership/log_tail.cpp
@@ -7,12 +7,14 @@
 {
 
 constexpr std::size_t RecordsPerRead = 500;
+constexpr int CheckpointSpreadDivisor = 4; // of the checkpoints' age: the time in which all parts of one go out
 
 } // namespace
 
 LogTail::LogTail(StreamReplica &replica, LogTailOptions options, Duration checkpointDelay)
     : m_replica(replica)
     , m_options(options)
+    , m_checkpointWriter({.spread = options.checkpoints.maxAge / CheckpointSpreadDivisor})
     , m_backoff(options.period)
 {
     m_options.checkpoints.maxAge += std::chrono::duration_cast<std::chrono::milliseconds>(checkpointDelay);
@@ -77,20 +79,33 @@
     return m_lastCurrent && now - *m_lastCurrent <= m_options.freshness;
 }
 
-std::optional<StreamCheckpoint> LogTail::dueCheckpoint(TimePoint now)
+void LogTail::noteCheckpoints(TimePoint now)
+{
+    if (m_checkpointsSeen == m_replica.checkpointsSeen()) {
+        return;
+    }
+    m_checkpointsSeen = m_replica.checkpointsSeen();
+    m_checkpoints->seen(now);
+    m_checkpointWriter.drop();
+}
+
+std::optional<std::string> LogTail::dueCheckpointPart(TimePoint now)
 {
     if (!m_checkpoints) {
         m_checkpoints.emplace(m_options.checkpoints, now);
     }
-    if (m_seenCheckpoint != m_replica.lastCheckpointRecord()) {
-        m_seenCheckpoint = m_replica.lastCheckpointRecord();
-        m_checkpoints->seen(m_seenCheckpoint, now);
-    }
-    if (!isCurrent(now) || !m_checkpoints->due(m_replica.applied(), now)) {
+    noteCheckpoints(now);
+    if (!isCurrent(now)) {
         return std::nullopt;
     }
-    m_checkpoints->appended(now);
-    return StreamCheckpoint{m_replica.applied(), m_replica.checkpoint()};
+    if (!m_checkpointWriter.busy() && m_checkpoints->due(m_replica.growth(), now)) {
+        m_checkpointWriter.begin({m_replica.applied(), m_replica.checkpoint()}, now);
+    }
+    std::optional<std::string> part = m_checkpointWriter.nextPart(now);
+    if (part) {
+        m_checkpoints->appended(now);
+    }
+    return part;
 }
 
 } // namespace bergamot
--- a/bergamot/membership/log_tail.h
+++ b/bergamot/membership/log_tail.h
@@ -11,6 +11,7 @@
 
 #include "bergamot/base/clock.h"
 #include "bergamot/journal/checkpoint_timer.h"
+#include "bergamot/journal/checkpoint_writer.h"
 #include "bergamot/journal/stream_follower.h"
 #include "bergamot/membership/stream_replica.h"
 
@@ -47,17 +48,19 @@
     void pageRead(const Result<LogPage> &page, TimePoint now);
     /// True if the end of the stream was seen lately and everything before it has been applied.
     bool isCurrent(TimePoint now) const;
-    /// A checkpoint to append, once when it is due.
-    std::optional<StreamCheckpoint> dueCheckpoint(TimePoint now);
+    /// The payload of a checkpoint record to append: one for each part of a checkpoint, as they become due.
+    std::optional<std::string> dueCheckpointPart(TimePoint now);
 
 private:
     void readFailed(TimePoint now);
+    void noteCheckpoints(TimePoint now);
 
     StreamReplica &m_replica;
     LogTailOptions m_options;
     std::optional<StreamFollower> m_follower;
     std::optional<CheckpointTimer> m_checkpoints;
-    Offset m_seenCheckpoint = 0;
+    CheckpointWriter m_checkpointWriter;
+    std::uint64_t m_checkpointsSeen = 0;
     Offset m_appliedAtRead = 0;
     bool m_inFlight = false;
     bool m_readAgain = false; // something was appended after the read in flight was sent
--- a/bergamot/membership/log_tail_test.cpp
+++ b/bergamot/membership/log_tail_test.cpp
@@ -103,18 +103,19 @@
 {
     m_tail.nextRead(m_now);
     m_tail.pageRead(LogPage{{record(1)}, 1, 2}, m_now);
-    EXPECT_FALSE(m_tail.dueCheckpoint(m_now));
+    EXPECT_FALSE(m_tail.dueCheckpointPart(m_now));
     const TimePoint later = m_now + 5min;
     m_tail.nextRead(later);
     m_tail.pageRead(LogPage{{}, 1, 2}, later);
-    ASSERT_TRUE(m_tail.dueCheckpoint(later));
-    EXPECT_FALSE(m_tail.dueCheckpoint(later));
+    ASSERT_TRUE(m_tail.dueCheckpointPart(later));
+    EXPECT_FALSE(m_tail.dueCheckpointPart(later));
     m_tail.nextRead(later + 1s);
-    m_tail.pageRead(LogPage{{record(2, std::string(CheckpointKind))}, 1, 3}, later + 4min);
-    EXPECT_FALSE(m_tail.dueCheckpoint(later + 4min));
+    const std::string payload = checkpointPayloads({1, "state"}).front();
+    m_tail.pageRead(LogPage{{record(2, std::string(CheckpointKind), payload)}, 1, 3}, later + 4min);
+    EXPECT_FALSE(m_tail.dueCheckpointPart(later + 4min));
     m_tail.nextRead(later + 5min);
     m_tail.pageRead(LogPage{{}, 1, 3}, later + 5min);
-    EXPECT_FALSE(m_tail.dueCheckpoint(later + 5min)) << "another one was seen a minute ago";
+    EXPECT_FALSE(m_tail.dueCheckpointPart(later + 5min)) << "another one was seen a minute ago";
 }
 
 } // namespace
--- a/bergamot/membership/stream_replica.cpp
+++ b/bergamot/membership/stream_replica.cpp
@@ -62,7 +62,9 @@
 {
     m_fold.apply(stored);
     if (stored.record.kind == CheckpointKind) {
-        m_lastCheckpointRecord = stored.offset;
+        countCheckpointPart(stored.record.payload);
+    } else {
+        m_bytesSinceCheckpoint += sizeOf(stored.record);
     }
     m_recent.push_back(stored);
     m_recentBytes += sizeOf(stored.record);
@@ -128,9 +130,29 @@
     return applied() > before;
 }
 
-Offset StreamReplica::lastCheckpointRecord() const
+void StreamReplica::countCheckpointPart(const std::string &payload)
 {
-    return m_lastCheckpointRecord;
+    Result<CheckpointPart> part = parseCheckpointPart(payload);
+    if (!part) {
+        return;
+    }
+    m_openCheckpointBytes += part->state.size();
+    part->state.clear();
+    if (m_checkpointParts.add(std::move(*part))) {
+        ++m_checkpointsSeen;
+        m_lastCheckpointBytes = std::exchange(m_openCheckpointBytes, 0);
+        m_bytesSinceCheckpoint = 0;
+    }
+}
+
+std::uint64_t StreamReplica::checkpointsSeen() const
+{
+    return m_checkpointsSeen;
+}
+
+StreamGrowth StreamReplica::growth() const
+{
+    return {.applied = applied(), .bytesSince = m_bytesSinceCheckpoint, .lastBytes = m_lastCheckpointBytes};
 }
 
 } // namespace bergamot
--- a/bergamot/membership/stream_replica.h
+++ b/bergamot/membership/stream_replica.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "bergamot/journal/checkpoint_timer.h"
 #include "bergamot/journal/fold.h"
 #include "bergamot/journal/stream_follower.h"
 #include "bergamot/protocol/generated/inner_generated.h"
@@ -47,16 +48,24 @@
     /// Takes what a peer sent. Returns true if anything was new.
     bool accept(const inner::StreamRecordsT &news);
 
-    /// The offset of the newest checkpoint record seen; 0 if none.
-    Offset lastCheckpointRecord() const;
+    /// Whole checkpoints seen among the records.
+    std::uint64_t checkpointsSeen() const;
+    /// How far the stream has come since the newest of them, or since this replica began.
+    StreamGrowth growth() const;
 
 private:
+    void countCheckpointPart(const std::string &payload);
+
     std::string m_stream;
     StreamFold &m_fold;
     StreamReplicaLimits m_limits;
     std::deque<StoredRecord> m_recent; // contiguous, ends at applied()
     std::size_t m_recentBytes = 0;
-    Offset m_lastCheckpointRecord = 0;
+    CheckpointAssembler m_checkpointParts; // without their states
+    std::uint64_t m_checkpointsSeen = 0;
+    std::uint64_t m_bytesSinceCheckpoint = 0;
+    std::uint64_t m_openCheckpointBytes = 0; // of the parts seen since the newest whole checkpoint
+    std::uint64_t m_lastCheckpointBytes = 0;
 };
 
 } // namespace bergamot
