samples: the benchmark traces where staleness comes from, over several seeds

Cause: the staleness of the idle-time strategy with three trainers was explained by guesses (versions come faster). Change: StalenessTrace counts for each sample handed over the versions published before its engine had them, while it was decoded and while it was held whole. A line of the benchmark is the mean over several seeds with the least and greatest; the seed also sets the lengths of texts. The measured run is a part of its own (strategy_run).

--- a/bergamot/samples/internal/sample_world.cpp
+++ b/bergamot/samples/internal/sample_world.cpp
@@ -217,6 +217,7 @@
 {
     TrainerModel &trainer = m_trainers[index];
     trainer.version = ++m_published;
+    m_trace.published(m_published);
     static_cast<void>(m_store.publish(Model, m_published));
     trainer.beginNextStep(now());
     planRollouts();
--- a/bergamot/samples/internal/sample_world.h
+++ b/bergamot/samples/internal/sample_world.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "bergamot/rollout/rollout_planner.h"
+#include "bergamot/samples/internal/staleness_trace.h"
 #include "bergamot/samples/internal/trainer_model.h"
 #include "bergamot/samples/sample_scheduler.h"
 #include "bergamot/standins/fakes.h"
@@ -110,6 +111,11 @@
     std::uint64_t received() const;
     /// For each step: time of its last sample over the median one, both since its first dispatch.
     std::vector<double> lastOverMedian() const;
+    const StalenessParts &stalenessParts() const
+    {
+        return m_trace.parts();
+    }
+
     /// Actions of kind RecordEvidence seen, by kind.
     const std::map<std::string, std::uint64_t> &evidence() const
     {
@@ -135,6 +141,7 @@
     void setRolloutEngines();
     void planRollouts();
     void performRollout(std::size_t domain, const RolloutAction &action);
+    bool isAwaited(const StepKey &step) const;
     void perform();
     void performOne(StartGeneration &action);
     void performOne(CancelGeneration &action);
@@ -166,6 +173,7 @@
     bool m_doubleDraws = false;
     std::int64_t m_inFlight = 0;
     WorldTokens m_tokens;
+    StalenessTrace m_trace;
     std::map<StepKey, StepTimes> m_times;
     std::map<std::string, StepKey> m_stepOfPrompt;
     std::map<std::string, TimePoint> m_wholeAt; // by request id
--- a/bergamot/samples/internal/sample_world_actions.cpp
+++ b/bergamot/samples/internal/sample_world_actions.cpp
@@ -23,11 +23,20 @@
     }
 }
 
+bool SampleWorld::isAwaited(const StepKey &step) const
+{
+    return std::any_of(m_trainers.begin(), m_trainers.end(), [&](const TrainerModel &trainer) {
+        return trainer.stepKey(trainer.step()) == step && !trainer.isTraining(now());
+    });
+}
+
 void SampleWorld::performOne(StartGeneration &action)
 {
     ++m_inFlight;
     const auto engine = static_cast<std::size_t>(action.engine.port - address(0).port);
-    StepTimes &times = m_times[m_stepOfPrompt.at(action.request.prompt)];
+    const StepKey &key = m_stepOfPrompt.at(action.request.prompt);
+    m_trace.started(action.request, isAwaited(key), now());
+    StepTimes &times = m_times[key];
     if (times.first == TimePoint()) {
         times.first = now();
     }
@@ -59,6 +68,7 @@
     }
     --m_inFlight;
     m_wholeAt[request.requestId] = now();
+    m_trace.whole(request.requestId, now());
     m_scheduler->generationEnded(request.requestId, outcome, now());
     perform();
 }
@@ -118,6 +128,7 @@
         }
         trainer.drawInFlight = false;
         for (const HandedSample &handed : action.samples) {
+            m_trace.handedOver(handed, action.newest, now());
             m_times[action.step].whole.push_back(m_wholeAt[handed.sample.requestId]);
             for (const TokenSpan &span : handed.sample.spans) {
                 m_tokens.delivered += span.tokenCount;
--- a/bergamot/samples/samples_benchmark.cpp
+++ b/bergamot/samples/samples_benchmark.cpp
@@ -1,250 +1,134 @@
 // Measures strategies for samples in discrete time: 9 model engines in 3 failure domains, 1 and 3 trainers, both
-// deployments, with and without faults. Prints one line for each run; every figure follows from the seed alone.
+// deployments, with and without faults. Every figure follows from the seeds alone; those after the first are the check,
+// and a line gives the mean over all of them with the least and the greatest.
 //
-//     samples_benchmark [steps]          every strategy
-//     samples_benchmark [steps] sweep    values of aheadShare and swapPatience, for choosing them
-//     samples_benchmark 0 memory         17 trainers with 4,096 samples each
+//     samples_benchmark [steps] [seeds] [word...]    every strategy; only lines with all these words
+//     samples_benchmark [steps] sweep [word...]      the trade-off of each strategy as its knob moves
+//     samples_benchmark 0 memory                     17 trainers with 4,096 samples each
 
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
-#include <random>
 
-#include "bergamot/samples/internal/sample_world.h"
+#include "bergamot/samples/internal/strategy_run.h"
 
 namespace
 {
 
 using namespace bergamot;
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint64_t Seed = 20261203;
-constexpr std::uint16_t EngineCount = 9;
-constexpr std::uint32_t SharedGroups[]{48, 24, 12}; // trainers need unlike amounts, at equal shares
+constexpr std::uint64_t FirstSeed = 20261203;
 
-struct Deployment
-{
-    const char *name;
-    Duration betweenDomains; // one way
-    Duration toTrainer; // one way
-    const DispatchStrategy *strategy;
-};
-
-const Deployment Deployments[]{
-    {"Kigali", std::chrono::microseconds(1500), milliseconds(1), &StalenessFirst},
-    {"Bengal", milliseconds(1), milliseconds(3), &IdleTimeFirst},
-};
+constexpr const DispatchStrategy *Contenders[]{&StaticSplit, &WaitForAll, &IdleTimeFirst, &StalenessFirst};
 
-struct Contender
+struct Spread
 {
-    const DispatchStrategy *strategy;
-    bool drainBeforeSwap;
-};
+    double sum = 0;
+    double least = 0;
+    double greatest = 0;
+    int count = 0;
 
-const Contender Contenders[]{
-    {&StaticSplit, false},
-    {&WaitForAll, true},
-    {&IdleTimeFirst, false},
-    {&StalenessFirst, false},
+    void add(double value)
+    {
+        least = count == 0 ? value : std::min(least, value);
+        greatest = count == 0 ? value : std::max(greatest, value);
+        sum += value;
+        ++count;
+    }
+
+    double mean() const
+    {
+        return sum / count;
+    }
 };
 
-struct Measures
+/// One line of the result: the same run with several seeds.
+struct Line
 {
-    double idleShare = 0;
-    double stalenessMean = 0;
-    std::uint64_t staleness50 = 0;
+    Spread idle;
+    Spread staleness;
+    Spread extra;
+    Spread lastOverMedian;
+    Spread decoded;
+    Spread held;
+    Spread behind;
+    Spread notInForce;
+    Spread ahead;
+    Spread holding;
     std::uint64_t staleness99 = 0;
-    std::uint64_t stalenessMax = 0;
     std::uint64_t thrownAway = 0;
-    double extraTokens = 0;
-    double lastOverMedian = 0;
-    std::uint64_t violations = 0;
     std::uint64_t received = 0;
-    bool finished = false;
-};
-
-SampleWorldOptions
-worldOptions(const Deployment &deployment, const Contender &contender, int trainers, std::uint64_t steps)
-{
-    SampleWorldOptions options;
-    options.engines = EngineCount;
-    options.engineLatency = deployment.betweenDomains;
-    options.trainerLatency = deployment.toTrainer;
-    options.engine.slots = 8;
-    options.engine.tokenTime = milliseconds(300);
-    options.engine.prefillTokenTime = milliseconds(5);
-    options.engine.minimumLengthPercent = 30;
-    options.engine.fetchTime = seconds(3);
-    options.engine.swapTime = seconds(1);
-    options.engine.restartTime = seconds(20);
-    options.drainBeforeSwap = contender.drainBeforeSwap;
-    options.scheduler.strategy = [strategy = contender.strategy](const TrainerConfig &) -> const DispatchStrategy & {
-        return *strategy;
-    };
-    for (int i = 0; i < trainers; ++i) {
-        TrainerModelOptions trainer;
-        trainer.config.trainer = TrainerId("t" + std::to_string(i));
-        trainer.config.sharePercent = static_cast<std::uint32_t>(100 / trainers);
-        trainer.config.stalenessBound = trainers == 1 ? 1 : 4;
-        trainer.groups = trainers == 1 ? 64 : SharedGroups[i];
-        trainer.samplesPerGroup = 8;
-        trainer.maxTokens = 64;
-        trainer.steps = steps;
-        trainer.stepsAhead = 1;
-        trainer.trainTime = seconds(trainers == 1 ? 90 : 120);
-        options.trainers.push_back(trainer);
-    }
-    return options;
-}
-
-/// Faults by a seeded schedule that is the same for every contender.
-class FaultSchedule
-{
-public:
-    explicit FaultSchedule(bool enabled)
-        : m_enabled(enabled)
-        , m_random(Seed)
-    { }
-
-    void apply(SampleWorld &world, TimePoint now)
-    {
-        if (!m_enabled || now < m_next) {
-            return;
-        }
-        m_next = now + seconds(40 + m_random() % 40);
-        const auto engine = static_cast<std::uint16_t>(m_random() % EngineCount);
-        const Address address = SampleWorld::address(engine);
-        switch (m_random() % 4) {
-        case 0:
-            report(world.engines().apply(address, {.fault = "crash", .duration = seconds(20)}));
-            break;
-        case 1:
-            report(world.engines().apply(address, {.fault = "fail-swap", .count = 1}));
-            break;
-        case 2:
-            report(world.engines().apply(address, {.fault = "slow-slots", .count = 8, .duration = milliseconds(1200)}));
-            m_slow.emplace_back(now + seconds(60), address);
-            break;
-        default:
-            world.loseAnswers(1);
-            break;
-        }
-    }
-
-    void recover(SampleWorld &world, TimePoint now)
-    {
-        std::erase_if(m_slow, [&](const auto &slow) {
-            const bool over = now >= slow.first;
-            if (over) {
-                report(world.engines().apply(slow.second, {.fault = "slow-slots", .count = 0}));
-            }
-            return over;
-        });
-    }
+    std::uint64_t violations = 0;
+    bool finished = true;
 
-private:
-    static void report(const Result<void> &applied)
+    void add(const RunMeasures &run)
     {
-        if (!applied) {
-            std::fprintf(stderr, "fault not applied: %s\n", applied.error().message.c_str());
-        }
+        const double samples = std::max<double>(static_cast<double>(run.parts.samples), 1);
+        idle.add(100 * run.idleShare);
+        staleness.add(run.stalenessMean);
+        extra.add(100 * run.extraTokens);
+        lastOverMedian.add(run.lastOverMedian);
+        decoded.add(static_cast<double>(run.parts.decoded) / samples);
+        held.add(static_cast<double>(run.parts.held) / samples);
+        behind.add(static_cast<double>(run.parts.engineBehind + run.parts.carried) / samples);
+        notInForce.add(static_cast<double>(run.parts.notInForce) / samples);
+        ahead.add(100 * static_cast<double>(run.parts.startedBeforeDraw) / samples);
+        holding.add(std::chrono::duration<double>(run.parts.holding).count() / samples);
+        staleness99 = std::max(staleness99, run.staleness99);
+        thrownAway += run.thrownAway;
+        received += run.received;
+        violations += run.violations;
+        finished = finished && run.finished;
     }
-
-    bool m_enabled;
-    std::mt19937_64 m_random;
-    TimePoint m_next{std::chrono::hours(1) + seconds(30)};
-    std::vector<std::pair<TimePoint, Address>> m_slow;
 };
 
-double mean(const std::vector<double> &values)
+bool hasAll(const std::string &label, const std::vector<std::string> &words)
 {
-    double sum = 0;
-    for (const double value : values) {
-        sum += value;
-    }
-    return values.empty() ? 0 : sum / static_cast<double>(values.size());
+    return std::all_of(words.begin(), words.end(), [&](const std::string &word) {
+        return (" " + label + " ").find(" " + word + " ") != std::string::npos;
+    });
 }
 
-Measures measure(SampleWorld &world, int trainers)
+std::string labelOf(const RunOptions &run)
 {
-    Measures result;
-    std::vector<std::uint64_t> staleness;
-    double idle = 0;
-    double whole = 0;
-    result.finished = true;
-    for (int i = 0; i < trainers; ++i) {
-        const TrainerModel &trainer = world.trainer(static_cast<std::size_t>(i));
-        staleness.insert(staleness.end(), trainer.staleness().begin(), trainer.staleness().end());
-        idle += std::chrono::duration<double>(trainer.idle()).count();
-        whole += std::chrono::duration<double>(trainer.activeFor()).count();
-        result.finished = result.finished && trainer.isFinished();
-    }
-    std::sort(staleness.begin(), staleness.end());
-    if (!staleness.empty()) {
-        double sum = 0;
-        for (const std::uint64_t each : staleness) {
-            sum += static_cast<double>(each);
-        }
-        result.stalenessMean = sum / static_cast<double>(staleness.size());
-        result.staleness50 = staleness[staleness.size() / 2];
-        result.staleness99 = staleness[staleness.size() * 99 / 100];
-        result.stalenessMax = staleness.back();
-    }
-    const WorldTokens tokens = world.tokens();
-    const SchedulerCounters &counters = world.scheduler().counters();
-    result.idleShare = whole > 0 ? idle / whole : 0;
-    result.thrownAway = counters.discardedTooOld + counters.cancelledTooOld + counters.discardedUnproven;
-    result.extraTokens =
-        static_cast<double>(tokens.made) / std::max<double>(static_cast<double>(tokens.delivered), 1) - 1;
-    result.lastOverMedian = mean(world.lastOverMedian());
-    result.violations = world.violations().sum();
-    result.received = world.received();
-    return result;
+    return std::string(run.deployment->name) + " " + std::to_string(run.trainers) + " "
+        + (run.faults ? "faults" : "calm") + " " + std::string(run.strategy->name);
 }
 
-Measures run(const Deployment &deployment, const Contender &contender, int trainers, bool faults, std::uint64_t steps)
+void printLine(const RunOptions &run, std::uint64_t seeds)
 {
-    SampleWorld world(worldOptions(deployment, contender, trainers, steps));
-    FaultSchedule schedule(faults);
-    const TimePoint limit = world.now() + std::chrono::hours(12);
-    const auto finished = [&] {
-        for (int i = 0; i < trainers; ++i) {
-            if (!world.trainer(static_cast<std::size_t>(i)).isFinished()) {
-                return false;
-            }
-        }
-        return true;
-    };
-    while (!finished() && world.now() < limit) {
-        schedule.recover(world, world.now());
-        schedule.apply(world, world.now());
-        world.run(seconds(1));
+    Line line;
+    for (std::uint64_t i = 0; i < seeds; ++i) {
+        RunOptions seeded = run;
+        seeded.seed = FirstSeed + i;
+        line.add(runStrategy(seeded));
     }
-    return measure(world, trainers);
-}
-
-void print(
-    const Deployment &deployment, const Contender &contender, int trainers, bool faults, const Measures &measures)
-{
-    std::printf("%-7s %d %-6s %-13s idle %5.1f%%  staleness mean %.3f p50 %llu p99 %llu max %llu  thrown %4llu  "
-                "extra %5.2f%%  last/median %.2f  received %llu  violations %llu%s\n",
-                deployment.name,
-                trainers,
-                faults ? "faults" : "calm",
-                std::string(contender.strategy->name).c_str(),
-                100 * measures.idleShare,
-                measures.stalenessMean,
-                static_cast<unsigned long long>(measures.staleness50),
-                static_cast<unsigned long long>(measures.staleness99),
-                static_cast<unsigned long long>(measures.stalenessMax),
-                static_cast<unsigned long long>(measures.thrownAway),
-                100 * measures.extraTokens,
-                measures.lastOverMedian,
-                static_cast<unsigned long long>(measures.received),
-                static_cast<unsigned long long>(measures.violations),
-                measures.finished ? "" : "  NOT FINISHED");
+    std::printf(
+        "%-28s idle %5.1f%% (%.1f-%.1f)  staleness %.3f (%.3f-%.3f) p99 %llu: behind %.2f decoding %.2f held %.2f "
+        "not in force %.2f  ahead %.0f%%  held %.0f s  thrown %llu  extra %.2f%%  last/median %.2f  received %llu  "
+        "violations %llu%s\n",
+        labelOf(run).c_str(),
+        line.idle.mean(),
+        line.idle.least,
+        line.idle.greatest,
+        line.staleness.mean(),
+        line.staleness.least,
+        line.staleness.greatest,
+        static_cast<unsigned long long>(line.staleness99),
+        line.behind.mean(),
+        line.decoded.mean(),
+        line.held.mean(),
+        line.notInForce.mean(),
+        line.ahead.mean(),
+        line.holding.mean(),
+        static_cast<unsigned long long>(line.thrownAway),
+        line.extra.mean(),
+        line.lastOverMedian.mean(),
+        static_cast<unsigned long long>(line.received),
+        static_cast<unsigned long long>(line.violations),
+        line.finished ? "" : "  NOT FINISHED");
     std::fflush(stdout);
 }
 
@@ -297,44 +181,57 @@
         static_cast<unsigned long long>(residentKilobytes() - before));
 }
 
-void sweep(std::uint64_t steps)
+void sweep(std::uint64_t steps, const std::vector<std::string> &words)
 {
-    static DispatchStrategy strategy = StalenessFirst;
-    for (const int trainers : {1, 3}) {
-        for (const int patience : {0, 8, 16}) {
-            for (const double share : {0.3, 0.5, 0.7, 0.9, 1.0}) {
+    for (const DispatchStrategy *base : {&IdleTimeFirst, &StalenessFirst}) {
+        for (const int trainers : {1, 3}) {
+            for (const double share : {0.0, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9, 1.0}) {
+                DispatchStrategy strategy = *base;
                 strategy.aheadShare = share;
-                strategy.swapPatience = seconds(patience);
-                std::printf("share %.2f patience %2d s: ", share, patience);
-                const Contender contender{&strategy, false};
-                print(
-                    Deployments[0], contender, trainers, false, run(Deployments[0], contender, trainers, false, steps));
+                const RunOptions run{.strategy = &strategy, .trainers = trainers, .steps = steps};
+                if (hasAll(labelOf(run), words)) {
+                    std::printf("share %.2f ", share);
+                    printLine(run, 1);
+                }
             }
         }
     }
 }
 
-} // namespace
-
-int main(int argc, char **argv)
+void everyLine(std::uint64_t steps, std::uint64_t seeds, const std::vector<std::string> &words)
 {
-    const std::uint64_t steps = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 12;
-    if (argc > 2 && std::strcmp(argv[2], "memory") == 0) {
-        measureMemory();
-        return 0;
-    }
-    if (argc > 2 && std::strcmp(argv[2], "sweep") == 0) {
-        sweep(steps);
-        return 0;
-    }
     for (const Deployment &deployment : Deployments) {
         for (const int trainers : {1, 3}) {
             for (const bool faults : {false, true}) {
-                for (const Contender &contender : Contenders) {
-                    print(deployment, contender, trainers, faults, run(deployment, contender, trainers, faults, steps));
+                for (const DispatchStrategy *strategy : Contenders) {
+                    const RunOptions run{.deployment = &deployment,
+                                         .strategy = strategy,
+                                         .trainers = trainers,
+                                         .faults = faults,
+                                         .steps = steps};
+                    if (hasAll(labelOf(run), words)) {
+                        printLine(run, seeds);
+                    }
                 }
             }
         }
     }
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    const std::uint64_t steps = arguments.empty() ? 12 : std::strtoull(arguments[0].c_str(), nullptr, 10);
+    const std::string what = arguments.size() > 1 ? arguments[1] : "1";
+    const std::vector<std::string> words(arguments.begin() + std::min<std::ptrdiff_t>(argc - 1, 2), arguments.end());
+    if (what == "memory") {
+        measureMemory();
+    } else if (what == "sweep") {
+        sweep(steps, words);
+    } else {
+        everyLine(steps, std::max<std::uint64_t>(std::strtoull(what.c_str(), nullptr, 10), 1), words);
+    }
     return 0;
 }
