samples: slots go first to the step that is due first

Cause: by trace, 1.85 of 2.25 versions come from samples held whole until their trainer draws (57 s each): trainers that need little get their share long before they need it, those that need much begin a whole training time ahead. Ruled out: engines behind, swaps under decoding (0.39 together). Change: planSteps puts the steps of all trainers in the order in which they are due; a step starts its expected duration on all slots, after the work due before it, ahead of its draw; a trainer leaves its guaranteed slots to others until its step would be late otherwise. A step may start while the one before it has only samples in flight.

--- a/bergamot/samples/dispatch_planner.cpp
+++ b/bergamot/samples/dispatch_planner.cpp
@@ -46,21 +46,52 @@
     return m_trainers[trainer].inFlight >= guaranteed(trainer);
 }
 
-std::optional<std::size_t> DispatchPlanner::nextTrainer() const
+std::uint32_t DispatchPlanner::sampleSlots() const
 {
-    std::optional<std::size_t> best;
-    const auto ratio = [this](std::size_t trainer) {
-        const TrainerDemand &demand = m_trainers[trainer];
+    std::uint32_t slots = 0;
+    for (const EngineLoad &engine : m_engines) {
+        slots += engine.usable ? engine.slots - std::min(engine.slots, engine.others) : 0;
+    }
+    return slots;
+}
+
+void DispatchPlanner::demand(std::size_t trainer, std::uint32_t waiting, Duration due, bool claimsShare)
+{
+    TrainerDemand &demand = m_trainers[trainer];
+    demand.waiting = waiting;
+    demand.due = due;
+    demand.claimsShare = claimsShare;
+}
+
+bool DispatchPlanner::isGuaranteed(std::size_t trainer) const
+{
+    return m_trainers[trainer].claimsShare && !wouldBorrow(trainer);
+}
+
+bool DispatchPlanner::goesBefore(std::size_t left, std::size_t right) const
+{
+    if (isGuaranteed(left) != isGuaranteed(right)) {
+        return isGuaranteed(left);
+    }
+    if (!isGuaranteed(left) && m_trainers[left].due != m_trainers[right].due) {
+        return m_trainers[left].due < m_trainers[right].due;
+    }
+    const auto ratio = [](const TrainerDemand &demand) {
         return static_cast<double>(demand.inFlight) / std::max<double>(demand.sharePercent, 1);
     };
+    return ratio(m_trainers[left]) < ratio(m_trainers[right]);
+}
+
+std::optional<std::size_t> DispatchPlanner::nextTrainer() const
+{
+    std::optional<std::size_t> best;
     for (std::size_t i = 0; i < m_trainers.size(); ++i) {
-        const bool borrows = wouldBorrow(i);
-        const bool capped = borrows && !m_trainers[i].strategy->borrowsIdleSlots;
-        const bool full = m_freeSlots == 0 && (borrows || m_queueing == 0);
+        const bool capped = wouldBorrow(i) && !m_trainers[i].strategy->borrowsIdleSlots;
+        const bool full = m_freeSlots == 0 && (!isGuaranteed(i) || m_queueing == 0);
         if (m_blocked[i] || m_trainers[i].waiting == 0 || capped || full) {
             continue;
         }
-        if (!best || ratio(i) < ratio(*best)) {
+        if (!best || goesBefore(i, *best)) {
             best = i;
         }
     }
@@ -69,7 +100,7 @@
 
 bool DispatchPlanner::takes(const EngineLoad &engine, std::size_t trainer) const
 {
-    const bool mayQueue = m_freeSlots == 0 && !wouldBorrow(trainer);
+    const bool mayQueue = m_freeSlots == 0 && isGuaranteed(trainer);
     return engine.freeSlots() > 0 || (mayQueue && engine.queues());
 }
 
@@ -153,7 +184,7 @@
     for (std::size_t i = 0; i < m_trainers.size(); ++i) {
         const TrainerDemand &demand = m_trainers[i];
         const std::uint32_t share = guaranteed(i);
-        if (demand.strategy->borrowsIdleSlots && demand.inFlight < share && !m_blocked[i]) {
+        if (demand.strategy->borrowsIdleSlots && demand.claimsShare && demand.inFlight < share && !m_blocked[i]) {
             missing += std::min(share - demand.inFlight, demand.waiting);
         }
     }
--- a/bergamot/samples/dispatch_planner.h
+++ b/bergamot/samples/dispatch_planner.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <vector>
 
+#include "bergamot/base/clock.h"
 #include "bergamot/base/ids.h"
 #include "bergamot/samples/dispatch_strategy.h"
 
@@ -50,6 +51,8 @@
     std::uint32_t inFlight = 0;
     std::uint32_t waiting = 0;
     const DispatchStrategy *strategy = &IdleTimeFirst;
+    Duration due{0}; // until the trainer needs them; zero: it waits
+    bool claimsShare = true; // false: it leaves its guaranteed slots to those whose samples are due earlier
 };
 
 struct EngineWish
@@ -73,7 +76,8 @@
 public:
     DispatchPlanner(std::vector<EngineLoad> engines, std::vector<TrainerDemand> trainers);
 
-    /// The trainer that has least of its share and may get one more slot; none if there is none.
+    /// The trainer that may get one more slot: one that claims its share, that with least of it first; then the one
+    /// whose samples are due first. None if there is none.
     std::optional<std::size_t> nextTrainer() const;
     /// The best engine for a sample of `trainer`; none if no permitted one has a free slot. `turn` counts the
     /// trainer's dispatches, for strategies that take engines in turn.
@@ -84,6 +88,8 @@
     /// Leaves `trainer` out from now on: nothing of it can be placed at this moment.
     void block(std::size_t trainer);
 
+    /// Slots that are guaranteed to `trainer`.
+    std::uint32_t guaranteed(std::size_t trainer) const;
     /// Whether a further sample of `trainer` would run on a slot that is guaranteed to others.
     bool wouldBorrow(std::size_t trainer) const;
     /// Slots that borrowers have to hand back because a trainer below its share finds none free.
@@ -99,8 +105,15 @@
         return m_freeSlots;
     }
 
+    /// Slots of usable engines that callers leave to samples.
+    std::uint32_t sampleSlots() const;
+    /// What `trainer` wants at this moment; before it is asked for the first time, it wants what it was made with.
+    void demand(std::size_t trainer, std::uint32_t waiting, Duration due, bool claimsShare);
+
 private:
-    std::uint32_t guaranteed(std::size_t trainer) const;
+    /// Whether a further sample of `trainer` would run on a guaranteed slot that it claims.
+    bool isGuaranteed(std::size_t trainer) const;
+    bool goesBefore(std::size_t left, std::size_t right) const;
     bool takes(const EngineLoad &engine, std::size_t trainer) const;
     std::pair<std::size_t, std::size_t> ownEngines(std::size_t trainer) const;
     std::optional<std::size_t> engineInTurn(std::size_t trainer, std::uint64_t turn, const EngineWish &wish) const;
--- a/bergamot/samples/dispatch_strategy.h
+++ b/bergamot/samples/dispatch_strategy.h
@@ -21,13 +21,14 @@
     std::chrono::milliseconds swapPatience{0}; // for how long a step that is drawn waits for newer weights
     double versionLagCost = 0; // load, in shares of an engine, that one version behind counts for
     double aheadShare = 1; // of a step's samples that may start before the trainer draws the step
-    double aheadLead = 0; // a step starts this many times its expected duration before the trainer draws it; 0: at once
+    bool byDueTime = false; // slots go first to the step that is due first; false: by shares alone, and at once
+    double aheadLead = 0; // a step starts this many times its expected duration before it is due; 0: at once
     double stragglerFactor = 0; // elapsed over the usual time that makes a straggler; 0: none is replaced or moved
 };
 
 /// For who weighs idle time more: starts the whole next step while the trainer still works on this one.
 inline constexpr DispatchStrategy IdleTimeFirst{
-    .name = "idle-time", .versionLagCost = 0.25, .aheadLead = 2, .stragglerFactor = 1.5};
+    .name = "idle-time", .versionLagCost = 0.25, .byDueTime = true, .aheadLead = 2, .stragglerFactor = 1.5};
 
 /// For who weighs staleness more: starts only a part of the next step ahead, as late as it can still be whole in time,
 /// and lets the rest wait until engines have the newest weights.
@@ -35,6 +36,7 @@
                                                  .swapPatience = std::chrono::seconds(16),
                                                  .versionLagCost = 1,
                                                  .aheadShare = 0.3,
+                                                 .byDueTime = true,
                                                  .aheadLead = 1.2,
                                                  .stragglerFactor = 1.5};
 
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -20,6 +20,7 @@
 #include "bergamot/samples/crash_rule.h"
 #include "bergamot/samples/dispatch_planner.h"
 #include "bergamot/samples/dispatch_strategy.h"
+#include "bergamot/samples/due_plan.h"
 #include "bergamot/samples/fleet_picture.h"
 #include "bergamot/samples/scheduler_actions.h"
 #include "bergamot/samples/staleness_rule.h"
@@ -173,6 +174,7 @@
         ModelId model;
         std::vector<EndpointId> engines;
         std::vector<TrainerId> trainers;
+        std::map<TrainerId, StepKey> steps; // that each trainer's samples are taken from
         DispatchPlanner planner;
         double medianSpeed = 0; // tokens a second; 0: unknown
     };
@@ -198,12 +200,12 @@
     void dispatch(TimePoint now);
     Round makeRound(const ModelId &model, TimePoint now) const;
     EngineLoad loadOf(const Engine &engine, double medianSpeed, TimePoint now) const;
-    std::uint32_t dispatchable(const Trainer &trainer, const Step &step, TimePoint now) const;
-    std::uint32_t dispatchable(const TrainerId &trainer, TimePoint now) const;
-    bool mayStartAhead(const Trainer &trainer, const Step &step, TimePoint now) const;
-    Duration expectedDuration(const Trainer &trainer, const Step &step) const;
+    /// Samples of `step` that may start by the strategy's share, whatever the time.
+    static std::uint32_t startable(const Trainer &trainer, const Step &step);
+    TimePoint dueTime(const Trainer &trainer, const Step &step, TimePoint now) const;
+    void planSteps(Round &round, TimePoint now) const;
     bool placeOne(Round &round, std::size_t trainerIndex, TimePoint now);
-    std::optional<SampleRef> nextSample(const TrainerId &trainer, const Round &round, TimePoint now);
+    std::optional<SampleRef> nextSample(const TrainerId &trainer, const Round &round);
     bool permits(const SampleRef &sample, const EngineLoad &engine, TimePoint now) const;
     bool waitsForSwap(const Trainer &trainer, const Step &step, const EngineLoad &engine, TimePoint now) const;
     std::uint64_t forecast(const SampleRef &sample, WeightVersion version, TimePoint now) const;
--- a/bergamot/samples/sample_scheduler_dispatch.cpp
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -7,7 +7,6 @@
 {
 
 constexpr double UnknownSpeed = 1;
-constexpr std::uint64_t WholePercent = 100;
 
 double median(std::vector<double> values)
 {
@@ -58,15 +57,16 @@
             trainers.push_back(id);
             demands.push_back({.sharePercent = trainer.config.sharePercent,
                                .inFlight = trainer.inFlight,
-                               .waiting = dispatchable(id, now),
                                .strategy = trainer.strategy});
         }
     }
-    return {.model = model,
-            .engines = std::move(engines),
-            .trainers = std::move(trainers),
-            .planner = DispatchPlanner(std::move(loads), std::move(demands)),
-            .medianSpeed = medianSpeed};
+    Round round{.model = model,
+                .engines = std::move(engines),
+                .trainers = std::move(trainers),
+                .planner = DispatchPlanner(std::move(loads), std::move(demands)),
+                .medianSpeed = medianSpeed};
+    planSteps(round, now);
+    return round;
 }
 
 EngineLoad SampleScheduler::loadOf(const Engine &engine, double medianSpeed, TimePoint now) const
@@ -83,70 +83,73 @@
             .speed = knownSpeed ? engine.tokensPerSecond / medianSpeed : UnknownSpeed};
 }
 
-Duration SampleScheduler::expectedDuration(const Trainer &trainer, const Step &step) const
+std::uint32_t SampleScheduler::startable(const Trainer &trainer, const Step &step)
 {
-    std::uint64_t slots = 0;
-    for (const auto &[id, engine] : m_engines) {
-        slots += engine.view.model == trainer.config.model && engine.view.reachable ? engine.view.slots : 0;
+    const std::uint32_t waiting = step.count(SampleState::Waiting);
+    if (step.drawn || waiting == 0) {
+        return waiting;
     }
-    const std::uint64_t own = std::max<std::uint64_t>(slots * trainer.config.sharePercent / WholePercent, 1);
-    const std::uint64_t rounds = (step.count(SampleState::Waiting) + own - 1) / own;
-    return trainer.times.median() * static_cast<Duration::rep>(rounds);
+    const std::uint32_t started = step.spec().sampleCount - waiting;
+    const auto ahead = static_cast<std::uint32_t>(trainer.strategy->aheadShare * step.spec().sampleCount);
+    return ahead > started ? std::min(waiting, ahead - started) : 0;
 }
 
-bool SampleScheduler::mayStartAhead(const Trainer &trainer, const Step &step, TimePoint now) const
+TimePoint SampleScheduler::dueTime(const Trainer &trainer, const Step &step, TimePoint now) const
 {
-    const double lead = trainer.strategy->aheadLead;
-    if (lead <= 0 || !trainer.everDrew) {
-        return true;
+    if (step.drawn || !trainer.everDrew || !trainer.strategy->byDueTime) {
+        return now;
     }
-    // Only the next step, and only once the one before it is whole: until then its draw is far away.
+    TimePoint due = trainer.handedOverAt + trainer.away;
     for (const Step *earlier : m_book.stepsOf(step.key().trainer)) {
         if (earlier->key() < step.key() && !earlier->isHandedOver()) {
-            return false;
+            due = (earlier->drawn ? now + trainer.times.median() : due) + trainer.away;
         }
     }
-    const std::chrono::duration<double> duration = expectedDuration(trainer, step);
-    return now + std::chrono::duration_cast<Duration>(lead * duration) >= trainer.handedOverAt + trainer.away;
+    return due;
 }
 
-std::uint32_t SampleScheduler::dispatchable(const Trainer &trainer, const Step &step, TimePoint now) const
+void SampleScheduler::planSteps(Round &round, TimePoint now) const
 {
-    const std::uint32_t waiting = step.count(SampleState::Waiting);
-    if (step.drawn || waiting == 0) {
-        return waiting;
+    std::vector<StepDemand> demands;
+    std::vector<std::pair<std::size_t, StepKey>> steps;
+    for (std::size_t i = 0; i < round.trainers.size(); ++i) {
+        const Trainer &trainer = m_trainers.at(round.trainers[i]);
+        for (const Step *step : m_book.stepsOf(round.trainers[i])) {
+            const std::uint32_t samples = startable(trainer, *step);
+            if (samples > 0) {
+                steps.emplace_back(i, step->key());
+                demands.push_back({.due = dueTime(trainer, *step, now),
+                                   .samples = samples,
+                                   .usual = trainer.times.median(),
+                                   .guaranteedSlots = round.planner.guaranteed(i),
+                                   .lead = trainer.strategy->aheadLead});
+            }
+        }
     }
-    const std::uint32_t started = step.spec().sampleCount - waiting;
-    const auto ahead = static_cast<std::uint32_t>(trainer.strategy->aheadShare * step.spec().sampleCount);
-    return ahead > started && mayStartAhead(trainer, step, now) ? std::min(waiting, ahead - started) : 0;
-}
-
-std::uint32_t SampleScheduler::dispatchable(const TrainerId &trainer, TimePoint now) const
-{
-    const Trainer &state = m_trainers.at(trainer);
-    std::uint32_t samples = 0;
-    for (const Step *step : m_book.stepsOf(trainer)) {
-        samples += dispatchable(state, *step, now);
+    const std::vector<StepPlan> plans = bergamot::planSteps(demands, round.planner.sampleSlots(), now);
+    for (std::size_t i = 0; i < plans.size(); ++i) {
+        const auto &[trainer, step] = steps[i];
+        if (plans[i].mayStart && round.steps.try_emplace(round.trainers[trainer], step).second) {
+            round.planner.demand(trainer, demands[i].samples, demands[i].due - now, plans[i].claimsShare);
+        }
     }
-    return samples;
 }
 
-std::optional<SampleScheduler::SampleRef>
-SampleScheduler::nextSample(const TrainerId &trainer, const Round &round, TimePoint now)
+std::optional<SampleScheduler::SampleRef> SampleScheduler::nextSample(const TrainerId &trainer, const Round &round)
 {
-    for (Step *step : m_book.stepsOf(trainer)) {
-        if (dispatchable(m_trainers.at(trainer), *step, now) == 0) {
-            continue;
-        }
-        const auto mayStartSomewhere = [&](std::uint32_t offset) {
-            const GroupKey group{step->key(), step->spec().position(offset).first};
-            return std::any_of(round.engines.begin(), round.engines.end(), [&](const EndpointId &engine) {
-                return m_crashes.mayStart(group, engine);
-            });
-        };
-        if (const std::optional<std::uint32_t> offset = step->nextWaiting(mayStartSomewhere)) {
-            return SampleRef{step->key(), *offset};
-        }
+    const auto key = round.steps.find(trainer);
+    const Step *step = key == round.steps.end() ? nullptr : m_book.find(key->second);
+    if (step == nullptr) {
+        return std::nullopt;
+    }
+    const auto mayStartSomewhere = [&](std::uint32_t offset) {
+        const GroupKey group{step->key(), step->spec().position(offset).first};
+        return std::any_of(round.engines.begin(), round.engines.end(), [&](const EndpointId &engine) {
+            return m_crashes.mayStart(group, engine);
+        });
+    };
+    if (const std::optional<std::uint32_t> offset = step->nextWaiting(mayStartSomewhere)) {
+        return SampleRef{step->key(), *offset};
     }
     return std::nullopt;
 }
@@ -154,7 +157,7 @@
 bool SampleScheduler::placeOne(Round &round, std::size_t trainerIndex, TimePoint now)
 {
     const TrainerId &trainer = round.trainers[trainerIndex];
-    const std::optional<SampleRef> sample = nextSample(trainer, round, now);
+    const std::optional<SampleRef> sample = nextSample(trainer, round);
     if (!sample) {
         return false;
     }
--- a/bergamot/samples/samples_benchmark.cpp
+++ b/bergamot/samples/samples_benchmark.cpp
@@ -185,13 +185,16 @@
 {
     for (const DispatchStrategy *base : {&IdleTimeFirst, &StalenessFirst}) {
         for (const int trainers : {1, 3}) {
-            for (const double share : {0.0, 0.1, 0.2, 0.3, 0.5, 0.7, 0.9, 1.0}) {
-                DispatchStrategy strategy = *base;
-                strategy.aheadShare = share;
-                const RunOptions run{.strategy = &strategy, .trainers = trainers, .steps = steps};
-                if (hasAll(labelOf(run), words)) {
-                    std::printf("share %.2f ", share);
-                    printLine(run, 1);
+            for (const double share : {0.0, 0.1, 0.2, 0.3, 0.5, 0.7, 0.8, 0.9, 1.0}) {
+                for (const double lead : {1.0, 1.5, 2.0}) {
+                    DispatchStrategy strategy = *base;
+                    strategy.aheadShare = share;
+                    strategy.aheadLead = lead;
+                    const RunOptions run{.strategy = &strategy, .trainers = trainers, .steps = steps};
+                    if (hasAll(labelOf(run), words)) {
+                        std::printf("share %.2f lead %.1f ", share, lead);
+                        printLine(run, 1);
+                    }
                 }
             }
         }
