--- a/bergamot/samples/samples_benchmark.cpp
+++ b/bergamot/samples/samples_benchmark.cpp
@@ -1,8 +1,9 @@
 // Measures strategies for samples in discrete time: 9 model engines in 3 failure domains, 1 and 3 trainers, both
-// deployments, with and without faults. Every figure follows from the seeds alone; those after the first are the check,
-// and a line gives the mean over all of them with the least and the greatest.
+// deployments, with and without faults. Every figure follows from the seeds alone; a line gives the mean over all of
+// them with the least and the greatest.
 //
-//     samples_benchmark [steps] [seeds] [word...]    every strategy; only lines with all these words
+//     samples_benchmark [steps] [seeds] [word...]    every strategy; only lines with all these words; seeds: COUNT or
+//                                                    COUNT@FIRST
 //     samples_benchmark [steps] sweep [word...]      the trade-off of each strategy as its knob moves
 //     samples_benchmark 0 memory                     17 trainers with 4,096 samples each
 
@@ -10,6 +11,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
+#include <functional>
 
 #include "bergamot/samples/internal/strategy_run.h"
 
@@ -17,9 +19,22 @@
 {
 
 using namespace bergamot;
-using std::chrono::seconds;
 
-constexpr std::uint64_t FirstSeed = 20261203;
+struct Seeds
+{
+    std::uint64_t count = 4;
+    std::uint64_t first = 20261203;
+};
+
+/// Reads COUNT or COUNT@FIRST.
+Seeds parseSeeds(const std::string &text)
+{
+    Seeds seeds;
+    char *end = nullptr;
+    seeds.count = std::max<std::uint64_t>(std::strtoull(text.c_str(), &end, 10), 1);
+    seeds.first = *end == '@' ? std::strtoull(end + 1, nullptr, 10) : seeds.first;
+    return seeds;
+}
 
 constexpr const DispatchStrategy *Contenders[]{&StaticSplit, &WaitForAll, &IdleTimeFirst, &StalenessFirst};
 
@@ -97,12 +112,12 @@
         + (run.faults ? "faults" : "calm") + " " + std::string(run.strategy->name);
 }
 
-void printLine(const RunOptions &run, std::uint64_t seeds)
+void printLine(const RunOptions &run, const Seeds &seeds)
 {
     Line line;
-    for (std::uint64_t i = 0; i < seeds; ++i) {
+    for (std::uint64_t i = 0; i < seeds.count; ++i) {
         RunOptions seeded = run;
-        seeded.seed = FirstSeed + i;
+        seeded.seed = seeds.first + i;
         line.add(runStrategy(seeded));
     }
     std::printf(
@@ -146,6 +161,24 @@
     return 0;
 }
 
+void eachCase(const Deployment &deployment,
+              const std::vector<const DispatchStrategy *> &strategies,
+              std::uint64_t steps,
+              const std::function<void(const RunOptions &run)> &use)
+{
+    for (const int trainers : {1, 3}) {
+        for (const bool faults : {false, true}) {
+            for (const DispatchStrategy *strategy : strategies) {
+                use({.deployment = &deployment,
+                     .strategy = strategy,
+                     .trainers = trainers,
+                     .faults = faults,
+                     .steps = steps});
+            }
+        }
+    }
+}
+
 /// Memory for 17 trainers with 4,096 samples a step: handed in, and with every text whole and not yet drawn.
 void measureMemory()
 {
@@ -181,43 +214,35 @@
         static_cast<unsigned long long>(residentKilobytes() - before));
 }
 
-void sweep(std::uint64_t steps, const std::vector<std::string> &words)
+void sweep(std::uint64_t steps, const Seeds &seeds, const std::vector<std::string> &words)
 {
     for (const DispatchStrategy *base : {&IdleTimeFirst, &StalenessFirst}) {
-        for (const int trainers : {1, 3}) {
-            for (const double share : {0.0, 0.1, 0.2, 0.3, 0.5, 0.7, 0.8, 0.9, 1.0}) {
-                for (const double lead : {1.0, 1.5, 2.0}) {
-                    DispatchStrategy strategy = *base;
-                    strategy.aheadShare = share;
-                    strategy.aheadLead = lead;
-                    const RunOptions run{.strategy = &strategy, .trainers = trainers, .steps = steps};
-                    if (hasAll(labelOf(run), words)) {
-                        std::printf("share %.2f lead %.1f ", share, lead);
-                        printLine(run, 1);
+        for (const double share : {0.0, 0.2, 0.3, 0.5, 0.7, 0.9, 1.0}) {
+            for (const double lead : {1.0, 1.25, 1.5, 2.0}) {
+                DispatchStrategy strategy = *base;
+                strategy.aheadShare = share;
+                strategy.aheadLead = lead;
+                const std::string knob =
+                    " share " + std::to_string(share).substr(0, 3) + " lead " + std::to_string(lead).substr(0, 4);
+                eachCase(Deployments[0], {&strategy}, steps, [&](const RunOptions &run) {
+                    if (hasAll(labelOf(run) + knob, words)) {
+                        std::printf("%s ", knob.c_str());
+                        printLine(run, seeds);
                     }
-                }
+                });
             }
         }
     }
 }
 
-void everyLine(std::uint64_t steps, std::uint64_t seeds, const std::vector<std::string> &words)
+void everyLine(std::uint64_t steps, const Seeds &seeds, const std::vector<std::string> &words)
 {
     for (const Deployment &deployment : Deployments) {
-        for (const int trainers : {1, 3}) {
-            for (const bool faults : {false, true}) {
-                for (const DispatchStrategy *strategy : Contenders) {
-                    const RunOptions run{.deployment = &deployment,
-                                         .strategy = strategy,
-                                         .trainers = trainers,
-                                         .faults = faults,
-                                         .steps = steps};
-                    if (hasAll(labelOf(run), words)) {
-                        printLine(run, seeds);
-                    }
-                }
+        eachCase(deployment, {std::begin(Contenders), std::end(Contenders)}, steps, [&](const RunOptions &run) {
+            if (hasAll(labelOf(run), words)) {
+                printLine(run, seeds);
             }
-        }
+        });
     }
 }
 
@@ -232,9 +257,9 @@
     if (what == "memory") {
         measureMemory();
     } else if (what == "sweep") {
-        sweep(steps, words);
+        sweep(steps, Seeds{}, words);
     } else {
-        everyLine(steps, std::max<std::uint64_t>(std::strtoull(what.c_str(), nullptr, 10), 1), words);
+        everyLine(steps, parseSeeds(what), words);
     }
     return 0;
 }
