--- a/bergamot/samples/dispatch_planner.cpp
+++ b/bergamot/samples/dispatch_planner.cpp
@@ -55,11 +55,11 @@
     return slots;
 }
 
-void DispatchPlanner::demand(std::size_t trainer, std::uint32_t waiting, std::uint32_t rank, bool claimsShare)
+void DispatchPlanner::demand(std::size_t trainer, std::uint32_t waiting, Duration due, bool claimsShare)
 {
     TrainerDemand &demand = m_trainers[trainer];
     demand.waiting = waiting;
-    demand.rank = rank;
+    demand.due = due;
     demand.claimsShare = claimsShare;
 }
 
@@ -73,8 +73,8 @@
     if (isGuaranteed(left) != isGuaranteed(right)) {
         return isGuaranteed(left);
     }
-    if (!isGuaranteed(left) && m_trainers[left].rank != m_trainers[right].rank) {
-        return m_trainers[left].rank < m_trainers[right].rank;
+    if (!isGuaranteed(left) && m_trainers[left].due != m_trainers[right].due) {
+        return m_trainers[left].due < m_trainers[right].due;
     }
     const auto ratio = [](const TrainerDemand &demand) {
         return static_cast<double>(demand.inFlight) / std::max<double>(demand.sharePercent, 1);
--- a/bergamot/samples/dispatch_planner.h
+++ b/bergamot/samples/dispatch_planner.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <vector>
 
+#include "bergamot/base/clock.h"
 #include "bergamot/base/ids.h"
 #include "bergamot/samples/dispatch_strategy.h"
 
@@ -50,8 +51,8 @@
     std::uint32_t inFlight = 0;
     std::uint32_t waiting = 0;
     const DispatchStrategy *strategy = &IdleTimeFirst;
-    std::uint32_t rank = 0; // of two that borrow, the lower one goes first
-    bool claimsShare = true; // false: it leaves its guaranteed slots to those that rank before it
+    Duration due{0}; // until the trainer needs them; zero: it waits
+    bool claimsShare = true; // false: it leaves its guaranteed slots to those whose samples are due earlier
 };
 
 struct EngineWish
@@ -75,8 +76,8 @@
 public:
     DispatchPlanner(std::vector<EngineLoad> engines, std::vector<TrainerDemand> trainers);
 
-    /// The trainer that may get one more slot: one that claims its share, that with least of it first; then the
-    /// lowest rank. None if there is none.
+    /// The trainer that may get one more slot: one that claims its share, that with least of it first; then the one
+    /// whose samples are due first. None if there is none.
     std::optional<std::size_t> nextTrainer() const;
     /// The best engine for a sample of `trainer`; none if no permitted one has a free slot. `turn` counts the
     /// trainer's dispatches, for strategies that take engines in turn.
@@ -107,7 +108,7 @@
     /// Slots of usable engines that callers leave to samples.
     std::uint32_t sampleSlots() const;
     /// What `trainer` wants at this moment; before it is asked for the first time, it wants what it was made with.
-    void demand(std::size_t trainer, std::uint32_t waiting, std::uint32_t rank, bool claimsShare);
+    void demand(std::size_t trainer, std::uint32_t waiting, Duration due, bool claimsShare);
 
 private:
     /// Whether a further sample of `trainer` would run on a guaranteed slot that it claims.
--- a/bergamot/samples/dispatch_strategy.h
+++ b/bergamot/samples/dispatch_strategy.h
@@ -28,7 +28,7 @@
 
 /// For who weighs idle time more: starts the whole next step while the trainer still works on this one.
 inline constexpr DispatchStrategy IdleTimeFirst{
-    .name = "idle-time", .versionLagCost = 0.25, .byDueTime = true, .aheadLead = 1, .stragglerFactor = 1.5};
+    .name = "idle-time", .versionLagCost = 0.25, .byDueTime = true, .aheadLead = 2, .stragglerFactor = 1.5};
 
 /// For who weighs staleness more: starts only a part of the next step ahead, as late as it can still be whole in time,
 /// and lets the rest wait until engines have the newest weights.
@@ -37,7 +37,7 @@
                                                  .versionLagCost = 1,
                                                  .aheadShare = 0.3,
                                                  .byDueTime = true,
-                                                 .aheadLead = 1,
+                                                 .aheadLead = 1.2,
                                                  .stragglerFactor = 1.5};
 
 /// Baseline: the engines are split among the trainers for good and taken in turn; nothing is replaced or moved.
--- a/bergamot/samples/due_plan.cpp
+++ b/bergamot/samples/due_plan.cpp
@@ -16,22 +16,18 @@
     return Seconds(demand.usual) * demand.samples;
 }
 
-/// Work on `slots`, and one more sample: the last to start may be one of the longest.
+/// Work on `slots`, and one more sample: the last to start ends that much later.
 Seconds durationOf(Seconds work, std::uint32_t slots, const StepDemand &demand)
 {
-    return work / std::max(slots, 1U) + Seconds(demand.longest);
+    return work / std::max(slots, 1U) + Seconds(demand.usual);
 }
 
-std::vector<std::size_t> inOrder(const std::vector<StepDemand> &demands, TimePoint now)
+std::vector<std::size_t> inOrderOfDue(const std::vector<StepDemand> &demands)
 {
     std::vector<std::size_t> order(demands.size());
     std::iota(order.begin(), order.end(), 0);
-    const auto key = [&](std::size_t i) {
-        const TimePoint due = std::max(demands[i].due, now);
-        return std::pair(due, due == now ? workOf(demands[i]) : Seconds(0));
-    };
     std::stable_sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
-        return key(left) < key(right);
+        return demands[left].due < demands[right].due;
     });
     return order;
 }
@@ -42,10 +38,8 @@
 {
     std::vector<StepPlan> plans(demands.size());
     Seconds before{0};
-    std::uint32_t rank = 0;
-    for (const std::size_t i : inOrder(demands, now)) {
+    for (const std::size_t i : inOrderOfDue(demands)) {
         const StepDemand &demand = demands[i];
-        plans[i].rank = rank++;
         before += workOf(demand);
         if (demand.due <= now) {
             continue;
--- a/bergamot/samples/due_plan.h
+++ b/bergamot/samples/due_plan.h
@@ -20,14 +20,12 @@
     TimePoint due; // when the trainer is expected to draw the step; not after now: it waits
     std::uint32_t samples = 0; // that may start
     Duration usual{0}; // of one sample
-    Duration longest{0}; // of one sample
     std::uint32_t guaranteedSlots = 1; // of its trainer
     double lead = 1; // starts this many times the expected duration before `due`; 0: at once
 };
 
 struct StepPlan
 {
-    std::uint32_t rank = 0; // first those that are waited for, the least work first; then in the order of due times
     bool mayStart = true;
     /// The step would be late without the slots that are guaranteed to its trainer, and on them alone as well; before
     /// that, the trainer leaves them to steps that are due earlier.
--- a/bergamot/samples/due_plan_test.cpp
+++ b/bergamot/samples/due_plan_test.cpp
@@ -14,11 +14,7 @@
 
 StepDemand demand(seconds due, std::uint32_t samples, std::uint32_t guaranteed = 5)
 {
-    return {.due = Now + due,
-            .samples = samples,
-            .usual = seconds(10),
-            .longest = seconds(10),
-            .guaranteedSlots = guaranteed};
+    return {.due = Now + due, .samples = samples, .usual = seconds(10), .guaranteedSlots = guaranteed};
 }
 
 struct DueCase
--- a/bergamot/samples/sample_scheduler_dispatch.cpp
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -102,7 +102,7 @@
     TimePoint due = trainer.handedOverAt + trainer.away;
     for (const Step *earlier : m_book.stepsOf(step.key().trainer)) {
         if (earlier->key() < step.key() && !earlier->isHandedOver()) {
-            due = (earlier->drawn ? now + trainer.times.longest() : due) + trainer.away;
+            due = (earlier->drawn ? now + trainer.times.median() : due) + trainer.away;
         }
     }
     return due;
@@ -121,7 +121,6 @@
                 demands.push_back({.due = dueTime(trainer, *step, now),
                                    .samples = samples,
                                    .usual = trainer.times.median(),
-                                   .longest = trainer.times.longest(),
                                    .guaranteedSlots = round.planner.guaranteed(i),
                                    .lead = trainer.strategy->aheadLead});
             }
@@ -131,9 +130,7 @@
     for (std::size_t i = 0; i < plans.size(); ++i) {
         const auto &[trainer, step] = steps[i];
         if (plans[i].mayStart && round.steps.try_emplace(round.trainers[trainer], step).second) {
-            const bool byDueTime = m_trainers.at(round.trainers[trainer]).strategy->byDueTime;
-            const std::uint32_t rank = byDueTime ? plans[i].rank : 0;
-            round.planner.demand(trainer, demands[i].samples, rank, plans[i].claimsShare);
+            round.planner.demand(trainer, demands[i].samples, demands[i].due - now, plans[i].claimsShare);
         }
     }
 }
--- a/bergamot/samples/straggler_rule.cpp
+++ b/bergamot/samples/straggler_rule.cpp
@@ -10,15 +10,6 @@
 constexpr std::uint64_t RefreshSamples = 16;
 constexpr std::uint64_t WholePercent = 100;
 constexpr std::uint32_t MaxAttempts = 2;
-constexpr std::size_t MedianPercent = 50;
-constexpr std::size_t LongestPercent = 95;
-
-Duration quantile(std::vector<Duration> values, std::size_t percent)
-{
-    const auto place = values.begin() + static_cast<std::ptrdiff_t>(values.size() * percent / WholePercent);
-    std::nth_element(values.begin(), place, values.end());
-    return *place;
-}
 
 } // namespace
 
@@ -33,8 +24,10 @@
     m_tokens += tokens;
     ++m_samples;
     if (m_samples < RefreshSamples || m_samples % RefreshSamples == 0) {
-        m_median = quantile(m_recent, MedianPercent);
-        m_longest = quantile(m_recent, LongestPercent);
+        std::vector<Duration> sorted = m_recent;
+        const auto middle = sorted.begin() + static_cast<std::ptrdiff_t>(sorted.size() / 2);
+        std::nth_element(sorted.begin(), middle, sorted.end());
+        m_median = *middle;
     }
 }
 
--- a/bergamot/samples/straggler_rule.h
+++ b/bergamot/samples/straggler_rule.h
@@ -25,19 +25,12 @@
         return m_median;
     }
 
-    /// That of the slowest, but for one in twenty; zero before the first.
-    Duration longest() const
-    {
-        return m_longest;
-    }
-
     /// Tokens of a usual sample; zero before the first.
     std::uint64_t meanTokens() const;
 
 private:
     std::vector<Duration> m_recent; // a ring
     Duration m_median{0}; // refreshed every few samples
-    Duration m_longest{0}; // the same
     std::size_t m_next = 0;
     std::uint64_t m_tokens = 0;
     std::uint64_t m_samples = 0;
