load: scenarios name the fleet and its faults, and every error of a bad file

Cause: faults were written into scripts/demo; the load tool knew one trainer per model and stopped at the first bad element of a list. Ruled out: a second parser in the script, because errors would then be found after processes have started.

--- a/bergamot/load/caller.cpp
+++ b/bergamot/load/caller.cpp
@@ -13,6 +13,27 @@
 constexpr std::chrono::seconds AnswerGrace{3}; // beyond the deadline that the service was told
 constexpr std::uint32_t GeneratedTokens = 8;
 
+/// How a kind of call looks to a plain service.
+struct ServiceCall
+{
+    std::string_view path; // a read's ends with what it names
+    std::string_view field = {}; // of the body, for what a change names; empty for reads
+    bool isKeyed = false;
+};
+
+const ServiceCall &serviceCall(CallKind kind)
+{
+    static const std::map<CallKind, ServiceCall> calls = {
+        {CallKind::Stock, {"/stock/"}},
+        {CallKind::Status, {"/status/"}},
+        {CallKind::Confirm, {"/confirm", "lot"}},
+        {CallKind::KeyedConfirm, {"/confirm", "lot", true}},
+        {CallKind::Pull, {"/pull", "record"}},
+        {CallKind::KeyedPull, {"/pull", "record", true}},
+    };
+    return calls.at(kind);
+}
+
 } // namespace
 
 CallerGroup::CallerGroup(const RunContext &context, const CallerScenario &caller, std::size_t index)
@@ -73,11 +94,12 @@
         const std::lock_guard lock(m_mutex);
         ++m_inFlight;
         ++m_next;
-        call.name = "c" + std::to_string(m_index) + "-" + std::to_string(m_next);
+        call.name =
+            m_caller.item.empty() ? "c" + std::to_string(m_index) + "-" + std::to_string(m_next) : m_caller.item;
     }
     call.entry = m_random() % m_context.scenario.entries.size();
     call.arrival = BootClock::now();
-    if (m_caller.kind == CallKind::KeyedConfirm) {
+    if (m_caller.kind != CallKind::Generate && serviceCall(m_caller.kind).isKeyed) {
         call.key = "key-" + call.name;
     }
     send(std::move(call));
@@ -90,25 +112,34 @@
     request.headers["X-Tenant"] = m_caller.tenant;
     request.headers["X-Class"] = m_caller.requestClass;
     request.headers["X-Deadline-Ms"] = std::to_string(m_caller.deadline.count());
-    if (m_caller.kind == CallKind::Stock) {
-        request.path = "/v1/services/" + m_caller.target + "/stock/" + call.name;
-        return request;
-    }
-    request.method = "POST";
-    web::json::value body = web::json::value::object();
     if (m_caller.kind == CallKind::Generate) {
-        request.path = "/v1/models/" + m_caller.target + "/generate";
+        web::json::value body = web::json::value::object();
         body["prompt"] = web::json::value(call.name);
         body["max_tokens"] = web::json::value(GeneratedTokens);
-    } else {
-        request.path = "/v1/services/" + m_caller.target + "/confirm";
-        body["lot"] = web::json::value(call.name);
+        request.method = "POST";
+        request.path = "/v1/models/" + m_caller.target + "/generate";
+        request.body = body.serialize();
+        return request;
+    }
+    addServiceCall(request, call);
+    return request;
+}
+
+void CallerGroup::addServiceCall(HttpRequest &request, const Call &call) const
+{
+    const ServiceCall &shape = serviceCall(m_caller.kind);
+    request.path = "/v1/services/" + m_caller.target + std::string(shape.path);
+    if (shape.field.empty()) {
+        request.path += call.name;
+        return;
     }
+    web::json::value body = web::json::value::object();
+    body[std::string(shape.field)] = web::json::value(call.name);
+    request.method = "POST";
+    request.body = body.serialize();
     if (!call.key.empty()) {
         request.headers["Idempotency-Key"] = call.key;
     }
-    request.body = body.serialize();
-    return request;
 }
 
 void CallerGroup::send(Call call)
@@ -186,23 +217,30 @@
         return false;
     }
     FieldReader reader(*json, "answer");
-    if (m_caller.kind == CallKind::Stock) {
-        return reader.requiredString("name") == call.name
-            && reader.requiredUnsigned("quantity") == servedQuantity(call.name);
-    }
     if (m_caller.kind != CallKind::Generate) {
-        return reader.requiredString("lot") == call.name;
+        const std::string field(serviceCall(m_caller.kind).field);
+        return field.empty() ? reader.requiredString("name") == call.name
+                && reader.requiredUnsigned("quantity") == servedQuantity(call.name)
+                             : reader.requiredString(field) == call.name;
     }
-    const std::string text = reader.requiredString("text");
-    const std::string own = generatedToken(call.name, 1).substr(0, generatedToken(call.name, 1).find(':') + 1);
+    return isOwnGeneration(call, reader);
+}
+
+bool CallerGroup::isOwnGeneration(const Call &call, FieldReader &reader) const
+{
+    constexpr std::uint32_t WholePercent = 100;
+    std::vector<TokenSpan> spans;
     std::uint32_t tokens = 0;
-    for (std::size_t at = 0; at < text.size(); at = text.find(' ', at) + 1) {
-        if (text.compare(at, own.size(), own) != 0 || text.find(' ', at) == std::string::npos) {
-            return false;
-        }
-        ++tokens;
+    for (const web::json::value &element : reader.optionalArray("spans")) {
+        FieldReader span(element, "span");
+        const auto count = static_cast<std::uint32_t>(span.requiredUnsigned("tokens"));
+        spans.push_back({.version = span.requiredUnsigned("version"), .tokenCount = count});
+        tokens += count;
     }
-    return tokens == GeneratedTokens;
+    const std::uint32_t shortest = std::max(1U, GeneratedTokens * m_caller.shortestPercent / WholePercent);
+    const std::string_view finish = tokens < GeneratedTokens ? "stop" : "length";
+    return tokens >= shortest && tokens <= GeneratedTokens && reader.requiredString("finish") == finish
+        && reader.requiredString("text") == generatedText(call.name, spans);
 }
 
 void CallerGroup::repeatKey(Call call)
@@ -222,12 +260,12 @@
 
 std::string CallerGroup::workName(const Call &call) const
 {
-    return "POST /confirm " + call.name;
+    return "POST " + std::string(serviceCall(m_caller.kind).path) + " " + call.name;
 }
 
 void CallerGroup::noteAttempt(const Call &call)
 {
-    if (m_caller.kind == CallKind::Confirm || m_caller.kind == CallKind::KeyedConfirm) {
+    if (isNonIdempotent(m_caller.kind)) {
         const std::lock_guard lock(m_mutex);
         ++m_works[workName(call)].attempts;
     }
@@ -235,7 +273,7 @@
 
 void CallerGroup::noteNotRun(const Call &call)
 {
-    if (m_caller.kind == CallKind::Confirm || m_caller.kind == CallKind::KeyedConfirm) {
+    if (isNonIdempotent(m_caller.kind)) {
         const std::lock_guard lock(m_mutex);
         ++m_works[workName(call)].provedNotRun;
     }
--- a/bergamot/load/caller.h
+++ b/bergamot/load/caller.h
@@ -17,9 +17,11 @@
 #include <string>
 
 #include "bergamot/base/event_loop.h"
+#include "bergamot/base/json.h"
 #include "bergamot/http/client.h"
 #include "bergamot/load/measures.h"
 #include "bergamot/load/promises.h"
+#include "bergamot/load/published_versions.h"
 #include "bergamot/load/scenario.h"
 
 namespace bergamot
@@ -33,6 +35,7 @@
     EventLoop &loop;
     PromiseLedger &ledger;
     Measures &measures;
+    PublishedVersions &versions;
 };
 
 /// How often a piece of non-idempotent work may have run, by what callers were told.
@@ -79,11 +82,13 @@
     void arrive();
     void send(Call call);
     HttpRequest requestFor(const Call &call) const;
+    void addServiceCall(HttpRequest &request, const Call &call) const;
     void finish(Call call, const CallOutcome &outcome);
     void finishAnswered(Call call, const HttpResponse &response);
     void finishBroken(Call call, const CallFailure &failure);
     void checkAnswer(const Call &call, const HttpResponse &response);
     bool isOwnAnswer(const Call &call, const std::string &body) const;
+    bool isOwnGeneration(const Call &call, FieldReader &reader) const;
     void noteAttempt(const Call &call);
     void noteNotRun(const Call &call);
     std::string workName(const Call &call) const;
--- a/bergamot/load/main.cpp
+++ b/bergamot/load/main.cpp
@@ -22,16 +22,28 @@
 constexpr int BadScenarioExitCode = 2;
 
 /// Waits without doing anything else.
-void waitFor(Duration length)
+void waitUntil(TimePoint end)
 {
     std::mutex mutex;
     std::condition_variable never;
     std::unique_lock lock(mutex);
-    never.wait_for(lock, length, [] {
+    never.wait_for(lock, end - BootClock::now(), [] {
         return false;
     });
 }
 
+/// Waits for the length of the run, with a line about it on standard error every `period`; none if that is 0.
+void waitWithProgress(const RunContext &context, std::chrono::milliseconds period)
+{
+    const TimePoint begin = BootClock::now();
+    const TimePoint end = begin + context.scenario.duration;
+    while (period > std::chrono::milliseconds::zero() && BootClock::now() + period < end) {
+        waitUntil(BootClock::now() + period);
+        std::cerr << progressLine(context.ledger, context.measures, BootClock::now() - begin) << std::endl;
+    }
+    waitUntil(end);
+}
+
 /// Ends trainers that have not finished `limit` after the callers.
 void finishTrainers(std::vector<std::unique_ptr<TrainerDriver>> &trainers, EventLoop &loop, Duration limit)
 {
@@ -55,14 +67,14 @@
     return true;
 }
 
-std::map<std::string, WorkLimit> runCallers(const RunContext &context)
+std::map<std::string, WorkLimit> runCallers(const RunContext &context, std::chrono::milliseconds progress)
 {
     std::vector<std::unique_ptr<CallerGroup>> groups;
     for (const CallerScenario &caller : context.scenario.callers) {
         groups.push_back(std::make_unique<CallerGroup>(context, caller, groups.size()));
         groups.back()->start();
     }
-    waitFor(context.scenario.duration);
+    waitWithProgress(context, progress);
     for (const auto &group : groups) {
         group->stop();
     }
@@ -75,13 +87,21 @@
     return works;
 }
 
-int run(const Scenario &scenario, const std::string &reportPath, std::chrono::milliseconds trainerLimit)
+struct RunOptions
+{
+    std::string reportPath;
+    std::chrono::milliseconds trainerLimit{0};
+    std::chrono::milliseconds progress{0};
+};
+
+int run(const Scenario &scenario, const RunOptions &options)
 {
     HttpClient client;
     EventLoop loop;
     PromiseLedger ledger;
     Measures measures;
-    const RunContext context{scenario, client, loop, ledger, measures};
+    PublishedVersions versions;
+    const RunContext context{scenario, client, loop, ledger, measures, versions};
     ConfigurationWatcher watcher(context);
     watcher.start();
     std::vector<std::unique_ptr<TrainerDriver>> trainers;
@@ -89,14 +109,14 @@
         trainers.push_back(std::make_unique<TrainerDriver>(context, trainer, trainers.size()));
         trainers.back()->start();
     }
-    const std::map<std::string, WorkLimit> works = runCallers(context);
-    finishTrainers(trainers, loop, trainerLimit);
+    const std::map<std::string, WorkLimit> works = runCallers(context, options.progress);
+    finishTrainers(trainers, loop, options.trainerLimit);
     watcher.stop();
     auditEndpoints(context, works);
     loop.stop();
     std::cout << reportTable(ledger, measures);
-    if (!reportPath.empty()) {
-        std::ofstream(reportPath) << reportJson(ledger, measures).serialize() << "\n";
+    if (!options.reportPath.empty()) {
+        std::ofstream(options.reportPath) << reportJson(ledger, measures).serialize() << "\n";
     }
     const bool kept = ledger.violations() == 0 && everyTrainerFinished(measures);
     return kept ? 0 : ViolatedExitCode;
@@ -122,6 +142,8 @@
     settings.require("scenario", "JSON file that says what to do.");
     settings.optional("report", "", "Where to write the report as JSON.");
     settings.optional("trainer-limit-ms", "30000", "How long trainers may go on after the callers.", isWholeNumber);
+    settings.optional("progress-ms", "0", "Time between two lines about the run; 0: none.", isWholeNumber);
+    settings.optional("check-scenario", "0", "1: only check the scenario.", isWholeNumber);
     const SettingsOutcome outcome = settings.parse(argc, argv);
     if (outcome.exitCode) {
         return *outcome.exitCode;
@@ -132,7 +154,13 @@
         std::cerr << "bergamot-load: " << scenario.error().message << "\n";
         return BadScenarioExitCode;
     }
-    return run(*scenario, settings.text("report"), settings.milliseconds("trainer-limit-ms"));
+    if (settings.number("check-scenario") != 0) {
+        return 0;
+    }
+    return run(*scenario,
+               {.reportPath = settings.text("report"),
+                .trainerLimit = settings.milliseconds("trainer-limit-ms"),
+                .progress = settings.milliseconds("progress-ms")});
 }
 
 } // namespace
--- a/bergamot/load/measures.cpp
+++ b/bergamot/load/measures.cpp
@@ -1,6 +1,7 @@
 #include "bergamot/load/measures.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace bergamot
 {
@@ -25,7 +26,8 @@
         return values[std::min(values.size() - 1,
                                static_cast<std::size_t>(share * static_cast<double>(values.size())))];
     };
-    return {values.size(), at(0.5), at(0.99), values.back()};
+    const double sum = std::accumulate(values.begin(), values.end(), 0.0);
+    return {values.size(), sum / static_cast<double>(values.size()), at(0.5), at(0.99), values.back()};
 }
 
 void Measures::answered(const LatencyKey &key, Duration elapsed)
--- a/bergamot/load/measures.h
+++ b/bergamot/load/measures.h
@@ -29,6 +29,7 @@
 struct Distribution
 {
     std::size_t count = 0;
+    double mean = 0;
     double p50 = 0;
     double p99 = 0;
     double max = 0;
@@ -42,6 +43,7 @@
     Duration idle{0}; // no sample left to train on
     Duration total{0};
     std::uint64_t samples = 0;
+    std::uint64_t lostDraws = 0; // answers thrown away on purpose
     std::uint64_t failed = 0; // samples the service gave up and told of
     std::vector<double> staleness; // versions behind, one for each sample
     bool finished = false; // every step came whole
--- a/bergamot/load/report.cpp
+++ b/bergamot/load/report.cpp
@@ -65,14 +65,14 @@
 {
     out << "\n"
         << std::left << std::setw(NameWidth) << "trainer" << std::right << std::setw(NumberWidth) << "samples"
-        << std::setw(NumberWidth) << "idle %" << std::setw(NumberWidth) << "stale p50" << std::setw(NumberWidth)
+        << std::setw(NumberWidth) << "idle %" << std::setw(NumberWidth) << "stale mean" << std::setw(NumberWidth)
         << "stale max" << std::setw(NumberWidth) << "given up"
         << "\n";
     for (const auto &[name, trainer] : measures.trainers()) {
         const Distribution staleness = distributionOf(trainer.staleness);
         out << std::left << std::setw(NameWidth) << name + (trainer.finished ? "" : " (steps not whole)") << std::right
             << std::setw(NumberWidth) << trainer.samples << std::setw(NumberWidth) << idlePercent(trainer)
-            << std::setw(NumberWidth) << staleness.p50 << std::setw(NumberWidth) << staleness.max
+            << std::setw(NumberWidth) << staleness.mean << std::setw(NumberWidth) << staleness.max
             << std::setw(NumberWidth) << trainer.failed << "\n";
     }
     const Distribution spread = distributionOf(measures.configurationSpreads());
@@ -84,6 +84,7 @@
 {
     web::json::value json = web::json::value::object();
     json["count"] = web::json::value(static_cast<std::uint64_t>(distribution.count));
+    json["mean"] = web::json::value(distribution.mean);
     json["p50"] = web::json::value(distribution.p50);
     json["p99"] = web::json::value(distribution.p99);
     json["max"] = web::json::value(distribution.max);
@@ -108,6 +109,7 @@
     web::json::value json = web::json::value::object();
     json["finished"] = web::json::value(trainer.finished);
     json["samples"] = web::json::value(trainer.samples);
+    json["lost_draws"] = web::json::value(trainer.lostDraws);
     json["given_up"] = web::json::value(trainer.failed);
     json["idle_percent"] = web::json::value(idlePercent(trainer));
     json["staleness"] = toJson(distributionOf(trainer.staleness));
@@ -142,6 +144,23 @@
     return out.str();
 }
 
+std::string progressLine(const PromiseLedger &ledger, const Measures &measures, Duration elapsed)
+{
+    std::map<std::string, std::uint64_t> totals;
+    for (const auto &[key, counts] : measures.outcomes()) {
+        for (const auto &[outcome, count] : counts) {
+            totals[outcome] += count;
+        }
+    }
+    std::ostringstream out;
+    out << "   " << std::chrono::duration_cast<std::chrono::seconds>(elapsed).count() << " s:";
+    for (const auto &[outcome, count] : totals) {
+        out << " " << outcome << "=" << count;
+    }
+    out << " violations=" << ledger.violations();
+    return out.str();
+}
+
 web::json::value reportJson(const PromiseLedger &ledger, const Measures &measures)
 {
     web::json::value report = web::json::value::object();
--- a/bergamot/load/report.h
+++ b/bergamot/load/report.h
@@ -16,6 +16,9 @@
 
 std::string reportTable(const PromiseLedger &ledger, const Measures &measures);
 
+/// One line about a run that has gone on for `elapsed`.
+std::string progressLine(const PromiseLedger &ledger, const Measures &measures, Duration elapsed);
+
 web::json::value reportJson(const PromiseLedger &ledger, const Measures &measures);
 
 } // namespace bergamot
--- a/bergamot/load/trainer.cpp
+++ b/bergamot/load/trainer.cpp
@@ -36,6 +36,7 @@
     : m_context(context)
     , m_trainer(trainer)
     , m_control(index)
+    , m_random(context.scenario.seed * 2000 + index)
 { }
 
 TrainerDriver::~TrainerDriver()
@@ -156,6 +157,7 @@
 bool TrainerDriver::drawAll(std::uint64_t step)
 {
     while (!stopped()) {
+        m_weights = m_context.versions.newest(m_trainer.model);
         web::json::value body = web::json::value::object();
         body["cursor"] = web::json::value(m_cursor);
         body["weights"] = web::json::value(m_weights);
@@ -169,7 +171,7 @@
         if (answer && answer->status == 404 && !handIn(step)) {
             return false;
         }
-        if (!answer || answer->status != 200) {
+        if (!answer || answer->status != 200 || losesAnswer()) {
             continue;
         }
         const Result<web::json::value> draw = parseJson(answer->body);
@@ -231,17 +233,25 @@
                            describe(step, group, index) + " is " + std::to_string(behind) + " versions behind");
 }
 
+bool TrainerDriver::losesAnswer()
+{
+    const bool loses = m_random() % 100 < m_trainer.lostDrawsPercent;
+    m_measures.lostDraws += loses ? 1 : 0;
+    return loses;
+}
+
 void TrainerDriver::publish()
 {
+    const WeightVersion next = m_context.versions.newest(m_trainer.model) + 1;
     web::json::value body = web::json::value::object();
-    body["version"] = web::json::value(m_weights + 1);
+    body["version"] = web::json::value(next);
     HttpRequest request;
     request.method = "POST";
     request.path = "/weights/" + m_trainer.model.value() + "/publish";
     request.body = body.serialize();
     const CallOutcome outcome = callAndWait(m_context.client, m_context.scenario.weightStore, std::move(request));
     if (outcome && outcome->status < 300) {
-        ++m_weights;
+        m_context.versions.published(m_trainer.model, next);
     }
 }
 
--- a/bergamot/load/trainer.h
+++ b/bergamot/load/trainer.h
@@ -48,6 +48,8 @@
     bool receive(std::uint64_t step, const web::json::value &draw);
     void receiveSample(std::uint64_t step, const web::json::value &sample);
     void checkLabels(const SampleName &name, const std::string &prompt, const web::json::value &sample);
+    /// Whether the answer of a draw is to be treated as lost on its way.
+    bool losesAnswer();
     void publish();
     void pause(Duration length);
     bool stopped();
@@ -55,7 +57,8 @@
     RunContext m_context;
     TrainerScenario m_trainer;
     std::size_t m_control;
-    WeightVersion m_weights = 1;
+    WeightVersion m_weights = 1; // the newest when the draw in flight began
+    std::mt19937_64 m_random;
     std::string m_cursor;
     std::set<SampleName> m_received;
     TrainerMeasures m_measures;
