--- a/bergamot/load/fleet_scenario.h
+++ b/bergamot/load/fleet_scenario.h
@@ -40,7 +40,8 @@
 };
 
 /// One fault. The target is "log", "list", "weight-store", "scoring", "service" or a kind with a number from 1:
-/// "instance-4", "engine-2", "endpoint-1".
+/// "instance-4", "engine-2", "endpoint-1". With "leave", the platform's list says so too unless `text` is "unlisted";
+/// with `text` "list" only the list does.
 struct FaultScenario
 {
     std::chrono::milliseconds at{0}; // from the start of the callers
--- a/bergamot/load/scenario.cpp
+++ b/bergamot/load/scenario.cpp
@@ -107,6 +107,7 @@
                           "staleness_bound",
                           "training_ms",
                           "publishes",
+                          "hands_in_ahead",
                           "lost_draws_percent"});
     TrainerScenario trainer;
     trainer.trainer = TrainerId(reader.requiredString("trainer"));
@@ -118,6 +119,7 @@
     trainer.stalenessBound = reader.optionalUnsigned("staleness_bound", 1);
     trainer.trainingTime = milliseconds(reader, "training_ms", trainer.trainingTime);
     trainer.publishes = reader.optionalBool("publishes", false);
+    trainer.handsInAhead = reader.optionalBool("hands_in_ahead", false);
     const std::uint64_t lost = reader.optionalUnsigned("lost_draws_percent", 0);
     if (lost > MostLostPercent) {
         reader.reject("lost_draws_percent", "must be from 0 to 90");
--- a/bergamot/load/scenario.h
+++ b/bergamot/load/scenario.h
@@ -55,6 +55,7 @@
     std::uint64_t stalenessBound = 1; // checked on every sample received
     std::chrono::milliseconds trainingTime{500}; // for one step
     bool publishes = false; // publishes new weights after each step
+    bool handsInAhead = false; // hands the next step in before it trains on this one
     std::uint32_t lostDrawsPercent = 0; // draws whose answer is thrown away, as if its connection had broken
 };
 
--- a/bergamot/load/trainer.cpp
+++ b/bergamot/load/trainer.cpp
@@ -90,6 +90,9 @@
         const TimePoint asked = BootClock::now();
         whole = runStep(step);
         m_measures.idle += BootClock::now() - asked;
+        if (whole && m_trainer.handsInAhead && step < m_trainer.steps) {
+            whole = handIn(step + 1);
+        }
         pause(m_trainer.trainingTime);
         if (whole && m_trainer.publishes) {
             publish();
