tests: what the property tests shared stands once

Cause: four property tests had the same injection of outages, pauses and cuts, the same count of seeds and the same loop over them; two tests had the same responder (`duplicates`). Ruled out: one world for all folds; the worlds differ in what they order and check. The rates of the faults are as they were.

--- a/bergamot/ctl/operator_property_test.cpp
+++ b/bergamot/ctl/operator_property_test.cpp
@@ -1,14 +1,15 @@
 // bergamotctl against two instances whose log fails at random: what the exit codes say is true. The number of seeds
 // comes from BERGAMOT_PROPERTY_SEEDS (default 4).
 
-#include <cstdlib>
 #include <future>
 
 #include <gtest/gtest.h>
 
 #include "bergamot/base/json.h"
 #include "bergamot/ctl/session.h"
+#include "bergamot/http/captured_responder.h"
 #include "bergamot/intents/intent_service.h"
+#include "bergamot/journal/property_seeds.h"
 #include "bergamot/journal/random_log.h"
 
 namespace bergamot
@@ -21,34 +22,7 @@
 constexpr int Intents = 25;
 constexpr std::uint16_t Nodes = 2;
 
-int seedCount()
-{
-    const char *const given = std::getenv("BERGAMOT_PROPERTY_SEEDS");
-    return given == nullptr ? 4 : std::atoi(given);
-}
-
-class CapturedReply final : public Responder
-{
-public:
-    void reply(HttpResponse response) override
-    {
-        if (!captured) {
-            captured = std::move(response);
-        }
-    }
-    void beginStream(HttpResponse) override
-    { }
-    bool write(std::string_view) override
-    {
-        return false;
-    }
-    void endStream() override
-    { }
-    void abortStream() override
-    { }
-
-    std::optional<HttpResponse> captured;
-};
+constexpr RandomFaults Faults{.outage = 300, .cut = 300};
 
 struct Node
 {
@@ -144,15 +118,15 @@
         if (m_log.oneIn(10)) {
             return tl::unexpected(CallFailure{.delivery = Delivery::NotSent, .timedOut = false, .message = "refused"});
         }
-        auto reply = std::make_shared<CapturedReply>();
+        auto reply = std::make_shared<CapturedResponder>();
         node.inbox.emplace_back(request, reply);
         wait(timeout, [&reply] {
-            return reply->captured.has_value();
+            return reply->answer.has_value();
         });
-        if (!reply->captured || m_log.oneIn(10)) {
+        if (!reply->answer || m_log.oneIn(10)) {
             return tl::unexpected(CallFailure{.delivery = Delivery::MaybeRan, .timedOut = true, .message = "silent"});
         }
-        return *reply->captured;
+        return *reply->answer;
     }
 
     void wait(std::chrono::milliseconds time, const std::function<bool()> &over)
@@ -195,19 +169,9 @@
 
     void injectFaults()
     {
-        if (m_log.oneIn(300)) {
-            m_log.out = true;
-            m_log.after(m_log.between(1s, 15s), [this] {
-                m_log.out = false;
-            });
-        }
+        m_log.injectFaults(Faults);
         for (const std::unique_ptr<Node> &node : m_nodes) {
-            if (m_log.oneIn(300)) {
-                node->client.pausedUntil = m_log.clock.now() + m_log.between(1s, 10s);
-            }
-            if (m_log.oneIn(node->client.cutOff ? 100 : 300)) {
-                node->client.cutOff = !node->client.cutOff;
-            }
+            node->client.injectFaults(Faults);
         }
     }
 
@@ -220,7 +184,7 @@
 TEST(OperatorProperty, canTrustTheExitCodes)
 {
     std::map<ExitCode, int> confirmations;
-    for (int seed = 1; seed <= seedCount(); ++seed) {
+    for (int seed = 1; seed <= seedCount(4); ++seed) {
         SCOPED_TRACE("seed " + std::to_string(seed));
         OperatorWorld world(static_cast<std::uint64_t>(seed));
         std::map<std::string, ExitCode> codes;
@@ -238,7 +202,7 @@
             }
         }
     }
-    EXPECT_GT(confirmations[ExitCode::Done], seedCount() * Intents / 4);
+    EXPECT_GT(confirmations[ExitCode::Done], seedCount(4) * Intents / 4);
 }
 
 } // namespace
--- a/bergamot/intents/configuration_property_test.cpp
+++ b/bergamot/intents/configuration_property_test.cpp
@@ -1,11 +1,10 @@
 // The configuration under random faults. The number of seeds comes from BERGAMOT_PROPERTY_SEEDS (default 4).
 
-#include <cstdlib>
-
 #include <gtest/gtest.h>
 
 #include "bergamot/base/json.h"
 #include "bergamot/intents/configuration_fold.h"
+#include "bergamot/journal/property_seeds.h"
 #include "bergamot/journal/random_log.h"
 
 namespace bergamot
@@ -19,11 +18,7 @@
 constexpr int StepsPerSeed = 3000; // 2.5 minutes
 constexpr int Nodes = 4;
 
-int seedCount()
-{
-    const char *const given = std::getenv("BERGAMOT_PROPERTY_SEEDS");
-    return given == nullptr ? 4 : std::atoi(given);
-}
+constexpr RandomFaults Faults{.pause = 400, .longestPause = 40s};
 
 struct Node
 {
@@ -74,20 +69,9 @@
 
     void injectFaults()
     {
-        if (m_log.oneIn(600)) {
-            m_log.out = true;
-            m_log.after(m_log.between(1s, 15s), [this] {
-                m_log.out = false;
-            });
-        }
+        m_log.injectFaults(Faults);
         for (int index = 0; index < Nodes; ++index) {
-            RandomLogClient &client = m_nodes[index]->client;
-            if (m_log.oneIn(400)) {
-                client.pausedUntil = m_log.clock.now() + m_log.between(1s, 40s);
-            }
-            if (m_log.oneIn(client.cutOff ? 100 : 500)) {
-                client.cutOff = !client.cutOff;
-            }
+            m_nodes[index]->client.injectFaults(Faults);
             if (m_log.oneIn(800)) {
                 start(index);
             }
@@ -163,15 +147,7 @@
 
 TEST(ConfigurationProperty, neverRevertsAndIsEqualEverywhereWhateverFails)
 {
-    for (int seed = 1; seed <= seedCount(); ++seed) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        ConfigurationWorld world(static_cast<std::uint64_t>(seed));
-        world.run();
-        world.checkEnd();
-        if (HasFailure()) {
-            return;
-        }
-    }
+    runSeeds<ConfigurationWorld>(4);
 }
 
 } // namespace
--- a/bergamot/intents/intent_service_test.cpp
+++ b/bergamot/intents/intent_service_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include "bergamot/base/json.h"
+#include "bergamot/http/captured_responder.h"
 
 namespace bergamot
 {
@@ -14,35 +15,16 @@
 using namespace std::chrono_literals;
 using web::json::value;
 
-class CapturedReply final : public Responder
+class JsonResponder final : public CapturedResponder
 {
 public:
-    void reply(HttpResponse response) override
-    {
-        if (!captured) {
-            captured = std::move(response);
-        }
-    }
-    void beginStream(HttpResponse) override
-    { }
-    bool write(std::string_view) override
-    {
-        return false;
-    }
-    void endStream() override
-    { }
-    void abortStream() override
-    { }
-
     value body() const
     {
-        return captured ? *parseJson(captured->body) : value::null();
+        return answer ? *parseJson(answer->body) : value::null();
     }
-
-    std::optional<HttpResponse> captured;
 };
 
-using Reply = std::shared_ptr<CapturedReply>;
+using Reply = std::shared_ptr<JsonResponder>;
 
 /// Holds appends until the test decides what the log does with them.
 class HeldAppender final : public Appender
@@ -76,7 +58,7 @@
         request.method = method;
         request.path = path;
         request.body = body;
-        auto reply = std::make_shared<CapturedReply>();
+        auto reply = std::make_shared<JsonResponder>();
         service.handle(request, reply);
         return reply;
     }
@@ -136,9 +118,9 @@
 TEST_F(IntentServiceTest, answersAPlanThenItsConfirmation)
 {
     const Reply plan = post("a");
-    EXPECT_FALSE(plan->captured);
+    EXPECT_FALSE(plan->answer);
     land();
-    EXPECT_EQ(plan->captured->status, 200);
+    EXPECT_EQ(plan->answer->status, 200);
     EXPECT_EQ(plan->body().at("plan").as_string(), "plan-a");
     EXPECT_EQ(plan->body().at("state").as_string(), "planned");
     EXPECT_EQ(plan->body().at("changes").size(), 1U);
@@ -158,9 +140,9 @@
     const Reply second = post("a");
     EXPECT_EQ(appender.held.size(), 1U);
     land();
-    EXPECT_EQ(first->captured->body, second->captured->body);
-    EXPECT_EQ(post("a")->captured->body, first->captured->body);
-    EXPECT_EQ(post("a", R"({"models":{"other":{}}})")->captured->status, 409);
+    EXPECT_EQ(first->answer->body, second->answer->body);
+    EXPECT_EQ(post("a")->answer->body, first->answer->body);
+    EXPECT_EQ(post("a", R"({"models":{"other":{}}})")->answer->status, 409);
 }
 
 TEST_F(IntentServiceTest, namesTheOtherIntentToBothWhenConfirmationsCollide)
@@ -173,9 +155,9 @@
     const Reply b = confirm("b");
     land();
     land();
-    EXPECT_EQ(a->captured->status, 200);
+    EXPECT_EQ(a->answer->status, 200);
     EXPECT_EQ(a->body().at("superseded").at(0).as_string(), "b");
-    EXPECT_EQ(b->captured->status, 409);
+    EXPECT_EQ(b->answer->status, 409);
     EXPECT_EQ(b->body().at("superseded_by").as_string(), "a");
     EXPECT_EQ(confirm("a")->body().at("collisions").at(0).as_string(), "b");
     EXPECT_EQ(confirm("b")->body().at("collisions").at(0).as_string(), "a");
@@ -198,10 +180,10 @@
         const Reply reply = confirmation ? confirm("a") : post("a");
         const Record record = appender.held.front().record;
         fail(GetParam().error);
-        ASSERT_TRUE(reply->captured);
-        EXPECT_EQ(reply->captured->status, GetParam().status);
+        ASSERT_TRUE(reply->answer);
+        EXPECT_EQ(reply->answer->status, GetParam().status);
         EXPECT_NE(reply->body().at("message").as_string().find(GetParam().says), std::string::npos);
-        EXPECT_EQ(reply->captured->headers.contains("Retry-After"), GetParam().status == 503);
+        EXPECT_EQ(reply->answer->headers.contains("Retry-After"), GetParam().status == 503);
         if (GetParam().lands) {
             fold.apply({fold.applied() + 1, record});
             service.onApplied();
@@ -211,7 +193,7 @@
             land();
         }
         EXPECT_TRUE(appender.held.empty());
-        EXPECT_EQ(again->captured->status, 200);
+        EXPECT_EQ(again->answer->status, 200);
     }
     EXPECT_EQ(fold.configuration().version, 1U);
 }
@@ -227,7 +209,7 @@
 {
     const Reply cutOff = post("here");
     fail(ErrorCode::Unavailable);
-    EXPECT_EQ(cutOff->captured->status, 503);
+    EXPECT_EQ(cutOff->answer->status, 503);
     const Result<Intent> other =
         parseIntent(*parseJson(R"({"id":"there","operator":"op","set":{"models":{"m":{"version":4}}}})"));
     fold.apply({1, {{"other", 1, 1}, "intent", intentPayload(*other, 0, value::object(), {})}});
@@ -245,13 +227,13 @@
     const Reply reply = post("a");
     clock.advance(4999ms);
     service.tick();
-    EXPECT_FALSE(reply->captured);
+    EXPECT_FALSE(reply->answer);
     clock.advance(1ms);
     service.tick();
-    EXPECT_EQ(reply->captured->status, 502);
+    EXPECT_EQ(reply->answer->status, 502);
     const Reply again = post("a");
     land();
-    EXPECT_EQ(again->captured->status, 200);
+    EXPECT_EQ(again->answer->status, 200);
     land(); // the second copy of the intent, under another record id
     EXPECT_EQ(fold.plans().size(), 1U);
 }
@@ -259,11 +241,11 @@
 TEST_F(IntentServiceTest, acceptsNothingUntilItHasTheNewestConfiguration)
 {
     caughtUp = false;
-    EXPECT_EQ(post("a")->captured->status, 503);
+    EXPECT_EQ(post("a")->answer->status, 503);
     const Reply early = confirm("a");
     clock.advance(2s);
     service.tick();
-    EXPECT_EQ(early->captured->status, 503);
+    EXPECT_EQ(early->answer->status, 503);
     EXPECT_TRUE(appender.held.empty());
 }
 
@@ -274,19 +256,19 @@
     const Result<Intent> intent = parseIntent(*parseJson(R"({"id":"a","operator":"op"})"));
     fold.apply({1, {{"other", 1, 1}, "intent", intentPayload(*intent, 0, value::object(), {})}});
     service.onApplied();
-    EXPECT_FALSE(early->captured);
+    EXPECT_FALSE(early->answer);
     land();
-    EXPECT_EQ(early->captured->status, 200);
+    EXPECT_EQ(early->answer->status, 200);
     clock.advance(2s);
     service.tick();
-    EXPECT_EQ(unknown->captured->status, 404);
+    EXPECT_EQ(unknown->answer->status, 404);
 }
 
 TEST_F(IntentServiceTest, refusesWhatDoesNotFitWithoutAskingTheLog)
 {
-    EXPECT_EQ(post("a", R"({"trainers":{"t":{"model":"none"}}})")->captured->status, 409);
-    EXPECT_EQ(post("a", R"({"models":{"m":{"versoin":1}}})")->captured->status, 400);
-    EXPECT_EQ(send("DELETE", "/v1/intents")->captured->status, 404);
+    EXPECT_EQ(post("a", R"({"trainers":{"t":{"model":"none"}}})")->answer->status, 409);
+    EXPECT_EQ(post("a", R"({"models":{"m":{"versoin":1}}})")->answer->status, 400);
+    EXPECT_EQ(send("DELETE", "/v1/intents")->answer->status, 404);
     EXPECT_TRUE(appender.held.empty());
 }
 
--- a/bergamot/journal/random_log.cpp
+++ b/bergamot/journal/random_log.cpp
@@ -38,6 +38,17 @@
     m_events.emplace(clock.now() + delay, std::move(event));
 }
 
+void RandomLog::injectFaults(const RandomFaults &faults)
+{
+    if (!oneIn(faults.outage)) {
+        return;
+    }
+    out = true;
+    after(between(1s, faults.longestOutage), [this] {
+        out = false;
+    });
+}
+
 Result<Offset> RandomLog::append(std::vector<Record> records)
 {
     if (out) {
@@ -199,6 +210,16 @@
     m_timer.appended(now);
 }
 
+void RandomLogClient::injectFaults(const RandomFaults &faults)
+{
+    if (m_log.oneIn(faults.pause)) {
+        pausedUntil = m_log.clock.now() + m_log.between(1s, faults.longestPause);
+    }
+    if (m_log.oneIn(cutOff ? faults.heal : faults.cut)) {
+        cutOff = !cutOff;
+    }
+}
+
 bool RandomLogClient::paused() const
 {
     return m_log.clock.now() < pausedUntil;
--- a/bergamot/journal/random_log.h
+++ b/bergamot/journal/random_log.h
@@ -25,6 +25,17 @@
 namespace bergamot
 {
 
+/// How often what fails, as one in so many steps.
+struct RandomFaults
+{
+    std::uint32_t outage = 600; // of the log
+    Duration longestOutage = std::chrono::seconds(15);
+    std::uint32_t pause = 300; // of a client
+    Duration longestPause = std::chrono::seconds(10);
+    std::uint32_t cut = 500; // of a client from the log
+    std::uint32_t heal = 100; // of a client that is cut off
+};
+
 /// One stream, and a fold that has read all of it from the start.
 class RandomLog
 {
@@ -34,6 +45,8 @@
     void advance(Duration step);
     /// Runs `event` once that much time has passed.
     void after(Duration delay, std::function<void()> event);
+    /// May begin an outage, which ends by itself.
+    void injectFaults(const RandomFaults &faults);
     Result<Offset> append(std::vector<Record> records);
     Result<LogPage> read(Offset from);
     /// The state after `offset`, as the fold that has read everything has it.
@@ -66,6 +79,8 @@
     RecordId append(const std::string &stream, std::string kind, std::string payload, Callback<Offset> done) override;
     /// Handles what has arrived. Returns true if the fold has advanced. Does nothing while paused.
     bool step();
+    /// May pause this client, cut it off or heal it.
+    void injectFaults(const RandomFaults &faults);
     bool paused() const;
     /// True if the fold is not what the reference had at its offset.
     bool diverged() const;
--- a/bergamot/keys/key_fold_benchmark.cpp
+++ b/bergamot/keys/key_fold_benchmark.cpp
@@ -8,9 +8,15 @@
 namespace
 {
 
-void claimAndFinish(KeyFold &fold, std::uint64_t number)
+/// The payloads of the two records of a key whose answer has 200 bytes.
+struct KeyRecords
+{
+    std::string claim;
+    std::string outcome;
+};
+
+KeyRecords keyRecords(std::uint64_t number, std::chrono::milliseconds writerClock)
 {
-    const std::chrono::milliseconds writerClock(1000);
     inner::KeyClaimT claim;
     claim.key = "lot-confirmation-" + std::to_string(number);
     claim.claim_id = "entry-3/" + std::to_string(number);
@@ -22,9 +28,15 @@
     outcome.known = true;
     outcome.status = 200;
     outcome.body = std::string(200, 'b');
+    return {keyClaimPayload(claim, writerClock), keyOutcomePayload(outcome, writerClock)};
+}
+
+void claimAndFinish(KeyFold &fold, std::uint64_t number)
+{
+    KeyRecords records = keyRecords(number, std::chrono::milliseconds(1000));
     const Offset next = fold.applied() + 1;
-    fold.apply({next, {{"a", 1, next}, std::string(KeyClaimKind), keyClaimPayload(claim, writerClock)}});
-    fold.apply({next + 1, {{"a", 1, next + 1}, std::string(KeyOutcomeKind), keyOutcomePayload(outcome, writerClock)}});
+    fold.apply({next, {{"a", 1, next}, std::string(KeyClaimKind), std::move(records.claim)}});
+    fold.apply({next + 1, {{"a", 1, next + 1}, std::string(KeyOutcomeKind), std::move(records.outcome)}});
 }
 
 /// The records of one key, written and read.
@@ -94,19 +106,9 @@
     void addKey()
     {
         const auto clock = std::chrono::duration_cast<std::chrono::milliseconds>(m_now.time_since_epoch());
-        inner::KeyClaimT claim;
-        claim.key = "lot-confirmation-" + std::to_string(m_end);
-        claim.claim_id = "entry-3/" + std::to_string(m_end);
-        claim.body_digest = std::string(64, 'd');
-        inner::KeyOutcomeT outcome;
-        outcome.key = claim.key;
-        outcome.claim_id = claim.claim_id;
-        outcome.ran = true;
-        outcome.known = true;
-        outcome.status = 200;
-        outcome.body = std::string(200, 'b');
-        addCounted(KeyClaimKind, keyClaimPayload(claim, clock));
-        addCounted(KeyOutcomeKind, keyOutcomePayload(outcome, clock));
+        KeyRecords records = keyRecords(m_end, clock);
+        addCounted(KeyClaimKind, std::move(records.claim));
+        addCounted(KeyOutcomeKind, std::move(records.outcome));
     }
 
     void addCounted(std::string_view kind, std::string payload)
--- a/bergamot/keys/key_property_test.cpp
+++ b/bergamot/keys/key_property_test.cpp
@@ -1,10 +1,10 @@
 // Idempotency keys under random faults. The number of seeds comes from BERGAMOT_PROPERTY_SEEDS (default 10).
 
-#include <cstdlib>
 #include <future>
 
 #include <gtest/gtest.h>
 
+#include "bergamot/journal/property_seeds.h"
 #include "bergamot/journal/random_log.h"
 #include "bergamot/keys/key_service.h"
 
@@ -21,12 +21,6 @@
 constexpr int Keys = 40;
 constexpr int Nodes = 3;
 
-int seedCount()
-{
-    const char *const given = std::getenv("BERGAMOT_PROPERTY_SEEDS");
-    return given == nullptr ? 10 : std::atoi(given);
-}
-
 /// One process that may commit claims.
 struct Node
 {
@@ -109,20 +103,9 @@
 
     void injectFaults()
     {
-        if (m_log.oneIn(600)) {
-            m_log.out = true;
-            m_log.after(m_log.between(1s, 15s), [this] {
-                m_log.out = false;
-            });
-        }
+        m_log.injectFaults({});
         for (int index = 0; index < Nodes; ++index) {
-            RandomLogClient &client = m_nodes[index]->client;
-            if (m_log.oneIn(300)) {
-                client.pausedUntil = m_log.clock.now() + m_log.between(1s, 10s);
-            }
-            if (m_log.oneIn(client.cutOff ? 100 : 500)) {
-                client.cutOff = !client.cutOff;
-            }
+            m_nodes[index]->client.injectFaults({});
             if (m_log.oneIn(800)) {
                 start(index);
             }
@@ -250,15 +233,7 @@
 
 TEST(KeyProperty, dispatchesNoKeyTwiceWhateverFails)
 {
-    for (int seed = 1; seed <= seedCount(); ++seed) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        KeyWorld world(static_cast<std::uint64_t>(seed));
-        world.run();
-        world.checkEnd();
-        if (HasFailure()) {
-            return;
-        }
-    }
+    runSeeds<KeyWorld>(10);
 }
 
 } // namespace
--- a/bergamot/leases/lease_property_test.cpp
+++ b/bergamot/leases/lease_property_test.cpp
@@ -1,9 +1,8 @@
 // Leases under random faults. The number of seeds comes from BERGAMOT_PROPERTY_SEEDS (default 20).
 
-#include <cstdlib>
-
 #include <gtest/gtest.h>
 
+#include "bergamot/journal/property_seeds.h"
 #include "bergamot/journal/random_log.h"
 #include "bergamot/leases/lease_decision.h"
 
@@ -18,11 +17,8 @@
 constexpr int StepsPerSeed = 6000; // 5 minutes
 const std::vector<DutyId> Duties{DutyId("a"), DutyId("b"), DutyId("c")};
 
-int seedCount()
-{
-    const char *const given = std::getenv("BERGAMOT_PROPERTY_SEEDS");
-    return given == nullptr ? 20 : std::atoi(given);
-}
+constexpr RandomFaults Faults{
+    .outage = 1200, .longestOutage = 30s, .pause = 600, .longestPause = 40s, .cut = 1000, .heal = 300};
 
 /// Whose order it is: an incarnation, and the number under which it holds the duty.
 using Holder = std::pair<std::uint64_t, FencingNumber>;
@@ -114,12 +110,7 @@
 
     void injectFaults()
     {
-        if (m_log.oneIn(1200)) {
-            m_log.out = true;
-            m_log.after(m_log.between(1s, 30s), [this] {
-                m_log.out = false;
-            });
-        }
+        m_log.injectFaults(Faults);
         for (auto &[index, instance] : m_instances) {
             injectFaults(index, *instance);
         }
@@ -127,12 +118,7 @@
 
     void injectFaults(int index, Instance &instance)
     {
-        if (m_log.oneIn(600)) {
-            instance.client.pausedUntil = m_log.clock.now() + m_log.between(1s, 40s);
-        }
-        if (m_log.oneIn(instance.client.cutOff ? 300 : 1000)) {
-            instance.client.cutOff = !instance.client.cutOff;
-        }
+        instance.client.injectFaults(Faults);
         if (m_log.oneIn(400)) {
             const DutyId &duty = Duties[m_log.random() % Duties.size()];
             instance.decision.handBack(duty, m_log.clock.now());
@@ -203,15 +189,7 @@
 
 TEST(LeaseProperty, letsAtMostOneHolderActWhateverFails)
 {
-    for (int seed = 1; seed <= seedCount(); ++seed) {
-        SCOPED_TRACE("seed " + std::to_string(seed));
-        LeaseWorld world(static_cast<std::uint64_t>(seed));
-        world.run();
-        world.checkEnd();
-        if (HasFailure()) {
-            return;
-        }
-    }
+    runSeeds<LeaseWorld>(20);
 }
 
 } // namespace
