routing: services report their load, and other domains' loads are known

Cause: the order desk's and the portal's endpoints report their load, but a plain service was only asked whether it lives; endpoints of other domains were shown with a load of zero and age zero, which the router took for a report, so that a full domain looked at most a third full.

Ruled out: a path of its own for the report (a second request for each poll); a flag beside each load (an age of 25.5 s says the same, and an older relay's rows still read); one limit over all domains (reports of other domains are up to 6 s older, so the oldest one held back the own domain's).

Change: a service's answer to GET /healthz may carry {running, waiting, slots, load_age_ms, leaving}; the stand-in's does, with the engine's lag (LaggedLoad, now one class for both). The poller passes on loads that are reported. DigestReply.loads carries the loads between domains, ViewDelta.remote_loads to the instances. Slots 0 now says "reports no load", so a service with one worker can report; the row ProbedService of routing_table_test said it with slots 1 and is replaced by two rows. EndpointPool keeps in-flight counts and limits for the own domain and the others apart.

The choice of remote endpoints that a domain reports is ranked by its own name, not the asker's, so in large domains the two differ; not mended here.

--- a/bergamot/control/endpoint_probe.h
+++ b/bergamot/control/endpoint_probe.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// Asks one endpoint for its state: an engine by its own report, a plain service by any answer at all, whose header
-// X-Leaving says whether it is leaving.
+// Asks one endpoint for its state: an engine by its own report, a plain service by GET /healthz. Any answer of a
+// service shows that it lives; its body may report the load, and its header X-Leaving says whether it is leaving.
 //
 //     EndpointProbe probe(engines, http);
 //     probe.ask(poll, 1s, [](Result<EngineState> state) { ... });
--- a/bergamot/membership/dissemination_receive.cpp
+++ b/bergamot/membership/dissemination_receive.cpp
@@ -76,7 +76,9 @@
     if (!isOwnDomain(domain) && m_isRelay) {
         reply.domains.push_back(
             std::make_unique<inner::DomainSummaryT>(summarize(m_options.self.domain, m_members.statuses(now))));
-        for (inner::EndpointReportT &report : m_builder.reportsForOthers(now)) {
+        std::vector<inner::EndpointReportT> reports = m_builder.reportsForOthers(now);
+        reply.loads = m_builder.loadsOf(reports, now);
+        for (inner::EndpointReportT &report : reports) {
             reply.reports.push_back(std::make_unique<inner::EndpointReportT>(std::move(report)));
         }
     }
@@ -164,6 +166,7 @@
     TimePoint &loadsSent = m_loadsSent[sender];
     if (since != 0 && now - loadsSent < loadPeriod()) {
         reply.delta->loads.clear();
+        reply.delta->remote_loads.clear();
     } else {
         loadsSent = now;
     }
@@ -194,6 +197,7 @@
     takeRecords(peer, reply);
     if (!isOwnDomain(domain)) {
         takeRemoteReports(domain, reply.reports, now);
+        m_builder.remoteLoads(reply.loads, now);
     }
     if (reply.confirmed) {
         m_isConfirmed = true;
--- a/bergamot/membership/dissemination_test.cpp
+++ b/bergamot/membership/dissemination_test.cpp
@@ -94,6 +94,22 @@
     }
 }
 
+TEST(Dissemination, loadsReachTheOtherDomains)
+{
+    const auto settled = settledFleet();
+    SimulatedFleet &fleet = *settled;
+    const std::uint32_t usual = fleet.node("d0-i0").view(fleet.now()).endpoints.front()->running;
+    ASSERT_NE(usual, 7U);
+    fleet.setEngine("d0-e1", EngineState{ModelId("model"), 9, 10, 7, 5, 8});
+    fleet.run(8s); // a poll, a digest between relays, one to each instance
+    for (const std::string &instance : fleet.instances()) {
+        for (const auto &endpoint : fleet.node(instance).view(fleet.now()).endpoints) {
+            EXPECT_LT(endpoint->load_age_ms, 8000U) << endpoint->id << " on " << instance;
+            EXPECT_EQ(endpoint->running, endpoint->id == "d0-e1" ? 7U : usual) << endpoint->id << " on " << instance;
+        }
+    }
+}
+
 struct CorrectionCase
 {
     std::string name;
--- a/bergamot/membership/endpoint_poller.cpp
+++ b/bergamot/membership/endpoint_poller.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr std::int64_t LoadAgeUnitMilliseconds = 100;
-
 bool sameReport(const inner::EndpointReportT &left, const inner::EndpointReportT &right)
 {
     return left.reachable == right.reachable && left.leaving == right.leaving && left.version == right.version
@@ -128,11 +126,11 @@
 {
     std::vector<inner::PolledLoad> loads;
     for (const auto &[id, entry] : m_entries) {
-        if (entry.isKnown && entry.report.reachable) {
+        if (entry.isKnown && entry.report.reachable && entry.report.slots > 0) {
             loads.emplace_back(endpointHash(id.value()),
                                saturate<std::uint16_t>(entry.state.running),
                                saturate<std::uint8_t>(entry.state.waiting),
-                               saturate<std::uint8_t>(entry.state.loadAge.count() / LoadAgeUnitMilliseconds));
+                               saturate<std::uint8_t>(entry.state.loadAge / LoadAgeUnit));
         }
     }
     return loads;
--- a/bergamot/membership/endpoint_poller.h
+++ b/bergamot/membership/endpoint_poller.h
@@ -48,6 +48,7 @@
     /// The findings that changed after `tick`; each change raises `tick()`.
     std::vector<inner::EndpointReportT> reportsSince(std::uint64_t tick) const;
     std::uint64_t tick() const;
+    /// Of the endpoints that report their load.
     std::vector<inner::PolledLoad> loads() const;
 
 private:
--- a/bergamot/membership/endpoint_poller_test.cpp
+++ b/bergamot/membership/endpoint_poller_test.cpp
@@ -86,5 +86,34 @@
     EXPECT_TRUE(poller.reports().empty());
 }
 
+struct LoadCase
+{
+    std::string name;
+    std::uint32_t slots; // 0: the service reports no load
+    std::size_t loads;
+};
+
+class ServiceLoads : public testing::TestWithParam<LoadCase>
+{ };
+
+TEST_P(ServiceLoads, arePassedOnIfReported)
+{
+    EndpointPoller poller;
+    poller.assign({{Engine, inner::EndpointKind::Service, {"10.0.0.1", 1}}});
+    poller.due(Start);
+    poller.polled(Engine, EngineState{.running = 5, .slots = GetParam().slots}, Start);
+    EXPECT_EQ(poller.reports().front().slots, GetParam().slots);
+    EXPECT_EQ(poller.loads().size(), GetParam().loads);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         ServiceLoads,
+                         testing::Values(LoadCase{"Reported", 16, 1},
+                                         LoadCase{"OneWorker", 1, 1},
+                                         LoadCase{"None", 0, 0}),
+                         [](const auto &testCase) {
+                             return testCase.param.name;
+                         });
+
 } // namespace
 } // namespace bergamot
--- a/bergamot/membership/fleet_table.cpp
+++ b/bergamot/membership/fleet_table.cpp
@@ -154,7 +154,8 @@
     delta.domains = copyRows(domains, since);
     delta.published = copyRows(published, since);
     delta.names_hash = namesHash();
-    delta.loads = loads();
+    delta.loads = loads(Where::Here);
+    delta.remote_loads = loads(Where::Elsewhere);
     return delta;
 }
 
@@ -170,7 +171,8 @@
     if (namesHash() != delta.names_hash) {
         return false;
     }
-    applyLoads(delta.loads);
+    applyLoads(delta.loads, Where::Here);
+    applyLoads(delta.remote_loads, Where::Elsewhere);
     return true;
 }
 
@@ -263,11 +265,16 @@
                       + std::to_string(suspects.namesHash()));
 }
 
-std::vector<inner::EndpointLoad> FleetTable::loads() const
+bool FleetTable::isAt(const inner::EndpointT &endpoint, Where where) const
+{
+    return (endpoint.domain == m_domain.value()) == (where == Where::Here);
+}
+
+std::vector<inner::EndpointLoad> FleetTable::loads(Where where) const
 {
     std::vector<inner::EndpointLoad> loads;
     for (const auto &[id, row] : endpoints.rows()) {
-        if (row.value.domain == m_domain.value()) {
+        if (isAt(row.value, where)) {
             loads.emplace_back(saturate<std::uint16_t>(row.value.running),
                                saturate<std::uint8_t>(row.value.waiting),
                                saturate<std::uint8_t>(row.value.load_age_ms / LoadAgeUnitMilliseconds));
@@ -276,11 +283,11 @@
     return loads;
 }
 
-void FleetTable::applyLoads(const std::vector<inner::EndpointLoad> &loads)
+void FleetTable::applyLoads(const std::vector<inner::EndpointLoad> &loads, Where where)
 {
     auto load = loads.begin();
     for (auto &[id, row] : endpoints.rows()) {
-        if (row.value.domain != m_domain.value()) {
+        if (!isAt(row.value, where)) {
             continue;
         }
         if (load == loads.end()) {
--- a/bergamot/membership/fleet_table.h
+++ b/bergamot/membership/fleet_table.h
@@ -57,8 +57,14 @@
 
 private:
     std::uint64_t namesHash() const;
-    std::vector<inner::EndpointLoad> loads() const;
-    void applyLoads(const std::vector<inner::EndpointLoad> &loads);
+    enum class Where {
+        Here, // in this domain
+        Elsewhere,
+    };
+
+    bool isAt(const inner::EndpointT &endpoint, Where where) const;
+    std::vector<inner::EndpointLoad> loads(Where where) const;
+    void applyLoads(const std::vector<inner::EndpointLoad> &loads, Where where);
     void applyRows(const inner::ViewDeltaT &delta);
 
     FailureDomainId m_domain;
--- a/bergamot/membership/fleet_table_test.cpp
+++ b/bergamot/membership/fleet_table_test.cpp
@@ -52,6 +52,24 @@
     EXPECT_EQ(copy.view().endpoints.front()->running, 65535U);
 }
 
+TEST(FleetTable, loadsOfOtherDomainsArriveToo)
+{
+    FleetTable table(Domain);
+    FleetTable copy(Domain);
+    inner::EndpointT remote = endpointNamed("a", 1);
+    remote.domain = "west";
+    put(table, remote, 1);
+    put(table, endpointNamed("b", 1, 4), 1);
+    ASSERT_TRUE(copy.apply(table.deltaSince(0, 1)));
+    remote.running = 7;
+    remote.load_age_ms = 300;
+    put(table, remote, 2);
+    ASSERT_TRUE(copy.apply(table.deltaSince(1, 2)));
+    EXPECT_EQ(copy.view().endpoints.front()->running, 7U);
+    EXPECT_EQ(copy.view().endpoints.front()->load_age_ms, 300U);
+    EXPECT_EQ(copy.view().endpoints.back()->running, 4U);
+}
+
 TEST(FleetTable, missedDeltaIsNoticed)
 {
     FleetTable table(Domain);
--- a/bergamot/membership/view_builder.cpp
+++ b/bergamot/membership/view_builder.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr std::uint64_t LoadAgeUnitMilliseconds = 100;
-
 inner::EndpointT toEndpoint(const ListedMember &member)
 {
     inner::EndpointT endpoint;
@@ -24,7 +22,8 @@
     endpoint.address = toString(member.address);
     endpoint.leaving = member.state == ListedState::Leaving;
     endpoint.reachable = true;
-    endpoint.slots = 1;
+    endpoint.slots = member.kind == ListedKind::Engine ? 1 : 0;
+    endpoint.load_age_ms = UnknownLoadAge.count();
     return endpoint;
 }
 
@@ -98,6 +97,11 @@
             finding->second.heardAt = now;
         }
     }
+    remoteLoads(loads, now);
+}
+
+void ViewBuilder::remoteLoads(const std::vector<inner::PolledLoad> &loads, TimePoint now)
+{
     for (const inner::PolledLoad &load : loads) {
         m_loads[load.endpoint_hash()] = {load, now};
     }
@@ -171,6 +175,22 @@
     return reports;
 }
 
+std::vector<inner::PolledLoad> ViewBuilder::loadsOf(const std::vector<inner::EndpointReportT> &reports,
+                                                    TimePoint now) const
+{
+    std::vector<inner::PolledLoad> loads;
+    for (const inner::EndpointReportT &report : reports) {
+        const auto load = m_loads.find(endpointHash(report.endpoint));
+        if (load == m_loads.end()) {
+            continue;
+        }
+        const inner::PolledLoad &polled = load->second.load;
+        const auto age = static_cast<std::uint8_t>(ageOf(load->second, now) / LoadAgeUnit);
+        loads.emplace_back(polled.endpoint_hash(), polled.running(), polled.waiting(), age);
+    }
+    return loads;
+}
+
 void ViewBuilder::correct(inner::EndpointT &endpoint, TimePoint now) const
 {
     const auto findings = m_findings.find(endpoint.id);
@@ -195,7 +215,7 @@
     endpoint.reachable = isReached;
     endpoint.version = newest->report.version;
     endpoint.loading = newest->report.loading;
-    endpoint.slots = std::max<std::uint32_t>(1, newest->report.slots);
+    endpoint.slots = std::max(endpoint.slots, newest->report.slots);
 }
 
 void ViewBuilder::addLoad(inner::EndpointT &endpoint, TimePoint now) const
@@ -204,11 +224,15 @@
     if (load == m_loads.end()) {
         return;
     }
-    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - load->second.heardAt);
     endpoint.running = load->second.load.running();
     endpoint.waiting = load->second.load.waiting();
-    endpoint.load_age_ms =
-        load->second.load.load_age() * LoadAgeUnitMilliseconds + static_cast<std::uint64_t>(since.count());
+    endpoint.load_age_ms = static_cast<std::uint64_t>(ageOf(load->second, now).count());
+}
+
+std::chrono::milliseconds ViewBuilder::ageOf(const Load &load, TimePoint now)
+{
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(now - load.heardAt);
+    return std::min(load.load.load_age() * LoadAgeUnit + since, UnknownLoadAge);
 }
 
 } // namespace bergamot
--- a/bergamot/membership/view_builder.h
+++ b/bergamot/membership/view_builder.h
@@ -21,6 +21,11 @@
 namespace bergamot
 {
 
+/// Unit in which loads tell their age.
+inline constexpr std::chrono::milliseconds LoadAgeUnit{100};
+/// Age of a load that is not known; the greatest that can be told.
+inline constexpr std::chrono::milliseconds UnknownLoadAge = 255 * LoadAgeUnit;
+
 struct ViewBuilderOptions
 {
     Duration reportLifetime = std::chrono::seconds(8); // a poller that is silent for so long is not believed
@@ -42,6 +47,8 @@
     bool report(const std::string &poller, const inner::EndpointReportT &report, TimePoint now);
     /// The loads that `poller` found; they also show that its earlier reports still hold.
     void reportLoads(const std::string &poller, const std::vector<inner::PolledLoad> &loads, TimePoint now);
+    /// The loads that another domain told of its endpoints.
+    void remoteLoads(const std::vector<inner::PolledLoad> &loads, TimePoint now);
     /// Drops reports of pollers that went silent.
     void expire(TimePoint now);
 
@@ -49,6 +56,8 @@
     std::vector<inner::EndpointT> endpoints(TimePoint now) const;
     /// What is known of those endpoints of this domain that other domains show.
     std::vector<inner::EndpointReportT> reportsForOthers(TimePoint now) const;
+    /// The loads of the endpoints in `reports`, where they are known, with their present age.
+    std::vector<inner::PolledLoad> loadsOf(const std::vector<inner::EndpointReportT> &reports, TimePoint now) const;
 
 private:
     struct Finding
@@ -65,6 +74,7 @@
 
     void correct(inner::EndpointT &endpoint, TimePoint now) const;
     void addLoad(inner::EndpointT &endpoint, TimePoint now) const;
+    static std::chrono::milliseconds ageOf(const Load &load, TimePoint now);
     std::size_t shownPerDomain() const;
 
     FailureDomainId m_domain;
--- a/bergamot/membership/view_builder_test.cpp
+++ b/bergamot/membership/view_builder_test.cpp
@@ -111,6 +111,70 @@
     EXPECT_EQ(endpoint.load_age_ms, 700U);
 }
 
+TEST(ViewBuilder, tellsUnknownLoadsFromNone)
+{
+    ViewBuilder builder(East);
+    builder.setList({listedEngine("e1", East)});
+    EXPECT_EQ(builder.endpoints(Start).front().load_age_ms, std::uint64_t(UnknownLoadAge.count()));
+    builder.reportLoads("i1", {inner::PolledLoad(endpointHash("e1"), 0, 0, 255)}, Start);
+    EXPECT_EQ(builder.endpoints(Start + 1s).front().load_age_ms, std::uint64_t(UnknownLoadAge.count()));
+}
+
+TEST(ViewBuilder, handsLoadsToOtherDomainsWithTheirAge)
+{
+    const FailureDomainId west("west");
+    ViewBuilder here(East);
+    ViewBuilder there(west);
+    here.setList({listedEngine("e1", East), listedEngine("e2", East)});
+    there.setList({listedEngine("e1", East), listedEngine("e2", East)});
+    here.report("i1", found(true, false, 1), Start);
+    here.reportLoads("i1", {inner::PolledLoad(endpointHash("e1"), 5, 2, 3)}, Start);
+    const std::vector<inner::EndpointReportT> reports = here.reportsForOthers(Start + 1s);
+    there.remoteLoads(here.loadsOf(reports, Start + 1s), Start + 1s);
+    const std::vector<inner::EndpointT> endpoints = there.endpoints(Start + 2s);
+    ASSERT_EQ(endpoints.size(), 2U);
+    EXPECT_EQ(endpoints.front().running, 5U);
+    EXPECT_EQ(endpoints.front().waiting, 2U);
+    EXPECT_EQ(endpoints.front().load_age_ms, 2300U);
+    EXPECT_EQ(endpoints.back().load_age_ms, std::uint64_t(UnknownLoadAge.count()));
+}
+
+struct SlotsCase
+{
+    std::string name;
+    ListedKind kind;
+    std::optional<std::uint32_t> reported;
+    std::uint32_t shown;
+};
+
+class ShownSlots : public testing::TestWithParam<SlotsCase>
+{ };
+
+TEST_P(ShownSlots, areNoneForAServiceThatReportsNoLoad)
+{
+    ViewBuilder builder(East);
+    ListedMember member = listedEngine("e1", East);
+    member.kind = GetParam().kind;
+    builder.setList({member});
+    if (GetParam().reported) {
+        inner::EndpointReportT report = found(true, false, 0);
+        report.slots = *GetParam().reported;
+        builder.report("i1", report, Start);
+    }
+    EXPECT_EQ(builder.endpoints(Start).front().slots, GetParam().shown);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         ShownSlots,
+                         testing::Values(SlotsCase{"UnpolledEngine", ListedKind::Engine, std::nullopt, 1},
+                                         SlotsCase{"Engine", ListedKind::Engine, 8, 8},
+                                         SlotsCase{"UnpolledService", ListedKind::Endpoint, std::nullopt, 0},
+                                         SlotsCase{"SilentService", ListedKind::Endpoint, 0, 0},
+                                         SlotsCase{"OneWorker", ListedKind::Endpoint, 1, 1}),
+                         [](const auto &testCase) {
+                             return testCase.param.name;
+                         });
+
 TEST(ViewBuilder, startsFromAPeersRows)
 {
     ViewBuilder first(East);
--- a/bergamot/platform/engine.h
+++ b/bergamot/platform/engine.h
@@ -64,7 +64,7 @@
     WeightVersion loading = 0; // what it is loading, or 0
     std::uint32_t running = 0; // requests in the batch
     std::uint32_t waiting = 0; // requests queued before the batch
-    std::uint32_t slots = 1; // size of the batch
+    std::uint32_t slots = 1; // size of the batch; 0: its load is not known
     std::chrono::milliseconds loadAge{0}; // how old the load figures are
     bool leaving = false;
     std::uint64_t crashes = 0; // how often it has restarted
--- a/bergamot/platform/platform_json.h
+++ b/bergamot/platform/platform_json.h
@@ -14,6 +14,7 @@
 #include "bergamot/platform/engine.h"
 #include "bergamot/platform/instance_list.h"
 #include "bergamot/platform/log.h"
+#include "bergamot/platform/service.h"
 #include "bergamot/platform/weight_store.h"
 
 namespace bergamot
@@ -65,6 +66,11 @@
 web::json::value toJson(const EngineState &state);
 Result<EngineState> parseEngineState(const web::json::value &json, const std::string &path);
 
+/// {running, waiting, slots, load_age_ms, leaving}: a service's answer to GET /healthz. Each field may be missing and
+/// others may be there; without `slots` the service reports no load.
+web::json::value toJson(const ServiceState &state);
+Result<ServiceState> parseServiceState(const web::json::value &json, const std::string &path);
+
 /// Answer to an export: {"handle"}.
 Result<std::string> parseHandle(const web::json::value &json, const std::string &path);
 
--- a/bergamot/platform/platform_json_test.cpp
+++ b/bergamot/platform/platform_json_test.cpp
@@ -34,6 +34,9 @@
     EXPECT_EQ(parseEngineOrder(toJson(order), "body"), order);
     const EngineState state{ModelId("m"), 3, 4, 5, 6, 8, 700ms, true, 2};
     EXPECT_EQ(parseEngineState(toJson(state), "answer"), state);
+    const ServiceState service{4, 5, 16, 700ms, true};
+    EXPECT_EQ(parseServiceState(toJson(service), "answer"), service);
+    EXPECT_EQ(parseServiceState(web::json::value::object(), "answer"), ServiceState()) << "no report is no error";
     const Generation generation = parseGeneration(toJson(Generation{"text", {{1, 2}, {2, 1}}, "stop"}), "a").value();
     EXPECT_EQ(generation.text, "text");
     EXPECT_EQ(generation.spans, (std::vector<TokenSpan>{{1, 2}, {2, 1}}));
@@ -123,6 +126,7 @@
         MalformedCase{errorOf<parseScore>, "{}", "answer.score must be"},
         MalformedCase{errorOf<parseEngineState>, R"({"model":"m","version":1})", "answer.slots must be 1"},
         MalformedCase{errorOf<parseEngineState>, R"({"model":"m","slots":4294967296})", "answer.slots must be below"},
+        MalformedCase{errorOf<parseServiceState>, R"({"slots":-1})", "answer.slots must be"},
         MalformedCase{errorOf<parseEngineOrder>, R"({"role":"king"})", "answer.role must be serving or idle"},
         MalformedCase{errorOf<parseGenerateRequest>, R"({"request_id":"1"})", "answer.max_tokens must be 1"},
         MalformedCase{errorOf<parseHandle>, R"({"handle":7})", "answer.handle"},
--- a/bergamot/routing/choice_test.cpp
+++ b/bergamot/routing/choice_test.cpp
@@ -174,6 +174,57 @@
     EXPECT_EQ(pickAndKeep(), "none");
 }
 
+struct RemoteLoadCase
+{
+    std::string name;
+    std::uint32_t load;
+    Duration age;
+    bool spills; // once the own domain is full
+};
+
+class RemoteLoads : public testing::TestWithParam<RemoteLoadCase>
+{ };
+
+/// The own endpoint is over-filled by other instances, by every report; the other domain's as in the case.
+TEST_P(RemoteLoads, DoNotHideAFullDomain)
+{
+    EndpointPool pool({.instance = "entry-1", .domain = FailureDomainId("a")}, std::make_unique<SampledChoice>());
+    std::mt19937_64 random(1);
+    constexpr int Reports = 40;
+    for (int report = 0; report < Reports; ++report) {
+        const TimePoint now = Now + std::chrono::seconds(report);
+        pool.update(
+            std::vector<RoutedEndpoint>{
+                {.id = EndpointId("a1"), .domain = FailureDomainId("a"), .address = {}, .load = 16, .slots = 8},
+                {.id = EndpointId("b1"),
+                 .domain = FailureDomainId("b"),
+                 .address = {},
+                 .load = GetParam().load,
+                 .slots = 16,
+                 .loadAge = GetParam().age}},
+            now);
+    }
+    std::map<std::string, int> taken;
+    const TimePoint now = Now + std::chrono::seconds(Reports);
+    for (int count = 0; count < 4; ++count) {
+        if (const auto slot = pool.pick({}, now, random)) {
+            pool.dispatched(*slot, now);
+            ++taken[pool.endpoint(*slot).value()];
+        }
+    }
+    EXPECT_LE(taken["a1"], 1);
+    EXPECT_EQ(taken["b1"] > 1, GetParam().spills);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         RemoteLoads,
+                         testing::Values(RemoteLoadCase{"Unknown", 0, 25500ms, true},
+                                         RemoteLoadCase{"Idle", 0, 2s, true},
+                                         RemoteLoadCase{"Full", 32, 2s, false}),
+                         [](const auto &testCase) {
+                             return testCase.param.name;
+                         });
+
 TEST_F(PoolDomains, SlowEndpointIsEjectedAndTheOthersStay)
 {
     for (int round = 0; round < 60; ++round) {
--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -44,8 +44,10 @@
 EndpointPool::EndpointPool(EndpointPoolOptions options, std::unique_ptr<ChoiceStrategy> strategy)
     : m_options(std::move(options))
     , m_strategy(std::move(strategy))
-    , m_reportLimit(withRounding(m_options.reportLimit, m_options.instance))
-{ }
+{
+    m_local.reportLimit = ReportLimit(withRounding(m_options.reportLimit, m_options.instance));
+    m_remote.reportLimit = m_local.reportLimit;
+}
 
 void EndpointPool::update(std::span<const RoutedEndpoint> endpoints, TimePoint now)
 {
@@ -65,16 +67,16 @@
         }
     }
     rebuildOrder(now);
-    sumReports(now);
+    countInFlight();
+    sumReports(m_local, now);
+    sumReports(m_remote, now);
 }
 
 void EndpointPool::dispatched(std::size_t slot, TimePoint now)
 {
     State &state = m_states[slot];
-    state.load.dispatched(now);
+    countDispatched(state, now);
     state.health.dispatched(now);
-    ++m_inFlight;
-    m_reportLimit.dispatched(m_inFlight);
 }
 
 void EndpointPool::answered(std::size_t slot, Duration latency, double work, TimePoint now, std::mt19937_64 &random)
@@ -82,8 +84,7 @@
     State &state = m_states[slot];
     const std::chrono::duration<double> perUnit = latency / std::max(1.0, work);
     const std::uint32_t inFlightBefore = state.load.inFlight();
-    state.load.finished(now);
-    --m_inFlight;
+    countFinished(state, now);
     if (state.health.ejected() && tooSlow(perUnit)) {
         state.health.failed(EndpointFailure::Slow, now, random);
         return;
@@ -95,15 +96,14 @@
     state.health.succeeded(now);
     const std::uint32_t allowedBefore = state.limit.allowed();
     state.limit.answered(fromSeconds(perUnit.count()), inFlightBefore);
-    m_allowed += static_cast<double>(state.limit.allowed()) - allowedBefore;
+    groupOf(state).allowed += static_cast<double>(state.limit.allowed()) - allowedBefore;
     learnLatency(state, latency, perUnit);
 }
 
 void EndpointPool::failed(std::size_t slot, EndpointFailure failure, TimePoint now, std::mt19937_64 &random)
 {
     State &state = m_states[slot];
-    state.load.finished(now);
-    --m_inFlight;
+    countFinished(state, now);
     if (failure != EndpointFailure::Refused && !state.health.ejected() && !mayDoubtMore()) {
         return;
     }
@@ -116,8 +116,7 @@
 void EndpointPool::refused(std::size_t slot, TimePoint now)
 {
     State &state = m_states[slot];
-    state.load.finished(now);
-    --m_inFlight;
+    countFinished(state, now);
     state.health.succeeded(now);
     state.limit.overloaded();
 }
@@ -125,8 +124,7 @@
 void EndpointPool::withdrawn(std::size_t slot, TimePoint now)
 {
     State &state = m_states[slot];
-    state.load.finished(now);
-    --m_inFlight;
+    countFinished(state, now);
     state.health.withdrawn();
 }
 
@@ -202,7 +200,7 @@
 
 std::size_t EndpointPool::listed() const
 {
-    return m_local.size() + m_remote.size();
+    return m_local.order.size() + m_remote.order.size();
 }
 
 Duration EndpointPool::unitLatency() const
@@ -259,15 +257,15 @@
         }
         return kept;
     };
-    m_local = subset(local, m_options.localSubset);
-    m_remote = subset(remote, m_options.remoteSubset);
+    m_local.order = subset(local, m_options.localSubset);
+    m_remote.order = subset(remote, m_options.remoteSubset);
     sumLimits();
 }
 
 void EndpointPool::takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const
 {
-    state.limit.setReportedSlots(endpoint.slots);
-    if (endpoint.slots > 0) {
+    state.limit.setReportedSlots(endpoint.reportsLoad() ? endpoint.slots : 0);
+    if (endpoint.reportsLoad()) {
         state.load.reported(endpoint.load, now - endpoint.loadAge);
     }
 }
@@ -277,33 +275,64 @@
     return m_medianUnitSeconds > 0 && perUnit.count() > m_options.slowFactor * m_medianUnitSeconds;
 }
 
+EndpointPool::Group &EndpointPool::groupOf(const State &state)
+{
+    return state.listed.domain == m_options.domain ? m_local : m_remote;
+}
+
+void EndpointPool::countDispatched(State &state, TimePoint now)
+{
+    state.load.dispatched(now);
+    ++m_inFlight;
+    Group &group = groupOf(state);
+    ++group.inFlight;
+    group.reportLimit.dispatched(group.inFlight);
+}
+
+void EndpointPool::countFinished(State &state, TimePoint now)
+{
+    state.load.finished(now);
+    --m_inFlight;
+    --groupOf(state).inFlight;
+}
+
+void EndpointPool::countInFlight()
+{
+    m_local.inFlight = 0;
+    m_remote.inFlight = 0;
+    for (const State &state : m_states) {
+        groupOf(state).inFlight += state.load.inFlight();
+    }
+}
+
 void EndpointPool::sumLimits()
 {
-    m_allowed = 0;
-    for (const std::vector<std::size_t> *order : {&m_local, &m_remote}) {
-        for (const std::size_t slot : *order) {
-            m_allowed += m_states[slot].health.ejected() ? 0.0 : m_states[slot].limit.allowed();
+    for (Group *group : {&m_local, &m_remote}) {
+        group->allowed = 0;
+        for (const std::size_t slot : group->order) {
+            group->allowed += m_states[slot].health.ejected() ? 0.0 : m_states[slot].limit.allowed();
         }
     }
 }
 
-void EndpointPool::sumReports(TimePoint now)
+void EndpointPool::sumReports(Group &group, TimePoint now) const
 {
     double load = 0;
     double slots = 0;
     Duration oldest = Duration::zero();
-    for (const std::vector<std::size_t> *order : {&m_local, &m_remote}) {
-        for (const std::size_t slot : *order) {
-            const RoutedEndpoint &listed = m_states[slot].listed;
-            load += listed.slots > 0 ? listed.load : 0;
-            slots += listed.slots;
-            oldest = std::max(oldest, listed.loadAge);
+    for (const std::size_t slot : group.order) {
+        const RoutedEndpoint &listed = m_states[slot].listed;
+        if (!listed.reportsLoad()) {
+            continue;
         }
+        load += listed.load;
+        slots += listed.slots;
+        oldest = std::max(oldest, listed.loadAge);
     }
     if (slots > 0) {
-        m_reportLimit.reported(load / slots, now - oldest);
+        group.reportLimit.reported(load / slots, now - oldest);
     } else {
-        m_reportLimit.silent();
+        group.reportLimit.silent();
     }
 }
 
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -39,7 +39,7 @@
     double slowFactor = 4; // an endpoint slower than this multiple of the median is ejected
     double mostDoubtful = 0.34; // share of the endpoints that may be ejected although they take connections
     ConcurrencyLimitOptions limit; // of each endpoint, by latency
-    ReportLimitOptions reportLimit; // of all together, by reported load
+    ReportLimitOptions reportLimit; // of those of the own domain together, and of the others, by reported load
     EndpointHealthOptions health;
 };
 
@@ -110,27 +110,36 @@
         ConcurrencyLimit limit;
         EndpointHealth health;
     };
+    /// The endpoints that are as far away: in the own domain, or in others.
+    struct Group
+    {
+        std::vector<std::size_t> order; // slots of the subset
+        std::uint32_t inFlight = 0;
+        double allowed = 0; // sum of the limits of the endpoints that serve
+        ReportLimit reportLimit;
+    };
     class View;
 
     std::size_t slotFor(const RoutedEndpoint &endpoint);
+    Group &groupOf(const State &state);
+    void countDispatched(State &state, TimePoint now);
+    void countFinished(State &state, TimePoint now);
     void rebuildOrder(TimePoint now);
+    void countInFlight();
     void takeReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const;
     bool usable(const State &state, TimePoint now) const;
     bool hasRoom(const State &state, double share, TimePoint now) const;
-    /// Whether the class may take one more place, over all endpoints.
-    bool classHasRoom(TrafficClass trafficClass) const;
+    /// Whether the class may take one more place in `share` of the group's limits.
+    bool classHasRoom(const Group &group, TrafficClass trafficClass, double share) const;
     void sumLimits();
-    void sumReports(TimePoint now);
+    void sumReports(Group &group, TimePoint now) const;
     double cost(const State &state, TimePoint now) const;
     bool tooSlow(std::chrono::duration<double> perUnit) const;
     /// Whether one more endpoint may be ejected although it takes connections. If most of them fail, what they have
     /// in common fails, and leaving them all alone helps nobody.
     bool mayDoubtMore() const;
-    std::optional<std::size_t> tryOrder(const std::vector<std::size_t> &order,
-                                        const PickRequest &request,
-                                        double share,
-                                        TimePoint now,
-                                        std::mt19937_64 &random);
+    std::optional<std::size_t>
+    tryGroup(const Group &group, const PickRequest &request, double share, TimePoint now, std::mt19937_64 &random);
     void learnLatency(State &state, Duration latency, std::chrono::duration<double> perUnit);
 
     EndpointPoolOptions m_options;
@@ -138,14 +147,12 @@
     std::vector<State> m_states;
     std::unordered_map<EndpointId, std::size_t> m_slots;
     std::vector<std::size_t> m_free;
-    std::vector<std::size_t> m_local;
-    std::vector<std::size_t> m_remote;
+    Group m_local;
+    Group m_remote;
     std::uint32_t m_inFlight = 0;
     double m_unitSeconds = 0;
     double m_requestSeconds = 0;
     double m_medianUnitSeconds = 0;
-    ReportLimit m_reportLimit;
-    double m_allowed = 0; // sum of the limits of the endpoints that serve
 };
 
 } // namespace bergamot
--- a/bergamot/routing/endpoint_pool_choice.cpp
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -65,26 +65,23 @@
 
 std::optional<std::size_t> EndpointPool::pick(const PickRequest &request, TimePoint now, std::mt19937_64 &random)
 {
-    if (!classHasRoom(request.trafficClass)) {
-        return std::nullopt;
-    }
-    if (request.prefix != 0) {
-        const View view(*this, m_local, request, 1.0, now);
+    if (request.prefix != 0 && classHasRoom(m_local, request.trafficClass, 1.0)) {
+        const View view(*this, m_local.order, request, 1.0, now);
         const double mean = (m_inFlight + 1.0) / static_cast<double>(std::max<std::size_t>(1, listed()));
         if (const auto owner = choosePrefixOwner(view, request.prefix, m_options.affinityBound * mean + 1.0)) {
-            return m_local[*owner];
+            return m_local.order[*owner];
         }
     }
     const PickRequest plain{.trafficClass = request.trafficClass, .prefix = 0, .excluded = request.excluded};
-    if (!m_remote.empty()) {
-        if (const auto slot = tryOrder(m_local, plain, m_options.spillThreshold, now, random)) {
+    if (!m_remote.order.empty()) {
+        if (const auto slot = tryGroup(m_local, plain, m_options.spillThreshold, now, random)) {
             return slot;
         }
-        if (const auto slot = tryOrder(m_remote, plain, 1.0, now, random)) {
+        if (const auto slot = tryGroup(m_remote, plain, 1.0, now, random)) {
             return slot;
         }
     }
-    return tryOrder(m_local, plain, 1.0, now, random);
+    return tryGroup(m_local, plain, 1.0, now, random);
 }
 
 bool EndpointPool::serviceable(TimePoint now) const
@@ -93,15 +90,16 @@
         const State &state = m_states[slot];
         return usable(state, now) && (!state.health.ejected() || state.health.admits(now));
     };
-    return std::any_of(m_local.begin(), m_local.end(), serves) || std::any_of(m_remote.begin(), m_remote.end(), serves);
+    return std::any_of(m_local.order.begin(), m_local.order.end(), serves)
+        || std::any_of(m_remote.order.begin(), m_remote.order.end(), serves);
 }
 
 std::optional<std::size_t> EndpointPool::reserveAlone(const std::function<bool(const EndpointId &)> &avoid,
                                                       TimePoint now)
 {
     std::optional<std::size_t> best;
-    for (const std::vector<std::size_t> *order : {&m_local, &m_remote}) {
-        for (const std::size_t slot : *order) {
+    for (const Group *group : {&m_local, &m_remote}) {
+        for (const std::size_t slot : group->order) {
             const State &state = m_states[slot];
             const bool fits =
                 usable(state, now) && !state.reserved && state.health.admits(now) && !avoid(state.listed.id);
@@ -140,12 +138,12 @@
     return !reportHolds || state.load.load(now, requestDuration()) < most;
 }
 
-bool EndpointPool::classHasRoom(TrafficClass trafficClass) const
+bool EndpointPool::classHasRoom(const Group &group, TrafficClass trafficClass, double share) const
 {
-    const double share = m_options.classShare[static_cast<std::size_t>(trafficClass)];
-    const double allowed = std::min(m_allowed, m_reportLimit.allowed());
-    const double kept = std::floor(allowed * (1.0 - share));
-    return m_inFlight + 1.0 <= std::max(1.0, allowed - kept);
+    const double classShare = m_options.classShare[static_cast<std::size_t>(trafficClass)];
+    const double allowed = std::min(group.allowed, group.reportLimit.allowed());
+    const double kept = std::floor(allowed * (1.0 - classShare));
+    return group.inFlight + 1.0 <= std::max(1.0, (allowed - kept) * share);
 }
 
 double EndpointPool::cost(const State &state, TimePoint now) const
@@ -157,15 +155,15 @@
     return (state.load.load(now, requestDuration()) + 1.0) / width * unitSeconds * penalty / state.health.share(now);
 }
 
-std::optional<std::size_t> EndpointPool::tryOrder(const std::vector<std::size_t> &order,
-                                                  const PickRequest &request,
-                                                  double share,
-                                                  TimePoint now,
-                                                  std::mt19937_64 &random)
+std::optional<std::size_t> EndpointPool::tryGroup(
+    const Group &group, const PickRequest &request, double share, TimePoint now, std::mt19937_64 &random)
 {
-    const View view(*this, order, request, share, now);
+    if (!classHasRoom(group, request.trafficClass, share)) {
+        return std::nullopt;
+    }
+    const View view(*this, group.order, request, share, now);
     const std::optional<std::size_t> chosen = m_strategy->choose(view, random);
-    return chosen ? std::optional(order[*chosen]) : std::nullopt;
+    return chosen ? std::optional(group.order[*chosen]) : std::nullopt;
 }
 
 } // namespace bergamot
--- a/bergamot/routing/load_estimate.cpp
+++ b/bergamot/routing/load_estimate.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-// A report older than this says nothing any more; it also bounds the memory of changes.
-constexpr Duration OldestReport = std::chrono::seconds(10);
 constexpr double ReportSmoothing = 0.3;
 
 } // namespace
@@ -42,7 +40,7 @@
 
 double LoadEstimate::load(TimePoint now, Duration duration) const
 {
-    if (!m_hasReport || m_measuredAt < now - OldestReport) {
+    if (!m_hasReport || m_measuredAt < now - OldestLoadReport) {
         return m_inFlight;
     }
     const double others = m_usualOthers + freshness(now, duration) * (m_others - m_usualOthers);
@@ -68,7 +66,7 @@
 {
     m_changes.push_back({.at = now, .difference = difference});
     m_changedSinceReport += difference;
-    forgetChanges(now - OldestReport);
+    forgetChanges(now - OldestLoadReport);
 }
 
 void LoadEstimate::forgetChanges(TimePoint until)
--- a/bergamot/routing/load_estimate.h
+++ b/bergamot/routing/load_estimate.h
@@ -17,6 +17,9 @@
 namespace bergamot
 {
 
+/// A report that was measured longer ago says nothing any more; this also bounds the memory of changes.
+inline constexpr Duration OldestLoadReport = std::chrono::seconds(10);
+
 /// Not thread-safe.
 class LoadEstimate
 {
--- a/bergamot/routing/routing_table.cpp
+++ b/bergamot/routing/routing_table.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 
+#include "bergamot/routing/load_estimate.h"
 #include "bergamot/routing/request.h"
 
 namespace bergamot
@@ -35,8 +36,6 @@
 
 RoutedEndpoint routedEndpoint(const inner::EndpointT &endpoint, Address address)
 {
-    // A plain service that is only probed for its health is listed with one slot.
-    const bool reportsLoad = endpoint.kind == inner::EndpointKind::Engine || endpoint.slots > 1;
     return {
         .id = EndpointId(endpoint.id),
         .domain = FailureDomainId(endpoint.domain),
@@ -44,14 +43,19 @@
         .leaving = endpoint.leaving,
         .reachable = endpoint.reachable,
         .loading = endpoint.loading != 0,
-        .load = reportsLoad ? endpoint.running + endpoint.waiting : 0,
-        .slots = reportsLoad ? endpoint.slots : 0,
+        .load = endpoint.running + endpoint.waiting,
+        .slots = endpoint.slots,
         .loadAge = std::chrono::milliseconds(endpoint.load_age_ms),
     };
 }
 
 } // namespace
 
+bool RoutedEndpoint::reportsLoad() const
+{
+    return slots > 0 && loadAge <= OldestLoadReport;
+}
+
 RoutingTable routingTable(const inner::ViewT &view, const Configuration &configuration)
 {
     RoutingTable table;
--- a/bergamot/routing/routing_table.h
+++ b/bergamot/routing/routing_table.h
@@ -31,7 +31,10 @@
     bool loading = false; // an engine that is taking new weights
     std::uint32_t load = 0; // requests running and waiting, as reported
     std::uint32_t slots = 0; // requests that it runs at once; 0: unknown
-    Duration loadAge{};
+    Duration loadAge{}; // of `load`; one that is too old says nothing
+
+    /// Whether `load` still says something.
+    bool reportsLoad() const;
 
     bool operator==(const RoutedEndpoint &) const = default;
 };
--- a/bergamot/routing/routing_table_test.cpp
+++ b/bergamot/routing/routing_table_test.cpp
@@ -71,7 +71,8 @@
     RoutedEndpoints,
     testing::Values(EndpointCase{"Engine", inner::EndpointKind::Engine, "agent", 8, "model/agent", 8, 5},
                     EndpointCase{"SmallEngine", inner::EndpointKind::Engine, "agent", 1, "model/agent", 1, 5},
-                    EndpointCase{"ProbedService", inner::EndpointKind::Service, "stock", 1, "service/stock", 0, 0},
+                    EndpointCase{"ProbedService", inner::EndpointKind::Service, "stock", 0, "service/stock", 0, 5},
+                    EndpointCase{"OneWorker", inner::EndpointKind::Service, "stock", 1, "service/stock", 1, 5},
                     EndpointCase{"ReportingService", inner::EndpointKind::Service, "stock", 16, "service/stock", 16, 5},
                     EndpointCase{"NotConfigured", inner::EndpointKind::Service, "other", 1, "", 0, 0},
                     EndpointCase{"ServiceNamedAsModel", inner::EndpointKind::Service, "agent", 1, "", 0, 0}),
@@ -79,6 +80,32 @@
         return testCase.param.name;
     });
 
+struct ReportCase
+{
+    std::string name;
+    std::uint32_t slots;
+    Duration age;
+    bool reports;
+};
+
+class LoadReports : public testing::TestWithParam<ReportCase>
+{ };
+
+TEST_P(LoadReports, SaySomethingWhileTheyAreYoung)
+{
+    EXPECT_EQ((RoutedEndpoint{.slots = GetParam().slots, .loadAge = GetParam().age}.reportsLoad()), GetParam().reports);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LoadReports,
+                         testing::Values(ReportCase{"Young", 1, 2s, true},
+                                         ReportCase{"NoSlots", 0, 0s, false},
+                                         ReportCase{"Old", 1, 11s, false},
+                                         ReportCase{"NeverHeard", 1, 25500ms, false}),
+                         [](const auto &testCase) {
+                             return testCase.param.name;
+                         });
+
 TEST(RoutingTableTest, TakesTimeoutsAndSkipsBadAddresses)
 {
     inner::ViewT view;
--- a/bergamot/standins/endpoint_servers.h
+++ b/bergamot/standins/endpoint_servers.h
@@ -76,7 +76,7 @@
     std::vector<std::string> m_abandoned; // whose callers have gone
 };
 
-/// Every path that the service knows, GET /runs, POST /faults.
+/// Every path that the service knows, GET /healthz with its load, GET /runs, POST /faults.
 class ServiceServer
 {
 public:
--- a/bergamot/standins/engine_core.cpp
+++ b/bergamot/standins/engine_core.cpp
@@ -21,6 +21,7 @@
     , m_cache(m_options.cacheTokens)
     , m_model(m_options.model)
     , m_version(m_options.bootVersion)
+    , m_load(m_options.loadLag)
 { }
 
 Answer<void> EngineCore::submit(const GenerateRequest &request, TimePoint now)
@@ -255,10 +256,10 @@
     state.model = m_model;
     state.version = m_version;
     state.loading = m_loader.version();
-    state.running = m_report->running;
-    state.waiting = m_report->waiting;
+    state.running = m_load.running();
+    state.waiting = m_load.waiting();
     state.slots = m_options.slots;
-    state.loadAge = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_report->at);
+    state.loadAge = m_load.age(now);
     state.leaving = m_runs.leaving() && m_tellsOfLeaving;
     state.crashes = m_crashes;
     return m_faults.answer<EngineState>("state", state);
--- a/bergamot/standins/engine_core.h
+++ b/bergamot/standins/engine_core.h
@@ -17,6 +17,7 @@
 
 #include "bergamot/platform/engine.h"
 #include "bergamot/standins/faults.h"
+#include "bergamot/standins/lagged_load.h"
 #include "bergamot/standins/prefix_cache.h"
 #include "bergamot/standins/run_counter.h"
 #include "bergamot/standins/weight_loader.h"
@@ -101,13 +102,6 @@
         TimePoint nextToken;
     };
 
-    struct LoadReport
-    {
-        TimePoint at;
-        std::uint32_t running = 0;
-        std::uint32_t waiting = 0;
-    };
-
     Result<void> accept(const GenerateRequest &request, TimePoint now);
     Result<void> checkRequest(const GenerateRequest &request) const;
     Result<void> obey(const EngineOrder &order, TimePoint now);
@@ -131,7 +125,6 @@
     void pauseDecoding(TimePoint until, TimePoint now);
     void crash(Duration restartTime, TimePoint now);
     bool poisoned(const GenerateRequest &request) const;
-    void refreshReport(TimePoint now);
     void applyCrash(const FaultCommand &command, TimePoint now);
     void applyLeave(const FaultCommand &command, TimePoint now);
     void applyFailSwap(const FaultCommand &command, TimePoint now);
@@ -152,7 +145,7 @@
     std::vector<Running> m_running;
     std::deque<GenerateRequest> m_waiting; // by priority, then arrival
     std::vector<EngineEvent> m_events;
-    std::optional<LoadReport> m_report;
+    LaggedLoad m_load;
     std::optional<TimePoint> m_downUntil;
     TimePoint m_pausedUntil;
     std::uint64_t m_crashes = 0;
--- a/bergamot/standins/engine_decoding.cpp
+++ b/bergamot/standins/engine_decoding.cpp
@@ -7,10 +7,10 @@
 void EngineCore::advance(TimePoint now)
 {
     for (std::optional<TimePoint> due = nextDue(); due && *due <= now; due = nextDue()) {
-        refreshReport(*due);
+        m_load.note(m_running.size(), m_waiting.size(), *due);
         step(*due);
     }
-    refreshReport(now);
+    m_load.note(m_running.size(), m_waiting.size(), now);
 }
 
 std::optional<TimePoint> EngineCore::nextDue() const
@@ -162,14 +162,4 @@
     });
 }
 
-void EngineCore::refreshReport(TimePoint now)
-{
-    const Duration lag = std::max(m_options.loadLag, Duration(1));
-    if (m_report && now - m_report->at < lag) {
-        return;
-    }
-    const TimePoint at = m_report ? m_report->at + (now - m_report->at) / lag * lag : now;
-    m_report = {at, static_cast<std::uint32_t>(m_running.size()), static_cast<std::uint32_t>(m_waiting.size())};
-}
-
 } // namespace bergamot
--- a/bergamot/standins/main.cpp
+++ b/bergamot/standins/main.cpp
@@ -64,7 +64,7 @@
     parser.optional("tokens-per-second", "100", "Rate of each slot of an engine.", isWholeNumber);
     parser.optional("prefill-tokens-per-second", "20000", "Rate at which an engine reads a prompt.", isWholeNumber);
     parser.optional("cache-tokens", "8192", "Prompt tokens that an engine's cache holds.", isWholeNumber);
-    parser.optional("load-lag-ms", "500", "Time between two load reports of an engine.", isWholeNumber);
+    parser.optional("load-lag-ms", "500", "Time between two load reports of an endpoint.", isWholeNumber);
     parser.optional("boot-version", "1", "Weights that an engine starts with.", isWholeNumber);
     parser.optional("minimum-length-percent", "100", "Shortest generation, of the tokens asked for.", isWholeNumber);
     parser.optional("check-fencing", "1", "1: engines refuse an old fencing number; 0: they ignore it.", isWholeNumber);
@@ -137,6 +137,7 @@
     options.serviceOptions.workers = static_cast<std::uint32_t>(std::max<std::uint64_t>(1, settings.number("workers")));
     options.serviceOptions.serviceTime = settings.milliseconds("service-ms");
     options.serviceOptions.restartTime = settings.milliseconds("restart-ms");
+    options.serviceOptions.loadLag = settings.milliseconds("load-lag-ms");
     options.service = settings.text("service");
     options.registerAt = placeOf(settings, "register-at");
     return options;
--- a/bergamot/standins/service_core.cpp
+++ b/bergamot/standins/service_core.cpp
@@ -55,6 +55,7 @@
 ServiceCore::ServiceCore(ServiceCoreOptions options)
     : m_options(options)
     , m_faults({"run"})
+    , m_load(options.loadLag)
 { }
 
 Result<void> ServiceCore::submit(ServiceRequest request, TimePoint now)
@@ -89,8 +90,20 @@
 void ServiceCore::advance(TimePoint now)
 {
     for (std::optional<TimePoint> due = nextDue(); due && *due <= now; due = nextDue()) {
+        m_load.note(m_running.size(), m_waiting.size(), *due);
         step(*due);
     }
+    m_load.note(m_running.size(), m_waiting.size(), now);
+}
+
+ServiceState ServiceCore::state(TimePoint now)
+{
+    advance(now);
+    return {.running = m_load.running(),
+            .waiting = m_load.waiting(),
+            .slots = m_options.workers,
+            .loadAge = m_load.age(now),
+            .leaving = tellsOfLeaving()};
 }
 
 std::optional<TimePoint> ServiceCore::nextDue() const
--- a/bergamot/standins/service_core.h
+++ b/bergamot/standins/service_core.h
@@ -16,7 +16,9 @@
 #include <string>
 #include <vector>
 
+#include "bergamot/platform/service.h"
 #include "bergamot/standins/faults.h"
+#include "bergamot/standins/lagged_load.h"
 #include "bergamot/standins/run_counter.h"
 
 namespace bergamot
@@ -28,6 +30,7 @@
     std::size_t maxWaiting = 1024;
     Duration serviceTime = std::chrono::milliseconds(5);
     Duration restartTime = std::chrono::seconds(1);
+    Duration loadLag = std::chrono::milliseconds(500); // between two reports of load figures
 };
 
 struct ServiceRequest
@@ -67,6 +70,8 @@
     std::optional<TimePoint> nextDue() const;
     std::vector<ServiceEvent> takeEvents();
 
+    /// What it says of itself; the load figures are up to `loadLag` old.
+    ServiceState state(TimePoint now);
     bool down() const;
     /// Whether its answers say that it is leaving.
     bool tellsOfLeaving() const;
@@ -98,6 +103,7 @@
 
     ServiceCoreOptions m_options;
     FaultTable m_faults;
+    LaggedLoad m_load;
     RunCounter m_runs;
     std::vector<Running> m_running;
     std::deque<ServiceRequest> m_waiting;
--- a/bergamot/standins/service_core_test.cpp
+++ b/bergamot/standins/service_core_test.cpp
@@ -61,6 +61,17 @@
     EXPECT_EQ(service.runs().count("POST /confirm c"), 0U) << "refused means not run";
 }
 
+TEST(ServiceCore, tellsItsLoadWithALag)
+{
+    ServiceCore service({.workers = 1, .serviceTime = 2s, .loadLag = 500ms});
+    EXPECT_EQ(service.state(Start), (ServiceState{.slots = 1}));
+    ASSERT_TRUE(service.submit(confirm("1", "a"), Start + 100ms));
+    ASSERT_TRUE(service.submit(confirm("2", "b"), Start + 100ms));
+    EXPECT_EQ(service.state(Start + 499ms), (ServiceState{.slots = 1, .loadAge = 499ms}));
+    EXPECT_EQ(service.state(Start + 600ms), (ServiceState{.running = 1, .waiting = 1, .slots = 1, .loadAge = 100ms}));
+    EXPECT_EQ(service.state(Start + 2500ms), (ServiceState{.running = 1, .slots = 1}));
+}
+
 TEST(ServiceCore, countsARequestThatRunsTwice)
 {
     ServiceCore service;
--- a/bergamot/standins/service_server.cpp
+++ b/bergamot/standins/service_server.cpp
@@ -1,3 +1,4 @@
+#include "bergamot/platform/platform_json.h"
 #include "bergamot/standins/endpoint_servers.h"
 
 namespace bergamot
@@ -11,6 +12,13 @@
         pump();
     })
 {
+    m_port.add("GET", "/healthz", "", [this](const StandinCall &call) {
+        const Answer<ServiceState> answer{m_core.state(m_context.clock.now())};
+        m_port.deliver(call.responder, answer, [](const ServiceState &state) {
+            return toJson(state);
+        });
+        pump();
+    });
     m_port.addRuns(m_core.runs());
     m_port.addFaults([this](const FaultCommand &command) {
         return apply(command);
--- a/bergamot/standins/standin_port.cpp
+++ b/bergamot/standins/standin_port.cpp
@@ -84,6 +84,9 @@
 
 void StandinPort::add(std::string method, std::string prefix, std::string suffix, Handler handler)
 {
+    std::erase_if(m_routes, [&](const Route &route) {
+        return route.method == method && route.prefix == prefix && route.suffix == suffix;
+    });
     m_routes.push_back({std::move(method), std::move(prefix), std::move(suffix), std::move(handler)});
 }
 
--- a/bergamot/standins/standin_port.h
+++ b/bergamot/standins/standin_port.h
@@ -43,7 +43,7 @@
 };
 
 /// Thread-confined to the event loop, except `start`, `stop` and `address`. Every port answers GET /healthz, /readyz
-/// and /metrics; where added, GET /runs and POST /faults.
+/// and /metrics, unless a route is added for them; where added, GET /runs and POST /faults.
 class StandinPort
 {
 public:
@@ -55,8 +55,8 @@
     StandinPort(const StandinPort &) = delete;
     StandinPort &operator=(const StandinPort &) = delete;
 
-    /// Routes `method` on paths that start with `prefix` and end with `suffix`. Routes added first go first; all are
-    /// added before `start`.
+    /// Routes `method` on paths that start with `prefix` and end with `suffix`. Routes added first go first, and a
+    /// route for the same paths replaces the earlier one; all are added before `start`.
     void add(std::string method, std::string prefix, std::string suffix, Handler handler);
     /// POST /faults {fault, call, count, duration_ms, text}.
     void addFaults(std::function<Result<void>(const FaultCommand &command)> apply);
--- a/bergamot/standins/standin_test.cpp
+++ b/bergamot/standins/standin_test.cpp
@@ -115,6 +115,16 @@
     EXPECT_TRUE(parseEngineState(get(m_standin.engineAddress(0), "/state"), "state")->leaving);
 }
 
+TEST_F(StandinTest, servicesReportTheirLoad)
+{
+    const Result<ServiceState> state = parseServiceState(get(m_standin.serviceAddress(0), "/healthz"), "answer");
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->slots, ServiceCoreOptions().workers);
+    EXPECT_FALSE(state->leaving);
+    ASSERT_TRUE(post(m_standin.serviceAddress(0), "/faults", R"({"fault":"leave"})"));
+    EXPECT_TRUE(parseServiceState(get(m_standin.serviceAddress(0), "/healthz"), "answer")->leaving);
+}
+
 struct ServiceFaultCase
 {
     std::string fault;
