control: whole control processes under faults, and mixed program versions, over TCP

Cause: the parts of a control process were tested one by one; nothing showed what a fleet of them does when one is killed, paused, shut down or of another version. Change: a fixture that runs several ControlProcess objects before the stand-ins' servers in one process, on ephemeral ports. Keys are counted at the entry processes' end, duties by folding the platform's log: the committer of a domain's keys killed, paused and woken, shut down; the log out; a duty's holder shut down, killed, paused beyond its lease; trainers' requests handed on, and to another owner. A fleet of versions 1, then 2 that still reads 1, then 2 alone, is replaced one by one with a change in force everywhere after each step; frames with later fields or of the next version are answered, unknown bodies and versions too new are refused by name. `ControlProcess::post` and two options for the range of versions are new, for these tests. The clock is the real one: a lease runs out in 12.5 s.

--- a/bergamot/control/control_process.cpp
+++ b/bergamot/control/control_process.cpp
@@ -44,6 +44,14 @@
     return dissemination;
 }
 
+PeerIdentity identityOf(const ControlOptions &options)
+{
+    return {.sender = options.instance.value(),
+            .domain = options.domain.value(),
+            .protocol = options.protocol,
+            .oldestProtocol = options.oldestProtocol};
+}
+
 } // namespace
 
 struct ControlProcess::Impl
@@ -110,7 +118,7 @@
 
 ControlProcess::Impl::Impl(ControlOptions newOptions)
     : options(std::move(newOptions))
-    , peers(PeerIdentity{.sender = options.instance.value(), .domain = options.domain.value()})
+    , peers(identityOf(options))
     , platformLog(http, options.logAddress)
     , list(http, options.listAddress)
     , store(http, options.weightStoreAddress)
@@ -164,8 +172,7 @@
     , versionGauge(metrics.gauges("bergamot_config_version", "Version of the configuration in force here."))
     , trafficGauge(metrics.gauges("bergamot_peer_traffic", "Bytes and frames exchanged with peers since the start."))
     , fleetGauge(metrics.gauges("bergamot_fleet_instances", "Instances by condition, seen from here."))
-    , frames({.address = options.listenAddress,
-              .identity = {.sender = options.instance.value(), .domain = options.domain.value()}},
+    , frames({.address = options.listenAddress, .identity = identityOf(options)},
              [this](inner::FrameT frame, PeerServer::Reply reply) {
                  const auto moved = std::make_shared<inner::FrameT>(std::move(frame));
                  loop.post([this, moved, reply = std::move(reply)] {
@@ -403,6 +410,11 @@
     return {};
 }
 
+void ControlProcess::post(std::function<void()> task)
+{
+    m_impl->loop.post(std::move(task));
+}
+
 void ControlProcess::shutDown(std::chrono::milliseconds limit)
 {
     const auto drained = std::make_shared<std::promise<void>>();
--- a/bergamot/control/control_process.h
+++ b/bergamot/control/control_process.h
@@ -7,6 +7,7 @@
 //     Result<void> started = process.start();
 //     process.shutDown(std::chrono::seconds(30)); // gives duties back and cuts off nothing in flight
 
+#include <functional>
 #include <memory>
 
 #include "bergamot/control/fleet_node.h"
@@ -28,6 +29,8 @@
     std::vector<std::string> seedPeers;
     LogReaders logReaders = LogReaders::Relays;
     std::chrono::milliseconds checkpointAge{std::chrono::minutes(5)};
+    std::uint32_t protocol = NewestProtocol; // of the inner protocol
+    std::uint32_t oldestProtocol = OldestProtocol;
 };
 
 class ControlProcess
@@ -43,6 +46,9 @@
     /// Announces that this instance is draining, hands back its duties, finishes what is in flight, and closes. Duties
     /// and evidence get at most `limit`, and so do the answers in flight after that.
     void shutDown(std::chrono::milliseconds limit);
+    /// Runs a task on the thread of this process's decisions. Tests hold that thread up, as a pause of the process
+    /// does.
+    void post(std::function<void()> task);
 
 private:
     struct Impl;
