entry: the data path is never destroyed by one of its own events

An event (a view, a key's verdict, an answer) locked a weak pointer to the data path while it posted itself. If the owner let go in that moment, the event held the last reference, and the data path was destroyed on its own loop's thread, or the control link's, whose destructor then joined its own thread. PeerControlLink's repeated outcome did the same on its client's thread.

Ruled out: a lock around each event (two instead of one on the request path); joining another thread's way (detach would let tasks run on a destroyed object).

Change: EventLoop's queue is shared with posters; a poster drops the task once the loop has stopped and keeps nothing of the owner alive. The data path and the control link have one owner each. Tasks that are dropped or done are destroyed without the loop's lock, since what they own may post.

Only processes that end or tests could meet it; a process that ended this way aborted instead of exiting with 0.

--- a/bergamot/base/event_loop.cpp
+++ b/bergamot/base/event_loop.cpp
@@ -1,11 +1,68 @@
 #include "bergamot/base/event_loop.h"
 
+#include <condition_variable>
+#include <map>
+#include <mutex>
+
 namespace bergamot
 {
 
+struct EventLoop::Queue
+{
+    void add(Duration delay, Task task)
+    {
+        {
+            const std::lock_guard lock(mutex);
+            if (stopping) {
+                return;
+            }
+            tasks.emplace(BootClock::now() + delay, std::move(task));
+        }
+        wake.notify_one();
+    }
+
+    void stop()
+    {
+        std::multimap<TimePoint, Task> dropped; // destroyed without the lock: a task may own what posts
+        {
+            const std::lock_guard lock(mutex);
+            stopping = true;
+            dropped.swap(tasks);
+        }
+        wake.notify_one();
+    }
+
+    void run()
+    {
+        std::unique_lock lock(mutex);
+        while (!stopping) {
+            if (tasks.empty()) {
+                wake.wait(lock);
+                continue;
+            }
+            const Duration delay = tasks.begin()->first - BootClock::now();
+            if (delay > Duration::zero()) {
+                wake.wait_for(lock, delay);
+                continue;
+            }
+            Task task = std::move(tasks.extract(tasks.begin()).mapped());
+            lock.unlock();
+            task();
+            task = nullptr; // before the lock: what it owned may post
+            lock.lock();
+        }
+    }
+
+    std::mutex mutex;
+    std::condition_variable wake;
+    std::multimap<TimePoint, Task> tasks;
+    bool stopping = false;
+};
+
 EventLoop::EventLoop()
-    : m_thread([this] {
-        run();
+    : m_queue(std::make_shared<Queue>())
+    , m_thread([queue = m_queue] {
+        queue->run();
     })
 { }
 
@@ -16,19 +73,12 @@
 
 void EventLoop::post(Task task)
 {
-    postAfter(Duration::zero(), std::move(task));
+    m_queue->add(Duration::zero(), std::move(task));
 }
 
 void EventLoop::postAfter(Duration delay, Task task)
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        if (m_stopping) {
-            return;
-        }
-        m_tasks.emplace(BootClock::now() + delay, std::move(task));
-    }
-    m_wake.notify_one();
+    m_queue->add(delay, std::move(task));
 }
 
 void EventLoop::every(Duration period, Task task)
@@ -41,35 +91,24 @@
 
 void EventLoop::stop()
 {
-    {
-        const std::lock_guard lock(m_mutex);
-        m_stopping = true;
-        m_tasks.clear();
-    }
-    m_wake.notify_one();
+    m_queue->stop();
     if (m_thread.joinable()) {
         m_thread.join();
     }
 }
 
-void EventLoop::run()
+EventLoop::Poster EventLoop::poster() const
 {
-    std::unique_lock lock(m_mutex);
-    while (!m_stopping) {
-        if (m_tasks.empty()) {
-            m_wake.wait(lock);
-            continue;
-        }
-        const Duration delay = m_tasks.begin()->first - BootClock::now();
-        if (delay > Duration::zero()) {
-            m_wake.wait_for(lock, delay);
-            continue;
-        }
-        const Task task = std::move(m_tasks.extract(m_tasks.begin()).mapped());
-        lock.unlock();
-        task();
-        lock.lock();
-    }
+    return Poster(m_queue);
+}
+
+EventLoop::Poster::Poster(std::shared_ptr<Queue> queue)
+    : m_queue(std::move(queue))
+{ }
+
+void EventLoop::Poster::post(Task task) const
+{
+    m_queue->add(Duration::zero(), std::move(task));
 }
 
 } // namespace bergamot
--- a/bergamot/base/event_loop.h
+++ b/bergamot/base/event_loop.h
@@ -7,11 +7,15 @@
 //     loop.post([&] { node.handle(event); });
 //     loop.every(std::chrono::seconds(1), [&] { node.tick(); });
 //     loop.stop(); // drops what is still queued and joins
+//
+// A callback that may come after the loop's owner has gone keeps a poster instead of the loop:
+//
+//     client.call(request, [poster = loop.poster(), this](Answer answer) {
+//         poster.post([this, answer] { answered(answer); });
+//     });
 
-#include <condition_variable>
 #include <functional>
-#include <map>
-#include <mutex>
+#include <memory>
 #include <thread>
 
 #include "bergamot/base/clock.h"
@@ -19,12 +23,14 @@
 namespace bergamot
 {
 
-/// Thread-safe, except that `stop` may not be called from a task.
+/// Thread-safe, except that `stop` and the destructor may not be called from a task.
 class EventLoop
 {
 public:
     using Task = std::function<void()>;
 
+    class Poster;
+
     EventLoop();
     ~EventLoop();
     EventLoop(const EventLoop &) = delete;
@@ -36,15 +42,28 @@
     void every(Duration period, Task task);
     /// Ends the thread after the task that is running; tasks posted later are dropped.
     void stop();
+    Poster poster() const;
 
 private:
-    void run();
+    struct Queue;
 
-    std::mutex m_mutex;
-    std::condition_variable m_wake;
-    std::multimap<TimePoint, Task> m_tasks;
-    bool m_stopping = false;
+    std::shared_ptr<Queue> m_queue;
     std::thread m_thread;
 };
 
+/// Posts to a loop, or drops the task if the loop has stopped or is gone. Thread-safe; keeps nothing of the loop's
+/// owner alive.
+class EventLoop::Poster
+{
+public:
+    void post(Task task) const;
+
+private:
+    friend class EventLoop;
+
+    explicit Poster(std::shared_ptr<Queue> queue);
+
+    std::shared_ptr<Queue> m_queue;
+};
+
 } // namespace bergamot
--- a/bergamot/entry/data_path.cpp
+++ b/bergamot/entry/data_path.cpp
@@ -30,7 +30,7 @@
 
 } // namespace
 
-struct DataPath::Impl : std::enable_shared_from_this<DataPath::Impl>
+struct DataPath::Impl
 {
     struct Call
     {
@@ -58,14 +58,11 @@
 
     void start()
     {
-        const std::weak_ptr<Impl> weak = weak_from_this();
-        // Events come from other threads and may outlive this object.
-        const auto posted = [weak](std::function<void(Impl &)> task) {
-            if (const std::shared_ptr<Impl> self = weak.lock()) {
-                self->loop.post([raw = self.get(), task = std::move(task)] {
-                    task(*raw);
-                });
-            }
+        // Events come from other threads, also after this object has gone.
+        const auto posted = [this, poster = loop.poster()](std::function<void(Impl &)> task) {
+            poster.post([this, task = std::move(task)] {
+                task(*this);
+            });
         };
         calls = std::make_unique<EndpointCalls>(options.instance.value() + "-" + std::to_string(options.seed) + "-",
                                                 EndpointCalls::Events{
@@ -307,7 +304,7 @@
 };
 
 DataPath::DataPath(DataPathOptions options, const Clock &clock, std::shared_ptr<ControlLink> control, Metrics &metrics)
-    : m_impl(std::make_shared<Impl>(std::move(options), clock, std::move(control), metrics))
+    : m_impl(std::make_unique<Impl>(std::move(options), clock, std::move(control), metrics))
 {
     m_impl->start();
 }
--- a/bergamot/entry/data_path.h
+++ b/bergamot/entry/data_path.h
@@ -53,7 +53,7 @@
 
 private:
     struct Impl;
-    std::shared_ptr<Impl> m_impl;
+    std::unique_ptr<Impl> m_impl;
 };
 
 } // namespace bergamot
--- a/bergamot/entry/data_path_faults_test.cpp
+++ b/bergamot/entry/data_path_faults_test.cpp
@@ -224,6 +224,17 @@
     EXPECT_EQ(endpoint.requestCount(), 1U);
 }
 
+TEST_F(DataPathFaults, MayBeDestroyedWhileEventsArrive)
+{
+    constexpr int Rounds = 300;
+    for (int round = 0; round < Rounds; ++round) {
+        DataPathOptions busy = options("entry-2");
+        busy.viewPeriod = 1us;
+        const DataPath path(busy, m_clock, m_control, m_metrics);
+        m_control->waitUntilTaken();
+    }
+}
+
 } // namespace
 
 } // namespace bergamot
--- a/bergamot/entry/peer_control_link.cpp
+++ b/bergamot/entry/peer_control_link.cpp
@@ -28,27 +28,24 @@
         , client(std::move(identity))
     { }
 
-    static void record(const std::shared_ptr<Impl> &self, const inner::KeyOutcomeT &outcome, int triesLeft)
+    void record(const inner::KeyOutcomeT &outcome, int triesLeft)
     {
         inner::BodyUnion body;
         body.Set(inner::KeyOutcomeT(outcome));
-        self->client.request(self->control,
-                             std::move(body),
-                             OutcomeTimeout,
-                             [weak = std::weak_ptr(self), outcome, triesLeft](const Result<inner::FrameT> &reply) {
-                                 const std::shared_ptr<Impl> alive = weak.lock();
-                                 if (!reply && triesLeft > 1 && alive) {
-                                     record(alive, outcome, triesLeft - 1);
-                                 }
-                             });
+        client.request(
+            control, std::move(body), OutcomeTimeout, [this, outcome, triesLeft](const Result<inner::FrameT> &reply) {
+                if (!reply && triesLeft > 1) {
+                    record(outcome, triesLeft - 1);
+                }
+            });
     }
 
     Address control;
-    PeerClient client;
+    PeerClient client; // the last member: every callback has run once it is destroyed
 };
 
 PeerControlLink::PeerControlLink(PeerIdentity identity, Address control)
-    : m_impl(std::make_shared<Impl>(std::move(identity), std::move(control)))
+    : m_impl(std::make_unique<Impl>(std::move(identity), std::move(control)))
 { }
 
 PeerControlLink::~PeerControlLink() = default;
@@ -98,7 +95,7 @@
 
 void PeerControlLink::recordKey(const inner::KeyOutcomeT &outcome)
 {
-    Impl::record(m_impl, outcome, OutcomeTries);
+    m_impl->record(outcome, OutcomeTries);
 }
 
 } // namespace bergamot
--- a/bergamot/entry/peer_control_link.h
+++ b/bergamot/entry/peer_control_link.h
@@ -26,7 +26,7 @@
 
 private:
     struct Impl;
-    std::shared_ptr<Impl> m_impl;
+    std::unique_ptr<Impl> m_impl;
 };
 
 } // namespace bergamot
