samples: leads from the trade-off of idle time against staleness

Cause: with the order by due time a lead of 2 starts steps long before they are needed: 1.55 of 1.99 versions are held. Ruled out: a lead of 1 for idle time first: what a fault or a long text costs is then waited for (11% idle with faults).

--- a/bergamot/samples/dispatch_strategy.h
+++ b/bergamot/samples/dispatch_strategy.h
@@ -26,18 +26,19 @@
     double stragglerFactor = 0; // elapsed over the usual time that makes a straggler; 0: none is replaced or moved
 };
 
-/// For who weighs idle time more: starts the whole next step while the trainer still works on this one.
+/// For who weighs idle time more: starts the whole next step early enough to be whole before the trainer has ended this
+/// one, with a quarter in reserve.
 inline constexpr DispatchStrategy IdleTimeFirst{
-    .name = "idle-time", .versionLagCost = 0.25, .byDueTime = true, .aheadLead = 2, .stragglerFactor = 1.5};
+    .name = "idle-time", .versionLagCost = 0.25, .byDueTime = true, .aheadLead = 1.25, .stragglerFactor = 1.5};
 
-/// For who weighs staleness more: starts only a part of the next step ahead, as late as it can still be whole in time,
+/// For who weighs staleness more: starts only a part of the next step ahead, as late as it can be whole in time,
 /// and lets the rest wait until engines have the newest weights.
 inline constexpr DispatchStrategy StalenessFirst{.name = "staleness",
                                                  .swapPatience = std::chrono::seconds(16),
                                                  .versionLagCost = 1,
                                                  .aheadShare = 0.3,
                                                  .byDueTime = true,
-                                                 .aheadLead = 1.2,
+                                                 .aheadLead = 1,
                                                  .stragglerFactor = 1.5};
 
 /// Baseline: the engines are split among the trainers for good and taken in turn; nothing is replaced or moved.
