samples: a bound on what one owner holds

Cause: 17 trainers x 4,096 whole texts on one instance hold 318 MiB; nothing kept an owner from it. Ruled out: weights by what owners hold in the choice of the owner (the choice has to be the same on all instances, loads are not); dropping whole texts again (work done twice); refusing draws (they are what frees the memory). Change: HoldingLimit bounds prompts and undrawn texts at 64 MiB, half of a node's 128 MB: half of it is anyone's, half is split evenly over the configured trainers. Samples that nobody draws wait for room, those that a draw waits for start always; a step whose prompts have no room is refused with Overloaded and a time to come again. On top of the bound come what runs and one batch of each trainer that draws.

--- a/bergamot/samples/internal/sample_world.cpp
+++ b/bergamot/samples/internal/sample_world.cpp
@@ -183,6 +183,12 @@
     }
 }
 
+void SampleWorld::handIn(std::size_t trainer)
+{
+    handIn(m_trainers[trainer]);
+    perform();
+}
+
 void SampleWorld::sendDraw(std::size_t index)
 {
     TrainerModel &trainer = m_trainers[index];
--- a/bergamot/samples/internal/sample_world.h
+++ b/bergamot/samples/internal/sample_world.h
@@ -103,6 +103,8 @@
         m_paused[trainer] = paused;
     }
 
+    /// Hands in what the trainer would hand in with a draw, without drawing.
+    void handIn(std::size_t trainer);
     void setBound(std::size_t trainer, std::uint64_t bound);
     void cutOff(std::uint16_t engine, bool cut);
 
--- a/bergamot/samples/sample_scheduler.cpp
+++ b/bergamot/samples/sample_scheduler.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr double SpeedSmoothing = 0.1; // weight of one more sample
+constexpr std::size_t TextSmoothing = 8; // one more text counts for an eighth
 
 std::uint64_t tokenCount(const Generation &generation)
 {
@@ -24,6 +25,7 @@
 SampleScheduler::SampleScheduler(SchedulerOptions options)
     : m_options(std::move(options))
     , m_book(m_options.limits)
+    , m_holdingLimit(m_options.maxHeldBytes)
 { }
 
 void SampleScheduler::setFleet(FleetPicture fleet, TimePoint now)
@@ -102,6 +104,9 @@
         return failure(ErrorCode::NotFound, "trainer " + key.trainer.value() + " is not configured");
     }
     const bool known = m_book.find(key) != nullptr;
+    if (Result<void> room = known ? Result<void>() : checkRoom(key, spec); !room) {
+        return tl::unexpected(room.error());
+    }
     Result<Step *> step = m_book.handIn(key, std::move(spec));
     if (!step) {
         return tl::unexpected(step.error());
@@ -274,6 +279,9 @@
     cancelAttempts(attempt.sample);
     m_unproven.erase(attempt.sample);
     m_resumptions.erase(attempt.sample);
+    std::size_t &textBytes = m_trainers.at(attempt.sample.step.trainer).textBytes;
+    textBytes = textBytes == 0 ? generation.text.size()
+                               : (textBytes * (TextSmoothing - 1) + generation.text.size()) / TextSmoothing;
     FinishedSample finished;
     finished.text = std::move(generation.text);
     finished.spans = std::move(generation.spans);
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -22,6 +22,7 @@
 #include "bergamot/samples/dispatch_strategy.h"
 #include "bergamot/samples/due_plan.h"
 #include "bergamot/samples/fleet_picture.h"
+#include "bergamot/samples/holding_limit.h"
 #include "bergamot/samples/scheduler_actions.h"
 #include "bergamot/samples/staleness_rule.h"
 #include "bergamot/samples/step_book.h"
@@ -49,6 +50,7 @@
     std::uint32_t maxScoring = 64; // at once
     std::uint32_t maxUnproven = 8; // generations of one sample that may be discarded before it is given up
     std::uint32_t maxBatch = 1024; // samples in one answer
+    std::size_t maxHeldBytes = 64U << 20U; // of prompts and whole texts; samples that a draw waits for come on top
     std::function<const DispatchStrategy &(const TrainerConfig &trainer)> strategy =
         [](const TrainerConfig &trainer) -> const DispatchStrategy & {
         return dispatchStrategy(trainer.strategy);
@@ -83,7 +85,8 @@
     explicit SampleScheduler(SchedulerOptions options);
 
     void setFleet(FleetPicture fleet, TimePoint now);
-    /// `cursor` lets a new owner skip what the trainer has; it may be empty. Idempotent.
+    /// `cursor` lets a new owner skip what the trainer has; it may be empty. Idempotent. `Overloaded`, with a time to
+    /// come again after, while there is no room for the prompts.
     Result<StepStatus> handIn(const StepKey &key, StepSpec spec, const std::string &cursor, TimePoint now);
     void drop(const StepKey &key, TimePoint now);
     /// `NotFound` if the step has to be handed in again.
@@ -96,6 +99,8 @@
     std::vector<SchedulerAction> takeActions();
     const SchedulerCounters &counters() const;
     std::vector<std::pair<StepKey, StepStatus>> status(const TrainerId &trainer) const;
+    /// Bytes of prompts and of whole texts that have not arrived yet.
+    std::size_t heldBytes() const;
 
 private:
     struct SampleRef
@@ -137,6 +142,7 @@
         const DispatchStrategy *strategy = nullptr;
         SampleTimes times;
         SpareBudget spares;
+        std::size_t textBytes = 0; // smoothed, of one sample; 0: unknown
         std::uint64_t turns = 0;
         std::uint32_t inFlight = 0;
         std::uint32_t givingBack = 0;
@@ -196,7 +202,8 @@
     void observeSpeed(const Attempt &attempt, const Generation &generation, TimePoint now);
     void record(std::string kind, const SampleRef &sample, std::vector<std::pair<std::string, std::string>> fields);
 
-    // Dispatch (sample_scheduler_dispatch.cpp); moving and replacing (sample_scheduler_stragglers.cpp).
+    // Dispatch (sample_scheduler_dispatch.cpp); moving and replacing (sample_scheduler_stragglers.cpp);
+    // room for texts (sample_scheduler_holding.cpp).
     void dispatch(TimePoint now);
     Round makeRound(const ModelId &model, TimePoint now) const;
     EngineLoad loadOf(const Engine &engine, double medianSpeed, TimePoint now) const;
@@ -204,6 +211,13 @@
     static std::uint32_t startable(const Trainer &trainer, const Step &step);
     TimePoint dueTime(const Trainer &trainer, const Step &step, TimePoint now) const;
     void planSteps(Round &round, TimePoint now) const;
+    Result<void> checkRoom(const StepKey &key, const StepSpec &spec) const;
+    static std::size_t expectedBytes(const Trainer &trainer, const Step &step);
+    /// What is held, and expected of the attempts that run.
+    Holding holding(const TrainerId &trainer) const;
+    /// Samples of `step` for whose texts there is room.
+    std::uint32_t holdable(const Trainer &trainer, const Step &step, const Holding &holding) const;
+    bool isDrawnNow(const StepKey &step) const;
     bool placeOne(Round &round, std::size_t trainerIndex, TimePoint now);
     std::optional<SampleRef> nextSample(const TrainerId &trainer, const Round &round);
     bool permits(const SampleRef &sample, const EngineLoad &engine, TimePoint now) const;
@@ -240,6 +254,7 @@
 
     SchedulerOptions m_options;
     StepBook m_book;
+    HoldingLimit m_holdingLimit;
     CrashRule m_crashes;
     std::map<EndpointId, Engine> m_engines;
     std::map<TrainerId, Trainer> m_trainers;
--- a/bergamot/samples/sample_scheduler_dispatch.cpp
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -112,11 +112,15 @@
 {
     std::vector<StepDemand> demands;
     std::vector<std::pair<std::size_t, StepKey>> steps;
+    std::size_t promised = 0; // bytes of samples that others may start in this round
     for (std::size_t i = 0; i < round.trainers.size(); ++i) {
         const Trainer &trainer = m_trainers.at(round.trainers[i]);
+        Holding held = holding(round.trainers[i]);
+        held.all += promised;
         for (const Step *step : m_book.stepsOf(round.trainers[i])) {
-            const std::uint32_t samples = startable(trainer, *step);
+            const std::uint32_t samples = holdable(trainer, *step, held);
             if (samples > 0) {
+                promised += std::min(samples, round.planner.freeSlots()) * expectedBytes(trainer, *step);
                 steps.emplace_back(i, step->key());
                 demands.push_back({.due = dueTime(trainer, *step, now),
                                    .samples = samples,
--- a/bergamot/samples/samples_benchmark.cpp
+++ b/bergamot/samples/samples_benchmark.cpp
@@ -5,7 +5,8 @@
 //     samples_benchmark [steps] [seeds] [word...]    every strategy; only lines with all these words; seeds: COUNT or
 //                                                    COUNT@FIRST
 //     samples_benchmark [steps] sweep [word...]      the trade-off of each strategy as its knob moves
-//     samples_benchmark 0 memory                     17 trainers with 4,096 samples each
+//     samples_benchmark [MiB] memory                 17 trainers with 4,096 samples each on one instance that may hold
+//                                                    MiB; 0: what it holds by default
 
 #include <cstdio>
 #include <cstdlib>
@@ -179,39 +180,73 @@
     }
 }
 
-/// Memory for 17 trainers with 4,096 samples a step: handed in, and with every text whole and not yet drawn.
-void measureMemory()
+constexpr int MemoryTrainers = 17;
+constexpr std::size_t PromptBytes = 2048;
+constexpr std::size_t TextBytes = 4096;
+
+/// One engine with a slot for every sample, so that only the room for texts holds samples back.
+FleetPicture memoryFleet()
+{
+    FleetPicture fleet;
+    fleet.engines.push_back({.engine = EndpointId("e0"),
+                             .model = ModelId("agent"),
+                             .address = {"127.0.0.1", 1},
+                             .version = 4,
+                             .slots = 1U << 20U});
+    for (int i = 0; i < MemoryTrainers; ++i) {
+        TrainerConfig trainer;
+        trainer.trainer = TrainerId("t" + std::to_string(i));
+        trainer.model = ModelId("agent");
+        trainer.sharePercent = 100 / MemoryTrainers;
+        fleet.trainers[trainer.trainer] = trainer;
+    }
+    return fleet;
+}
+
+StepSpec memoryStep()
 {
-    constexpr int Trainers = 17;
     constexpr std::uint32_t Groups = 512;
     constexpr std::uint32_t PerGroup = 8;
-    constexpr std::size_t PromptBytes = 2048;
-    constexpr std::size_t TextBytes = 4096;
-    const std::uint64_t before = residentKilobytes();
-    std::vector<std::unique_ptr<Step>> steps;
-    for (int i = 0; i < Trainers; ++i) {
-        std::vector<GroupSpec> groups;
-        for (std::uint32_t group = 0; group < Groups; ++group) {
-            groups.push_back({std::string(PromptBytes, 'p'), PerGroup, 1024});
-        }
-        steps.push_back(
-            std::make_unique<Step>(StepKey{TrainerId("t" + std::to_string(i)), 1}, makeStepSpec(std::move(groups))));
+    std::vector<GroupSpec> groups;
+    for (std::uint32_t group = 0; group < Groups; ++group) {
+        groups.push_back({std::string(PromptBytes, 'p'), PerGroup, 1024});
     }
-    const std::uint64_t handedIn = residentKilobytes();
-    for (const auto &step : steps) {
-        for (std::uint32_t offset = 0; offset < step->spec().sampleCount; ++offset) {
-            step->start(offset);
-            FinishedSample finished;
-            finished.text = std::string(TextBytes, 't');
-            finished.spans = {{4, 1000}, {5, 24}};
-            step->beginScoring(offset, std::move(finished));
-            step->makeReady(offset);
+    return makeStepSpec(std::move(groups));
+}
+
+/// Ends what was started until nothing more starts.
+void endEverything(SampleScheduler &scheduler, TimePoint now)
+{
+    for (std::vector<SchedulerAction> actions = scheduler.takeActions(); !actions.empty();
+         actions = scheduler.takeActions()) {
+        for (const SchedulerAction &action : actions) {
+            if (const auto *start = std::get_if<StartGeneration>(&action)) {
+                Generation generation{std::string(TextBytes, 't'), {{4, 1000}, {5, 24}}, "stop"};
+                scheduler.generationEnded(start->request.requestId, std::move(generation), now);
+            }
         }
     }
-    std::printf(
-        "memory, 17 trainers x 4096 samples: handed in (2 KiB prompts) %llu KiB; all whole (4 KiB texts) %llu KiB\n",
-        static_cast<unsigned long long>(handedIn - before),
-        static_cast<unsigned long long>(residentKilobytes() - before));
+}
+
+/// Memory for 17 trainers with 4,096 samples a step on one instance, none of which draws.
+void measureMemory(std::size_t maxHeldBytes)
+{
+    const TimePoint now{std::chrono::hours(1)};
+    const std::uint64_t before = residentKilobytes();
+    SchedulerOptions options;
+    options.maxHeldBytes = maxHeldBytes;
+    SampleScheduler scheduler(options);
+    scheduler.setFleet(memoryFleet(), now);
+    for (int i = 0; i < MemoryTrainers; ++i) {
+        const Result<StepStatus> taken =
+            scheduler.handIn({TrainerId("t" + std::to_string(i)), 1}, memoryStep(), "", now);
+        endEverything(scheduler, now);
+        std::printf("memory: trainer %2d %s, held %zu KiB, resident %llu KiB\n",
+                    i + 1,
+                    taken ? "taken" : "refused",
+                    scheduler.heldBytes() / 1024,
+                    static_cast<unsigned long long>(residentKilobytes() - before));
+    }
 }
 
 void sweep(std::uint64_t steps, const Seeds &seeds, const std::vector<std::string> &words)
@@ -255,7 +290,7 @@
     const std::string what = arguments.size() > 1 ? arguments[1] : "1";
     const std::vector<std::string> words(arguments.begin() + std::min<std::ptrdiff_t>(argc - 1, 2), arguments.end());
     if (what == "memory") {
-        measureMemory();
+        measureMemory(steps == 0 ? SchedulerOptions().maxHeldBytes : steps << 20U);
     } else if (what == "sweep") {
         sweep(steps, Seeds{}, words);
     } else {
--- a/bergamot/samples/step_book.cpp
+++ b/bergamot/samples/step_book.cpp
@@ -67,6 +67,12 @@
     sample.state = state;
 }
 
+void Step::dropText(std::uint32_t offset)
+{
+    const std::unique_ptr<FinishedSample> finished = std::move(m_samples[offset].finished);
+    m_textBytes -= finished ? finished->text.size() + FinishedSampleBytes : 0;
+}
+
 void Step::start(std::uint32_t offset)
 {
     change(offset, SampleState::InFlight);
@@ -82,7 +88,7 @@
 void Step::putBack(std::uint32_t offset, std::string resumeFrom)
 {
     Sample &sample = m_samples[offset];
-    sample.finished.reset();
+    dropText(offset);
     m_failures.erase(offset);
     change(offset, SampleState::Waiting);
     if (!sample.queued) {
@@ -102,6 +108,8 @@
 
 void Step::beginScoring(std::uint32_t offset, FinishedSample finished)
 {
+    dropText(offset);
+    m_textBytes += finished.text.size() + FinishedSampleBytes;
     m_samples[offset].finished = std::make_unique<FinishedSample>(std::move(finished));
     change(offset, SampleState::Scoring);
 }
@@ -113,7 +121,7 @@
 
 void Step::fail(std::uint32_t offset, std::string reason)
 {
-    m_samples[offset].finished.reset();
+    dropText(offset);
     change(offset, SampleState::Failed);
     m_failures[offset] = std::move(reason);
 }
@@ -145,7 +153,7 @@
             if (sample.state == SampleState::InFlight) {
                 cancellable.push_back(offset);
             }
-            sample.finished.reset();
+            dropText(offset);
             change(offset, SampleState::Received);
         } else if (!cursor.has(offset) && received) {
             putBack(offset, {});
@@ -248,6 +256,24 @@
     return result;
 }
 
+std::size_t StepBook::heldBytes(const TrainerId &trainer) const
+{
+    std::size_t bytes = 0;
+    for (const Step *step : stepsOf(trainer)) {
+        bytes += step->heldBytes();
+    }
+    return bytes;
+}
+
+std::size_t StepBook::heldBytes() const
+{
+    std::size_t bytes = 0;
+    for (const auto &[key, step] : m_steps) {
+        bytes += step->heldBytes();
+    }
+    return bytes;
+}
+
 std::vector<TrainerId> StepBook::trainers() const
 {
     std::vector<TrainerId> result;
--- a/bergamot/samples/step_book.h
+++ b/bergamot/samples/step_book.h
@@ -45,6 +45,9 @@
     std::string requestId; // of the attempt that made it
 };
 
+/// Bytes that a whole sample holds besides its text.
+inline constexpr std::size_t FinishedSampleBytes = 512;
+
 /// One step. Not thread-safe.
 class Step
 {
@@ -81,6 +84,12 @@
     void makeReady(std::uint32_t offset);
     void fail(std::uint32_t offset, std::string reason);
 
+    /// Bytes of the prompts, and of the texts that have not arrived yet, with what belongs to them.
+    std::size_t heldBytes() const
+    {
+        return m_spec.promptBytes + m_textBytes;
+    }
+
     /// For samples that are scored or ready.
     FinishedSample &finished(std::uint32_t offset);
     const std::string &failureReason(std::uint32_t offset) const;
@@ -113,6 +122,7 @@
     };
 
     void change(std::uint32_t offset, SampleState state);
+    void dropText(std::uint32_t offset);
 
     StepKey m_key;
     StepSpec m_spec;
@@ -120,6 +130,7 @@
     std::vector<std::uint32_t> m_missingInGroup;
     std::deque<std::uint32_t> m_queue; // may hold samples that no longer wait; they are skipped
     std::array<std::uint32_t, 6> m_counts{};
+    std::size_t m_textBytes = 0;
     std::map<std::uint32_t, std::string> m_resumeHandles;
     std::map<std::uint32_t, std::string> m_failures;
 };
@@ -140,6 +151,9 @@
     std::vector<Step *> stepsOf(const TrainerId &trainer);
     std::vector<const Step *> stepsOf(const TrainerId &trainer) const;
     std::vector<TrainerId> trainers() const;
+    /// Bytes held for one trainer and for all.
+    std::size_t heldBytes(const TrainerId &trainer) const;
+    std::size_t heldBytes() const;
 
 private:
     StepLimits m_limits;
--- a/bergamot/samples/step_spec.cpp
+++ b/bergamot/samples/step_spec.cpp
@@ -34,17 +34,15 @@
 
 Result<void> checkWhole(const StepSpec &spec, const StepLimits &limits)
 {
-    std::size_t bytes = 0;
     std::uint64_t samples = 0;
     for (const GroupSpec &group : spec.groups) {
-        bytes += group.prompt.size();
         samples += group.samples;
     }
     if (samples > limits.maxSamples) {
         return failure(ErrorCode::InvalidArgument,
                        "step.groups must have at most " + std::to_string(limits.maxSamples) + " samples in all");
     }
-    if (bytes > limits.maxStepBytes) {
+    if (spec.promptBytes > limits.maxStepBytes) {
         return failure(ErrorCode::InvalidArgument,
                        "step.groups must have at most " + std::to_string(limits.maxStepBytes) + " prompt bytes in all");
     }
@@ -71,6 +69,7 @@
     for (const GroupSpec &group : groups) {
         spec.firstOffsets.push_back(spec.sampleCount);
         spec.sampleCount += group.samples;
+        spec.promptBytes += group.prompt.size();
         spec.digest = stableHash(group.prompt, spec.digest);
         spec.digest = stableHash(std::to_string(group.samples) + "/" + std::to_string(group.maxTokens), spec.digest);
     }
--- a/bergamot/samples/step_spec.h
+++ b/bergamot/samples/step_spec.h
@@ -40,6 +40,7 @@
     std::vector<GroupSpec> groups;
     std::vector<std::uint32_t> firstOffsets; // of each group
     std::uint32_t sampleCount = 0;
+    std::size_t promptBytes = 0;
     std::uint64_t digest = 0; // equal for equal groups, on every instance
 
     /// Group and index of the sample at `offset`.
