samples: prompts that crash engines are told to the failure domain, and learned from it

Cause: an entry process and an owner of a trainer each had to lose engines to find the same prompt. Ruled out: the entry's own fingerprint, of the whole body: an owner's request is written otherwise, so it never matches. Change: promptFingerprint names a prompt to one model; SuspectPrompts finds the groups that the domain's reports are about and collects what this owner has learned. A suspect runs under watch, a refused one is given up before it starts, one that ended elsewhere is cleared. Interface for the control side: the view's suspects come in, SampleService::takeSuspectNews goes out; nobody calls it yet, and entry processes have to use promptFingerprint for calls of models. Conclusion: the samples' side is whole; not in force until the control side is joined.

One place holds the options of worlds that three tests of samples wrote again.

--- a/bergamot/samples/crash_rule.cpp
+++ b/bergamot/samples/crash_rule.cpp
@@ -86,6 +86,21 @@
     return {suspect->second.engines.begin(), suspect->second.engines.end()};
 }
 
+void CrashRule::suspect(const GroupKey &group, const std::set<EndpointId> &engines)
+{
+    m_suspects[group].engines.insert(engines.begin(), engines.end());
+}
+
+bool CrashRule::isSuspect(const GroupKey &group) const
+{
+    return m_suspects.contains(group);
+}
+
+void CrashRule::clear(const GroupKey &group)
+{
+    ended(group, EndpointId(), true);
+}
+
 void CrashRule::forget(const StepKey &step)
 {
     std::erase_if(m_suspects, [&](const auto &entry) {
--- a/bergamot/samples/crash_rule.h
+++ b/bergamot/samples/crash_rule.h
@@ -42,6 +42,11 @@
     std::vector<GroupKey> engineDied(const EndpointId &engine, const std::set<GroupKey> &inFlight);
     /// The engines that died under `group`, for the message to the trainer.
     std::vector<EndpointId> enginesDiedUnder(const GroupKey &group) const;
+    /// Others say that `engines` died under `group`'s prompt.
+    void suspect(const GroupKey &group, const std::set<EndpointId> &engines);
+    bool isSuspect(const GroupKey &group) const;
+    /// Others say that `group`'s prompt has ended normally.
+    void clear(const GroupKey &group);
     /// Drops what is known of a step that is over.
     void forget(const StepKey &step);
 
--- a/bergamot/samples/fleet_picture.h
+++ b/bergamot/samples/fleet_picture.h
@@ -12,6 +12,7 @@
 #include "bergamot/base/address.h"
 #include "bergamot/base/ids.h"
 #include "bergamot/config/configuration.h"
+#include "bergamot/routing/crash_quarantine.h"
 
 namespace bergamot
 {
@@ -36,6 +37,7 @@
     std::map<TrainerId, TrainerConfig> trainers;
     std::map<ModelId, ModelConfig> models;
     std::map<ModelId, WeightVersion> published; // newest known; engines may not have it yet
+    std::vector<SuspectReport> suspects; // all that the failure domain knows
 };
 
 } // namespace bergamot
--- a/bergamot/samples/fleet_view.cpp
+++ b/bergamot/samples/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "bergamot/samples/fleet_view.h"
 
 #include "bergamot/base/json.h"
+#include "bergamot/routing/routing_table.h"
 
 namespace bergamot
 {
@@ -39,6 +40,7 @@
     for (const auto &published : view.published) {
         picture.published[ModelId(published->model)] = published->version;
     }
+    picture.suspects = fromFrames(view.suspects);
     if (view.configuration.empty()) {
         return picture;
     }
--- a/bergamot/samples/internal/sample_world.cpp
+++ b/bergamot/samples/internal/sample_world.cpp
@@ -135,6 +135,7 @@
         picture.trainers[m_trainers[i].options().config.trainer] = m_options.trainers[i].config;
     }
     picture.published[Model] = m_published;
+    picture.suspects = m_suspects;
     return picture;
 }
 
@@ -150,6 +151,12 @@
     publishView();
 }
 
+void SampleWorld::setSuspects(std::vector<SuspectReport> suspects)
+{
+    m_suspects = std::move(suspects);
+    publishView();
+}
+
 void SampleWorld::cutOff(std::uint16_t engine, bool cut)
 {
     m_cut[engine] = cut;
--- a/bergamot/samples/internal/sample_world.h
+++ b/bergamot/samples/internal/sample_world.h
@@ -106,6 +106,8 @@
     /// Hands in what the trainer would hand in with a draw, without drawing.
     void handIn(std::size_t trainer);
     void setBound(std::size_t trainer, std::uint64_t bound);
+    /// What entry processes and other owners report of prompts from now on.
+    void setSuspects(std::vector<SuspectReport> suspects);
     void cutOff(std::uint16_t engine, bool cut);
 
     PromiseViolations violations() const;
@@ -168,6 +170,7 @@
     std::vector<bool> m_cut;
     std::vector<bool> m_paused;
     std::vector<RolloutPlanner> m_rollouts;
+    std::vector<SuspectReport> m_suspects;
     WeightVersion m_published = 1;
     std::map<std::uint64_t, std::pair<std::size_t, std::string>> m_draws; // trainer and cursor by draw id
     std::uint64_t m_nextDraw = 1;
--- a/bergamot/samples/sample_failures_test.cpp
+++ b/bergamot/samples/sample_failures_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "bergamot/samples/internal/sample_world.h"
+#include "bergamot/samples/internal/world_options.h"
 
 namespace bergamot
 {
@@ -11,23 +11,9 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-TrainerModelOptions trainerOptions(const std::string &name, std::uint32_t share)
+SampleWorldOptions oneTrainer()
 {
-    TrainerModelOptions options;
-    options.config.trainer = TrainerId(name);
-    options.config.sharePercent = share;
-    options.config.stalenessBound = 1;
-    return options;
-}
-
-SampleWorldOptions worldOptions()
-{
-    SampleWorldOptions options;
-    options.engine.slots = 2;
-    options.engine.tokenTime = milliseconds(100);
-    options.engine.minimumLengthPercent = 50;
-    options.trainers = {trainerOptions("quotes", 100)};
-    return options;
+    return worldOptions({trainerOptions("quotes", 100)});
 }
 
 struct FailureCase
@@ -46,7 +32,7 @@
 /// Whatever fails, every step completes, every sample arrives once, rightly labelled and within its bound.
 TEST_P(SampleFailure, breaksNoPromise)
 {
-    SampleWorldOptions options = worldOptions();
+    SampleWorldOptions options = oneTrainer();
     GetParam().prepare(options);
     SampleWorld world(options);
     world.run(seconds(3));
--- a/bergamot/samples/sample_holding_test.cpp
+++ b/bergamot/samples/sample_holding_test.cpp
@@ -1,6 +1,6 @@
 #include <gtest/gtest.h>
 
-#include "bergamot/samples/internal/sample_world.h"
+#include "bergamot/samples/internal/world_options.h"
 
 namespace bergamot
 {
@@ -9,7 +9,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::minutes;
-using std::chrono::seconds;
 
 constexpr std::size_t TextBytes = 20 * 4; // the longest text of a trainer of these tests
 constexpr std::size_t Slots = 18;
@@ -23,19 +22,15 @@
 
 SampleWorldOptions worldOptions(const HoldingCase &wanted)
 {
-    SampleWorldOptions options;
-    options.engine.slots = 2;
-    options.engine.tokenTime = milliseconds(100);
-    options.engine.minimumLengthPercent = 50;
-    options.scheduler.maxHeldBytes = wanted.maxHeldBytes;
+    std::vector<TrainerModelOptions> trainers;
     for (std::size_t i = 0; i < wanted.away.size(); ++i) {
-        TrainerModelOptions trainer;
-        trainer.config.trainer = TrainerId("t" + std::to_string(i));
-        trainer.config.sharePercent = static_cast<std::uint32_t>(100 / wanted.away.size());
-        trainer.config.stalenessBound = 8;
-        trainer.groups = 16;
-        options.trainers.push_back(trainer);
+        const auto share = static_cast<std::uint32_t>(100 / wanted.away.size());
+        trainers.push_back(trainerOptions("t" + std::to_string(i), share));
+        trainers.back().config.stalenessBound = 8;
+        trainers.back().groups = 16;
     }
+    SampleWorldOptions options = worldOptions(std::move(trainers));
+    options.scheduler.maxHeldBytes = wanted.maxHeldBytes;
     return options;
 }
 
--- a/bergamot/samples/sample_policies_test.cpp
+++ b/bergamot/samples/sample_policies_test.cpp
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
-#include "bergamot/samples/internal/sample_world.h"
+#include "bergamot/base/prompt_fingerprint.h"
+#include "bergamot/samples/internal/world_options.h"
 
 namespace bergamot
 {
@@ -11,25 +12,6 @@
 using std::chrono::minutes;
 using std::chrono::seconds;
 
-TrainerModelOptions trainerOptions(const std::string &name, std::uint32_t share)
-{
-    TrainerModelOptions options;
-    options.config.trainer = TrainerId(name);
-    options.config.sharePercent = share;
-    options.config.stalenessBound = 1;
-    return options;
-}
-
-SampleWorldOptions worldOptions(std::vector<TrainerModelOptions> trainers)
-{
-    SampleWorldOptions options;
-    options.engine.slots = 2;
-    options.engine.tokenTime = milliseconds(100);
-    options.engine.minimumLengthPercent = 50;
-    options.trainers = std::move(trainers);
-    return options;
-}
-
 void everyEngine(SampleWorld &world, const FaultCommand &command)
 {
     for (std::uint16_t engine = 0; engine < 9; ++engine) {
@@ -64,6 +46,45 @@
     EXPECT_LE(world.scheduler().counters().engineDeaths, 6U);
 }
 
+constexpr const char *BadPrompt = "quotes step 1 group 3";
+
+TEST(CrashingPrompt, thatOthersHaveFoundIsNeverRun)
+{
+    SampleWorldOptions options = worldOptions({trainerOptions("quotes", 100)});
+    options.trainers[0].steps = 2;
+    SampleWorld world(options);
+    everyEngine(world, {.fault = "poison", .text = BadPrompt});
+    const std::set<EndpointId> died{EndpointId("e7"), EndpointId("e8")};
+    world.setSuspects({{.fingerprint = promptFingerprint("agent", BadPrompt),
+                        .endpoints = died,
+                        .ranAlone = true,
+                        .cleared = false}});
+    ASSERT_TRUE(world.runUntilFinished(minutes(10)));
+    EXPECT_EQ(world.scheduler().counters().engineDeaths, 0U);
+    EXPECT_EQ(world.trainer(0).failures().size(), 4U);
+    EXPECT_EQ(world.violations().sum(), 0U);
+}
+
+TEST(CrashingPrompt, isToldToOthersAndTheInnocentAreCleared)
+{
+    SampleWorldOptions options = worldOptions({trainerOptions("quotes", 100)});
+    options.trainers[0].steps = 1;
+    SampleWorld world(options);
+    everyEngine(world, {.fault = "poison", .text = BadPrompt});
+    ASSERT_TRUE(world.runUntilFinished(minutes(10)));
+    std::map<std::uint64_t, SuspectReport> last;
+    for (const SuspectReport &report : world.scheduler().takeSuspectNews()) {
+        last[report.fingerprint] = report;
+    }
+    const std::uint64_t bad = promptFingerprint("agent", BadPrompt);
+    ASSERT_TRUE(last.contains(bad));
+    for (const auto &[fingerprint, report] : last) {
+        EXPECT_EQ(report.cleared, fingerprint != bad);
+        EXPECT_EQ(report.ranAlone, fingerprint == bad);
+    }
+    EXPECT_GE(last[bad].endpoints.size(), 2U);
+}
+
 struct ScoringCase
 {
     std::string name;
--- a/bergamot/samples/sample_scheduler.cpp
+++ b/bergamot/samples/sample_scheduler.cpp
@@ -36,6 +36,7 @@
         heardOf(model, version, now);
     }
     setEngines(std::move(fleet.engines));
+    applySuspects(m_suspectPrompts.merge(fleet.suspects));
     tick(now);
 }
 
@@ -130,6 +131,8 @@
         fields["samples"] = web::json::value::number((*step)->spec().sampleCount);
         fields["digest"] = web::json::value::string(std::to_string((*step)->spec().digest));
         m_actions.emplace_back(RecordEvidence{"step-handed-in", std::move(fields)});
+        const ModelId &model = m_trainers.at(key.trainer).config.model;
+        applySuspects(m_suspectPrompts.handedIn(key, model, (*step)->spec()));
     }
     dispatch(now);
     return statusOf(**step);
@@ -154,6 +157,7 @@
         return entry.second.sample.step == key;
     });
     m_crashes.forget(key);
+    m_suspectPrompts.forget(key);
     for (PendingDraw &draw : m_draws) {
         if (draw.request.step == key) {
             m_actions.emplace_back(
@@ -274,6 +278,9 @@
         returnToQueue(attempt.sample, {}, {});
         return;
     }
+    if (m_crashes.isSuspect(groupOf(attempt.sample))) {
+        m_suspectPrompts.cleared(groupOf(attempt.sample));
+    }
     m_crashes.ended(groupOf(attempt.sample), attempt.engine, true);
     observeSpeed(attempt, generation, now);
     cancelAttempts(attempt.sample);
@@ -329,6 +336,11 @@
     return {sample.step, step == nullptr ? 0 : step->spec().position(sample.offset).first};
 }
 
+std::vector<SuspectReport> SampleScheduler::takeSuspectNews()
+{
+    return m_suspectPrompts.takeNews();
+}
+
 std::vector<SchedulerAction> SampleScheduler::takeActions()
 {
     return std::exchange(m_actions, {});
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -27,6 +27,7 @@
 #include "bergamot/samples/staleness_rule.h"
 #include "bergamot/samples/step_book.h"
 #include "bergamot/samples/straggler_rule.h"
+#include "bergamot/samples/suspect_prompts.h"
 
 namespace bergamot
 {
@@ -97,6 +98,9 @@
     void tick(TimePoint now);
 
     std::vector<SchedulerAction> takeActions();
+    /// What was learned of prompts that crash engines since the last call, for the other instances of the domain. What
+    /// they know comes in with the fleet.
+    std::vector<SuspectReport> takeSuspectNews();
     const SchedulerCounters &counters() const;
     std::vector<std::pair<StepKey, StepStatus>> status(const TrainerId &trainer) const;
     /// Bytes of prompts and of whole texts that have not arrived yet.
@@ -196,6 +200,8 @@
     void lost(const Attempt &attempt, const Error &error, TimePoint now);
     void engineDied(const Attempt &attempt, TimePoint now);
     void giveUpGroup(const GroupKey &group);
+    void applySuspects(const std::vector<SuspectGroup> &suspects);
+    void tellOfDeath(const EndpointId &engine, const std::set<GroupKey> &inFlight, const std::set<GroupKey> &givenUp);
     void returnToQueue(const SampleRef &sample, std::string handle, Resumption resumption);
     void accept(const std::string &requestId, const Attempt &attempt, Generation generation, TimePoint now);
     void unproven(const std::string &requestId, const Attempt &attempt, const Generation &generation, const Error &why);
@@ -256,6 +262,7 @@
     StepBook m_book;
     HoldingLimit m_holdingLimit;
     CrashRule m_crashes;
+    SuspectPrompts m_suspectPrompts;
     std::map<EndpointId, Engine> m_engines;
     std::map<TrainerId, Trainer> m_trainers;
     std::map<ModelId, StalenessRule> m_staleness;
--- a/bergamot/samples/sample_scheduler_losses.cpp
+++ b/bergamot/samples/sample_scheduler_losses.cpp
@@ -33,11 +33,39 @@
         }
     }
     record("engine-died", attempt.sample, {{"engine", attempt.engine.value()}});
-    for (const GroupKey &group : m_crashes.engineDied(attempt.engine, inFlight)) {
+    const std::vector<GroupKey> givenUp = m_crashes.engineDied(attempt.engine, inFlight);
+    tellOfDeath(attempt.engine, inFlight, {givenUp.begin(), givenUp.end()});
+    for (const GroupKey &group : givenUp) {
         giveUpGroup(group);
     }
 }
 
+void SampleScheduler::tellOfDeath(const EndpointId &engine,
+                                  const std::set<GroupKey> &inFlight,
+                                  const std::set<GroupKey> &givenUp)
+{
+    for (const GroupKey &group : inFlight) {
+        const std::vector<EndpointId> engines = m_crashes.enginesDiedUnder(group);
+        if (std::find(engines.begin(), engines.end(), engine) != engines.end()) {
+            m_suspectPrompts.died(group, {engines.begin(), engines.end()}, givenUp.contains(group));
+        }
+    }
+}
+
+void SampleScheduler::applySuspects(const std::vector<SuspectGroup> &suspects)
+{
+    for (const SuspectGroup &suspect : suspects) {
+        if (suspect.cleared) {
+            m_crashes.clear(suspect.group);
+            continue;
+        }
+        m_crashes.suspect(suspect.group, suspect.engines);
+        if (suspect.refused) {
+            giveUpGroup(suspect.group);
+        }
+    }
+}
+
 void SampleScheduler::giveUpGroup(const GroupKey &group)
 {
     Step *step = m_book.find(group.step);
--- a/bergamot/samples/sample_service.h
+++ b/bergamot/samples/sample_service.h
@@ -61,6 +61,13 @@
     void onView(const inner::ViewT &view);
     void tick();
 
+    /// Prompts that were found to crash engines, or not to, since the last call: for the other instances of the failure
+    /// domain, by the same way as the reports of entry processes. Theirs come in with the view.
+    std::vector<SuspectReport> takeSuspectNews()
+    {
+        return m_scheduler.takeSuspectNews();
+    }
+
     const SchedulerCounters &counters() const
     {
         return m_scheduler.counters();
