--- a/bergamot/samples/sample_scheduler.cpp
+++ b/bergamot/samples/sample_scheduler.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr double SpeedSmoothing = 0.1; // weight of one more sample
+constexpr std::size_t TextSmoothing = 8; // one more text counts for an eighth
 
 std::uint64_t tokenCount(const Generation &generation)
 {
@@ -24,6 +25,7 @@
 SampleScheduler::SampleScheduler(SchedulerOptions options)
     : m_options(std::move(options))
     , m_book(m_options.limits)
+    , m_holdingLimit(m_options.maxHeldBytes)
 { }
 
 void SampleScheduler::setFleet(FleetPicture fleet, TimePoint now)
@@ -34,6 +36,7 @@
         heardOf(model, version, now);
     }
     setEngines(std::move(fleet.engines));
+    applySuspects(m_suspectPrompts.merge(fleet.suspects));
     tick(now);
 }
 
@@ -102,6 +105,9 @@
         return failure(ErrorCode::NotFound, "trainer " + key.trainer.value() + " is not configured");
     }
     const bool known = m_book.find(key) != nullptr;
+    if (Result<void> room = known ? Result<void>() : checkRoom(key, spec); !room) {
+        return tl::unexpected(room.error());
+    }
     Result<Step *> step = m_book.handIn(key, std::move(spec));
     if (!step) {
         return tl::unexpected(step.error());
@@ -125,6 +131,8 @@
         fields["samples"] = web::json::value::number((*step)->spec().sampleCount);
         fields["digest"] = web::json::value::string(std::to_string((*step)->spec().digest));
         m_actions.emplace_back(RecordEvidence{"step-handed-in", std::move(fields)});
+        const ModelId &model = m_trainers.at(key.trainer).config.model;
+        applySuspects(m_suspectPrompts.handedIn(key, model, (*step)->spec()));
     }
     dispatch(now);
     return statusOf(**step);
@@ -149,6 +157,7 @@
         return entry.second.sample.step == key;
     });
     m_crashes.forget(key);
+    m_suspectPrompts.forget(key);
     for (PendingDraw &draw : m_draws) {
         if (draw.request.step == key) {
             m_actions.emplace_back(
@@ -269,11 +278,17 @@
         returnToQueue(attempt.sample, {}, {});
         return;
     }
+    if (m_crashes.isSuspect(groupOf(attempt.sample))) {
+        m_suspectPrompts.cleared(groupOf(attempt.sample));
+    }
     m_crashes.ended(groupOf(attempt.sample), attempt.engine, true);
     observeSpeed(attempt, generation, now);
     cancelAttempts(attempt.sample);
     m_unproven.erase(attempt.sample);
     m_resumptions.erase(attempt.sample);
+    std::size_t &textBytes = m_trainers.at(attempt.sample.step.trainer).textBytes;
+    textBytes = textBytes == 0 ? generation.text.size()
+                               : (textBytes * (TextSmoothing - 1) + generation.text.size()) / TextSmoothing;
     FinishedSample finished;
     finished.text = std::move(generation.text);
     finished.spans = std::move(generation.spans);
@@ -321,6 +336,11 @@
     return {sample.step, step == nullptr ? 0 : step->spec().position(sample.offset).first};
 }
 
+std::vector<SuspectReport> SampleScheduler::takeSuspectNews()
+{
+    return m_suspectPrompts.takeNews();
+}
+
 std::vector<SchedulerAction> SampleScheduler::takeActions()
 {
     return std::exchange(m_actions, {});
