--- a/bergamot/load/fleet_scenario.cpp
+++ b/bergamot/load/fleet_scenario.cpp
@@ -102,7 +102,9 @@
     const web::json::value flags = reader.optionalObject(name);
     for (const auto &[flag, value] : flags.as_object()) {
         if (!value.is_string()) {
-            reader.reject(name + "." + flag, "must be a string");
+            std::string place = name;
+            place.append(".").append(flag);
+            reader.reject(place, "must be a string");
             continue;
         }
         values[flag] = value.as_string();
