load: the report keeps the first reasons of unanswered requests

Cause: 4 requests refused and 1 'maybe ran' without any fault could not be explained from the report. Ruled out: logs of 36 processes. Change: up to five reasons by tenant and class.

--- a/bergamot/load/caller.cpp
+++ b/bergamot/load/caller.cpp
@@ -12,6 +12,7 @@
 
 constexpr std::chrono::seconds AnswerGrace{3}; // beyond the deadline that the service was told
 constexpr std::uint32_t GeneratedTokens = 8;
+constexpr std::size_t MostReasonBytes = 300;
 
 /// How a kind of call looks to a plain service.
 struct ServiceCall
@@ -178,6 +179,7 @@
         m_context.ledger.check(Promise::GracefulShutdown, false, call.name + " was cut off: " + failure.message);
     }
     m_context.measures.outcome(m_key, "no-answer");
+    m_context.measures.unanswered(m_key, call.name + " from " + toString(from) + ": " + failure.message);
     repeatKey(std::move(call));
 }
 
@@ -192,6 +194,10 @@
     if (outcome == "not-run") {
         noteNotRun(call);
     }
+    if (outcome != "answered") {
+        m_context.measures.unanswered(m_key,
+                                      call.name + " " + outcome + ": " + response.body.substr(0, MostReasonBytes));
+    }
     if (response.status == 200) {
         m_context.measures.answered(m_key, BootClock::now() - call.arrival);
         checkAnswer(call, response);
--- a/bergamot/load/measures.cpp
+++ b/bergamot/load/measures.cpp
@@ -42,6 +42,16 @@
     ++m_outcomes[key][outcome];
 }
 
+void Measures::unanswered(const LatencyKey &key, const std::string &reason)
+{
+    constexpr std::size_t MostReasons = 5;
+    const std::lock_guard lock(m_mutex);
+    std::vector<std::string> &reasons = m_reasons[key];
+    if (reasons.size() < MostReasons) {
+        reasons.push_back(reason);
+    }
+}
+
 void Measures::trainer(const std::string &trainer, TrainerMeasures measures)
 {
     const std::lock_guard lock(m_mutex);
@@ -66,6 +76,12 @@
     return m_outcomes;
 }
 
+std::map<LatencyKey, std::vector<std::string>> Measures::unansweredReasons() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_reasons;
+}
+
 std::map<std::string, TrainerMeasures> Measures::trainers() const
 {
     const std::lock_guard lock(m_mutex);
--- a/bergamot/load/measures.h
+++ b/bergamot/load/measures.h
@@ -56,11 +56,14 @@
     void answered(const LatencyKey &key, Duration elapsed);
     /// Counts one final outcome of a request: "answered", "not-run", "maybe-ran" or "no-answer".
     void outcome(const LatencyKey &key, const std::string &outcome);
+    /// Keeps the first few reasons why requests were not answered.
+    void unanswered(const LatencyKey &key, const std::string &reason);
     void trainer(const std::string &trainer, TrainerMeasures measures);
     void configurationSpread(Duration elapsed);
 
     std::map<LatencyKey, std::vector<double>> latencies() const; // milliseconds
     std::map<LatencyKey, std::map<std::string, std::uint64_t>> outcomes() const;
+    std::map<LatencyKey, std::vector<std::string>> unansweredReasons() const;
     std::map<std::string, TrainerMeasures> trainers() const;
     std::vector<double> configurationSpreads() const; // milliseconds until in force on every reachable instance
 
@@ -68,6 +71,7 @@
     mutable std::mutex m_mutex;
     std::map<LatencyKey, std::vector<double>> m_latencies;
     std::map<LatencyKey, std::map<std::string, std::uint64_t>> m_outcomes;
+    std::map<LatencyKey, std::vector<std::string>> m_reasons;
     std::map<std::string, TrainerMeasures> m_trainers;
     std::vector<double> m_spreads;
 };
--- a/bergamot/load/report.cpp
+++ b/bergamot/load/report.cpp
@@ -59,6 +59,11 @@
         }
         out << "\n";
     }
+    for (const auto &[key, reasons] : measures.unansweredReasons()) {
+        for (const std::string &reason : reasons) {
+            out << "    " << key.tenant << " " << key.requestClass << " " << reason << "\n";
+        }
+    }
 }
 
 void writeTrainers(std::ostream &out, const Measures &measures)
@@ -91,16 +96,21 @@
     return json;
 }
 
+web::json::value toJson(const std::vector<std::string> &texts)
+{
+    web::json::value json = web::json::value::array(texts.size());
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+        json[i] = web::json::value(texts[i]);
+    }
+    return json;
+}
+
 web::json::value toJson(const PromiseCounts &counts)
 {
     web::json::value json = web::json::value::object();
     json["checks"] = web::json::value(counts.checks);
     json["violations"] = web::json::value(counts.violations);
-    web::json::value examples = web::json::value::array();
-    for (std::size_t i = 0; i < counts.examples.size(); ++i) {
-        examples[i] = web::json::value(counts.examples[i]);
-    }
-    json["examples"] = examples;
+    json["examples"] = toJson(counts.examples);
     return json;
 }
 
@@ -119,6 +129,7 @@
 web::json::value callersJson(const Measures &measures)
 {
     const auto latencies = measures.latencies();
+    const auto reasons = measures.unansweredReasons();
     web::json::value callers = web::json::value::object();
     for (const auto &[key, counts] : measures.outcomes()) {
         web::json::value caller = web::json::value::object();
@@ -127,6 +138,9 @@
         for (const auto &[outcome, count] : counts) {
             caller[outcome] = web::json::value(count);
         }
+        if (const auto reason = reasons.find(key); reason != reasons.end()) {
+            caller["reasons"] = toJson(reason->second);
+        }
         callers[key.tenant + " " + key.requestClass] = caller;
     }
     return callers;
