--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -22,10 +22,12 @@
 #include "bergamot/samples/dispatch_strategy.h"
 #include "bergamot/samples/due_plan.h"
 #include "bergamot/samples/fleet_picture.h"
+#include "bergamot/samples/holding_limit.h"
 #include "bergamot/samples/scheduler_actions.h"
 #include "bergamot/samples/staleness_rule.h"
 #include "bergamot/samples/step_book.h"
 #include "bergamot/samples/straggler_rule.h"
+#include "bergamot/samples/suspect_prompts.h"
 
 namespace bergamot
 {
@@ -49,6 +51,7 @@
     std::uint32_t maxScoring = 64; // at once
     std::uint32_t maxUnproven = 8; // generations of one sample that may be discarded before it is given up
     std::uint32_t maxBatch = 1024; // samples in one answer
+    std::size_t maxHeldBytes = 64U << 20U; // of prompts and whole texts; samples that a draw waits for come on top
     std::function<const DispatchStrategy &(const TrainerConfig &trainer)> strategy =
         [](const TrainerConfig &trainer) -> const DispatchStrategy & {
         return dispatchStrategy(trainer.strategy);
@@ -83,7 +86,8 @@
     explicit SampleScheduler(SchedulerOptions options);
 
     void setFleet(FleetPicture fleet, TimePoint now);
-    /// `cursor` lets a new owner skip what the trainer has; it may be empty. Idempotent.
+    /// `cursor` lets a new owner skip what the trainer has; it may be empty. Idempotent. `Overloaded`, with a time to
+    /// come again after, while there is no room for the prompts.
     Result<StepStatus> handIn(const StepKey &key, StepSpec spec, const std::string &cursor, TimePoint now);
     void drop(const StepKey &key, TimePoint now);
     /// `NotFound` if the step has to be handed in again.
@@ -94,8 +98,13 @@
     void tick(TimePoint now);
 
     std::vector<SchedulerAction> takeActions();
+    /// What was learned of prompts that crash engines since the last call, for the other instances of the domain. What
+    /// they know comes in with the fleet.
+    std::vector<SuspectReport> takeSuspectNews();
     const SchedulerCounters &counters() const;
     std::vector<std::pair<StepKey, StepStatus>> status(const TrainerId &trainer) const;
+    /// Bytes of prompts and of whole texts that have not arrived yet.
+    std::size_t heldBytes() const;
 
 private:
     struct SampleRef
@@ -137,6 +146,7 @@
         const DispatchStrategy *strategy = nullptr;
         SampleTimes times;
         SpareBudget spares;
+        std::size_t textBytes = 0; // smoothed, of one sample; 0: unknown
         std::uint64_t turns = 0;
         std::uint32_t inFlight = 0;
         std::uint32_t givingBack = 0;
@@ -190,13 +200,16 @@
     void lost(const Attempt &attempt, const Error &error, TimePoint now);
     void engineDied(const Attempt &attempt, TimePoint now);
     void giveUpGroup(const GroupKey &group);
+    void applySuspects(const std::vector<SuspectGroup> &suspects);
+    void tellOfDeath(const EndpointId &engine, const std::set<GroupKey> &inFlight, const std::set<GroupKey> &givenUp);
     void returnToQueue(const SampleRef &sample, std::string handle, Resumption resumption);
     void accept(const std::string &requestId, const Attempt &attempt, Generation generation, TimePoint now);
     void unproven(const std::string &requestId, const Attempt &attempt, const Generation &generation, const Error &why);
     void observeSpeed(const Attempt &attempt, const Generation &generation, TimePoint now);
     void record(std::string kind, const SampleRef &sample, std::vector<std::pair<std::string, std::string>> fields);
 
-    // Dispatch (sample_scheduler_dispatch.cpp); moving and replacing (sample_scheduler_stragglers.cpp).
+    // Dispatch (sample_scheduler_dispatch.cpp); moving and replacing (sample_scheduler_stragglers.cpp);
+    // room for texts (sample_scheduler_holding.cpp).
     void dispatch(TimePoint now);
     Round makeRound(const ModelId &model, TimePoint now) const;
     EngineLoad loadOf(const Engine &engine, double medianSpeed, TimePoint now) const;
@@ -204,6 +217,13 @@
     static std::uint32_t startable(const Trainer &trainer, const Step &step);
     TimePoint dueTime(const Trainer &trainer, const Step &step, TimePoint now) const;
     void planSteps(Round &round, TimePoint now) const;
+    Result<void> checkRoom(const StepKey &key, const StepSpec &spec) const;
+    static std::size_t expectedBytes(const Trainer &trainer, const Step &step);
+    /// What is held, and expected of the attempts that run.
+    Holding holding(const TrainerId &trainer) const;
+    /// Samples of `step` for whose texts there is room.
+    std::uint32_t holdable(const Trainer &trainer, const Step &step, const Holding &holding) const;
+    bool isDrawnNow(const StepKey &step) const;
     bool placeOne(Round &round, std::size_t trainerIndex, TimePoint now);
     std::optional<SampleRef> nextSample(const TrainerId &trainer, const Round &round);
     bool permits(const SampleRef &sample, const EngineLoad &engine, TimePoint now) const;
@@ -240,7 +260,9 @@
 
     SchedulerOptions m_options;
     StepBook m_book;
+    HoldingLimit m_holdingLimit;
     CrashRule m_crashes;
+    SuspectPrompts m_suspectPrompts;
     std::map<EndpointId, Engine> m_engines;
     std::map<TrainerId, Trainer> m_trainers;
     std::map<ModelId, StalenessRule> m_staleness;
