--- a/bergamot/samples/samples_benchmark.cpp
+++ b/bergamot/samples/samples_benchmark.cpp
@@ -252,13 +252,13 @@
 void sweep(std::uint64_t steps, const Seeds &seeds, const std::vector<std::string> &words)
 {
     for (const DispatchStrategy *base : {&IdleTimeFirst, &StalenessFirst}) {
-        for (const double share : {0.0, 0.2, 0.3, 0.5, 0.7, 0.9, 1.0}) {
+        for (const double share : {0.0, 0.2, 0.3, 0.5, 0.7, 0.8, 0.9, 0.95, 1.0}) {
             for (const double lead : {1.0, 1.25, 1.5, 2.0}) {
                 DispatchStrategy strategy = *base;
                 strategy.aheadShare = share;
                 strategy.aheadLead = lead;
                 const std::string knob =
-                    " share " + std::to_string(share).substr(0, 3) + " lead " + std::to_string(lead).substr(0, 4);
+                    " share " + std::to_string(share).substr(0, 4) + " lead " + std::to_string(lead).substr(0, 4);
                 eachCase(Deployments[0], {&strategy}, steps, [&](const RunOptions &run) {
                     if (hasAll(labelOf(run) + knob, words)) {
                         std::printf("%s ", knob.c_str());
