samples: one answer to a draw is bounded in bytes

Cause: a batch stays until the next cursor confirms it, on top of the bound on held texts; 1,024 samples of 4 KiB texts are 4.6 MiB, so more than about ten trainers that draw at once from one owner would pass a node's 128 MB (derived). Change: maxBatchBytes, 2 MiB; a repeated draw gets its batch again whatever its size. Figures: 15.5 + 67 + 17 x 2.4 = 123 MB (derived).

--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -51,6 +51,7 @@
     std::uint32_t maxScoring = 64; // at once
     std::uint32_t maxUnproven = 8; // generations of one sample that may be discarded before it is given up
     std::uint32_t maxBatch = 1024; // samples in one answer
+    std::size_t maxBatchBytes = 2U << 20U; // of texts in one answer, which are held until it is confirmed
     std::size_t maxHeldBytes = 64U << 20U; // of prompts and whole texts; samples that a draw waits for come on top
     std::function<const DispatchStrategy &(const TrainerConfig &trainer)> strategy =
         [](const TrainerConfig &trainer) -> const DispatchStrategy & {
--- a/bergamot/samples/sample_scheduler_draws.cpp
+++ b/bergamot/samples/sample_scheduler_draws.cpp
@@ -162,12 +162,15 @@
     const bool repeated = !step.batch.empty() && step.batchCursor == draw.request.cursor;
     const std::uint32_t limit = repeated ? m_options.maxBatch : std::min(draw.request.max, m_options.maxBatch);
     std::vector<std::uint32_t> taken;
+    std::size_t bytes = 0;
     for (const std::uint32_t offset : step.deliverable()) {
-        if (taken.size() >= limit || draw.cursor.has(offset) || (repeated && !step.inBatch(offset))) {
+        const bool full = taken.size() >= limit || (!repeated && bytes >= m_options.maxBatchBytes);
+        if (full || draw.cursor.has(offset) || (repeated && !step.inBatch(offset))) {
             continue;
         }
         if (addToAnswer(reply, step, offset)) {
             taken.push_back(offset);
+            bytes += step.state(offset) == SampleState::Ready ? step.finished(offset).text.size() : 0;
         }
     }
     if (taken.empty() && repeated) {
--- a/bergamot/samples/sample_scheduler_test.cpp
+++ b/bergamot/samples/sample_scheduler_test.cpp
@@ -166,6 +166,25 @@
         RefusedDraw{"cursor of another step", 1, encodeCursor(Cursor({Trainer, 9}, 1, 4)), ErrorCode::Conflict},
         RefusedDraw{"cursor of other groups", 1, encodeCursor(Cursor({Trainer, 1}, 1, 4)), ErrorCode::Conflict}));
 
+TEST_F(SampleSchedulerTest, aBatchIsBoundedInBytesAndARepeatedDrawGetsItAgain)
+{
+    SchedulerOptions few = options();
+    few.maxBatchBytes = 10; // "some text" has nine
+    m_scheduler = SampleScheduler(few);
+    m_scheduler.setFleet(m_fleet, m_now);
+    ASSERT_TRUE(handIn(1));
+    endAll();
+    ASSERT_TRUE(draw(1, 1, "", 4));
+    ASSERT_TRUE(draw(2, 1, "", 4));
+    collect();
+    EXPECT_EQ(m_answers[1].samples.size(), 2U);
+    EXPECT_EQ(names(m_answers[2]), names(m_answers[1]));
+    ASSERT_TRUE(draw(3, 1, m_answers[1].cursor, 4));
+    collect();
+    EXPECT_EQ(m_answers[3].samples.size(), 2U);
+    EXPECT_TRUE(m_answers[3].done);
+}
+
 TEST_F(SampleSchedulerTest, aNewOwnerMakesOnlyWhatTheCursorLacks)
 {
     Cursor cursor({Trainer, 1}, spec().digest, 4);
