--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -188,7 +188,6 @@
         std::map<TrainerId, StepKey> steps; // that each trainer's samples are taken from
         DispatchPlanner planner;
         double medianSpeed = 0; // tokens a second; 0: unknown
-        std::map<EndpointId, double> speedsByAge; // upper bounds, of engines on which most attempts are late
     };
 
     // Fleet and events (sample_scheduler.cpp); lost attempts (sample_scheduler_losses.cpp).
@@ -214,8 +213,7 @@
     // room for texts (sample_scheduler_holding.cpp).
     void dispatch(TimePoint now);
     Round makeRound(const ModelId &model, TimePoint now) const;
-    EngineLoad loadOf(const Engine &engine, const Round &round, TimePoint now) const;
-    std::map<EndpointId, double> speedsByAge(TimePoint now) const;
+    EngineLoad loadOf(const Engine &engine, double medianSpeed, TimePoint now) const;
     /// Samples of `step` that may start by the strategy's share, whatever the time.
     static std::uint32_t startable(const Trainer &trainer, const Step &step);
     TimePoint dueTime(const Trainer &trainer, const Step &step, TimePoint now) const;
--- a/bergamot/samples/sample_scheduler_dispatch.cpp
+++ b/bergamot/samples/sample_scheduler_dispatch.cpp
@@ -7,7 +7,6 @@
 {
 
 constexpr double UnknownSpeed = 1;
-constexpr double LateFactor = 1.5; // of the usual time
 
 double median(std::vector<double> values)
 {
@@ -45,68 +44,35 @@
             }
         }
     }
-    Round round{.model = model,
-                .engines = std::move(engines),
-                .trainers = {},
-                .steps = {},
-                .planner = DispatchPlanner({}, {}),
-                .medianSpeed = median(std::move(speeds)),
-                .speedsByAge = speedsByAge(now)};
+    const double medianSpeed = median(std::move(speeds));
     std::vector<EngineLoad> loads;
-    loads.reserve(round.engines.size());
-    for (const EndpointId &id : round.engines) {
-        loads.push_back(loadOf(m_engines.at(id), round, now));
+    loads.reserve(engines.size());
+    for (const EndpointId &id : engines) {
+        loads.push_back(loadOf(m_engines.at(id), medianSpeed, now));
     }
+    std::vector<TrainerId> trainers;
     std::vector<TrainerDemand> demands;
     for (const auto &[id, trainer] : m_trainers) {
         if (trainer.config.model == model) {
-            round.trainers.push_back(id);
+            trainers.push_back(id);
             demands.push_back({.sharePercent = trainer.config.sharePercent,
                                .inFlight = trainer.inFlight,
                                .strategy = trainer.strategy});
         }
     }
-    round.planner = DispatchPlanner(std::move(loads), std::move(demands));
+    Round round{.model = model,
+                .engines = std::move(engines),
+                .trainers = std::move(trainers),
+                .planner = DispatchPlanner(std::move(loads), std::move(demands)),
+                .medianSpeed = medianSpeed};
     planSteps(round, now);
     return round;
 }
 
-std::map<EndpointId, double> SampleScheduler::speedsByAge(TimePoint now) const
-{
-    struct Late
-    {
-        std::uint32_t running = 0;
-        std::uint32_t late = 0;
-        double speeds = 0; // sum over late ones
-    };
-    std::map<EndpointId, Late> found;
-    for (const auto &[requestId, attempt] : m_attempts) {
-        const SampleTimes &times = m_trainers.at(attempt.sample.step.trainer).times;
-        const double usual = std::chrono::duration<double>(times.median()).count();
-        const double age = std::chrono::duration<double>(now - attempt.startedAt).count();
-        Late &engine = found[attempt.engine];
-        ++engine.running;
-        if (usual > 0 && age > LateFactor * usual) {
-            ++engine.late;
-            engine.speeds += usual / age;
-        }
-    }
-    std::map<EndpointId, double> result;
-    for (const auto &[id, engine] : found) {
-        if (2 * engine.late > engine.running) {
-            result[id] = engine.speeds / engine.late;
-        }
-    }
-    return result;
-}
-
-EngineLoad SampleScheduler::loadOf(const Engine &engine, const Round &round, TimePoint now) const
+EngineLoad SampleScheduler::loadOf(const Engine &engine, double medianSpeed, TimePoint now) const
 {
-    const double medianSpeed = round.medianSpeed;
     const bool serves = engine.view.reachable && !engine.view.leaving && engine.view.version > 0;
     const bool knownSpeed = medianSpeed > 0 && engine.tokensPerSecond > 0;
-    const auto byAge = round.speedsByAge.find(engine.view.engine);
-    const double most = byAge == round.speedsByAge.end() ? std::numeric_limits<double>::max() : byAge->second;
     return {.engine = engine.view.engine,
             .version = engine.view.version,
             .usable = serves && now >= engine.pausedUntil,
@@ -114,7 +80,7 @@
             .slots = engine.view.slots,
             .own = engine.own,
             .others = engine.others,
-            .speed = std::min(knownSpeed ? engine.tokensPerSecond / medianSpeed : UnknownSpeed, most)};
+            .speed = knownSpeed ? engine.tokensPerSecond / medianSpeed : UnknownSpeed};
 }
 
 std::uint32_t SampleScheduler::startable(const Trainer &trainer, const Step &step)
--- a/bergamot/samples/sample_scheduler_stragglers.cpp
+++ b/bergamot/samples/sample_scheduler_stragglers.cpp
@@ -40,7 +40,7 @@
     const Step &step = *m_book.find(attempt.sample.step);
     return {.elapsed = now - attempt.startedAt,
             .usual = m_trainers.at(attempt.sample.step.trainer).times.median(),
-            .engineSpeed = loadOf(engine, round, now).speed,
+            .engineSpeed = loadOf(engine, round.medianSpeed, now).speed,
             .engineLeaving = engine.view.leaving,
             .movable = !attempt.exportFailed && engine.view.reachable,
             .attempts = static_cast<std::uint32_t>(attemptsOf(attempt.sample).size()),
