--- a/bergamot/entry/data_path_test_fixture.h
+++ b/bergamot/entry/data_path_test_fixture.h
@@ -292,6 +292,12 @@
     }
 
     static void showTo(FakeControl &control, const std::vector<Listed> &endpoints)
+    {
+        control.show(viewOf(endpoints));
+        ASSERT_TRUE(control.waitUntilTaken());
+    }
+
+    static inner::ViewT viewOf(const std::vector<Listed> &endpoints)
     {
         Configuration configuration;
         configuration.version = 1;
@@ -313,8 +319,7 @@
                 view.endpoints.push_back(std::move(endpoint));
             }
         }
-        control.show(std::move(view));
-        ASSERT_TRUE(control.waitUntilTaken());
+        return view;
     }
 
     static std::shared_ptr<TestCaller> send(DataPath &path, HttpRequest request)
