audit: an export of a log in use ends, and survives expiry

Cause: the export read until a page was empty, so on a log that grows as fast as it is read it never ended; when the oldest records expired between the question for the bounds and the first page it asked again for ever, and failed once it had any. Ruled out: stopping at the first short page (a page may be short for other reasons). Change: reading is a library (`audit_log_export`). The endless loop was found by reading; the new test was not run against the old loop, which sat in main.

--- a/bergamot/audit/main.cpp
+++ b/bergamot/audit/main.cpp
@@ -1,11 +1,11 @@
 // bergamot-audit: exports the log's records for an auditor, checks an export, and explains what happened.
 
 #include <fstream>
-#include <future>
 #include <iostream>
 #include <iterator>
 
 #include "bergamot/audit/explain.h"
+#include "bergamot/audit/log_export.h"
 #include "bergamot/audit/verify.h"
 #include "bergamot/base/settings.h"
 #include "bergamot/http/threads.h"
@@ -16,9 +16,6 @@
 
 using namespace bergamot;
 
-constexpr std::size_t PageRecords = 500;
-constexpr std::chrono::milliseconds ReadTimeout{10000};
-
 enum class ExitCode {
     Success = 0,
     Found = 1, // the export does not hold
@@ -32,42 +29,6 @@
     return error.code == ErrorCode::InvalidArgument ? ExitCode::BadUsage : ExitCode::Failed;
 }
 
-Result<LogPage> readPage(Log &log, const std::string &stream, Offset from)
-{
-    auto page = std::make_shared<std::promise<Result<LogPage>>>();
-    log.read(stream, from, PageRecords, ReadTimeout, [page](Result<LogPage> read) {
-        page->set_value(std::move(read));
-    });
-    return page->get_future().get();
-}
-
-/// Everything that the log still has of `stream`.
-Result<ExportedStream> readStream(Log &log, const std::string &stream)
-{
-    ExportedStream exported{.stream = stream, .first = 1, .end = 1, .records = {}};
-    Offset next = 1;
-    while (true) {
-        const Result<LogPage> page = readPage(log, stream, next);
-        if (!page && page.error().code == ErrorCode::Expired && exported.records.empty()) {
-            ++next;
-            const Result<LogPage> newest = readPage(log, stream, UINT64_MAX / 2);
-            next = newest ? std::max(next, newest->firstRetained) : next * 2;
-            exported.first = next;
-            continue;
-        }
-        if (!page) {
-            return tl::unexpected(page.error());
-        }
-        exported.first = exported.records.empty() ? std::max(exported.first, page->firstRetained) : exported.first;
-        exported.end = page->end;
-        if (page->records.empty()) {
-            return exported;
-        }
-        exported.records.insert(exported.records.end(), page->records.begin(), page->records.end());
-        next = exported.records.back().offset + 1;
-    }
-}
-
 ExitCode exportLog(const SettingsParser &parser, const std::string &file)
 {
     const Result<Address> address = parseAddress(parser.text("log-address"));
