--- a/bergamot/keys/key_fold.cpp
+++ b/bergamot/keys/key_fold.cpp
@@ -28,6 +28,19 @@
     }
 }
 
+constexpr std::uint64_t MostStatus = 65'535; // what the HTTP library can report
+constexpr std::uint64_t MostMilliseconds = 1ULL << 52U; // sums of two stay far from an overflow
+
+milliseconds readMilliseconds(FieldReader &reader, const std::string &name)
+{
+    const std::uint64_t count = reader.requiredUnsigned(name);
+    if (count > MostMilliseconds) {
+        reader.reject(name, "must be at most " + std::to_string(MostMilliseconds));
+        return milliseconds(0);
+    }
+    return milliseconds(count);
+}
+
 value clockJson(milliseconds writerClock)
 {
     value json = value::object();
@@ -45,7 +58,11 @@
 
 void readAnswer(FieldReader &reader, KeyEntry &entry)
 {
-    entry.status = static_cast<std::int32_t>(reader.optionalUnsigned("status", 0));
+    const std::uint64_t status = reader.optionalUnsigned("status", 0);
+    if (status > MostStatus) {
+        reader.reject("status", "must be at most " + std::to_string(MostStatus));
+    }
+    entry.status = static_cast<std::int32_t>(std::min(status, MostStatus));
     entry.contentType = reader.optionalString("content_type", "");
     entry.bodyOmitted = reader.optionalBool("body_omitted", false);
     Result<std::string> body = fromBase64(reader.optionalString("body", ""));
@@ -112,7 +129,7 @@
     entry.claimRecord.incarnation = reader.requiredUnsigned("incarnation");
     entry.claimRecord.sequence = reader.requiredUnsigned("sequence");
     entry.offset = reader.requiredUnsigned("offset");
-    entry.claimedAt = milliseconds(reader.requiredUnsigned("claimed_at_ms"));
+    entry.claimedAt = readMilliseconds(reader, "claimed_at_ms");
     readState(reader, entry);
     readAnswer(reader, entry);
     if (Result<void> finished = reader.finish(); !finished) {
@@ -164,7 +181,7 @@
         return;
     }
     FieldReader reader(*json, "record");
-    const milliseconds writerClock(reader.requiredUnsigned("clock_ms"));
+    const milliseconds writerClock = readMilliseconds(reader, "clock_ms");
     if (!reader.finish()) {
         return;
     }
