http: callers at the border are bounded

Cause: a relayed stream was buffered for its caller without bound; the library's listener bounds neither head, idle time nor number of connections, reads a body above our limit on into memory, and answers 404 on a stopped server's port while another server of the process is open; a handler could still run after `stop`. Ruled out: reading from the endpoint only as fast as the caller takes (the slowest caller then holds an engine's place; the library's client reads on anyway); closing the body's buffer to end the connection (tried: the library then reads the rest as the next request's head); accept limits by descriptors (accept fails in a loop); `SHUT_RDWR` without a reset (the caller stays in a zero window for 20 s and longer). Change: `SendBuffer` in place of the library's stream buffer: each write goes out at once, what waits is counted. A stream above 256 KiB, or above 16 KiB while all together hold more than 64 MiB, is aborted, its generation cancelled, and counted in `bergamot_entry_slow_callers_total`. `ConnectionWatch` closes idle, stalled, endless and too many connections by a pure rule once a second. Heads above 64 KiB get 431. `stop` waits for the handler; a stopped server refuses with 503, `Retry-After` and the refusal headers until the last one stops, which closes every port. Settings of bergamot-entry for the bounds. The bounds on connections hold within one look. A caller without a stream that leaves is not noticed: strace shows EPOLLIN for its FIN at 19.357 s while the library has no read under way (CLOSE-WAIT in ss), and the next call on that socket is the answer at 21.187 s; `http_request` names the peer's IP without its port, so a connection found from outside cannot be matched to a request.

--- a/bergamot/entry/data_path.cpp
+++ b/bergamot/entry/data_path.cpp
@@ -14,6 +14,7 @@
 {
 
 using entry_internal::answerToCaller;
+using entry_internal::CallerLoss;
 using entry_internal::EndpointCalls;
 using entry_internal::factsOf;
 using entry_internal::KeyClaims;
@@ -75,10 +76,10 @@
                                                                 impl.router.onStreamStarted(id);
                                                             });
                                                         },
-                                                    .callerGone =
-                                                        [posted](RequestId id) {
-                                                            posted([id](Impl &impl) {
-                                                                impl.callerGone(id);
+                                                    .callerLost =
+                                                        [posted](RequestId id, CallerLoss loss) {
+                                                            posted([id, loss](Impl &impl) {
+                                                                impl.callerLost(id, loss);
                                                             });
                                                         },
                                                     .done =
@@ -134,13 +135,19 @@
         act();
     }
 
-    void callerGone(RequestId id)
+    void callerLost(RequestId id, CallerLoss loss)
     {
         const auto found = pending.find(id);
         if (found == pending.end()) {
             return;
         }
-        entryMetrics.callerGone(found->second.parsed.facts.trafficClass);
+        const CallerRequest &facts = found->second.parsed.facts;
+        if (loss == CallerLoss::TooSlow) {
+            log.warning("A stream of " + facts.target + " was closed: its caller did not take it.");
+            entryMetrics.callerTooSlow(facts.trafficClass);
+        } else {
+            entryMetrics.callerGone(facts.trafficClass);
+        }
         pending.erase(found);
         router.onCallerGone(id, clock.now());
         act();
--- a/bergamot/entry/entry_metrics.cpp
+++ b/bergamot/entry/entry_metrics.cpp
@@ -17,6 +17,7 @@
     , m_attempts(metrics.counters("bergamot_entry_attempts_total", "Requests sent to endpoints."))
     , m_failures(metrics.counters("bergamot_entry_attempt_failures_total", "Attempts without a whole answer."))
     , m_gone(metrics.counters("bergamot_entry_callers_gone_total", "Callers that left before their answer."))
+    , m_slow(metrics.counters("bergamot_entry_slow_callers_total", "Streams closed because their caller did not read."))
     , m_load(metrics.gauges("bergamot_entry_requests", "Requests without a final answer, by state."))
 { }
 
@@ -48,6 +49,11 @@
     m_gone.Add({{"class", std::string(trafficClassName(trafficClass))}}).Increment();
 }
 
+void EntryMetrics::callerTooSlow(TrafficClass trafficClass)
+{
+    m_slow.Add({{"class", std::string(trafficClassName(trafficClass))}}).Increment();
+}
+
 void EntryMetrics::load(std::size_t pending, std::size_t queued)
 {
     m_load.Add({{"state", "pending"}}).Set(static_cast<double>(pending));
--- a/bergamot/entry/entry_metrics.h
+++ b/bergamot/entry/entry_metrics.h
@@ -28,6 +28,7 @@
     void attempted(const std::string &target);
     void attemptFailed(const std::string &target, DeliveryProof proof);
     void callerGone(TrafficClass trafficClass);
+    void callerTooSlow(TrafficClass trafficClass);
     void load(std::size_t pending, std::size_t queued);
 
 private:
@@ -38,6 +39,7 @@
     prometheus::Family<prometheus::Counter> &m_attempts;
     prometheus::Family<prometheus::Counter> &m_failures;
     prometheus::Family<prometheus::Counter> &m_gone;
+    prometheus::Family<prometheus::Counter> &m_slow;
     prometheus::Family<prometheus::Gauge> &m_load;
     std::mutex m_mutex;
     std::set<std::string> m_tenants;
--- a/bergamot/entry/forwarding_benchmark.cpp
+++ b/bergamot/entry/forwarding_benchmark.cpp
@@ -8,8 +8,8 @@
 #include <benchmark/benchmark.h>
 
 #include "bergamot/base/hash.h"
-#include "bergamot/config/configuration.h"
 #include "bergamot/entry/data_path.h"
+#include "bergamot/entry/internal/fixed_control.h"
 #include "bergamot/http/client.h"
 #include "bergamot/http/server.h"
 
@@ -21,47 +21,6 @@
 constexpr std::chrono::seconds Patience{10};
 constexpr std::string_view ServiceName = "order-desk";
 
-/// Gives the same view to every question.
-class FixedControl final : public ControlLink
-{
-public:
-    explicit FixedControl(const Address &endpoint)
-        : m_view(std::make_shared<inner::ViewT>())
-    {
-        Configuration configuration;
-        configuration.version = 1;
-        configuration.services[ServiceId(std::string(ServiceName))].service = ServiceId(std::string(ServiceName));
-        m_view->config_version = 1;
-        m_view->configuration = toJson(configuration).serialize();
-        m_view->confirmed = true;
-        auto listed = std::make_unique<inner::EndpointT>();
-        listed->id = "desk-1";
-        listed->kind = inner::EndpointKind::Service;
-        listed->serves = ServiceName;
-        listed->domain = "a";
-        listed->address = toString(endpoint);
-        listed->reachable = true;
-        listed->slots = 64;
-        m_view->endpoints.push_back(std::move(listed));
-    }
-
-    void fetchView(std::uint64_t, const std::vector<SuspectReport> &, Callback<ViewNews> done) override
-    {
-        done(ViewNews{1, m_view});
-    }
-
-    void claimKey(const inner::KeyClaimT &, std::chrono::milliseconds, Callback<inner::KeyClaimReplyT> done) override
-    {
-        done(failure(ErrorCode::Unavailable, "no keys here"));
-    }
-
-    void recordKey(const inner::KeyOutcomeT &) override
-    { }
-
-private:
-    std::shared_ptr<inner::ViewT> m_view;
-};
-
 /// One service, a bare forwarder before it, and the data path before it.
 class Setup
 {
@@ -85,7 +44,10 @@
         options.router.target.pool.instance = "instance-1";
         options.router.target.pool.domain = FailureDomainId("a");
         m_path = std::make_unique<DataPath>(
-            options, m_clock, std::make_shared<FixedControl>(m_service.address()), m_metrics);
+            options,
+            m_clock,
+            std::make_shared<FixedControl>(inner::EndpointKind::Service, std::string(ServiceName), m_service.address()),
+            m_metrics);
         while (started && !m_path->ready()) {
             std::this_thread::yield();
         }
--- a/bergamot/entry/internal/endpoint_calls.cpp
+++ b/bergamot/entry/internal/endpoint_calls.cpp
@@ -50,17 +50,17 @@
         attempt.pending = m_client.call(action.address, std::move(request), options, done);
         return;
     }
-    attempt.relay =
-        std::make_shared<StreamRelay>(id,
-                                      gate,
-                                      StreamRelay::Events{.started =
-                                                              [id, report = m_events.started] {
-                                                                  report(id);
-                                                              },
-                                                          .callerGone =
-                                                              [request = action.request, report = m_events.callerGone] {
-                                                                  report(request);
-                                                              }});
+    attempt.relay = std::make_shared<StreamRelay>(
+        id,
+        gate,
+        StreamRelay::Events{.started =
+                                [id, report = m_events.started] {
+                                    report(id);
+                                },
+                            .callerLost =
+                                [request = action.request, report = m_events.callerLost](CallerLoss loss) {
+                                    report(request, loss);
+                                }});
     HttpClient::StreamSink sink{
         .head =
             [relay = attempt.relay](const HttpResponse &head) {
--- a/bergamot/entry/internal/endpoint_calls.h
+++ b/bergamot/entry/internal/endpoint_calls.h
@@ -21,7 +21,7 @@
     struct Events
     {
         std::function<void(AttemptId)> started;
-        std::function<void(RequestId)> callerGone;
+        std::function<void(RequestId, CallerLoss)> callerLost;
         std::function<void(AttemptId, CallOutcome)> done;
     };
 
--- a/bergamot/entry/internal/stream_relay.cpp
+++ b/bergamot/entry/internal/stream_relay.cpp
@@ -41,7 +41,7 @@
         if (m_gate->responder().write(bytes)) {
             return true;
         }
-        m_events.callerGone();
+        m_events.callerLost(m_gate->responder().callerTooSlow() ? CallerLoss::TooSlow : CallerLoss::Gone);
         return false;
     }
     m_body.append(bytes);
--- a/bergamot/entry/internal/stream_relay.h
+++ b/bergamot/entry/internal/stream_relay.h
@@ -39,6 +39,12 @@
     std::atomic<AttemptId> m_owner{0};
 };
 
+/// Why nothing more can be sent to a caller.
+enum class CallerLoss {
+    Gone, // its connection has ended
+    TooSlow, // it did not take what was sent; its stream was aborted
+};
+
 /// Receives one attempt's stream; its calls come one after the other.
 class StreamRelay
 {
@@ -46,7 +52,7 @@
     struct Events
     {
         std::function<void()> started;
-        std::function<void()> callerGone;
+        std::function<void(CallerLoss)> callerLost;
     };
 
     StreamRelay(AttemptId attempt, std::shared_ptr<StreamGate> gate, Events events);
--- a/bergamot/entry/main.cpp
+++ b/bergamot/entry/main.cpp
@@ -30,6 +30,13 @@
     parser.optional("drain-limit-ms", "600000", "How long requests in flight may take after that.", isWholeNumber);
     parser.optional("max-requests", "4096", "Callers' requests at once.", isWholeNumber);
     parser.optional("max-body-bytes", "16777216", "Size of a request's body.", isWholeNumber);
+    parser.optional("max-head-bytes", "65536", "Size of a request's line and headers.", isWholeNumber);
+    parser.optional("max-stream-backlog-bytes",
+                    "262144",
+                    "Bytes of one stream that its caller has not taken; above it the stream is closed.",
+                    isWholeNumber);
+    parser.optional("max-connections", "8192", "Callers' connections; above it silent ones are closed.", isWholeNumber);
+    parser.optional("idle-connection-ms", "120000", "How long a connection may be silent.", isWholeNumber);
     parser.optional("max-queued", "512", "Requests that wait for one service or model.", isWholeNumber);
     return parser;
 }
@@ -49,9 +56,16 @@
 
 HttpServerOptions serverOptions(const SettingsParser &settings)
 {
-    return {.address = *parseAddress(settings.text("listen-address")),
-            .maxBodyBytes = settings.number("max-body-bytes"),
-            .maxRequestsAtOnce = settings.number("max-requests")};
+    HttpServerOptions options;
+    options.address = *parseAddress(settings.text("listen-address"));
+    options.maxHeadBytes = settings.number("max-head-bytes");
+    options.maxBodyBytes = settings.number("max-body-bytes");
+    options.maxRequestsAtOnce = settings.number("max-requests");
+    options.maxStreamBacklogBytes = settings.number("max-stream-backlog-bytes");
+    options.connections.most = settings.number("max-connections");
+    options.connections.idle = settings.milliseconds("idle-connection-ms");
+    options.refusalHeaders["Bergamot-Outcome"] = "not-run";
+    return options;
 }
 
 int serve(const SettingsParser &settings, const EndSignals &signals)
--- a/bergamot/http/internal/body.cpp
+++ b/bergamot/http/internal/body.cpp
@@ -30,19 +30,36 @@
 
 pplx::task<std::string> readChunk(const concurrency::streams::istream &stream)
 {
-    auto buffer = std::make_shared<std::string>(ChunkBytes, '\0');
+    auto buffer = std::make_shared<std::string>(1, '\0');
     auto *first = reinterpret_cast<std::uint8_t *>(buffer->data());
-    return stream.streambuf().getn(first, 1).then([stream, buffer, first](std::size_t count) {
+    return stream.streambuf().getn(first, 1).then([stream, buffer](std::size_t count) {
         if (count == 0) {
-            return pplx::task_from_result(std::string());
+            return std::string();
         }
-        const std::size_t ready = std::min(stream.streambuf().in_avail(), ChunkBytes - 1);
-        if (ready == 0) {
-            return pplx::task_from_result(buffer->substr(0, 1));
+        // What has arrived besides is asked for as a block: `in_avail` would read the library's counter without its
+        // lock.
+        std::uint8_t *block = nullptr;
+        std::size_t ready = 0;
+        if (stream.streambuf().acquire(block, ready) && block != nullptr) {
+            const std::size_t taken = std::min(ready, ChunkBytes - 1);
+            buffer->append(reinterpret_cast<const char *>(block), taken);
+            stream.streambuf().release(block, taken);
+        }
+        return std::move(*buffer);
+    });
+}
+
+void dropBody(const concurrency::streams::istream &stream)
+{
+    readChunk(stream).then([stream](const pplx::task<std::string> &read) {
+        try {
+            if (!read.get().empty()) {
+                dropBody(stream);
+            }
+        } catch (const std::exception &) {
+            // The caller has gone, or was cut off.
+            return;
         }
-        return stream.streambuf().getn(first + 1, ready).then([buffer](std::size_t more) {
-            return buffer->substr(0, 1 + more);
-        });
     });
 }
 
--- a/bergamot/http/internal/body.h
+++ b/bergamot/http/internal/body.h
@@ -17,6 +17,9 @@
 /// Waits for at least one byte and returns what is there, at most `ChunkBytes`; empty at the end.
 pplx::task<std::string> readChunk(const concurrency::streams::istream &stream);
 
+/// Reads and drops the rest of a body that nobody wants, so that the library does not keep it.
+void dropBody(const concurrency::streams::istream &stream);
+
 inline constexpr std::size_t ChunkBytes = 64U << 10U;
 
 } // namespace bergamot::http_internal
--- a/bergamot/http/message.h
+++ b/bergamot/http/message.h
@@ -49,8 +49,14 @@
     virtual void reply(HttpResponse response) = 0;
     /// Starts an answer whose body follows in chunks; `head.body` is ignored.
     virtual void beginStream(HttpResponse head) = 0;
-    /// Sends one chunk at once. False if the caller has gone; the work for it can then be cancelled.
+    /// Sends one chunk at once. False if the caller has gone or does not take what was sent before; the work for it can
+    /// then be cancelled.
     virtual bool write(std::string_view chunk) = 0;
+    /// Whether the stream was aborted because its caller did not take it.
+    virtual bool callerTooSlow() const
+    {
+        return false;
+    }
     virtual void endStream() = 0;
     /// Ends a started stream so that the caller sees it as broken, never as whole.
     virtual void abortStream() = 0;
--- a/bergamot/http/server.cpp
+++ b/bergamot/http/server.cpp
@@ -4,10 +4,15 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <shared_mutex>
+
 #include <cpprest/http_listener.h>
-#include <cpprest/producerconsumerstream.h>
 
+#include "bergamot/base/event_loop.h"
 #include "bergamot/http/internal/body.h"
+#include "bergamot/http/internal/connection_watch.h"
+#include "bergamot/http/internal/open_listeners.h"
+#include "bergamot/http/internal/send_buffer.h"
 
 namespace bergamot
 {
@@ -15,10 +20,14 @@
 namespace
 {
 
+using http_internal::SendBuffer;
+using http_internal::StreamBacklog;
 using web::http::experimental::listener::http_listener;
-using StreamBuffer = concurrency::streams::producer_consumer_buffer<std::uint8_t>;
 
 constexpr std::chrono::seconds BusyRetryAfter{1};
+constexpr std::size_t FairShares = 16; // what a stream may always keep, as a part of its bound
+constexpr std::size_t DroppedBodies = 4; // how many times the bound may come before the caller is cut off
+constexpr std::size_t HeaderExtraBytes = 4; // colon, space and line end
 
 /// Counts the requests whose answer has not gone out, and lets a drain wait for them.
 class InFlight
@@ -64,21 +73,23 @@
     std::size_t m_count = 0;
 };
 
-web::http::http_response toNative(const HttpResponse &response)
+struct StreamBounds
 {
-    web::http::http_response native(static_cast<web::http::status_code>(response.status));
-    for (const auto &[name, value] : response.headers) {
-        native.headers().add(name, value);
-    }
-    return native;
-}
+    std::size_t one;
+    std::size_t all;
+};
 
 class NativeResponder final : public Responder
 {
 public:
-    NativeResponder(const web::http::http_request &request, std::shared_ptr<InFlight> inFlight)
+    NativeResponder(const web::http::http_request &request,
+                    std::shared_ptr<InFlight> inFlight,
+                    std::shared_ptr<StreamBacklog> backlog,
+                    StreamBounds bounds)
         : m_request(request)
         , m_inFlight(std::move(inFlight))
+        , m_backlog(std::move(backlog))
+        , m_bounds(bounds)
     { }
 
     ~NativeResponder() override
@@ -92,7 +103,7 @@
         if (m_answered.exchange(true)) {
             return;
         }
-        web::http::http_response native = toNative(response);
+        web::http::http_response native = http_internal::toNative(response);
         native.set_body(std::move(response.body), response.contentType);
         send(native);
     }
@@ -102,8 +113,9 @@
         if (m_answered.exchange(true)) {
             return;
         }
-        web::http::http_response native = toNative(head);
-        native.set_body(m_buffer.create_istream(), head.contentType);
+        web::http::http_response native = http_internal::toNative(head);
+        m_buffer = std::make_shared<SendBuffer>(m_backlog);
+        native.set_body(m_buffer->istream(), head.contentType);
         m_streaming = true;
         send(native);
     }
@@ -113,27 +125,41 @@
         if (!m_streaming || m_gone->load()) {
             return false;
         }
-        m_buffer.putn_nocopy(reinterpret_cast<const std::uint8_t *>(chunk.data()), chunk.size()).wait();
-        // Without this the library holds the chunks back and sends them in one lump at the end.
-        m_buffer.sync().wait();
-        return true;
+        m_buffer->write(chunk);
+        if (!overBound()) {
+            return true;
+        }
+        m_tooSlow = true;
+        abortStream();
+        return false;
+    }
+
+    bool callerTooSlow() const override
+    {
+        return m_tooSlow;
     }
 
     void endStream() override
     {
         if (m_streaming.exchange(false)) {
-            m_buffer.close(std::ios_base::out).wait();
+            m_buffer->finish();
         }
     }
 
     void abortStream() override
     {
         if (m_streaming.exchange(false)) {
-            m_buffer.close(std::ios_base::out, std::make_exception_ptr(std::runtime_error("aborted"))).wait();
+            m_buffer->abort();
         }
     }
 
 private:
+    bool overBound() const
+    {
+        const std::size_t waiting = m_buffer->waitingBytes();
+        return waiting > m_bounds.one || (waiting > m_bounds.one / FairShares && m_backlog->bytes() > m_bounds.all);
+    }
+
     void send(const web::http::http_response &native)
     {
         m_request.reply(native).then([inFlight = m_inFlight, gone = m_gone](const pplx::task<void> &sent) {
@@ -151,9 +177,21 @@
     std::atomic<bool> m_answered{false};
     std::atomic<bool> m_streaming{false};
     std::shared_ptr<std::atomic<bool>> m_gone = std::make_shared<std::atomic<bool>>(false);
-    StreamBuffer m_buffer;
+    std::atomic<bool> m_tooSlow{false};
+    std::shared_ptr<StreamBacklog> m_backlog;
+    StreamBounds m_bounds;
+    std::shared_ptr<SendBuffer> m_buffer; // set before `m_streaming`
 };
 
+std::size_t headBytes(const web::http::http_request &native)
+{
+    std::size_t bytes = native.method().size() + native.request_uri().to_string().size();
+    for (const auto &[name, value] : native.headers()) {
+        bytes += name.size() + value.size() + HeaderExtraBytes;
+    }
+    return bytes;
+}
+
 HttpRequest fromNative(const web::http::http_request &native, std::string body)
 {
     HttpRequest request;
@@ -190,32 +228,82 @@
     HttpServerOptions options;
     Handler handler;
     std::unique_ptr<http_listener> listener;
+    std::unique_ptr<EventLoop> watch;
     std::shared_ptr<InFlight> inFlight = std::make_shared<InFlight>();
+    std::shared_ptr<StreamBacklog> backlog = std::make_shared<StreamBacklog>();
+    std::atomic<std::size_t> connections{0};
+    // `stop` sets the flag and then waits until no thread is in the handler.
+    std::atomic<bool> stopped{false};
+    std::shared_mutex handling;
 
     Result<void> open(const Address &address)
     {
-        listener = std::make_unique<http_listener>("http://" + toString(address));
-        listener->support([weak = weak_from_this()](const web::http::http_request &native) {
+        auto opened = std::make_unique<http_listener>("http://" + toString(address));
+        // The listener may outlive this object; it then refuses.
+        opened->support([weak = weak_from_this(), refusal = stoppedRefusal()](const web::http::http_request &native) {
             if (const auto self = weak.lock()) {
                 self->accept(native);
+            } else {
+                refuse(native, refusal);
             }
         });
-        try {
-            listener->open().wait();
-        } catch (const std::exception &error) {
-            listener.reset();
-            return failure(ErrorCode::Unavailable, "cannot listen on " + toString(address) + ": " + error.what());
+        if (const Result<void> result = http_internal::openListener(address, *opened); !result) {
+            return result;
         }
+        listener = std::move(opened);
+        options.address = address;
+        stopped = false;
+        watchConnections();
         return {};
     }
 
+    void watchConnections()
+    {
+        ConnectionLimits limits = options.connections;
+        limits.unansweredBytes = options.maxHeadBytes + options.maxBodyBytes * (1 + DroppedBodies);
+        const auto looks = std::make_shared<http_internal::ConnectionWatch>(options.address, limits);
+        watch = std::make_unique<EventLoop>();
+        watch->every(limits.period, [this, looks] {
+            connections = looks->closeByLimits();
+        });
+    }
+
+    void close()
+    {
+        watch->stop();
+        stopped = true;
+        const std::unique_lock untilNoneIsHandled(handling);
+        http_internal::closeListener(options.address, std::move(listener));
+    }
+
+    HttpResponse stoppedRefusal() const
+    {
+        return refusalOf({ErrorCode::Unavailable, "this server has stopped; the request did not run", BusyRetryAfter});
+    }
+
     void accept(const web::http::http_request &native)
     {
+        if (stopped) {
+            refuse(native, stoppedRefusal());
+            return;
+        }
+        if (headBytes(native) > options.maxHeadBytes) {
+            HttpResponse tooLarge = refusalOf({ErrorCode::InvalidArgument,
+                                               "the request line and headers are larger than "
+                                                   + std::to_string(options.maxHeadBytes) + " bytes; send less"});
+            tooLarge.status = 431;
+            refuse(native, std::move(tooLarge));
+            return;
+        }
         if (!inFlight->enter(options.maxRequestsAtOnce)) {
-            refuse(native, {ErrorCode::Unavailable, "too many requests at once", BusyRetryAfter});
+            refuse(native, refusalOf({ErrorCode::Unavailable, "too many requests at once", BusyRetryAfter}));
             return;
         }
-        const auto responder = std::make_shared<NativeResponder>(native, inFlight);
+        const auto responder = std::make_shared<NativeResponder>(
+            native,
+            inFlight,
+            backlog,
+            StreamBounds{.one = options.maxStreamBacklogBytes, .all = options.maxStreamBacklogBytesInAll});
         http_internal::readBody(native.body(), options.maxBodyBytes)
             .then([self = shared_from_this(), native, responder](const pplx::task<std::optional<std::string>> &read) {
                 self->handle(native, responder, read);
@@ -229,33 +317,47 @@
         try {
             std::optional<std::string> body = read.get();
             if (!body) {
-                HttpResponse tooLarge = errorResponse(
-                    {ErrorCode::InvalidArgument,
-                     "the body is larger than " + std::to_string(options.maxBodyBytes) + " bytes; send less at once"});
-                tooLarge.status = 413;
-                responder->reply(std::move(tooLarge));
+                refuseBody(native, responder);
                 return;
             }
-            handler(fromNative(native, std::move(*body)), responder);
+            dispatch(fromNative(native, std::move(*body)), responder);
         } catch (const std::exception &error) {
             responder->reply(
-                errorResponse({ErrorCode::InvalidArgument, std::string("unreadable request: ") + error.what()}));
+                refusalOf({ErrorCode::InvalidArgument, std::string("unreadable request: ") + error.what()}));
+        }
+    }
+
+    void dispatch(HttpRequest request, const ResponderPtr &responder)
+    {
+        const std::shared_lock untilHandled(handling);
+        if (stopped) {
+            responder->reply(stoppedRefusal());
+            return;
         }
+        handler(std::move(request), responder);
     }
 
-    static void refuse(const web::http::http_request &native, const Error &error)
+    /// The library answers only once the body has ended, so the rest of it is read and dropped.
+    void refuseBody(const web::http::http_request &native, const ResponderPtr &responder) const
+    {
+        HttpResponse tooLarge = refusalOf(
+            {ErrorCode::InvalidArgument,
+             "the body is larger than " + std::to_string(options.maxBodyBytes) + " bytes; send less at once"});
+        tooLarge.status = 413;
+        responder->reply(std::move(tooLarge));
+        http_internal::dropBody(native.body());
+    }
+
+    HttpResponse refusalOf(const Error &error) const
     {
         HttpResponse response = errorResponse(error);
-        web::http::http_response refusal = toNative(response);
-        refusal.set_body(std::move(response.body), response.contentType);
-        native.reply(refusal).then([](const pplx::task<void> &sent) {
-            try {
-                sent.get();
-            } catch (const std::exception &) {
-                // The caller has gone; there is nobody left to tell.
-                return;
-            }
-        });
+        response.headers.insert(options.refusalHeaders.begin(), options.refusalHeaders.end());
+        return response;
+    }
+
+    static void refuse(const web::http::http_request &native, HttpResponse response)
+    {
+        http_internal::replyAndForget(native, std::move(response));
     }
 };
 
@@ -282,7 +384,6 @@
         const Address candidate{m_impl->options.address.ip, freePort(m_impl->options.address.ip)};
         opened = m_impl->open(candidate);
         if (opened) {
-            m_impl->options.address = candidate;
             return {};
         }
     }
@@ -299,6 +400,21 @@
     return m_impl->inFlight->count();
 }
 
+std::size_t HttpServer::openConnections() const
+{
+    return m_impl->connections;
+}
+
+std::size_t HttpServer::streamBacklogBytes() const
+{
+    return m_impl->backlog->bytes();
+}
+
+std::size_t HttpServer::mostStreamBacklogBytes() const
+{
+    return m_impl->backlog->mostBytes();
+}
+
 bool HttpServer::drain(std::chrono::milliseconds limit)
 {
     return m_impl->inFlight->waitUntilEmpty(limit);
@@ -306,15 +422,9 @@
 
 void HttpServer::stop()
 {
-    if (!m_impl->listener) {
-        return;
-    }
-    try {
-        m_impl->listener->close().wait();
-    } catch (const std::exception &) {
-        // The port is closed in any case.
+    if (m_impl->listener) {
+        m_impl->close();
     }
-    m_impl->listener.reset();
 }
 
 } // namespace bergamot
