routing: a death on a reused connection counts against the request

Cause: the HTTP library resends by itself when a reused connection breaks; against the dead endpoint that ends as "not sent", and judge() took it for a refusal, so the quarantine never heard of deaths on reused connections. Under load nearly all are. Change: judge() takes the corrected proof. DeathsOnReusedConnectionsCountAgainstARequest fails before and passes after.

--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -92,7 +92,7 @@
         return;
     }
     const DeliveryProof proof = attempt->connection == Connection::Pooled ? DeliveryProof::MaybeRan : failure.proof;
-    judge(*attempt, failure, pending->request.fingerprint, now);
+    judge(*attempt, {.proof = proof, .timedOut = failure.timedOut}, pending->request.fingerprint, now);
     std::erase(pending->attempts, id);
     pending->outcome = afterFailure(pending->outcome, proof);
     pending->timedOut = failure.timedOut;
--- a/bergamot/routing/router_trouble_test.cpp
+++ b/bergamot/routing/router_trouble_test.cpp
@@ -58,6 +58,27 @@
     EXPECT_EQ(dispatchesOf(again), 0U);
 }
 
+TEST_F(RouterTest, DeathsOnReusedConnectionsCountAgainstARequest)
+{
+    // The HTTP library tries a reused connection that broke once more by itself; against a dead endpoint that ends as
+    // "not sent", although the first try may have killed it.
+    showEndpoints(4);
+    const RequestId id = send([](CallerRequest &request) {
+        request.repeatable = true;
+    });
+    std::set<EndpointId> killed;
+    for (std::size_t next = 0; next < m_dispatches.size(); ++next) {
+        const DispatchAction dispatch = m_dispatches[next];
+        killed.insert(dispatch.endpoint);
+        const bool isReused = dispatch.connection == Connection::Pooled;
+        fail(dispatch.attempt, isReused ? AttemptFailure{.proof = DeliveryProof::NotRun} : ConnectionLost);
+        pass(1ms);
+    }
+    EXPECT_EQ(killed.size(), 2U);
+    EXPECT_EQ(m_refusals[id].reason, RefusalReason::CrashSuspect);
+    EXPECT_EQ(m_refusals[id].outcome, RequestOutcome::MaybeRan);
+}
+
 TEST_F(RouterTest, BrokenConnectionsToLivingEndpointsLeaveNoSuspects)
 {
     showEndpoints(1);
