control: what owners of trainers and entry processes learn of a crashing prompt is one knowledge

Cause: a prompt that crashes engines had to be found twice: entry processes named it by the whole body of their call, owners of trainers by the prompt, and the control process passed no news of its sample service on. Ruled out: translating one fingerprint into the other (neither can be undone). Change: entry processes name a call of a model by promptFingerprint; the control process gives its sample service's news to the domain as it does with those of its entry process. The fixture of whole control processes takes its ports on a loopback number of its own, so that no test beside it takes one between the choice and the opening.

--- a/bergamot/control/control_fleet_fixture.h
+++ b/bergamot/control/control_fleet_fixture.h
@@ -3,6 +3,8 @@
 // A fleet of control processes in one test process, over real TCP, before the stand-ins of the platform. Entry
 // processes are played by the test: it sends what they send, and counts what it was told.
 
+#include <unistd.h>
+
 #include <future>
 
 #include <gtest/gtest.h>
@@ -67,9 +69,14 @@
         return options;
     }
 
+    /// A port of a loopback number of this process alone, so that no other test takes it before it is opened.
     static Address freeAddress()
     {
-        PeerServer server({.address = {"127.0.0.1", 0}, .identity = {}}, [](auto &&...) {});
+        constexpr int Numbers = 250;
+        const int process = ::getpid();
+        const std::string ip =
+            "127." + std::to_string(1 + process / Numbers % Numbers) + "." + std::to_string(process % Numbers) + ".9";
+        PeerServer server({.address = {ip, 0}, .identity = {}}, [](auto &&...) {});
         EXPECT_TRUE(server.start());
         return server.address();
     }
--- a/bergamot/control/control_process.cpp
+++ b/bergamot/control/control_process.cpp
@@ -19,6 +19,7 @@
 #include "bergamot/platform/http_weight_store.h"
 #include "bergamot/protocol/peer_server.h"
 #include "bergamot/rollout/rollout_service.h"
+#include "bergamot/routing/routing_table.h"
 #include "bergamot/samples/sample_service.h"
 
 namespace bergamot
@@ -271,6 +272,7 @@
     intents.tick();
     keys.tick();
     samples.tick();
+    node.suspectsSeen(toFrames(samples.takeSuspectNews()));
     evidence.tick();
     for (const auto &[model, config] : configuration.configuration().models) {
         if (const WeightVersion version = rollout.published(model); version > 0) {
--- a/bergamot/control/control_process_test.cpp
+++ b/bergamot/control/control_process_test.cpp
@@ -1,3 +1,4 @@
+#include "bergamot/base/prompt_fingerprint.h"
 #include "bergamot/control/control_fleet_fixture.h"
 #include "bergamot/control/trainer_router.h"
 #include "bergamot/keys/key_placement.h"
@@ -149,6 +150,17 @@
     {
         return call(m_members.at(instance).http, {.path = "/v1/trainers/nobody/draw"});
     }
+
+    /// Whether the entry process beside `instance` is told of the prompt.
+    bool isSuspectAt(const std::string &instance, std::uint64_t fingerprint)
+    {
+        const Result<inner::FrameT> reply = ask(instance, inner::ViewRequestT{});
+        const inner::ViewReplyT *view = reply ? reply->body.AsViewReply() : nullptr;
+        return view != nullptr && view->view
+            && std::any_of(view->view->suspects.begin(), view->view->suspects.end(), [=](const auto &suspect) {
+                   return suspect->fingerprint == fingerprint && !suspect->endpoints.empty();
+               });
+    }
 };
 
 TEST_F(ControlProcessTrainers, requestsAreHandedToTheOwnerAndToAnotherOneOnceItIsGone)
@@ -176,6 +188,26 @@
     }
 }
 
+TEST_F(ControlProcessTrainers, aPromptThatCrashesAnEngineIsKnownToEveryInstance)
+{
+    startThree();
+    configure(
+        "i1", "intent-1", R"({"domains":["a"],"models":{"agent":{}},"trainers":{"quotes":{"model":"agent"}}})", 1);
+    ASSERT_EQ(post(m_standin.engineAddress(0), "/faults", R"({"fault":"poison","text":"bad"})").status, 200);
+    const HttpRequest step{.method = "PUT",
+                           .path = "/v1/trainers/quotes/steps/1",
+                           .body = R"({"groups":[{"prompt":"bad","samples":1,"max_tokens":4}]})"};
+    ASSERT_TRUE(eventually([&] {
+        return call(m_members.at("i1").http, step).status == 200;
+    }));
+    const std::uint64_t fingerprint = promptFingerprint("agent", "bad");
+    for (const auto &[name, member] : m_members) {
+        EXPECT_TRUE(eventually([&, instance = name] {
+            return isSuspectAt(instance, fingerprint);
+        })) << name;
+    }
+}
+
 class ControlProcessDuties : public ControlFleet
 {
 protected:
--- a/bergamot/control/fleet_node.cpp
+++ b/bergamot/control/fleet_node.cpp
@@ -175,11 +175,16 @@
     return body;
 }
 
-inner::BodyUnion FleetNode::viewRequested(const inner::ViewRequestT &request)
+void FleetNode::suspectsSeen(const std::vector<std::unique_ptr<inner::SuspectT>> &suspects)
 {
-    for (const auto &suspect : request.suspects) {
+    for (const auto &suspect : suspects) {
         m_dissemination.suspectSeen(*suspect, m_parts.clock.now());
     }
+}
+
+inner::BodyUnion FleetNode::viewRequested(const inner::ViewRequestT &request)
+{
+    suspectsSeen(request.suspects);
     inner::ViewReplyT reply;
     reply.view_hash = m_viewHash;
     reply.age_ms = m_viewKnownAt ? wholeMilliseconds(m_parts.clock.now() - *m_viewKnownAt) : NeverWholeAge;
--- a/bergamot/control/fleet_node.h
+++ b/bergamot/control/fleet_node.h
@@ -68,6 +68,8 @@
 
     void tick();
     inner::BodyUnion digestReceived(inner::FrameT &frame);
+    /// News of prompts that crash engines, from an entry process or from this process itself.
+    void suspectsSeen(const std::vector<std::unique_ptr<inner::SuspectT>> &suspects);
     inner::BodyUnion viewRequested(const inner::ViewRequestT &request);
     /// A record of this process is on the log at `offset`; it is read as soon as possible.
     void expect(const std::string &stream, Offset offset);
--- a/bergamot/entry/call_parser.cpp
+++ b/bergamot/entry/call_parser.cpp
@@ -5,6 +5,7 @@
 
 #include "bergamot/base/hash.h"
 #include "bergamot/base/json.h"
+#include "bergamot/base/prompt_fingerprint.h"
 
 namespace bergamot
 {
@@ -127,7 +128,7 @@
     call->facts.streaming = stream;
     call->facts.prefix = stableHash(std::string_view(prompt).substr(0, PrefixCharacters));
     call->facts.work = std::max(1.0, static_cast<double>(maxTokens) / TokensPerUnit);
-    call->facts.fingerprint = requestFingerprint(targetName, "POST", GenerateSuffix, request.body);
+    call->facts.fingerprint = promptFingerprint(model.value(), prompt);
     web::json::value generation = web::json::value::object();
     generation["model"] = web::json::value(model.value());
     generation["prompt"] = web::json::value(prompt);
--- a/bergamot/entry/call_parser_test.cpp
+++ b/bergamot/entry/call_parser_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include "bergamot/base/prompt_fingerprint.h"
+
 namespace bergamot
 {
 
@@ -122,6 +124,7 @@
     ASSERT_TRUE(call);
     EXPECT_TRUE(call->facts.repeatable);
     EXPECT_TRUE(call->facts.streaming);
+    EXPECT_EQ(call->facts.fingerprint, promptFingerprint("agent", "quote")) << "as owners of trainers name it";
     EXPECT_EQ(call->facts.deadline, Now + 1500ms);
     EXPECT_DOUBLE_EQ(call->facts.work, 4.0);
     ASSERT_TRUE(call->generation);
