routing: other domains get only what their reports show to be free

Cause: at 2x load each domain sent the others what it could not place itself, with limits that follow reports up to 6 s late: p99 inside the endpoints 39 ms (27 ms with the own domain alone).

Change: SpillLimit. While the own domain serves and reports its load, an instance sends others at most its share of their slots that are free below 85 %; each report moves the number by what it lacks and at most doubles it. If no own endpoint serves, the others are used as the own ones.

--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -44,6 +44,7 @@
 EndpointPool::EndpointPool(EndpointPoolOptions options, std::unique_ptr<ChoiceStrategy> strategy)
     : m_options(std::move(options))
     , m_strategy(std::move(strategy))
+    , m_spill(m_options.spillThreshold)
 {
     m_local.reportLimit = ReportLimit(withRounding(m_options.reportLimit, m_options.instance));
     m_remote.reportLimit = m_local.reportLimit;
@@ -68,8 +69,7 @@
     }
     rebuildOrder(now);
     countInFlight();
-    sumReports(m_local, now);
-    sumReports(m_remote, now);
+    takeReports(now);
 }
 
 void EndpointPool::dispatched(std::size_t slot, TimePoint now)
@@ -287,6 +287,7 @@
     Group &group = groupOf(state);
     ++group.inFlight;
     group.reportLimit.dispatched(group.inFlight);
+    m_spill.dispatched(m_remote.inFlight);
 }
 
 void EndpointPool::countFinished(State &state, TimePoint now)
@@ -315,25 +316,57 @@
     }
 }
 
-void EndpointPool::sumReports(Group &group, TimePoint now) const
+EndpointPool::GroupReport EndpointPool::sumReports(const Group &group) const
 {
-    double load = 0;
-    double slots = 0;
-    Duration oldest = Duration::zero();
+    GroupReport sum;
     for (const std::size_t slot : group.order) {
         const RoutedEndpoint &listed = m_states[slot].listed;
         if (!listed.reportsLoad()) {
             continue;
         }
-        load += listed.load;
-        slots += listed.slots;
-        oldest = std::max(oldest, listed.loadAge);
+        sum.load += listed.load;
+        sum.slots += listed.slots;
+        sum.oldest = std::max(sum.oldest, listed.loadAge);
     }
-    if (slots > 0) {
-        group.reportLimit.reported(load / slots, now - oldest);
-    } else {
-        group.reportLimit.silent();
+    return sum;
+}
+
+void EndpointPool::takeReports(TimePoint now)
+{
+    const GroupReport own = sumReports(m_local);
+    const GroupReport others = sumReports(m_remote);
+    for (const auto &[group, report] : {std::pair(&m_local, own), std::pair(&m_remote, others)}) {
+        if (report.slots > 0) {
+            group->reportLimit.reported(report.load / report.slots, now - report.oldest);
+        } else {
+            group->reportLimit.silent();
+        }
+    }
+    m_ownReports = own.slots > 0;
+    takeSpillReport(own, others, now);
+}
+
+void EndpointPool::takeSpillReport(const GroupReport &own, const GroupReport &others, TimePoint now)
+{
+    if (own.slots <= 0 || others.slots <= 0) {
+        m_spill.silent();
+        return;
+    }
+    std::set<FailureDomainId> domains;
+    for (const std::size_t slot : m_remote.order) {
+        domains.insert(m_states[slot].listed.domain);
     }
+    // The instances share other domains' free places as they share their own domain's slots.
+    const double ownShare = std::min(1.0, m_local.reportLimit.allowed() / own.slots);
+    m_spill.reported({.perSlot = others.load / others.slots,
+                      .slots = others.slots,
+                      .share = ownShare / static_cast<double>(domains.size())},
+                     now - others.oldest);
+}
+
+bool EndpointPool::ownServes() const
+{
+    return m_options.spillByReports && m_ownReports && m_local.allowed > 0;
 }
 
 bool EndpointPool::mayDoubtMore() const
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -22,6 +22,7 @@
 #include "bergamot/routing/outcome.h"
 #include "bergamot/routing/report_limit.h"
 #include "bergamot/routing/routing_table.h"
+#include "bergamot/routing/spill_limit.h"
 
 namespace bergamot
 {
@@ -32,7 +33,9 @@
     FailureDomainId domain; // this one
     std::size_t localSubset = 180;
     std::size_t remoteSubset = 24;
-    double spillThreshold = 0.85; // share of the limits in the own domain that is used before others are asked
+    double spillThreshold = 0.85; // share of the limits in the own domain that is used before others are asked, and of
+                                  // the slots of the others that is filled so
+    bool spillByReports = true; // others are only asked for places that their reports show to be free
     double affinityBound = 1.25; // load of a prefix's owner over the mean
     std::array<double, TrafficClassCount> classShare{1.0, 0.97, 0.92}; // of the sum of the limits, by class
     double interactiveBurst = 2; // places beyond the sum of the limits for interactive requests, times its root: with
@@ -120,6 +123,13 @@
         double allowed = 0; // sum of the limits of the endpoints that serve
         ReportLimit reportLimit;
     };
+    /// Sum of the newest reports of a group's endpoints.
+    struct GroupReport
+    {
+        double load = 0;
+        double slots = 0; // 0: nobody reports
+        Duration oldest{};
+    };
     class View;
 
     std::size_t slotFor(const RoutedEndpoint &endpoint);
@@ -134,7 +144,11 @@
     /// Whether the class may take one more place in `share` of the group's limits.
     bool classHasRoom(const Group &group, TrafficClass trafficClass, double share) const;
     void sumLimits();
-    void sumReports(Group &group, TimePoint now) const;
+    GroupReport sumReports(const Group &group) const;
+    void takeReports(TimePoint now);
+    void takeSpillReport(const GroupReport &own, const GroupReport &others, TimePoint now);
+    /// Whether the own domain works off requests and reports its load, so that others are only asked for what is free.
+    bool ownServes() const;
     double cost(const State &state, TimePoint now) const;
     bool tooSlow(std::chrono::duration<double> perUnit) const;
     /// Whether one more endpoint may be ejected although it takes connections. If most of them fail, what they have
@@ -151,6 +165,8 @@
     std::vector<std::size_t> m_free;
     Group m_local;
     Group m_remote;
+    SpillLimit m_spill;
+    bool m_ownReports = false;
     std::uint32_t m_inFlight = 0;
     double m_unitSeconds = 0;
     double m_requestSeconds = 0;
--- a/bergamot/routing/endpoint_pool_choice.cpp
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -73,7 +73,8 @@
         }
     }
     const PickRequest plain{.trafficClass = request.trafficClass, .prefix = 0, .excluded = request.excluded};
-    if (!m_remote.order.empty()) {
+    const bool mayLeave = !m_remote.order.empty() && (!ownServes() || m_remote.inFlight < m_spill.allowed());
+    if (mayLeave) {
         if (const auto slot = tryGroup(m_local, plain, m_options.spillThreshold, now, random)) {
             return slot;
         }
--- a/bergamot/routing/limits_test.cpp
+++ b/bergamot/routing/limits_test.cpp
@@ -7,6 +7,7 @@
 #include "bergamot/routing/load_estimate.h"
 #include "bergamot/routing/report_limit.h"
 #include "bergamot/routing/retry_budget.h"
+#include "bergamot/routing/spill_limit.h"
 
 namespace bergamot
 {
@@ -126,6 +127,50 @@
     EXPECT_GT(limit.allowed(), 1e9);
 }
 
+struct SpillCase
+{
+    std::string name;
+    double perSlot;
+    std::uint32_t inFlight; // at most since the report before
+    std::uint32_t allowed; // 8 before
+};
+
+class SpillRules : public testing::TestWithParam<SpillCase>
+{ };
+
+TEST_P(SpillRules, MoveByTheShareOfWhatIsFree)
+{
+    constexpr double Slots = 40;
+    SpillLimit limit(0.85);
+    EXPECT_EQ(limit.allowed(), 0U);
+    TimePoint now = Now;
+    for (const std::uint32_t allowed : {1U, 2U, 4U, 8U}) {
+        now += 5s;
+        limit.dispatched(limit.allowed());
+        limit.reported({.perSlot = 0, .slots = Slots, .share = 1}, now);
+        ASSERT_EQ(limit.allowed(), allowed) << "However much is free, it at most doubles.";
+    }
+    now += 5s;
+    limit.dispatched(GetParam().inFlight);
+    limit.reported({.perSlot = GetParam().perSlot, .slots = Slots, .share = 0.1}, now);
+    EXPECT_EQ(limit.allowed(), GetParam().allowed);
+    limit.reported({.perSlot = 0, .slots = Slots, .share = 1}, now);
+    EXPECT_EQ(limit.allowed(), GetParam().allowed) << "The same report counts once.";
+    limit.silent();
+    EXPECT_EQ(limit.allowed(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         SpillRules,
+                         testing::Values(SpillCase{"RoomAndUsed", 0.6, 8, 9},
+                                         SpillCase{"RoomHalfUsed", 0.6, 4, 5},
+                                         SpillCase{"RoomUnused", 0.6, 0, 1},
+                                         SpillCase{"Over", 1.1, 8, 7},
+                                         SpillCase{"FarOver", 5, 8, 0}),
+                         [](const auto &testCase) {
+                             return testCase.param.name;
+                         });
+
 TEST(LoadEstimateTest, CorrectsAReportByOwnChangesSince)
 {
     LoadEstimate load;
--- a/bergamot/routing/routing_benchmark.cpp
+++ b/bergamot/routing/routing_benchmark.cpp
@@ -202,6 +202,8 @@
 constexpr int FirstCheckSeed = 11; // never looked at while a rule was chosen
 constexpr int LastCheckSeed = 16;
 
+constexpr Duration SettledAfter = 15s; // three reports from other domains
+
 struct Policy
 {
     std::string name;
@@ -210,6 +212,7 @@
     std::size_t routers = 4;
     std::size_t domains = 1;
     bool knowsRemoteLoad = true;
+    Duration warmUp = SimulationOptions().warmUp;
 };
 
 template<typename Strategy>
@@ -243,6 +246,11 @@
     options.target.hedges = {.share = 0, .reserve = 0, .most = 0};
 }
 
+void withFreeSpill(RouterOptions &options)
+{
+    options.target.pool.spillByReports = false;
+}
+
 void withoutBurst(RouterOptions &options)
 {
     options.target.pool.interactiveBurst = 0;
@@ -277,6 +285,10 @@
         {"eighteenRoutersNoReports", nullptr, false, 18},
         {"threeDomains", nullptr, true, 18, 3},
         {"threeDomainsRemoteUnknown", nullptr, true, 18, 3, false},
+        {"threeDomainsFreeSpill", withFreeSpill, true, 18, 3},
+        {"threeDomainsSettled", nullptr, true, 18, 3, true, SettledAfter},
+        {"threeDomainsSettledFreeSpill", withFreeSpill, true, 18, 3, true, SettledAfter},
+        {"eighteenRoutersFreeSpill", withFreeSpill, true, 18},
         {"threeDomainsNoBurst", withoutBurst, true, 18, 3},
         {"threeDomainsNoReports", nullptr, false, 18, 3},
     };
@@ -293,6 +305,7 @@
     options.routers = policy.routers;
     options.domains = policy.domains;
     options.remoteReports = policy.knowsRemoteLoad;
+    options.warmUp = policy.warmUp;
     return options;
 }
 
