routing: one report of another domain moves the limit once

Cause: a report's age comes in steps of 100 ms, cut at each of up to three hops, and is told again every second, so that the same report may seem up to 0.3 s newer each time; SpillLimit would have moved by it several times.

Ruled out: carrying the time of measurement (clocks of different hosts).

Change: a report within 500 ms of the last one is the same.

Left: an instance's copy does not age between two deltas, so reports look up to that much newer.

--- a/bergamot/routing/limits_test.cpp
+++ b/bergamot/routing/limits_test.cpp
@@ -154,7 +154,7 @@
     limit.dispatched(GetParam().inFlight);
     limit.reported({.perSlot = GetParam().perSlot, .slots = Slots, .share = 0.1}, now);
     EXPECT_EQ(limit.allowed(), GetParam().allowed);
-    limit.reported({.perSlot = 0, .slots = Slots, .share = 1}, now);
+    limit.reported({.perSlot = 0, .slots = Slots, .share = 1}, now + 300ms);
     EXPECT_EQ(limit.allowed(), GetParam().allowed) << "The same report counts once.";
     limit.silent();
     EXPECT_EQ(limit.allowed(), 0U);
--- a/bergamot/routing/spill_limit.cpp
+++ b/bergamot/routing/spill_limit.cpp
@@ -6,6 +6,8 @@
 namespace
 {
 
+// The age of one report comes in steps, from several hops: it may seem to have been measured a little later each time.
+constexpr Duration SameReport = std::chrono::milliseconds(500);
 constexpr double FirstPlaces = 1;
 constexpr double SteepestGrowth = 2; // factor for one report
 
@@ -22,7 +24,7 @@
 
 void SpillLimit::reported(const SpillReport &report, TimePoint measuredAt)
 {
-    if (measuredAt <= m_measuredAt) {
+    if (measuredAt <= m_measuredAt + SameReport) {
         return;
     }
     m_measuredAt = measuredAt;
--- a/bergamot/routing/spill_limit.h
+++ b/bergamot/routing/spill_limit.h
@@ -31,7 +31,7 @@
 
     /// This instance has `inFlight` requests there now.
     void dispatched(std::uint32_t inFlight);
-    /// A report no newer than the last is ignored.
+    /// A report that is hardly newer than the last is the same one and is ignored.
     void reported(const SpillReport &report, TimePoint measuredAt);
     /// The endpoints report no load any more: nothing shows that they have room.
     void silent();
