entry: the guilty request's test waits for all innocents

It waited for one request on each endpoint, but sends two to each; one that arrived after the death of its endpoint was answered there, which rightly shows that the endpoint had lived, and clears the suspect.

Change: the test waits for both innocents of each endpoint before the guilty request. Its expectations stay.

An endpoint that restarts within a request's connection time could still clear a guilty one; then it costs one more endpoint.

--- a/bergamot/entry/data_path_streams_test.cpp
+++ b/bergamot/entry/data_path_streams_test.cpp
@@ -226,6 +226,7 @@
 TEST_F(DataPathStreams, GuiltyRequestKillsTwoEndpointsAtMostAndInnocentsAreAnswered)
 {
     constexpr std::size_t Endpoints = 4;
+    constexpr std::size_t InnocentsOfEach = 2;
     std::array<HeldEndpoint, Endpoints> endpoints;
     std::vector<Listed> listed;
     listed.reserve(Endpoints);
@@ -235,12 +236,13 @@
     }
     show(listed);
     std::vector<std::shared_ptr<TestCaller>> innocents;
-    innocents.reserve(Endpoints * 2);
-    for (std::size_t count = 0; count < Endpoints * 2; ++count) {
+    innocents.reserve(Endpoints * InnocentsOfEach);
+    for (std::size_t count = 0; count < Endpoints * InnocentsOfEach; ++count) {
         innocents.push_back(send(m_path, within(read("item-" + std::to_string(count)), 60s)));
     }
+    // One that arrived after the death and was answered would show that the endpoint had lived.
     for (HeldEndpoint &endpoint : endpoints) {
-        ASSERT_TRUE(endpoint.waitForRequests(1));
+        ASSERT_TRUE(endpoint.waitForRequests(InnocentsOfEach));
     }
     const auto guilty = send(m_path, within(poison(), 60s));
     ASSERT_TRUE(m_control->waitForSuspect(1));
