--- a/bergamot/control/control_fleet_fixture.h
+++ b/bergamot/control/control_fleet_fixture.h
@@ -159,8 +159,9 @@
         ASSERT_TRUE(eventually([&] {
             return post(at, path, R"({"operator":"test"})").status == 200;
         }));
-        for (const auto &[name, member] : m_members) {
-            if (member.process) {
+        for (const auto &member : m_members) {
+            const std::string &name = member.first;
+            if (member.second.process) {
                 EXPECT_TRUE(eventually([&] {
                     return versionAt(name) >= version;
                 })) << name;
--- a/bergamot/control/mixed_versions_test.cpp
+++ b/bergamot/control/mixed_versions_test.cpp
@@ -67,7 +67,8 @@
         for (const std::string &instance : old) {
             const std::string by = name + instance;
             replace(instance, by, range);
-            for (const auto &[other, member] : m_members) {
+            for (const auto &member : m_members) {
+                const std::string &other = member.first;
                 EXPECT_TRUE(eventually([&] {
                     return versionAt(other) == version;
                 })) << other
