membership: a woken relay hands out its state at once again

Ruled out: that the announcement comes too late; the pollers' reports arrive before a follower asks. Change: holding it back is reverted; that the age of its state counts from before the pause stays. Conclusion: reverted.

--- a/bergamot/membership/dissemination_receive.cpp
+++ b/bergamot/membership/dissemination_receive.cpp
@@ -150,9 +150,6 @@
                              const inner::DigestT &digest,
                              TimePoint now)
 {
-    if (isRecovering(now)) {
-        return; // what the asker has is newer; it turns to another relay
-    }
     if (!m_isRelay) {
         // An asker without anything gets what there is; the tick makes it ask a relay for everything again.
         if (digest.seen_tick == 0) {
