--- a/bergamot/fuzz/internal/body_targets.cpp
+++ b/bergamot/fuzz/internal/body_targets.cpp
@@ -26,7 +26,7 @@
 {
     const auto line = [&input] {
         const std::size_t end = std::min(input.find('\n'), input.size());
-        const std::string text(input.substr(0, end));
+        std::string text(input.substr(0, end));
         input.remove_prefix(std::min(end + 1, input.size()));
         return text;
     };
