--- a/bergamot/samples/sample_holding_test.cpp
+++ b/bergamot/samples/sample_holding_test.cpp
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::minutes;
 
-constexpr std::size_t TextBytes = 20 * 4; // the longest text of a trainer of these tests
+constexpr std::size_t TextBytes = 80; // the longest text of a trainer of these tests
 constexpr std::size_t Slots = 18;
 
 struct HoldingCase
