keys: a claim that the log will not take is refused at once

Cause: with the log out, each new keyed request waited 2 s for its own append to fail, or until its caller's deadline ("The deadline passed"): it was held though nothing could come of it, against the users' standing request. Ruled out: refusing as soon as one read of the log fails (a lost answer is no outage; the append may work). Change: after a claim that was not seen to land, one claim at a time asks the log; the others are refused at once with the time to come again. An entry process waits for a claim at most half of the deadline that is left, so that its own refusal comes before the deadline. The first claims of an outage still wait up to 2 s or half their deadline: nothing is known yet.

--- a/bergamot/base/event_loop_test.cpp
+++ b/bergamot/base/event_loop_test.cpp
@@ -72,6 +72,11 @@
 {
     struct PostsWhenDropped
     {
+        explicit PostsWhenDropped(EventLoop &givenLoop)
+            : loop(givenLoop)
+        { }
+        PostsWhenDropped(const PostsWhenDropped &) = delete;
+        PostsWhenDropped &operator=(const PostsWhenDropped &) = delete;
         ~PostsWhenDropped()
         {
             loop.post([] {});
--- a/bergamot/entry/internal/key_claims.cpp
+++ b/bergamot/entry/internal/key_claims.cpp
@@ -7,6 +7,7 @@
 {
 
 constexpr Duration LongestClaim = std::chrono::seconds(3);
+constexpr int ClaimDeadlineDivisor = 2; // a claim may take half of what is left, so that its request has time to run
 // Answers are kept on the platform's log; a longer one is recorded as lost.
 constexpr std::size_t MostAnswerBytes = 16U << 10U;
 
@@ -42,7 +43,8 @@
     frame.key = claim.key;
     frame.body_digest = call.keyDigest;
     frame.claim_id = claim.id;
-    const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(std::min(deadlineLeft, LongestClaim));
+    const Duration longest = std::min(deadlineLeft / ClaimDeadlineDivisor, LongestClaim);
+    const auto timeout = std::chrono::ceil<std::chrono::milliseconds>(longest);
     m_control->claimKey(frame, timeout, [request, replied](Result<inner::KeyClaimReplyT> reply) {
         replied(request, std::move(reply));
     });
--- a/bergamot/keys/key_service.cpp
+++ b/bergamot/keys/key_service.cpp
@@ -90,6 +90,8 @@
         pending->second.waiters.push_back({claim, std::move(done)});
     } else if (!m_caughtUp()) {
         done(refusal("this instance does not have all claims of the log yet"));
+    } else if (!mayAskTheLog()) {
+        done(refusal("the log takes no claims now"));
     } else if (m_fold.full()) {
         done(refusal("too many keys are remembered"));
     } else {
@@ -97,6 +99,11 @@
     }
 }
 
+bool KeyService::mayAskTheLog() const
+{
+    return !m_logInDoubt || m_claims.empty();
+}
+
 void KeyService::startClaim(const inner::KeyClaimT &claim, ClaimDone done)
 {
     PendingClaim &pending = m_claims[claim.key];
@@ -119,6 +126,7 @@
     if (pending == m_claims.end() || pending->second.claimId != claimId) {
         return;
     }
+    m_logInDoubt = !offset;
     if (offset) {
         pending->second.landed = *offset;
         settleClaims();
@@ -311,6 +319,7 @@
     for (auto next = m_claims.begin(); next != m_claims.end();) {
         const auto pending = next++;
         if (pending->second.deadline <= now) {
+            m_logInDoubt = true;
             refuseClaim(pending, "the log did not show the claim in time", true);
         }
     }
--- a/bergamot/keys/key_service.h
+++ b/bergamot/keys/key_service.h
@@ -109,6 +109,8 @@
     inner::KeyClaimReplyT verdictWhileClaimed(const KeyEntry &entry, const inner::KeyClaimT &claim);
     inner::KeyClaimReplyT refusal(const std::string &why) const;
     bool grantedHere(const KeyEntry &entry) const;
+    /// While the log is in doubt, one claim at a time finds out whether it takes records again.
+    bool mayAskTheLog() const;
 
     void enqueueOutcome(const inner::KeyOutcomeT &outcome, OutcomeDone done);
     void appendOutcome(const std::string &claimId, PendingOutcome &pending);
@@ -124,6 +126,7 @@
     const KeyFold &m_fold;
     const std::function<bool()> m_caughtUp;
     std::map<std::string, PendingClaim> m_claims; // by key
+    bool m_logInDoubt = false; // the newest claim was not seen to land
     std::map<std::string, PendingOutcome> m_outcomes; // by claim id
     std::map<std::string, Abandoned> m_abandoned; // by claim id
     std::map<std::string, TimePoint> m_seenClaimed; // by claim id of others' runs
--- a/bergamot/keys/key_service_test.cpp
+++ b/bergamot/keys/key_service_test.cpp
@@ -53,10 +53,10 @@
 
     using Verdict = std::shared_ptr<std::optional<inner::KeyClaimReplyT>>;
 
-    Verdict claim(Node &node, const std::string &id, const std::string &digest = "d")
+    Verdict claim(Node &node, const std::string &id, const std::string &digest = "d", const std::string &key = "k")
     {
         inner::KeyClaimT claim;
-        claim.key = "k";
+        claim.key = key;
         claim.claim_id = id;
         claim.body_digest = digest;
         auto verdict = std::make_shared<std::optional<inner::KeyClaimReplyT>>();
@@ -273,5 +273,24 @@
     EXPECT_TRUE(a.appender.held.empty());
 }
 
+TEST_F(KeyServiceTest, whileTheLogIsInDoubtOneClaimAsksAndTheOthersAreRefusedAtOnce)
+{
+    const Verdict first = claim(a, "c1", "d", "k1");
+    clock.advance(2s);
+    a.service.tick();
+    EXPECT_EQ((*first)->verdict, KeyVerdict::Refused);
+    const Verdict asks = claim(a, "c2", "d", "k2");
+    EXPECT_FALSE(asks->has_value());
+    const Verdict refused = claim(a, "c3", "d", "k3");
+    ASSERT_TRUE(refused->has_value()) << "it would have waited as the first one did";
+    EXPECT_EQ((*refused)->verdict, KeyVerdict::Refused);
+    EXPECT_GT((*refused)->retry_after_ms, 0U);
+    land(a);
+    land(a);
+    EXPECT_EQ(verdictOf(asks), KeyVerdict::Granted);
+    EXPECT_FALSE(claim(a, "c4", "d", "k4")->has_value());
+    EXPECT_FALSE(claim(a, "c5", "d", "k5")->has_value()) << "the log is in doubt no longer";
+}
+
 } // namespace
 } // namespace bergamot
