control: loads alone make a new view once a second; a doubt about the log ends with any record that landed

Ruled out: the view's period (a leaving endpoint must be known within 3 s); a doubt that ends by time (nothing is known). Change: the view's structure, all but loads and ages, is compared; a view in which only loads are new is published once a second, which is how often endpoints are asked. Every append that succeeds ends the doubt. KeyServiceTest.aRecordThatIsReadBeforeItsAnswerComesEndsTheDoubtToo fails before and passes after.

--- a/bergamot/control/fleet_node.cpp
+++ b/bergamot/control/fleet_node.cpp
@@ -13,6 +13,28 @@
     return static_cast<std::uint64_t>(std::max<std::int64_t>(0, age / std::chrono::milliseconds(1)));
 }
 
+template<typename Row>
+std::uint64_t addRows(std::uint64_t sum, const std::vector<std::unique_ptr<Row>> &rows, std::string Row::*name)
+{
+    for (const std::unique_ptr<Row> &row : rows) {
+        sum = stableHash((*row).*name, sum) + fingerprintOf(*row);
+    }
+    return sum;
+}
+
+/// Changes with everything in the view but the loads and ages of endpoints.
+std::uint64_t structureOf(const inner::ViewT &view)
+{
+    std::uint64_t sum = view.config_version * 2 + (view.confirmed ? 1 : 0);
+    sum = addRows(sum, view.endpoints, &inner::EndpointT::id);
+    sum = addRows(sum, view.members, &inner::MemberStatusT::instance);
+    sum = addRows(sum, view.published, &inner::PublishedVersionT::model);
+    for (const std::unique_ptr<inner::SuspectT> &suspect : view.suspects) {
+        sum = stableHash(std::to_string(suspect->fingerprint), sum) + fingerprintOf(*suspect);
+    }
+    return sum;
+}
+
 } // namespace
 
 FleetNode::FleetNode(FleetNodeOptions options,
@@ -154,10 +176,16 @@
     }
     m_viewKnownAt = m_dissemination.stateKnownAt();
     m_nextView = now + m_options.viewPeriod;
-    m_viewRevision = m_dissemination.viewRevision();
-    m_viewVersion = version;
     auto view = std::make_shared<inner::ViewT>(m_dissemination.view(now));
     view->config_version = version;
+    const std::uint64_t structure = structureOf(*view);
+    if (structure == m_viewStructure && now < m_nextLoads) {
+        return; // nothing but loads is new
+    }
+    m_viewStructure = structure;
+    m_nextLoads = now + m_options.loadPeriod;
+    m_viewRevision = m_dissemination.viewRevision();
+    m_viewVersion = version;
     view->configuration = m_events.configuration();
     for (const FailureDomainId &domain : m_events.domains()) {
         view->domains.push_back(domain.value());
--- a/bergamot/control/fleet_node.h
+++ b/bergamot/control/fleet_node.h
@@ -30,6 +30,7 @@
     std::chrono::milliseconds listTimeout{2000};
     std::chrono::milliseconds probeTimeout{1000};
     Duration viewPeriod = std::chrono::milliseconds(200); // between changed views, at least
+    Duration loadPeriod = std::chrono::seconds(1); // between views in which nothing but loads is new
 };
 
 /// What the node needs; all outlive it.
@@ -112,6 +113,8 @@
     std::uint64_t m_viewHash = 0;
     std::uint64_t m_viewRevision = 0;
     std::uint64_t m_viewVersion = 0; // of the configuration in it
+    std::uint64_t m_viewStructure = 0; // of all in it but loads
+    TimePoint m_nextLoads{};
     std::optional<TimePoint> m_viewKnownAt; // when the state in it was last whole
     TimePoint m_nextView{};
     bool m_wasRelay = false;
--- a/bergamot/keys/key_service.cpp
+++ b/bergamot/keys/key_service.cpp
@@ -123,6 +123,7 @@
 void KeyService::claimAppended(const std::string &key, const std::string &claimId, const Result<Offset> &offset)
 {
     const auto pending = m_claims.find(key);
+    m_logInDoubt = m_logInDoubt && !offset;
     if (pending == m_claims.end() || pending->second.claimId != claimId) {
         return;
     }
--- a/bergamot/keys/key_service_test.cpp
+++ b/bergamot/keys/key_service_test.cpp
@@ -273,6 +273,23 @@
     EXPECT_TRUE(a.appender.held.empty());
 }
 
+TEST_F(KeyServiceTest, aRecordThatIsReadBeforeItsAnswerComesEndsTheDoubtToo)
+{
+    claim(a, "c1", "d", "k1");
+    clock.advance(2s);
+    a.service.tick();
+    fail(a, ErrorCode::Unavailable);
+    const Verdict asks = claim(a, "c2", "d", "k2");
+    const auto [record, done] = a.appender.held.front();
+    a.appender.held.pop_front();
+    landLate(record);
+    EXPECT_EQ(verdictOf(asks), KeyVerdict::Granted);
+    done(fold.applied());
+    settle();
+    EXPECT_FALSE(claim(a, "c3", "d", "k3")->has_value());
+    EXPECT_FALSE(claim(a, "c4", "d", "k4")->has_value()) << "the log is in doubt no longer";
+}
+
 TEST_F(KeyServiceTest, whileTheLogIsInDoubtOneClaimAsksAndTheOthersAreRefusedAtOnce)
 {
     const Verdict first = claim(a, "c1", "d", "k1");
