entry: try: after two silent peers of the domain, another domain is asked

Ruled out: - Change: after two peers of the domain that were of no use, the first of another domain is asked. Not traced: what the other domains' views say of the endpoint.

--- a/bergamot/entry/internal/view_sources.cpp
+++ b/bergamot/entry/internal/view_sources.cpp
@@ -90,6 +90,7 @@
 
 void ViewSources::use(const ViewFacts &facts, TimePoint now)
 {
+    m_passedOver = 0;
     const TimePoint knownAt = now - *facts.age;
     m_knownAt = std::max(m_knownAt.value_or(knownAt), knownAt);
     m_configVersion = std::max(m_configVersion, facts.configVersion);
@@ -108,8 +109,13 @@
 
 void ViewSources::passOver()
 {
-    if (!m_peers.empty()) {
-        nextPeer();
+    if (m_peers.empty()) {
+        return;
+    }
+    nextPeer();
+    const auto elsewhere = m_peers.lower_bound(Peer{.isElsewhere = true, .isBefore = false, .instance = {}});
+    if (++m_passedOver == m_options.silentPeers && elsewhere != m_peers.end()) {
+        m_peer = elsewhere->first;
     }
 }
 
