--- a/bergamot/entry/internal/view_sources.cpp
+++ b/bergamot/entry/internal/view_sources.cpp
@@ -90,7 +90,6 @@
 
 void ViewSources::use(const ViewFacts &facts, TimePoint now)
 {
-    m_passedOver = 0;
     const TimePoint knownAt = now - *facts.age;
     m_knownAt = std::max(m_knownAt.value_or(knownAt), knownAt);
     m_configVersion = std::max(m_configVersion, facts.configVersion);
@@ -109,13 +108,8 @@
 
 void ViewSources::passOver()
 {
-    if (m_peers.empty()) {
-        return;
-    }
-    nextPeer();
-    const auto elsewhere = m_peers.lower_bound(Peer{.isElsewhere = true, .isBefore = false, .instance = {}});
-    if (++m_passedOver == m_options.silentPeers && elsewhere != m_peers.end()) {
-        m_peer = elsewhere->first;
+    if (!m_peers.empty()) {
+        nextPeer();
     }
 }
 
--- a/bergamot/entry/internal/view_sources.h
+++ b/bergamot/entry/internal/view_sources.h
@@ -2,9 +2,8 @@
 
 // Which control processes an entry process asks for views, and whose answer it believes. It follows the one beside it.
 // While that one does not answer, or has not heard from its domain for long, another one is asked too: those of the
-// domain in turn, and after two that were of no use those of other domains, whose views show a part of this domain's
-// endpoints. A view that is older than the one in use is not taken, so that a paused process that wakes brings nothing
-// back.
+// domain in turn, then those of other domains, whose views show a part of this domain's endpoints. A view that is older
+// than the one in use is not taken, so that a paused process that wakes brings nothing back.
 //
 //     for (const ViewSource &source : sources.due()) { ask(source); }
 //     if (sources.answered(source, {.age = age, .configVersion = version}, now)) { use(view); }
@@ -22,7 +21,6 @@
 {
     Duration staleAfter = std::chrono::seconds(3); // a view of this age is doubted
     Duration slack = std::chrono::milliseconds(500); // by which the own view may be behind another instance's
-    std::size_t silentPeers = 2; // of the domain in a row, after which another domain is asked
 };
 
 /// What an answer says of its view.
@@ -74,7 +72,6 @@
     bool m_followsOwn = true;
     bool m_isOwnAsked = false;
     bool m_isPeerAsked = false;
-    std::size_t m_passedOver = 0; // peers since the last view that was taken
     std::optional<TimePoint> m_knownAt; // when the state in use was last whole
     std::uint64_t m_configVersion = 0;
 };
--- a/bergamot/entry/view_sources_test.cpp
+++ b/bergamot/entry/view_sources_test.cpp
@@ -148,28 +148,6 @@
         return testCase.param.name;
     });
 
-TEST(ViewSources, aDomainThatIsSilentAsAWholeDoesNotDelayTheQuestionElsewhere)
-{
-    ViewSources sources(InstanceId("i2"), FailureDomainId("a"));
-    std::vector<std::unique_ptr<inner::MemberStatusT>> members;
-    for (const auto &[instance, domain] : {std::pair{"i3", "a"}, {"i4", "a"}, {"i5", "a"}, {"i6", "a"}, {"i9", "b"}}) {
-        members.push_back(std::make_unique<inner::MemberStatusT>());
-        members.back()->instance = instance;
-        members.back()->domain = domain;
-        members.back()->control_address = "10.0.0." + std::string(instance).substr(1) + ":7000";
-    }
-    sources.setMembers(members);
-    sources.failed({});
-    std::vector<std::string> asked;
-    for (int i = 0; i < 4; ++i) {
-        const ViewSource peer = sources.due().back();
-        asked.push_back(peer->ip);
-        sources.failed(peer);
-        sources.failed({});
-    }
-    EXPECT_EQ(asked, (std::vector<std::string>{"10.0.0.3", "10.0.0.4", "10.0.0.9", "10.0.0.3"}));
-}
-
 TEST(ViewSources, withoutPeersTheOwnOneIsAskedOnAndItsOldStateIsUsed)
 {
     ViewSources sources(InstanceId("i2"), FailureDomainId("a"));
