--- a/bergamot/entry/data_path_faults_test.cpp
+++ b/bergamot/entry/data_path_faults_test.cpp
@@ -201,6 +201,7 @@
     const std::array<std::shared_ptr<TestCaller>, 2> callers{send(m_path, confirm("lot-1", "key-1")),
                                                              send(other, confirm("lot-1", "key-1"))};
     ASSERT_TRUE(endpoint.waitForRequests(1, TestLimit));
+    ASSERT_TRUE(m_keys->waitForClaims(callers.size())); // the second one comes while the first one runs
     endpoint.releaseLateAnswers();
     std::multiset<std::string> outcomes;
     for (const auto &caller : callers) {
--- a/bergamot/entry/data_path_test_fixture.h
+++ b/bergamot/entry/data_path_test_fixture.h
@@ -23,6 +23,8 @@
     inner::KeyClaimReplyT claim(const inner::KeyClaimT &claim)
     {
         const std::lock_guard lock(m_mutex);
+        ++m_claims;
+        m_changed.notify_all();
         inner::KeyClaimReplyT reply;
         const auto [entry, isNew] = m_keys.try_emplace(claim.key, Key{claim.body_digest, claim.claim_id, {}});
         if (isNew) {
@@ -40,6 +42,15 @@
         return reply;
     }
 
+    /// Waits until that many claims have been judged.
+    bool waitForClaims(std::size_t count)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, TestLimit, [&] {
+            return m_claims >= count;
+        });
+    }
+
     void record(const inner::KeyOutcomeT &outcome)
     {
         const std::lock_guard lock(m_mutex);
@@ -63,6 +74,8 @@
     };
 
     std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::size_t m_claims = 0;
     std::map<std::string, Key> m_keys;
 };
 
