routing: a silent endpoint that has no used connection is left at once

Cause: a repeatable request that met silence was sent once more to the same endpoint on a fresh connection, whether or not the silent connection could have been one used before. Ruled out: a wider bound in the test: two attempts are what the rule promises. Trusting "not sent" on such a connection: the library may put a connection back before the router hears of the answer, so the proof still counts on fresh ones alone. Change: the pool knows whether an endpoint has answered since its connections were dropped; only then is silence put down to a connection. SilentConnectionIsJudgedByAFreshOne answers one request first, since without an answer there is nothing to reuse; its expectations stay, and the other case has a test of its own.

--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -82,6 +82,7 @@
 void EndpointPool::answered(std::size_t slot, Duration latency, double work, TimePoint now, std::mt19937_64 &random)
 {
     State &state = m_states[slot];
+    state.mayHaveIdleConnection = true;
     const std::chrono::duration<double> perUnit = latency / std::max(1.0, work);
     const std::uint32_t inFlightBefore = state.load.inFlight();
     countFinished(state, now);
@@ -116,6 +117,7 @@
 void EndpointPool::refused(std::size_t slot, TimePoint now)
 {
     State &state = m_states[slot];
+    state.mayHaveIdleConnection = true;
     countFinished(state, now);
     state.health.succeeded(now);
     state.limit.overloaded();
@@ -128,6 +130,16 @@
     state.health.withdrawn();
 }
 
+void EndpointPool::connectionsDropped(std::size_t slot)
+{
+    m_states[slot].mayHaveIdleConnection = false;
+}
+
+bool EndpointPool::mayHaveIdleConnection(std::size_t slot) const
+{
+    return m_states[slot].mayHaveIdleConnection;
+}
+
 void EndpointPool::saidLeaving(std::size_t slot, TimePoint now)
 {
     m_states[slot].leavingUntil = now + OwnWordHolds;
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -77,6 +77,10 @@
     void refused(std::size_t slot, TimePoint now);
     /// The attempt ended without a verdict on the endpoint.
     void withdrawn(std::size_t slot, TimePoint now);
+    /// Connections to the endpoint that nobody uses have been closed.
+    void connectionsDropped(std::size_t slot);
+    /// Whether a connection that was used before may be open: the endpoint has answered since they were dropped.
+    bool mayHaveIdleConnection(std::size_t slot) const;
     /// The endpoint itself says that it is leaving.
     void saidLeaving(std::size_t slot, TimePoint now);
     /// Ejects endpoints that have become several times slower than the others. Call it about twice a second.
@@ -108,6 +112,7 @@
         std::uint64_t identity = 0;
         bool present = false; // in the newest view
         bool reserved = false;
+        bool mayHaveIdleConnection = false;
         std::uint32_t answers = 0; // since it was added or returned
         double unitSeconds = 0; // smoothed latency of one unit of work
         TimePoint leavingUntil{};
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -103,6 +103,7 @@
         TimePoint dispatchedAt{};
         Duration timeout{};
         Connection connection = Connection::Pooled;
+        bool mayReuse = false; // the connection may be one that was used before
         RunMode mode = RunMode::Shared;
     };
 
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -45,6 +45,7 @@
                                .dispatchedAt = now,
                                .timeout = timeout,
                                .connection = connection,
+                               .mayReuse = connection == Connection::Pooled && target.pool.mayHaveIdleConnection(slot),
                                .mode = mode});
     m_actions.emplace_back(DispatchAction{.request = pending.request.id,
                                           .attempt = id,
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -101,7 +101,7 @@
                              .repeatable = pending->request.repeatable,
                              .streamStarted = pending->streamStarted,
                              .otherInFlight = !pending->attempts.empty(),
-                             .connection = attempt->connection};
+                             .connection = attempt->mayReuse ? Connection::Pooled : Connection::Fresh};
     retryOrGiveUp(*pending, afterAttemptFailure(facts), *attempt, now);
     pump(target, now);
 }
@@ -208,8 +208,9 @@
         pool.failed(attempt.slot, EndpointFailure::Lost, now, m_random);
         return;
     }
-    if (attempt.connection == Connection::Pooled) {
+    if (attempt.mayReuse) {
         m_actions.emplace_back(DropConnectionsAction{pool.address(attempt.slot)});
+        pool.connectionsDropped(attempt.slot);
         pool.withdrawn(attempt.slot, now);
         return;
     }
--- a/bergamot/routing/router_test.cpp
+++ b/bergamot/routing/router_test.cpp
@@ -45,7 +45,7 @@
                     DeliveryCase{"OnceOnlySilentIsNeverSentAgain", false, NoAnswer, 1, RequestOutcome::MaybeRan},
                     DeliveryCase{"RepeatableRefusedGoesElsewhere", true, ConnectionRefused, 2, std::nullopt},
                     DeliveryCase{"RepeatableLostGoesElsewhere", true, ConnectionLost, 2, std::nullopt},
-                    DeliveryCase{"RepeatableSilentGoesFresh", true, NoAnswer, 2, std::nullopt}),
+                    DeliveryCase{"RepeatableSilentGoesElsewhere", true, NoAnswer, 2, std::nullopt}),
     [](const auto &testCase) {
         return testCase.param.name;
     });
@@ -58,16 +58,33 @@
 
 TEST_F(RouterTest, SilentConnectionIsJudgedByAFreshOne)
 {
-    send([](CallerRequest &request) {
+    const auto repeatable = [](CallerRequest &request) {
         request.repeatable = true;
-    });
-    EXPECT_EQ(m_dispatches.front().connection, Connection::Pooled);
+    };
+    showEndpoints(1);
+    send(repeatable);
+    answer(m_dispatches[0].attempt);
+    const RequestId id = send(repeatable);
+    EXPECT_EQ(m_dispatches[1].connection, Connection::Pooled);
     m_now += 600ms;
-    fail(m_dispatches.front().attempt, NoAnswer);
-    ASSERT_EQ(m_dispatches.size(), 2U);
+    fail(m_dispatches[1].attempt, NoAnswer);
+    ASSERT_EQ(dispatchesOf(id), 2U);
     EXPECT_EQ(m_drops, 1);
-    EXPECT_EQ(m_dispatches[1].connection, Connection::Fresh);
-    EXPECT_EQ(m_dispatches[1].endpoint, m_dispatches[0].endpoint);
+    EXPECT_EQ(m_dispatches[2].connection, Connection::Fresh);
+    EXPECT_EQ(m_dispatches[2].endpoint, m_dispatches[1].endpoint);
+}
+
+TEST_F(RouterTest, SilentEndpointThatNeverAnsweredIsLeftAtOnce)
+{
+    showEndpoints(2);
+    const RequestId id = send([](CallerRequest &request) {
+        request.repeatable = true;
+    });
+    m_now += 600ms;
+    fail(m_dispatches[0].attempt, NoAnswer);
+    ASSERT_EQ(dispatchesOf(id), 2U);
+    EXPECT_EQ(m_drops, 0) << "no connection to it can have been used before";
+    EXPECT_NE(m_dispatches[1].endpoint, m_dispatches[0].endpoint);
 }
 
 TEST_F(RouterTest, RefusedEverywhereIsNotRun)
