control: answers that come after the loop has gone touch nothing of it

Cause: a whole run of the tests ended control_mixed_versions_test by "The futex facility returned an unexpected error code". gdb: an HTTP thread posts the list's answer through FleetNode::poster to the loop of a control process that has been destroyed. Ruled out: waiting in HttpClient's destructor for the library's tasks (a silent peer would hold a process that ends). Change: they keep EventLoop's poster, which drops the task once the loop has stopped. A control process that ended could abort instead of exiting with 0.

--- a/bergamot/control/fleet_node.cpp
+++ b/bergamot/control/fleet_node.cpp
@@ -54,8 +54,8 @@
 
 std::function<void(std::function<void()> task)> FleetNode::poster()
 {
-    return [loop = &m_parts.loop, alive = std::weak_ptr(m_alive)](std::function<void()> task) {
-        loop->post([alive, task = std::move(task)] {
+    return [poster = m_parts.loop.poster(), alive = std::weak_ptr(m_alive)](std::function<void()> task) {
+        poster.post([alive, task = std::move(task)] {
             if (!alive.expired()) {
                 task();
             }
--- a/bergamot/control/keys_tail.cpp
+++ b/bergamot/control/keys_tail.cpp
@@ -53,8 +53,8 @@
     if (!next) {
         return;
     }
-    const auto done = [this, loop = &m_parts.loop, alive = std::weak_ptr(m_alive)](Result<LogPage> page) {
-        loop->post([this, alive, page = std::move(page)] {
+    const auto done = [this, poster = m_parts.loop.poster(), alive = std::weak_ptr(m_alive)](Result<LogPage> page) {
+        poster.post([this, alive, page = std::move(page)] {
             if (alive.expired()) {
                 return;
             }
--- a/bergamot/evidence/evidence_chain.cpp
+++ b/bergamot/evidence/evidence_chain.cpp
@@ -78,8 +78,8 @@
     m_appender.append(EvidenceStream,
                       EvidenceBatchKind,
                       batchText(count),
-                      [this, count, alive = m_alive](const Result<Offset> &outcome) {
-                          m_loop.post([this, count, alive, outcome] {
+                      [this, count, poster = m_loop.poster(), alive = m_alive](const Result<Offset> &outcome) {
+                          poster.post([this, count, alive, outcome] {
                               if (*alive) {
                                   flushed(count, outcome);
                               }
--- a/bergamot/intents/intent_service.cpp
+++ b/bergamot/intents/intent_service.cpp
@@ -178,8 +178,8 @@
 {
     asks.emplace(intent, std::move(ask));
     const bool confirmation = &asks == &m_confirmations;
-    const auto done = [self = m_self, loop = &m_loop, confirmation, intent](Result<Offset> offset) {
-        loop->post([self, confirmation, intent, offset = std::move(offset)] {
+    const auto done = [self = m_self, poster = m_loop.poster(), confirmation, intent](Result<Offset> offset) {
+        poster.post([self, confirmation, intent, offset = std::move(offset)] {
             if (*self != nullptr) {
                 (*self)->appended(confirmation, intent, offset);
             }
--- a/bergamot/journal/batching_appender.cpp
+++ b/bergamot/journal/batching_appender.cpp
@@ -8,6 +8,7 @@
     Core(BatchingAppenderOptions given, EventLoop &eventLoop, Clock &theClock, Log &theLog)
         : options(std::move(given))
         , loop(eventLoop)
+        , poster(eventLoop.poster())
         , clock(theClock)
         , log(theLog)
         , queue(options.queue)
@@ -46,7 +47,7 @@
 
     void answered(std::uint64_t batch, Result<Offset> answer)
     {
-        loop.post([weak = weak_from_this(), batch, answer = std::move(answer)] {
+        poster.post([weak = weak_from_this(), batch, answer = std::move(answer)] {
             const std::shared_ptr<Core> core = weak.lock();
             if (!core) {
                 return;
@@ -86,6 +87,7 @@
 
     const BatchingAppenderOptions options;
     EventLoop &loop;
+    const EventLoop::Poster poster; // for answers, which may come after the loop has gone
     Clock &clock;
     Log &log;
     std::mutex mutex;
--- a/bergamot/keys/key_service.cpp
+++ b/bergamot/keys/key_service.cpp
@@ -110,13 +110,14 @@
     pending.claimId = claim.claim_id;
     pending.deadline = m_clock.now() + m_options.claimTimeout;
     pending.waiters.push_back({claim, std::move(done)});
-    const auto appended = [self = m_self, loop = &m_loop, key = claim.key, id = claim.claim_id](Result<Offset> offset) {
-        loop->post([self, key, id, offset = std::move(offset)] {
-            if (*self != nullptr) {
-                (*self)->claimAppended(key, id, offset);
-            }
-        });
-    };
+    const auto appended =
+        [self = m_self, poster = m_loop.poster(), key = claim.key, id = claim.claim_id](Result<Offset> offset) {
+            poster.post([self, key, id, offset = std::move(offset)] {
+                if (*self != nullptr) {
+                    (*self)->claimAppended(key, id, offset);
+                }
+            });
+        };
     m_appender.append(m_options.stream, std::string(KeyClaimKind), keyClaimPayload(claim, writerClock()), appended);
 }
 
@@ -237,8 +238,8 @@
 {
     pending.underway = true;
     pending.landed = 0;
-    const auto appended = [self = m_self, loop = &m_loop, claimId](Result<Offset> offset) {
-        loop->post([self, claimId, offset = std::move(offset)] {
+    const auto appended = [self = m_self, poster = m_loop.poster(), claimId](Result<Offset> offset) {
+        poster.post([self, claimId, offset = std::move(offset)] {
             if (*self != nullptr) {
                 (*self)->outcomeAppended(claimId, offset);
             }
--- a/bergamot/leases/lease_keeper.cpp
+++ b/bergamot/leases/lease_keeper.cpp
@@ -49,8 +49,8 @@
     if (!request) {
         return;
     }
-    const auto done = [self = m_self, loop = &m_loop](Result<Offset> offset) {
-        loop->post([self, offset = std::move(offset)] {
+    const auto done = [self = m_self, poster = m_loop.poster()](Result<Offset> offset) {
+        poster.post([self, offset = std::move(offset)] {
             if (*self != nullptr) {
                 (*self)->m_decision.answered(offset, (*self)->m_clock.now());
             }
--- a/bergamot/rollout/rollout_service.cpp
+++ b/bergamot/rollout/rollout_service.cpp
@@ -71,8 +71,8 @@
 
 std::function<void(std::function<void()> task)> RolloutService::poster()
 {
-    return [loop = &m_loop, alive = m_alive](std::function<void()> task) {
-        loop->post([alive, task = std::move(task)] {
+    return [poster = m_loop.poster(), alive = m_alive](std::function<void()> task) {
+        poster.post([alive, task = std::move(task)] {
             if (*alive) {
                 task();
             }
--- a/bergamot/samples/sample_service.cpp
+++ b/bergamot/samples/sample_service.cpp
@@ -80,8 +80,8 @@
 
 std::function<void(std::function<void()> task)> SampleService::poster()
 {
-    return [this, loop = &m_loop, alive = m_alive](std::function<void()> task) {
-        loop->post([this, alive, task = std::move(task)] {
+    return [this, poster = m_loop.poster(), alive = m_alive](std::function<void()> task) {
+        poster.post([this, alive, task = std::move(task)] {
             if (*alive) {
                 task();
                 run();
