--- a/bergamot/entry/data_path_streams_test.cpp
+++ b/bergamot/entry/data_path_streams_test.cpp
@@ -135,6 +135,22 @@
                       60s);
     }
 
+    struct OpenStream
+    {
+        std::shared_ptr<TestCaller> caller; // has received "one "
+        ResponderPtr stream; // at the endpoint; null if it did not begin
+    };
+
+    OpenStream openStream(HeldEndpoint &endpoint)
+    {
+        OpenStream opened{send(m_path, generate()), endpoint.stream()};
+        if (opened.stream) {
+            opened.stream->write("one ");
+            EXPECT_TRUE(opened.caller->waitForText("one "));
+        }
+        return opened;
+    }
+
     static HttpRequest poison()
     {
         return {.method = "PUT", .path = "/v1/services/stock/stock/x", .body = "poison"};
@@ -146,11 +162,8 @@
     HeldEndpoint leaving;
     HeldEndpoint staying;
     show({{leaving.address()}});
-    const auto caller = send(m_path, generate());
-    const ResponderPtr stream = leaving.stream();
+    const auto [caller, stream] = openStream(leaving);
     ASSERT_TRUE(stream);
-    stream->write("one ");
-    ASSERT_TRUE(caller->waitForText("one "));
     show({{leaving.address(), true}, {staying.address()}});
     for (int count = 0; count < 10; ++count) {
         EXPECT_EQ(send(m_path, read("item-" + std::to_string(count)))->outcome(), "answered");
@@ -167,11 +180,8 @@
 {
     HeldEndpoint endpoint;
     show({{endpoint.address()}});
-    const auto caller = send(m_path, generate());
-    const ResponderPtr stream = endpoint.stream();
+    const auto [caller, stream] = openStream(endpoint);
     ASSERT_TRUE(stream);
-    stream->write("one ");
-    ASSERT_TRUE(caller->waitForText("one "));
     stream->abortStream();
     EXPECT_FALSE(caller->whole());
     EXPECT_EQ(endpoint.requests(), 1U);
@@ -181,11 +191,8 @@
 {
     HeldEndpoint endpoint;
     show({{endpoint.address()}});
-    const auto caller = send(m_path, generate());
-    const ResponderPtr stream = endpoint.stream();
+    const auto [caller, stream] = openStream(endpoint);
     ASSERT_TRUE(stream);
-    stream->write("one ");
-    ASSERT_TRUE(caller->waitForText("one "));
     caller->leave();
     stream->write("two ");
     EXPECT_TRUE(endpoint.waitForPath("/cancel"));
