--- a/bergamot/base/settings.cpp
+++ b/bergamot/base/settings.cpp
@@ -1,6 +1,7 @@
 #include "bergamot/base/settings.h"
 
 #include <charconv>
+#include <fstream>
 #include <iostream>
 #include <sstream>
 
@@ -62,6 +63,26 @@
     m_settings.push_back({name, nullptr, false});
 }
 
+void SettingsParser::settingsFile(const std::string &name, const std::string &help)
+{
+    optional(name, "", help);
+    m_fileSetting = name;
+}
+
+void SettingsParser::readFile()
+{
+    const std::string path = m_fileSetting.empty() ? std::string() : text(m_fileSetting);
+    if (path.empty()) {
+        return;
+    }
+    std::ifstream file(path);
+    if (!file) {
+        throw po::error("cannot read the settings file " + path);
+    }
+    constexpr bool AllowUnknown = true;
+    po::store(po::parse_config_file(file, m_description, AllowUnknown), m_values);
+}
+
 void SettingsParser::positional(const std::string &name, const std::string &help)
 {
     m_description.add_options()(name.c_str(), po::value<std::vector<std::string>>(), help.c_str());
@@ -82,6 +103,7 @@
                                             return std::string();
                                         }),
                   m_values);
+        readFile();
         po::notify(m_values);
     } catch (const po::error &error) {
         std::cerr << m_program << ": " << error.what() << "; see --help\n";
--- a/bergamot/base/settings.h
+++ b/bergamot/base/settings.h
@@ -47,6 +47,9 @@
     void optional(const std::string &name, const std::string &fallback, const std::string &help, Check check = nullptr);
     /// A setting without a value on the command line; `isSet` tells whether it was given.
     void flag(const std::string &name, const std::string &help);
+    /// Adds a flag `name` that names a file with further settings, one `name = value` a line. A flag or variable goes
+    /// before it; names that are not known are passed over, so that a platform may add some.
+    void settingsFile(const std::string &name, const std::string &help);
     /// A positional word or words (for command-line tools), kept in order.
     void positional(const std::string &name, const std::string &help);
 
@@ -70,10 +73,12 @@
     };
 
     std::vector<std::string> problems() const;
+    void readFile();
     void printHelp() const;
 
     std::string m_program;
     std::string m_purpose;
+    std::string m_fileSetting; // empty: no settings file
     boost::program_options::options_description m_description;
     boost::program_options::positional_options_description m_positional;
     boost::program_options::variables_map m_values;
--- /dev/null
+++ b/bergamot/batch/batch.cpp
@@ -0,0 +1,206 @@
+#include "bergamot/batch/batch.h"
+
+namespace bergamot::batch
+{
+
+namespace
+{
+
+constexpr std::size_t ItemOverhead = 256; // tables and lengths around an item's own bytes, rounded up
+constexpr std::size_t PartOverhead = 1024; // the same for a part
+constexpr std::size_t PartBytes = 64 * 1024; // small parts keep the memory low of an instance that looks up one item
+
+std::size_t sizeOf(const Item &item)
+{
+    std::size_t size = ItemOverhead + item.id.size() + item.path.size() + item.body.size() + item.group.size();
+    for (const ItemHeader &header : item.headers) {
+        size += header.name.size() + header.value.size() + 32;
+    }
+    if (item.scoring) {
+        size += item.scoring->id.size() + item.scoring->host.size() + item.scoring->path.size()
+            + item.scoring->body.size() + 64;
+    }
+    return size;
+}
+
+std::unique_ptr<log::ItemT> toRecord(const Item &item)
+{
+    auto record = std::make_unique<log::ItemT>();
+    record->id = item.id;
+    record->path = item.path;
+    record->body = item.body;
+    record->tokens = item.tokens;
+    record->group = item.group;
+    for (const ItemHeader &header : item.headers) {
+        auto field = std::make_unique<log::HeaderFieldT>();
+        field->name = header.name;
+        field->value = header.value;
+        record->headers.push_back(std::move(field));
+    }
+    if (item.scoring) {
+        record->scoring = std::make_unique<log::ScoringCallT>();
+        record->scoring->id = item.scoring->id;
+        record->scoring->host = item.scoring->host;
+        record->scoring->path = item.scoring->path;
+        record->scoring->body = item.scoring->body;
+    }
+    return record;
+}
+
+template<typename Payload>
+std::string packed(Payload payload)
+{
+    log::RecordT record;
+    record.payload.Set(std::move(payload));
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(log::Record::Pack(builder, &record));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+} // namespace
+
+Result<std::vector<std::string>>
+acceptanceRecords(const Batch &batch, std::uint64_t submission, const RecordLimits &limits)
+{
+    const std::size_t most = std::min(PartBytes, limits.recordBytes);
+    std::vector<std::pair<std::size_t, std::size_t>> ranges; // of item indices
+    std::size_t first = 0;
+    std::size_t size = PartOverhead;
+    for (std::size_t index = 0; index < batch.items.size(); ++index) {
+        const std::size_t itemSize = sizeOf(batch.items[index]);
+        if (itemSize + PartOverhead > limits.recordBytes) {
+            return failure(ErrorCode::InvalidArgument,
+                           "item " + batch.items[index].id + " is larger than a record of the log");
+        }
+        if (index > first && size + itemSize > most) {
+            ranges.emplace_back(first, index);
+            first = index;
+            size = PartOverhead;
+        }
+        size += itemSize;
+    }
+    ranges.emplace_back(first, batch.items.size());
+
+    std::vector<std::string> records;
+    for (const auto &[begin, end] : ranges) {
+        log::BatchPartT part;
+        part.batch = batch.id;
+        part.submission = submission;
+        part.part = static_cast<std::uint32_t>(records.size());
+        part.parts = static_cast<std::uint32_t>(ranges.size());
+        part.host = batch.host;
+        part.step = batch.step;
+        part.model = batch.model;
+        part.min_version = batch.minVersion;
+        part.wanted_groups = batch.wantedGroups;
+        part.first_item = static_cast<std::uint32_t>(begin);
+        part.total_items = static_cast<std::uint32_t>(batch.items.size());
+        for (std::size_t index = begin; index < end; ++index) {
+            part.items.push_back(toRecord(batch.items[index]));
+        }
+        records.push_back(packed(std::move(part)));
+    }
+    return records;
+}
+
+std::string resultRecord(const ItemResult &result)
+{
+    log::ItemResultT record;
+    record.batch = result.batch;
+    record.item = result.item;
+    record.id = result.id;
+    record.completed = result.completed;
+    record.text = result.text;
+    record.versions = result.versions;
+    record.score = result.score;
+    return packed(std::move(record));
+}
+
+std::string endRecord(const std::string &batch)
+{
+    log::BatchEndT record;
+    record.batch = batch;
+    return packed(std::move(record));
+}
+
+std::string claimRecord(const std::string &instance, std::uint64_t epoch)
+{
+    log::ClaimT record;
+    record.instance = instance;
+    record.epoch = epoch;
+    return packed(std::move(record));
+}
+
+std::string renewalRecord(std::uint64_t epoch)
+{
+    log::RenewalT record;
+    record.epoch = epoch;
+    return packed(record);
+}
+
+std::string releaseRecord(std::uint64_t epoch)
+{
+    log::ReleaseT record;
+    record.epoch = epoch;
+    return packed(record);
+}
+
+std::string
+loadIntentRecord(std::uint64_t epoch, const std::string &engine, const std::string &model, std::uint64_t version)
+{
+    log::LoadIntentT record;
+    record.epoch = epoch;
+    record.engine = engine;
+    record.model = model;
+    record.version = version;
+    return packed(std::move(record));
+}
+
+const log::Record *parseRecord(const std::string &bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+    if (!log::VerifyRecordBuffer(verifier)) {
+        return nullptr;
+    }
+    const log::Record *record = log::GetRecord(bytes.data());
+    return record->payload() == nullptr ? nullptr : record;
+}
+
+std::string text(const flatbuffers::String *field)
+{
+    return field == nullptr ? std::string() : field->str();
+}
+
+Item toItem(const log::Item &record)
+{
+    Item item{.id = text(record.id()),
+              .path = text(record.path()),
+              .body = text(record.body()),
+              .tokens = record.tokens(),
+              .group = text(record.group())};
+    if (record.headers() != nullptr) {
+        for (const log::HeaderField *field : *record.headers()) {
+            item.headers.push_back({text(field->name()), text(field->value())});
+        }
+    }
+    if (const log::ScoringCall *call = record.scoring()) {
+        item.scoring = ScoringCall{text(call->id()), text(call->host()), text(call->path()), text(call->body())};
+    }
+    return item;
+}
+
+ItemResult toResult(const log::ItemResult &record)
+{
+    ItemResult result{.batch = text(record.batch()),
+                      .item = record.item(),
+                      .id = text(record.id()),
+                      .completed = record.completed(),
+                      .text = text(record.text()),
+                      .score = text(record.score())};
+    if (record.versions() != nullptr) {
+        result.versions.assign(record.versions()->begin(), record.versions()->end());
+    }
+    return result;
+}
+
+} // namespace bergamot::batch
--- a/bergamot/control/control_process.cpp
+++ b/bergamot/control/control_process.cpp
@@ -19,7 +19,7 @@
 #include "bergamot/platform/http_weight_store.h"
 #include "bergamot/protocol/peer_server.h"
 #include "bergamot/rollout/rollout_service.h"
-#include "bergamot/routing/routing_table.h"
+#include "bergamot/routing/routing_view.h"
 #include "bergamot/samples/sample_service.h"
 
 namespace bergamot
--- /dev/null
+++ b/bergamot/dispatch/load_planner.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// Decides which engine loads a newly named weight version, and when. Pure.
+//
+//     std::optional<PlannedLoad> load = nextLoad(engines, named, demand, options);
+//
+// Load pattern: a version is named every few seconds, and the next step needs the version before it or a newer one.
+// Loads slow each other beyond a share of the engines. An engine too old for the open step does nothing useful, so it
+// loads first; one that still fits loads when it is idle and nothing waits, so that no sample waits for a load.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace bergamot::dispatch
+{
+
+struct LoadCandidate
+{
+    std::string engine;
+    std::map<std::string, std::uint64_t> versions;
+    std::uint32_t runs = 0;
+    bool loading = false;
+    bool usable = false;
+    bool mayOrder = false; // no order of an earlier owner can cross
+};
+
+/// What is asked of one model.
+struct ModelDemand
+{
+    std::uint64_t named = 0; // newest version that was named
+    std::uint64_t needed = 0; // oldest version that open batches allow
+    std::size_t waiting = 0; // samples without an engine
+};
+
+struct LoadPlannerOptions
+{
+    double shareAtOnce = 0.2; // of the engines that may load at the same time without slowing each other
+};
+
+struct PlannedLoad
+{
+    std::string engine;
+    std::string model;
+    std::uint64_t version = 0;
+};
+
+/// The load to begin now, if any.
+std::optional<PlannedLoad> nextLoad(const std::vector<LoadCandidate> &engines,
+                                    const std::map<std::string, ModelDemand> &demand,
+                                    const LoadPlannerOptions &options);
+
+} // namespace bergamot::dispatch
--- /dev/null
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -0,0 +1,652 @@
+#include "bergamot/dispatch/sample_scheduler.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace bergamot::dispatch
+{
+
+namespace
+{
+
+constexpr double PaceSmoothing = 0.2; // weight of a new pace; about the last ten events count
+
+std::uint64_t versionOf(const std::map<std::string, std::uint64_t> &versions, const std::string &model)
+{
+    const auto found = versions.find(model);
+    return found == versions.end() ? 0 : found->second;
+}
+
+void addVersion(std::vector<std::uint64_t> &versions, std::uint64_t version)
+{
+    if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
+        versions.push_back(version);
+    }
+}
+
+} // namespace
+
+SampleScheduler::SampleScheduler(SampleSchedulerOptions options)
+    : m_options(options)
+{ }
+
+void SampleScheduler::setEngines(const std::vector<EngineFacts> &engines, TimePoint now)
+{
+    for (auto &[id, engine] : m_engines) {
+        engine.listed = false;
+    }
+    for (const EngineFacts &facts : engines) {
+        EngineState &engine = m_engines[facts.id];
+        const bool restarted = engine.facts.incarnation != facts.incarnation || engine.facts.address != facts.address;
+        if (restarted) {
+            const std::vector<RunId> runs(engine.runs.begin(), engine.runs.end());
+            for (const RunId run : runs) {
+                cancel(run);
+            }
+            engine = {};
+        }
+        for (const auto &[model, version] : facts.versions) {
+            // The list lags behind what the engine itself said of a load.
+            std::uint64_t &known = engine.versions[model];
+            if (version >= known || (!engine.loading && !engine.assumed)) {
+                engine.assumed = engine.assumed && version < known;
+                known = std::max(known, version);
+            }
+        }
+        engine.facts = facts;
+        engine.listed = true;
+    }
+    for (auto entry = m_engines.begin(); entry != m_engines.end();) {
+        EngineState &engine = entry->second;
+        if (engine.listed) {
+            ++entry;
+            continue;
+        }
+        const std::vector<RunId> runs(engine.runs.begin(), engine.runs.end());
+        for (const RunId run : runs) {
+            cancel(run);
+        }
+        entry = m_engines.erase(entry);
+    }
+    assign(now);
+}
+
+void SampleScheduler::addBatch(const batch::Batch &batch,
+                               const std::vector<bool> &listed,
+                               std::optional<ItemRoute> route,
+                               TimePoint now)
+{
+    if (m_batches.contains(batch.id)) {
+        return;
+    }
+    BatchState &state = m_batches[batch.id];
+    state.order = ++m_lastOrder;
+    state.host = batch.host;
+    state.model = batch.model;
+    state.minVersion = batch.minVersion;
+    state.route = std::move(route);
+    state.addedAt = now;
+    state.items.reserve(batch.items.size());
+    for (std::size_t index = 0; index < batch.items.size(); ++index) {
+        ItemState item;
+        if (index < listed.size() && listed[index]) {
+            item.stage = Stage::Done;
+        } else {
+            item.item = batch.items[index];
+            ++state.open;
+        }
+        state.items.push_back(std::move(item));
+    }
+    m_order[state.order] = batch.id;
+    closeIfDone(batch.id);
+    assign(now);
+}
+
+void SampleScheduler::setRoute(const std::string &batch, std::optional<ItemRoute> route)
+{
+    BatchState *state = findBatch(batch);
+    if (state == nullptr || state->route == route) {
+        return;
+    }
+    state->route = std::move(route);
+}
+
+void SampleScheduler::endBatch(const std::string &batch)
+{
+    BatchState *state = findBatch(batch);
+    if (state == nullptr) {
+        return;
+    }
+    for (std::uint32_t index = 0; index < state->items.size(); ++index) {
+        ItemState &item = state->items[index];
+        if (item.run != 0) {
+            cancel(item.run);
+        }
+        if (item.stage == Stage::Scoring) {
+            m_actions.emplace_back(CancelScoring{{batch, index}});
+        }
+    }
+    m_order.erase(state->order);
+    m_batches.erase(batch);
+}
+
+void SampleScheduler::itemListed(const ItemKey &key)
+{
+    ItemState *item = findItem(key);
+    if (item == nullptr || item->stage == Stage::Done) {
+        return;
+    }
+    if (item->run != 0) {
+        cancel(item->run);
+    }
+    if (item->stage == Stage::Scoring) {
+        m_actions.emplace_back(CancelScoring{key});
+    }
+    *item = {};
+    item->stage = Stage::Done;
+    --m_batches[key.batch].open;
+    closeIfDone(key.batch);
+}
+
+void SampleScheduler::runStarted(RunId run, std::uint64_t version)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end() || version == 0) {
+        return;
+    }
+    const BatchState *batch = findBatch(found->second.key.batch);
+    const auto engine = m_engines.find(found->second.engine);
+    if (batch != nullptr && engine != m_engines.end()) {
+        engine->second.versions[batch->model] = version;
+        engine->second.assumed = false;
+    }
+}
+
+bool SampleScheduler::runEvent(
+    RunId run, std::uint64_t eventId, std::string_view data, std::uint64_t version, TimePoint now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        return false;
+    }
+    ItemState *item = findItem(found->second.key);
+    const BatchState *batch = findBatch(found->second.key.batch);
+    const auto engine = m_engines.find(found->second.engine);
+    if (item == nullptr || batch == nullptr || engine == m_engines.end()) {
+        return false;
+    }
+    const bool inOrder = !item->hasEvents || eventId == item->lastEvent + 1;
+    const bool allowed = version >= batch->minVersion;
+    if (!inOrder || !allowed) {
+        cancel(run);
+        if (!allowed) {
+            engine->second.versions[batch->model] = version;
+        }
+        suspect(engine->second, now);
+        return false;
+    }
+    if (item->hasEvents) {
+        item->text += '\n';
+    }
+    item->text += data;
+    item->lastEvent = eventId;
+    item->hasEvents = true;
+    addVersion(item->versions, version);
+    if (found->second.events > 0) {
+        const double seconds = std::chrono::duration<double>(now - found->second.lastEventAt).count();
+        const double alone = seconds / (1 + m_options.crowding * static_cast<double>(engine->second.runs.size() - 1));
+        double &pace = engine->second.pace;
+        pace = pace == 0 ? alone : pace + PaceSmoothing * (alone - pace);
+    }
+    engine->second.losses = 0;
+    ++found->second.events;
+    found->second.lastEventAt = now;
+    return true;
+}
+
+void SampleScheduler::runEnded(RunId run, RunEnd end, TimePoint now)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        return;
+    }
+    const ItemKey key = found->second.key;
+    const auto engine = m_engines.find(found->second.engine);
+    detach(run);
+    ItemState *item = findItem(key);
+    if (item != nullptr) {
+        item->stage = Stage::Waiting;
+    }
+    if (engine != m_engines.end()) {
+        switch (end) {
+        case RunEnd::NotExecuted:
+            engine->second.notBefore = now + m_options.fullPause;
+            break;
+        case RunEnd::WrongVersion:
+            engine->second.notBefore = now + m_options.wrongVersionPause;
+            break;
+        case RunEnd::WrongEndpoint:
+        case RunEnd::Broken:
+        case RunEnd::Silent:
+            suspect(engine->second, now);
+            break;
+        case RunEnd::Complete:
+        case RunEnd::Failed:
+        case RunEnd::Impossible:
+            break;
+        }
+    }
+    if (item != nullptr) {
+        const BatchState *batch = findBatch(key.batch);
+        if (end == RunEnd::Complete) {
+            finishText(key, *item);
+        } else if (end == RunEnd::Impossible) {
+            giveUp(key, *item);
+        } else if (end == RunEnd::Failed && ++item->failures >= (batch->route ? batch->route->maxAttempts : 1)) {
+            giveUp(key, *item);
+        }
+    }
+    assign(now);
+}
+
+void SampleScheduler::scoringEnded(const ItemKey &key, ScoringEnd end, const std::string &score, TimePoint now)
+{
+    ItemState *item = findItem(key);
+    if (item == nullptr || item->stage != Stage::Scoring) {
+        return;
+    }
+    const BatchState &batch = m_batches[key.batch];
+    if (end == ScoringEnd::Scored) {
+        list(key, *item, true);
+        std::get<ListResult>(m_actions.back()).result.score = score;
+        return;
+    }
+    if (end == ScoringEnd::Failed && ++item->scoringFailures >= (batch.route ? batch.route->maxScoringFailures : 1)) {
+        giveUp(key, *item);
+        return;
+    }
+    item->stage = Stage::AwaitingScore;
+    item->notBefore = now + m_options.scoringPause;
+}
+
+void SampleScheduler::loadStarted(const std::string &engine)
+{
+    const auto found = m_engines.find(engine);
+    if (found != m_engines.end()) {
+        found->second.loading = true;
+    }
+}
+
+void SampleScheduler::loadFinished(const std::string &engine, const std::string &model, std::uint64_t version)
+{
+    const auto found = m_engines.find(engine);
+    if (found == m_engines.end()) {
+        return;
+    }
+    found->second.loading = false;
+    std::uint64_t &known = found->second.versions[model];
+    found->second.assumed = version > known || found->second.assumed;
+    known = std::max(known, version);
+}
+
+void SampleScheduler::versionSeen(const std::string &engine, const std::string &model, std::uint64_t version)
+{
+    const auto found = m_engines.find(engine);
+    if (found != m_engines.end()) {
+        found->second.versions[model] = version;
+        found->second.assumed = false;
+    }
+}
+
+void SampleScheduler::loadAbandoned(const std::string &engine)
+{
+    const auto found = m_engines.find(engine);
+    if (found != m_engines.end()) {
+        found->second.loading = false;
+    }
+}
+
+void SampleScheduler::tick(TimePoint now)
+{
+    for (auto &[id, batch] : m_batches) {
+        for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
+            ItemState &item = batch.items[index];
+            if (item.stage == Stage::AwaitingScore && now >= item.notBefore) {
+                item.stage = Stage::Scoring;
+                m_actions.emplace_back(StartScoring{{id, index}});
+            }
+            const bool expired = batch.route && now - batch.addedAt > batch.route->retention;
+            if ((!batch.route || expired) && (item.stage == Stage::Waiting || item.stage == Stage::Running)) {
+                if (item.run != 0) {
+                    cancel(item.run);
+                }
+                giveUp({id, index}, item);
+            }
+        }
+    }
+    moveStragglers(now);
+    assign(now);
+}
+
+std::vector<SchedulerAction> SampleScheduler::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+void SampleScheduler::clear()
+{
+    m_batches.clear();
+    m_order.clear();
+    m_runs.clear();
+    m_actions.clear();
+    for (auto &[id, engine] : m_engines) {
+        engine.runs.clear();
+        engine.tokens = 0;
+        engine.loading = false;
+        engine.assumed = false;
+    }
+}
+
+std::vector<SampleScheduler::EngineLoad> SampleScheduler::engineLoads(TimePoint now) const
+{
+    std::vector<EngineLoad> loads;
+    for (const auto &[id, engine] : m_engines) {
+        loads.push_back({.id = id,
+                         .service = engine.facts.service,
+                         .address = engine.facts.address,
+                         .versions = engine.versions,
+                         .runs = static_cast<std::uint32_t>(engine.runs.size()),
+                         .loading = engine.loading,
+                         .usable = !engine.facts.draining && now >= engine.notBefore});
+    }
+    return loads;
+}
+
+const batch::Item *SampleScheduler::item(const ItemKey &key) const
+{
+    const auto found = m_batches.find(key.batch);
+    return found == m_batches.end() || key.item >= found->second.items.size() ? nullptr
+                                                                              : &found->second.items[key.item].item;
+}
+
+const std::string *SampleScheduler::host(const std::string &batch) const
+{
+    const auto found = m_batches.find(batch);
+    return found == m_batches.end() ? nullptr : &found->second.host;
+}
+
+std::size_t SampleScheduler::waiting() const
+{
+    std::size_t count = 0;
+    for (const auto &[id, batch] : m_batches) {
+        count +=
+            static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const ItemState &item) {
+                return item.stage == Stage::Waiting;
+            }));
+    }
+    return count;
+}
+
+std::size_t SampleScheduler::waiting(const std::string &model) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, batch] : m_batches) {
+        if (batch.model == model) {
+            count += static_cast<std::size_t>(
+                std::count_if(batch.items.begin(), batch.items.end(), [](const ItemState &item) {
+                    return item.stage == Stage::Waiting;
+                }));
+        }
+    }
+    return count;
+}
+
+std::size_t SampleScheduler::running() const
+{
+    return m_runs.size();
+}
+
+std::uint64_t SampleScheduler::neededVersion(const std::string &model) const
+{
+    std::uint64_t needed = 0;
+    for (const auto &[id, batch] : m_batches) {
+        if (batch.model == model) {
+            needed = std::max(needed, batch.minVersion);
+        }
+    }
+    return needed;
+}
+
+bool SampleScheduler::hasBatch(const std::string &batch) const
+{
+    return m_batches.contains(batch);
+}
+
+bool SampleScheduler::serves(const EngineState &engine, const BatchState &batch) const
+{
+    const std::vector<std::string> &services = batch.route->services;
+    return std::find(services.begin(), services.end(), engine.facts.service) != services.end();
+}
+
+bool SampleScheduler::fits(const EngineState &engine,
+                           const BatchState &batch,
+                           const ItemState &item,
+                           TimePoint now) const
+{
+    if (engine.facts.draining || engine.loading || now < engine.notBefore || !serves(engine, batch)) {
+        return false;
+    }
+    if (engine.runs.size() >= engine.facts.slots || versionOf(engine.versions, batch.model) < batch.minVersion) {
+        return false;
+    }
+    const auto room = static_cast<double>(engine.facts.memoryTokens) * m_options.memoryShare;
+    const bool alone = engine.runs.empty();
+    return engine.facts.memoryTokens == 0 || alone || static_cast<double>(engine.tokens + item.item.tokens) <= room;
+}
+
+double SampleScheduler::usualPace() const
+{
+    std::vector<double> paces;
+    for (const auto &[id, engine] : m_engines) {
+        if (engine.pace > 0) {
+            paces.push_back(engine.pace);
+        }
+    }
+    if (paces.empty()) {
+        return 1;
+    }
+    const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
+    std::nth_element(paces.begin(), middle, paces.end());
+    return *middle;
+}
+
+double SampleScheduler::cost(const EngineState &engine) const
+{
+    const double pace = engine.pace > 0 ? engine.pace : usualPace();
+    return pace * (1 + m_options.crowding * static_cast<double>(engine.runs.size()));
+}
+
+SampleScheduler::EngineState *SampleScheduler::bestEngine(const BatchState &batch, const ItemState &item, TimePoint now)
+{
+    EngineState *best = nullptr;
+    double least = std::numeric_limits<double>::max();
+    for (auto &[id, engine] : m_engines) {
+        if (!fits(engine, batch, item, now)) {
+            continue;
+        }
+        const double price = cost(engine);
+        if (price < least) {
+            least = price;
+            best = &engine;
+        }
+    }
+    return best;
+}
+
+void SampleScheduler::assign(TimePoint now)
+{
+    for (const auto &[order, id] : m_order) {
+        BatchState &batch = m_batches[id];
+        if (!batch.route) {
+            continue;
+        }
+        for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
+            ItemState &item = batch.items[index];
+            if (item.stage != Stage::Waiting || now < item.notBefore) {
+                continue;
+            }
+            EngineState *engine = bestEngine(batch, item, now);
+            if (engine == nullptr) {
+                break;
+            }
+            start({id, index}, batch, item, *engine, now);
+        }
+    }
+}
+
+void SampleScheduler::start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now)
+{
+    restartIfMixed(batch, item, engine);
+    const RunId run = ++m_lastRun;
+    item.stage = Stage::Running;
+    item.run = run;
+    engine.runs.insert(run);
+    engine.tokens += item.item.tokens;
+    m_runs.emplace(run, Run{.key = key, .engine = engine.facts.id, .startedAt = now, .lastEventAt = now});
+    StartRun action{.run = run, .key = key, .engine = engine.facts.id, .address = engine.facts.address};
+    if (item.hasEvents) {
+        action.resumeAfter = item.lastEvent;
+    }
+    if (engine.assumed) {
+        action.expectedVersion = versionOf(engine.versions, batch.model);
+    }
+    m_actions.emplace_back(std::move(action));
+}
+
+void SampleScheduler::restartIfMixed(const BatchState &batch, ItemState &item, const EngineState &engine)
+{
+    const std::uint64_t version = versionOf(engine.versions, batch.model);
+    const bool mixed = batch.route->singleVersion && !item.versions.empty() && item.versions.back() != version;
+    if (mixed) {
+        item.text.clear();
+        item.versions.clear();
+        item.hasEvents = false;
+        item.lastEvent = 0;
+    }
+}
+
+void SampleScheduler::detach(RunId run)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        return;
+    }
+    ItemState *item = findItem(found->second.key);
+    const auto engine = m_engines.find(found->second.engine);
+    if (engine != m_engines.end() && engine->second.runs.erase(run) > 0 && item != nullptr) {
+        engine->second.tokens -= std::min<std::uint64_t>(engine->second.tokens, item->item.tokens);
+    }
+    if (item != nullptr && item->run == run) {
+        item->run = 0;
+    }
+    m_runs.erase(found);
+}
+
+void SampleScheduler::cancel(RunId run)
+{
+    const auto found = m_runs.find(run);
+    if (found == m_runs.end()) {
+        return;
+    }
+    ItemState *item = findItem(found->second.key);
+    detach(run);
+    if (item != nullptr) {
+        item->stage = Stage::Waiting;
+    }
+    m_actions.emplace_back(CancelRun{run});
+}
+
+void SampleScheduler::moveStragglers(TimePoint now)
+{
+    std::vector<RunId> slow;
+    for (const auto &[run, facts] : m_runs) {
+        const auto engine = m_engines.find(facts.engine);
+        if (engine == m_engines.end() || engine->second.pace == 0) {
+            continue;
+        }
+        const BatchState *batch = findBatch(facts.key.batch);
+        const ItemState *item = findItem(facts.key);
+        if (batch == nullptr || item == nullptr || !batch->route || facts.events < m_options.leastEventsToMove) {
+            continue;
+        }
+        const EngineState *other = bestEngine(*batch, *item, now);
+        if (other != nullptr && cost(engine->second) > m_options.slowFactor * cost(*other)) {
+            slow.push_back(run);
+        }
+    }
+    if (waiting() > 0) {
+        return;
+    }
+    for (const RunId run : slow) {
+        cancel(run);
+        assign(now);
+    }
+}
+
+void SampleScheduler::suspect(EngineState &engine, TimePoint now)
+{
+    constexpr std::uint32_t MostDoublings = 8;
+    const Duration pause = m_options.firstSuspicion * (1U << std::min(engine.losses, MostDoublings));
+    ++engine.losses;
+    engine.notBefore = now + std::min(pause, m_options.longestSuspicion);
+}
+
+void SampleScheduler::list(const ItemKey &key, ItemState &item, bool completed)
+{
+    item.stage = Stage::Listing;
+    ListResult action{.result = {.batch = key.batch, .item = key.item, .id = item.item.id, .completed = completed}};
+    if (completed) {
+        action.result.text = item.text;
+        action.result.versions = item.versions;
+    }
+    m_actions.emplace_back(std::move(action));
+}
+
+void SampleScheduler::finishText(const ItemKey &key, ItemState &item)
+{
+    item.complete = true;
+    if (item.item.scoring) {
+        item.stage = Stage::Scoring;
+        m_actions.emplace_back(StartScoring{key});
+        return;
+    }
+    list(key, item, true);
+}
+
+void SampleScheduler::giveUp(const ItemKey &key, ItemState &item)
+{
+    list(key, item, false);
+}
+
+SampleScheduler::BatchState *SampleScheduler::findBatch(const std::string &batch)
+{
+    const auto found = m_batches.find(batch);
+    return found == m_batches.end() ? nullptr : &found->second;
+}
+
+SampleScheduler::ItemState *SampleScheduler::findItem(const ItemKey &key)
+{
+    BatchState *batch = findBatch(key.batch);
+    return batch == nullptr || key.item >= batch->items.size() ? nullptr : &batch->items[key.item];
+}
+
+void SampleScheduler::closeIfDone(const std::string &batch)
+{
+    const auto found = m_batches.find(batch);
+    if (found != m_batches.end() && found->second.open == 0) {
+        m_order.erase(found->second.order);
+        m_batches.erase(found);
+    }
+}
+
+} // namespace bergamot::dispatch
--- /dev/null
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -0,0 +1,275 @@
+#pragma once
+
+// Decides which sample runs next on which engine, until every item of every open batch has its result. Pure: what
+// happened and the time come in, actions go out.
+//
+//     SampleScheduler scheduler({});
+//     scheduler.setEngines(engines, now);
+//     scheduler.addBatch(batch, listed, route, now);
+//     for (const SchedulerAction &action : scheduler.takeActions()) { ... }
+//
+// Load pattern: a step's samples arrive at once and are more than the engines' slots; some samples are many times
+// longer than others; engines differ in speed, turn slow, crash, or load weights. Older batches go first and items in
+// the order of their groups, so that whole groups finish; a run that breaks off or crawls goes on at another engine
+// after the last event that arrived.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "bergamot/base/address.h"
+#include "bergamot/base/clock.h"
+#include "bergamot/batch/batch.h"
+
+namespace bergamot::dispatch
+{
+
+using RunId = std::uint64_t;
+
+/// An engine as the list and its own answers show it.
+struct EngineFacts
+{
+    std::string id;
+    std::string service;
+    Address address;
+    std::string zone;
+    std::uint32_t slots = 1;
+    std::uint64_t memoryTokens = 0; // 0: not known
+    bool draining = false;
+    std::uint64_t incarnation = 0;
+    std::map<std::string, std::uint64_t> versions; // of its models, as listed
+};
+
+/// What the configuration says of a batch's items.
+struct ItemRoute
+{
+    std::vector<std::string> services;
+    std::uint32_t maxAttempts = 1; // failures of its runs before an item is given up
+    std::uint32_t maxScoringFailures = 1; // the same for its scoring call
+    bool singleVersion = false;
+    Duration retention = std::chrono::seconds(120);
+
+    bool operator==(const ItemRoute &) const = default;
+};
+
+struct ItemKey
+{
+    std::string batch;
+    std::uint32_t item = 0;
+
+    auto operator<=>(const ItemKey &) const = default;
+};
+
+struct StartRun
+{
+    RunId run = 0;
+    ItemKey key;
+    std::string engine;
+    Address address;
+    std::optional<std::uint64_t> resumeAfter; // id of the last event that arrived
+    std::optional<std::uint64_t> expectedVersion; // set while the engine's version is only assumed
+};
+
+struct CancelRun
+{
+    RunId run = 0;
+};
+
+struct StartScoring
+{
+    ItemKey key;
+};
+
+struct CancelScoring
+{
+    ItemKey key;
+};
+
+struct ListResult
+{
+    batch::ItemResult result;
+};
+
+using SchedulerAction = std::variant<StartRun, CancelRun, StartScoring, CancelScoring, ListResult>;
+
+/// How a run ended.
+enum class RunEnd {
+    Complete,
+    NotExecuted, // the engine is full or loads weights
+    WrongEndpoint, // another engine has the address
+    WrongVersion, // the engine's weights have another version than expected
+    Failed, // the engine's own failure: it ran
+    Impossible, // no engine can ever do it
+    Broken, // the stream broke off
+    Silent, // no connection, or no event in time
+};
+
+enum class ScoringEnd {
+    Scored,
+    Failed, // the scoring service's own failure: it ran
+    NoAnswer,
+};
+
+struct SampleSchedulerOptions
+{
+    Duration fullPause = std::chrono::milliseconds(100); // before an engine that refused is asked again
+    Duration wrongVersionPause = std::chrono::milliseconds(150);
+    Duration firstSuspicion = std::chrono::milliseconds(400); // after a lost run; doubles with each further one
+    Duration longestSuspicion = std::chrono::seconds(4);
+    Duration scoringPause = std::chrono::milliseconds(150); // before a scoring call is repeated
+    double slowFactor = 2.0; // a run at an engine slower than this multiple of the best moves, if a place is free
+    std::uint64_t leastEventsToMove = 3; // a run that is nearly done stays
+    double crowding = 0.02; // slowdown of each run by one more at the same engine
+    double memoryShare = 0.95; // of an engine's memory that declared tokens may fill
+};
+
+class SampleScheduler
+{
+public:
+    explicit SampleScheduler(SampleSchedulerOptions options);
+
+    /// Takes in the list. Runs at engines that have gone end elsewhere.
+    void setEngines(const std::vector<EngineFacts> &engines, TimePoint now);
+    void
+    addBatch(const batch::Batch &batch, const std::vector<bool> &listed, std::optional<ItemRoute> route, TimePoint now);
+    /// No route: its items are given up.
+    void setRoute(const std::string &batch, std::optional<ItemRoute> route);
+    void endBatch(const std::string &batch);
+    /// The log holds the item's result, whoever wrote it.
+    void itemListed(const ItemKey &key);
+
+    /// The engine answered with the version of its weights.
+    void runStarted(RunId run, std::uint64_t version);
+    /// False if the event is out of order: the run has been cancelled and goes on elsewhere.
+    bool runEvent(RunId run, std::uint64_t eventId, std::string_view data, std::uint64_t version, TimePoint now);
+    void runEnded(RunId run, RunEnd end, TimePoint now);
+    void scoringEnded(const ItemKey &key, ScoringEnd end, const std::string &score, TimePoint now);
+
+    /// No new run starts at the engine while it takes new weights.
+    void loadStarted(const std::string &engine);
+    /// The engine is assumed to have `version`; runs say so to it until it confirms.
+    void loadFinished(const std::string &engine, const std::string &model, std::uint64_t version);
+    /// The engine itself said which version it has.
+    void versionSeen(const std::string &engine, const std::string &model, std::uint64_t version);
+    void loadAbandoned(const std::string &engine);
+
+    void tick(TimePoint now);
+    std::vector<SchedulerAction> takeActions();
+    /// Drops everything: another instance owns the engines now. The shell cancels the runs.
+    void clear();
+
+    struct EngineLoad
+    {
+        std::string id;
+        std::string service;
+        Address address;
+        std::map<std::string, std::uint64_t> versions;
+        std::uint32_t runs = 0;
+        bool loading = false;
+        bool usable = false;
+    };
+    std::vector<EngineLoad> engineLoads(TimePoint now) const;
+    const batch::Item *item(const ItemKey &key) const;
+    const std::string *host(const std::string &batch) const;
+    std::size_t waiting() const;
+    std::size_t waiting(const std::string &model) const;
+    std::size_t running() const;
+    /// The oldest version that the newest open batch of `model` allows; 0 if none is open.
+    std::uint64_t neededVersion(const std::string &model) const;
+    bool hasBatch(const std::string &batch) const;
+
+private:
+    enum class Stage {
+        Waiting,
+        Running,
+        AwaitingScore,
+        Scoring,
+        Listing,
+        Done,
+    };
+
+    struct ItemState
+    {
+        batch::Item item;
+        Stage stage = Stage::Waiting;
+        RunId run = 0;
+        std::string text;
+        std::uint64_t lastEvent = 0;
+        bool hasEvents = false;
+        bool complete = false;
+        std::vector<std::uint64_t> versions;
+        std::uint32_t failures = 0;
+        std::uint32_t scoringFailures = 0;
+        TimePoint notBefore{};
+    };
+
+    struct BatchState
+    {
+        std::uint64_t order = 0; // of acceptance
+        std::string host;
+        std::string model;
+        std::uint64_t minVersion = 0;
+        std::optional<ItemRoute> route;
+        TimePoint addedAt{};
+        std::vector<ItemState> items;
+        std::size_t open = 0; // items without a result
+    };
+
+    struct Run
+    {
+        ItemKey key;
+        std::string engine;
+        TimePoint startedAt{};
+        TimePoint lastEventAt{};
+        std::uint64_t events = 0;
+    };
+
+    struct EngineState
+    {
+        EngineFacts facts;
+        std::map<std::string, std::uint64_t> versions; // newest knowledge
+        std::set<RunId> runs;
+        std::uint64_t tokens = 0; // declared by its runs
+        double pace = 0; // seconds for an event with nothing else running; 0: not known
+        TimePoint notBefore{};
+        std::uint32_t losses = 0; // in a row
+        bool loading = false;
+        bool assumed = false; // the version is not confirmed
+        bool listed = true;
+    };
+
+    bool fits(const EngineState &engine, const BatchState &batch, const ItemState &item, TimePoint now) const;
+    bool serves(const EngineState &engine, const BatchState &batch) const;
+    double cost(const EngineState &engine) const;
+    double usualPace() const;
+    EngineState *bestEngine(const BatchState &batch, const ItemState &item, TimePoint now);
+    void assign(TimePoint now);
+    void start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now);
+    void detach(RunId run);
+    void cancel(RunId run);
+    void restartIfMixed(const BatchState &batch, ItemState &item, const EngineState &engine);
+    void moveStragglers(TimePoint now);
+    void suspect(EngineState &engine, TimePoint now);
+    void list(const ItemKey &key, ItemState &item, bool completed);
+    void finishText(const ItemKey &key, ItemState &item);
+    void giveUp(const ItemKey &key, ItemState &item);
+    BatchState *findBatch(const std::string &batch);
+    ItemState *findItem(const ItemKey &key);
+    void closeIfDone(const std::string &batch);
+
+    SampleSchedulerOptions m_options;
+    std::map<std::string, EngineState> m_engines;
+    std::map<std::string, BatchState> m_batches;
+    std::map<std::uint64_t, std::string> m_order; // batches by acceptance
+    std::map<RunId, Run> m_runs;
+    std::vector<SchedulerAction> m_actions;
+    RunId m_lastRun = 0;
+    std::uint64_t m_lastOrder = 0;
+};
+
+} // namespace bergamot::dispatch
--- /dev/null
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -0,0 +1,1 @@
+#include <gtest/gtest.h>
--- a/bergamot/entry/internal/view_reader.h
+++ b/bergamot/entry/internal/view_reader.h
@@ -9,7 +9,7 @@
 
 #include "bergamot/base/logging.h"
 #include "bergamot/entry/internal/view_sources.h"
-#include "bergamot/routing/routing_table.h"
+#include "bergamot/routing/routing_view.h"
 
 namespace bergamot::entry_internal
 {
--- a/bergamot/entry/peer_control_link.cpp
+++ b/bergamot/entry/peer_control_link.cpp
@@ -1,6 +1,6 @@
 #include "bergamot/entry/peer_control_link.h"
 
-#include "bergamot/routing/routing_table.h"
+#include "bergamot/routing/routing_view.h"
 
 namespace bergamot
 {
--- /dev/null
+++ b/bergamot/fleet/configuration.cpp
@@ -0,0 +1,42 @@
+#include "bergamot/fleet/configuration.h"
+
+#include <algorithm>
+
+namespace bergamot::fleet
+{
+
+Configuration::Configuration(std::uint64_t version,
+                             std::vector<Route> routes,
+                             std::vector<Service> services,
+                             CallerLimits limits)
+    : m_version(version)
+    , m_routes(std::move(routes))
+    , m_limits(limits)
+{
+    std::sort(m_routes.begin(), m_routes.end(), [](const Route &left, const Route &right) {
+        if (left.host != right.host) {
+            return left.host < right.host;
+        }
+        return left.pathPrefix.size() > right.pathPrefix.size();
+    });
+    for (Service &service : services) {
+        std::string name = service.name;
+        m_services.insert_or_assign(std::move(name), std::move(service));
+    }
+}
+
+const Route *Configuration::match(std::string_view host, std::string_view path) const
+{
+    const auto first =
+        std::lower_bound(m_routes.begin(), m_routes.end(), host, [](const Route &route, std::string_view wanted) {
+            return route.host < wanted;
+        });
+    for (auto route = first; route != m_routes.end() && route->host == host; ++route) {
+        if (path.starts_with(route->pathPrefix)) {
+            return &*route;
+        }
+    }
+    return nullptr;
+}
+
+} // namespace bergamot::fleet
--- /dev/null
+++ b/bergamot/net/http_client.cpp
@@ -0,0 +1,436 @@
+#include "bergamot/net/http_client.h"
+
+#include <charconv>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bergamot::net
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500); // the peer's clock starts before ours
+
+std::string serialized(const ClientRequest &request)
+{
+    std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
+    for (const HeaderField &field : request.headers.all()) {
+        head += field.name + ": " + field.value + "\r\n";
+    }
+    if (!request.body.empty() || request.method != "GET") {
+        head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    return head + "\r\n";
+}
+
+std::optional<Duration> keepAliveTime(const HeaderFields &headers)
+{
+    const std::string_view value = headers.find("Keep-Alive").value_or(std::string_view());
+    const std::size_t found = value.find("timeout=");
+    if (found == std::string_view::npos) {
+        return std::nullopt;
+    }
+    const std::string_view digits = value.substr(found + std::string_view("timeout=").size());
+    int seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+/// An open connection, in use by one call or idle.
+class HttpClient::Connection : public std::enable_shared_from_this<HttpClient::Connection>
+{
+public:
+    Connection(asio::io_context &loop, Address peer)
+        : socket(loop)
+        , address(std::move(peer))
+    { }
+
+    void close()
+    {
+        error_code ignored; // nothing can be done about a socket that does not close
+        socket.close(ignored);
+    }
+
+    tcp::socket socket;
+    Address address;
+    bool used = false;
+    TimePoint idleUntil{};
+    std::uint64_t idleTurn = 0; // tells a watch of an earlier idle time from the present one
+};
+
+class HttpClient::Call final : public ClientCall, public std::enable_shared_from_this<HttpClient::Call>
+{
+public:
+    Call(HttpClient &client, ClientRequest request, CallEvents events)
+        : m_client(client)
+        , m_request(std::move(request))
+        , m_events(std::move(events))
+        , m_startedAt(BootClock::now())
+    { }
+
+    void start()
+    {
+        m_stage = Stage::Connecting;
+        m_connection = m_request.fresh ? nullptr : m_client.takeIdle(m_request.to);
+        if (m_connection != nullptr) {
+            m_reused = true;
+            asio::post(m_client.m_loop, [self = shared_from_this()] {
+                self->send();
+            });
+            return;
+        }
+        ++m_client.m_opened;
+        m_connection = std::make_shared<Connection>(m_client.m_loop, m_request.to);
+        error_code error;
+        const asio::ip::address ip = asio::ip::make_address(m_request.to.ip, error);
+        m_connection->socket.async_connect(tcp::endpoint(ip, m_request.to.port),
+                                           [self = shared_from_this()](const error_code &connectError) {
+                                               self->connected(connectError);
+                                           });
+    }
+
+    void cancel() override
+    {
+        if (m_stage == Stage::Ended) {
+            return;
+        }
+        m_stage = Stage::Ended;
+        m_connection->close();
+        m_events = {};
+        m_client.m_calls.erase(shared_from_this());
+    }
+
+    void checkDeadlines(TimePoint now)
+    {
+        switch (m_stage) {
+        case Stage::Connecting:
+            if (now - m_startedAt > m_request.connectTimeout) {
+                end({.failure = CallFailure::NotConnected, .detail = "no connection in time"});
+            }
+            return;
+        case Stage::AwaitingHead:
+            if (now - m_startedAt > m_request.headTimeout) {
+                end({.failure = CallFailure::TimedOut, .detail = "no response in time"});
+            }
+            return;
+        case Stage::ReadingBody:
+            if (now - m_lastDataAt > m_request.gapTimeout) {
+                end({.failure = CallFailure::TimedOut, .detail = "the response stalled"});
+            }
+            return;
+        case Stage::Ended:
+            return;
+        }
+    }
+
+private:
+    enum class Stage {
+        Connecting,
+        AwaitingHead,
+        ReadingBody,
+        Ended,
+    };
+
+    void connected(const error_code &error)
+    {
+        if (m_stage == Stage::Ended) {
+            return;
+        }
+        if (error) {
+            end({.failure = CallFailure::NotConnected, .detail = error.message()});
+            return;
+        }
+        error_code ignored; // a connection with delayed small packets still works
+        m_connection->socket.set_option(tcp::no_delay(true), ignored);
+        send();
+    }
+
+    void send()
+    {
+        if (m_stage == Stage::Ended) {
+            return;
+        }
+        m_stage = Stage::AwaitingHead;
+        m_head = serialized(m_request);
+        const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), asio::buffer(m_request.body)};
+        asio::async_write(m_connection->socket, buffers, [self = shared_from_this()](const error_code &error, size_t) {
+            self->m_sent = !error;
+            self->m_writing = false;
+        });
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        m_parser->eager(true);
+        readSome();
+    }
+
+    void readSome()
+    {
+        http::async_read_some(
+            m_connection->socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, size_t) {
+                self->received(error);
+            });
+    }
+
+    void received(const error_code &error)
+    {
+        if (m_stage == Stage::Ended) {
+            return;
+        }
+        if (m_stage == Stage::AwaitingHead && m_parser->is_header_done() && !takeHead()) {
+            return;
+        }
+        if (m_stage == Stage::ReadingBody && !takeBody()) {
+            return;
+        }
+        if (m_stage == Stage::ReadingBody && m_parser->is_done()) {
+            complete();
+            return;
+        }
+        if (!error) {
+            readSome();
+            return;
+        }
+        if (error == http::error::end_of_stream || error == asio::error::eof || error == http::error::partial_message
+            || error.category() == boost::system::system_category()) {
+            end({.failure = CallFailure::Lost, .detail = error.message()});
+            return;
+        }
+        end({.failure = CallFailure::Malformed, .detail = error.message()});
+    }
+
+    /// False if the call has ended.
+    bool takeHead()
+    {
+        ResponseHead head{.status = static_cast<int>(m_parser->get().result_int())};
+        for (const auto &field : m_parser->get()) {
+            head.headers.add({field.name_string().data(), field.name_string().size()},
+                             {field.value().data(), field.value().size()});
+        }
+        const std::optional<std::string_view> echo = head.headers.find(m_request.echoHeader);
+        if (!m_request.echoHeader.empty() && echo && *echo != m_request.expectedEcho) {
+            end({.failure = CallFailure::Malformed, .detail = "the response belongs to another request"});
+            return false;
+        }
+        m_keepAlive = m_parser->keep_alive();
+        m_idleLimit = keepAliveTime(head.headers);
+        m_untilClose = m_parser->need_eof();
+        m_stage = Stage::ReadingBody;
+        m_lastDataAt = BootClock::now();
+        const std::shared_ptr<Call> self = shared_from_this();
+        if (m_events.onHead) {
+            m_events.onHead(head);
+        }
+        return m_stage != Stage::Ended;
+    }
+
+    bool takeBody()
+    {
+        std::string &body = m_parser->get().body();
+        if (body.empty()) {
+            return true;
+        }
+        m_lastDataAt = BootClock::now();
+        const std::string data = std::exchange(body, {});
+        if (m_events.onData) {
+            m_events.onData(data);
+        }
+        return m_stage != Stage::Ended;
+    }
+
+    void complete()
+    {
+        const bool reusable = m_keepAlive && !m_untilClose && !m_writing && m_sent && m_buffer.size() == 0;
+        m_connection->used = true;
+        const Duration limit = m_client.m_options.idleLimit;
+        m_connection->idleUntil =
+            BootClock::now() + std::min(limit, m_idleLimit ? *m_idleLimit - KeepAliveMargin : limit);
+        if (reusable) {
+            m_client.keep(std::move(m_connection));
+        }
+        end({});
+    }
+
+    void end(CallEnd outcome)
+    {
+        outcome.reused = m_reused;
+        outcome.delimitedByClose = m_untilClose;
+        m_stage = Stage::Ended;
+        if (m_connection != nullptr) {
+            m_connection->close();
+        }
+        const std::shared_ptr<Call> self = shared_from_this();
+        const CallEvents events = std::exchange(m_events, {});
+        m_client.m_calls.erase(self);
+        if (events.onEnd) {
+            events.onEnd(outcome);
+        }
+    }
+
+    HttpClient &m_client;
+    ClientRequest m_request;
+    CallEvents m_events;
+    TimePoint m_startedAt;
+    TimePoint m_lastDataAt{};
+    std::shared_ptr<Connection> m_connection;
+    std::string m_head;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::string_body>> m_parser;
+    Stage m_stage = Stage::Connecting;
+    bool m_reused = false;
+    bool m_writing = true;
+    bool m_sent = false;
+    bool m_keepAlive = false;
+    bool m_untilClose = false;
+    std::optional<Duration> m_idleLimit;
+};
+
+HttpClient::HttpClient(asio::io_context &loop, HttpClientOptions options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_timer(loop)
+{ }
+
+HttpClient::~HttpClient() = default;
+
+std::shared_ptr<ClientCall> HttpClient::start(ClientRequest request, CallEvents events)
+{
+    auto call = std::make_shared<Call>(*this, std::move(request), std::move(events));
+    m_calls.insert(call);
+    call->start();
+    scheduleSweep();
+    return call;
+}
+
+void HttpClient::dropIdle(const Address &address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return;
+    }
+    for (const std::shared_ptr<Connection> &connection : found->second) {
+        connection->close();
+    }
+    m_idle.erase(found);
+}
+
+std::size_t HttpClient::active() const
+{
+    return m_calls.size();
+}
+
+std::uint64_t HttpClient::connectionsOpened() const
+{
+    return m_opened;
+}
+
+std::shared_ptr<HttpClient::Connection> HttpClient::takeIdle(const Address &address)
+{
+    const auto found = m_idle.find(address);
+    if (found == m_idle.end()) {
+        return nullptr;
+    }
+    std::shared_ptr<Connection> connection;
+    while (!found->second.empty() && connection == nullptr) {
+        connection = std::move(found->second.back());
+        found->second.pop_back();
+        if (connection->idleUntil <= BootClock::now() || !connection->socket.is_open()) {
+            connection->close();
+            connection = nullptr;
+        }
+    }
+    if (found->second.empty()) {
+        m_idle.erase(found);
+    }
+    if (connection != nullptr) {
+        ++connection->idleTurn;
+    }
+    return connection;
+}
+
+void HttpClient::keep(std::shared_ptr<Connection> connection)
+{
+    std::vector<std::shared_ptr<Connection>> &idle = m_idle[connection->address];
+    if (idle.size() >= m_options.mostIdlePerAddress) {
+        connection->close();
+        return;
+    }
+    // Anything that arrives on an idle connection ends it: the peer's close, or bytes that belong to no request.
+    const std::uint64_t turn = ++connection->idleTurn;
+    connection->socket.async_wait(tcp::socket::wait_read,
+                                  [this, weak = std::weak_ptr(connection), turn](error_code error) {
+                                      const std::shared_ptr<Connection> watched = weak.lock();
+                                      if (error || watched == nullptr || watched->idleTurn != turn) {
+                                          return;
+                                      }
+                                      forget(watched.get());
+                                      watched->close();
+                                  });
+    idle.push_back(std::move(connection));
+    scheduleSweep();
+}
+
+void HttpClient::forget(const Connection *connection)
+{
+    const auto found = m_idle.find(connection->address);
+    if (found == m_idle.end()) {
+        return;
+    }
+    std::erase_if(found->second, [connection](const std::shared_ptr<Connection> &kept) {
+        return kept.get() == connection;
+    });
+    if (found->second.empty()) {
+        m_idle.erase(found);
+    }
+}
+
+void HttpClient::scheduleSweep()
+{
+    constexpr Duration IdleSweepPeriod = std::chrono::seconds(1);
+    const Duration after = m_calls.empty() ? IdleSweepPeriod : m_options.sweepPeriod;
+    if ((m_sweeping && m_sweepAfter <= after) || (m_calls.empty() && m_idle.empty())) {
+        return;
+    }
+    m_sweeping = true;
+    m_sweepAfter = after;
+    m_timer.expires_after(after);
+    m_timer.async_wait([this, turn = ++m_sweepTurn](const error_code &error) {
+        if (!error && turn == m_sweepTurn) {
+            m_sweeping = false;
+            sweep();
+        }
+    });
+}
+
+void HttpClient::sweep()
+{
+    const TimePoint now = BootClock::now();
+    const std::vector<std::shared_ptr<Call>> calls(m_calls.begin(), m_calls.end());
+    for (const std::shared_ptr<Call> &call : calls) {
+        call->checkDeadlines(now);
+    }
+    for (auto entry = m_idle.begin(); entry != m_idle.end();) {
+        std::erase_if(entry->second, [now](const std::shared_ptr<Connection> &connection) {
+            if (connection->idleUntil > now) {
+                return false;
+            }
+            connection->close();
+            return true;
+        });
+        entry = entry->second.empty() ? m_idle.erase(entry) : std::next(entry);
+    }
+    scheduleSweep();
+}
+
+} // namespace bergamot::net
--- /dev/null
+++ b/bergamot/net/http_server.cpp
@@ -0,0 +1,505 @@
+#include "bergamot/net/http_server.h"
+
+#include <array>
+#include <cstdio>
+#include <deque>
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace bergamot::net
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+namespace
+{
+
+constexpr int ListenBacklog = 1024; // a burst of callers after a restart waits here instead of being dropped
+constexpr Duration SweepPeriod = std::chrono::milliseconds(500); // far below every limit of a connection
+constexpr Duration AcceptPause = std::chrono::milliseconds(50); // after running out of descriptors
+constexpr int BadRequest = 400;
+constexpr int PayloadTooLarge = 413;
+constexpr int HeaderFieldsTooLarge = 431;
+
+std::string serializedHead(int status, const HeaderFields &headers, bool close)
+{
+    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
+    head += reasonPhrase(status);
+    head += "\r\n";
+    for (const HeaderField &field : headers.all()) {
+        head += field.name + ": " + field.value + "\r\n";
+    }
+    if (close) {
+        head += "Connection: close\r\n";
+    }
+    return head;
+}
+
+std::string chunk(std::string_view data)
+{
+    std::array<char, 20> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
+    std::string framed(size.data());
+    framed += data;
+    return framed + "\r\n";
+}
+
+} // namespace
+
+std::string_view reasonPhrase(int status)
+{
+    const boost::beast::string_view phrase = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
+    return {phrase.data(), phrase.size()};
+}
+
+class HttpServer::Connection final : public Exchange, public std::enable_shared_from_this<HttpServer::Connection>
+{
+public:
+    Connection(HttpServer &server, tcp::socket socket)
+        : m_server(server)
+        , m_socket(std::move(socket))
+    { }
+
+    void readRequest()
+    {
+        m_stage = m_buffer.size() == 0 ? Stage::Idle : Stage::ReadingHead;
+        m_since = BootClock::now();
+        m_parser.emplace();
+        m_parser->header_limit(m_server.m_limits.headerBytes);
+        m_parser->body_limit(m_server.m_limits.bodyBytes);
+        m_parser->eager(true);
+        readSome();
+    }
+
+    const Request &request() const override
+    {
+        return m_request;
+    }
+
+    TimePoint receivedAt() const override
+    {
+        return m_receivedAt;
+    }
+
+    void onCallerGone(std::function<void()> handler) override
+    {
+        m_callerGone = std::move(handler);
+    }
+
+    void respond(Response response) override
+    {
+        if (m_stage != Stage::Handling) {
+            return;
+        }
+        m_closeAfter = m_closeAfter || m_server.m_draining;
+        std::string head = serializedHead(response.status, response.headers, m_closeAfter);
+        head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
+        m_outgoing.push_back(std::move(head));
+        if (!response.body.empty()) {
+            m_outgoing.push_back(std::move(response.body));
+        }
+        endResponse();
+    }
+
+    void beginStream(const ResponseHead &head) override
+    {
+        if (m_stage != Stage::Handling) {
+            return;
+        }
+        m_closeAfter = m_closeAfter || m_server.m_draining;
+        m_outgoing.push_back(serializedHead(head.status, head.headers, m_closeAfter)
+                             + "Transfer-Encoding: chunked\r\n\r\n");
+        flush();
+    }
+
+    void write(std::string_view data) override
+    {
+        if (m_stage == Stage::Handling && !data.empty()) {
+            m_outgoing.push_back(chunk(data));
+            flush();
+        }
+    }
+
+    void finish() override
+    {
+        if (m_stage == Stage::Handling) {
+            m_outgoing.emplace_back("0\r\n\r\n");
+            endResponse();
+        }
+    }
+
+    void abort() override
+    {
+        close();
+    }
+
+    std::size_t backlog() const override
+    {
+        std::size_t bytes = 0;
+        for (const std::string &part : m_outgoing) {
+            bytes += part.size();
+        }
+        return bytes;
+    }
+
+    void close()
+    {
+        if (m_stage == Stage::Closed) {
+            return;
+        }
+        const bool pending = m_stage == Stage::Handling || m_stage == Stage::Responding;
+        m_server.m_pending -= pending ? 1 : 0;
+        m_stage = Stage::Closed;
+        m_callerGone = nullptr;
+        error_code ignored; // nothing can be done about a socket that does not close
+        m_socket.close(ignored);
+        m_server.m_connections.erase(shared_from_this());
+    }
+
+    bool idle() const
+    {
+        return m_stage == Stage::Idle;
+    }
+
+    void checkDeadlines(TimePoint now)
+    {
+        const ServerLimits &limits = m_server.m_limits;
+        const Duration waited = now - m_since;
+        const bool late = (m_stage == Stage::Idle && waited > limits.idleTimeout)
+            || (m_stage == Stage::ReadingHead && waited > limits.requestTimeout)
+            || (m_stage == Stage::ReadingBody && waited > limits.bodyGapTimeout)
+            || (!m_writing.empty() && now - m_writingSince > limits.writeTimeout);
+        if (late) {
+            callerWent();
+        }
+    }
+
+private:
+    enum class Stage {
+        Idle,
+        ReadingHead,
+        ReadingBody,
+        Handling, // the handler has the request
+        Responding, // the response is complete, but not all of it is sent
+        Closed,
+    };
+
+    void readSome()
+    {
+        http::async_read_some(
+            m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, size_t) {
+                self->received(error);
+            });
+    }
+
+    void received(const error_code &error)
+    {
+        if (m_stage == Stage::Closed) {
+            return;
+        }
+        if (error) {
+            rejectRequest(error);
+            return;
+        }
+        if (m_parser->is_done()) {
+            takeRequest();
+            return;
+        }
+        if (m_parser->is_header_done()) {
+            m_since = BootClock::now();
+            if (m_stage != Stage::ReadingBody && expectsContinue()) {
+                m_outgoing.emplace_back("HTTP/1.1 100 Continue\r\n\r\n");
+                flush();
+            }
+            m_stage = Stage::ReadingBody;
+        } else if (m_stage == Stage::Idle) {
+            m_stage = Stage::ReadingHead;
+            m_since = BootClock::now();
+        }
+        readSome();
+    }
+
+    bool expectsContinue() const
+    {
+        const auto value = m_parser->get()[http::field::expect];
+        return boost::beast::iequals(value, "100-continue");
+    }
+
+    void rejectRequest(const error_code &error)
+    {
+        int status = 0;
+        if (error == http::error::header_limit) {
+            status = HeaderFieldsTooLarge;
+        } else if (error == http::error::body_limit) {
+            status = PayloadTooLarge;
+        } else if (error.category() == make_error_code(http::error::bad_method).category()
+                   && error != http::error::end_of_stream && error != http::error::partial_message) {
+            status = BadRequest;
+        }
+        if (status == 0) {
+            close();
+            return;
+        }
+        m_closeAfter = true;
+        m_stage = Stage::Handling;
+        ++m_server.m_pending;
+        respond({.status = status});
+    }
+
+    void takeRequest()
+    {
+        auto &message = m_parser->get();
+        m_request = {};
+        m_request.method.assign(message.method_string().data(), message.method_string().size());
+        m_request.target.assign(message.target().data(), message.target().size());
+        for (const auto &field : message) {
+            m_request.headers.add({field.name_string().data(), field.name_string().size()},
+                                  {field.value().data(), field.value().size()});
+        }
+        m_request.body = std::move(message.body());
+        m_closeAfter = !m_parser->keep_alive();
+        m_parser.reset();
+        m_stage = Stage::Handling;
+        m_receivedAt = BootClock::now();
+        ++m_server.m_pending;
+        watchCaller();
+        m_server.m_handler(shared_from_this());
+    }
+
+    /// Notices a caller that closes while its response is pending; a next request in the buffer ends the watch.
+    void watchCaller()
+    {
+        if (m_watching) {
+            return;
+        }
+        m_watching = true;
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            self->m_watching = false;
+            const bool pending = self->m_stage == Stage::Handling || self->m_stage == Stage::Responding;
+            if (error || !pending) {
+                return;
+            }
+            char byte = 0;
+            const ssize_t got = ::recv(self->m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+            if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR)) {
+                self->callerWent();
+            }
+        });
+    }
+
+    void callerWent()
+    {
+        const std::function<void()> handler = std::exchange(m_callerGone, nullptr);
+        close();
+        if (handler) {
+            handler();
+        }
+    }
+
+    void endResponse()
+    {
+        m_stage = Stage::Responding;
+        m_callerGone = nullptr;
+        flush();
+    }
+
+    void flush()
+    {
+        if (!m_writing.empty()) {
+            return;
+        }
+        if (m_outgoing.empty()) {
+            if (m_stage == Stage::Responding) {
+                responseSent();
+            }
+            return;
+        }
+        m_writing.swap(m_outgoing);
+        m_writingSince = BootClock::now();
+        std::vector<asio::const_buffer> buffers;
+        buffers.reserve(m_writing.size());
+        for (const std::string &part : m_writing) {
+            buffers.emplace_back(part.data(), part.size());
+        }
+        asio::async_write(m_socket, buffers, [self = shared_from_this()](const error_code &error, size_t) {
+            self->m_writing.clear();
+            if (self->m_stage == Stage::Closed) {
+                return;
+            }
+            if (error) {
+                self->callerWent();
+                return;
+            }
+            self->flush();
+        });
+    }
+
+    void responseSent()
+    {
+        --m_server.m_pending;
+        m_stage = Stage::Idle;
+        m_request = {};
+        if (m_closeAfter) {
+            error_code ignored; // the peer may have closed first
+            m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            close();
+            return;
+        }
+        readRequest();
+    }
+
+    HttpServer &m_server;
+    tcp::socket m_socket;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<http::request_parser<http::string_body>> m_parser;
+    Request m_request;
+    TimePoint m_receivedAt{};
+    TimePoint m_since{};
+    TimePoint m_writingSince{};
+    std::function<void()> m_callerGone;
+    std::vector<std::string> m_outgoing;
+    std::vector<std::string> m_writing;
+    Stage m_stage = Stage::Idle;
+    bool m_closeAfter = false;
+    bool m_watching = false;
+};
+
+HttpServer::HttpServer(asio::io_context &loop, Handler handler)
+    : m_loop(loop)
+    , m_handler(std::move(handler))
+    , m_acceptor(loop)
+    , m_retryAccept(loop)
+    , m_timer(loop)
+{ }
+
+HttpServer::~HttpServer() = default;
+
+Result<void> HttpServer::listen(const Address &address)
+{
+    error_code error;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.ip, error), address.port);
+    const auto attempt = [&error](const auto &step) {
+        if (!error) {
+            step();
+        }
+    };
+    attempt([&] {
+        m_acceptor.open(endpoint.protocol(), error);
+    });
+    attempt([&] {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    });
+    attempt([&] {
+        m_acceptor.bind(endpoint, error);
+    });
+    attempt([&] {
+        m_acceptor.listen(ListenBacklog, error);
+    });
+    if (error) {
+        return failure(ErrorCode::Unavailable, "cannot listen on " + toString(address) + ": " + error.message());
+    }
+    accept();
+    scheduleSweep();
+    return {};
+}
+
+std::uint16_t HttpServer::port() const
+{
+    error_code ignored; // a closed acceptor has no port
+    return m_acceptor.local_endpoint(ignored).port();
+}
+
+void HttpServer::setLimits(const ServerLimits &limits)
+{
+    m_limits = limits;
+}
+
+void HttpServer::drain()
+{
+    m_draining = true;
+}
+
+void HttpServer::closeIdle()
+{
+    const std::vector<std::shared_ptr<Connection>> connections(m_connections.begin(), m_connections.end());
+    for (const std::shared_ptr<Connection> &connection : connections) {
+        if (connection->idle()) {
+            connection->close();
+        }
+    }
+}
+
+void HttpServer::stopListening()
+{
+    error_code ignored; // nothing can be done about a socket that does not close
+    m_acceptor.close(ignored);
+    m_retryAccept.cancel();
+}
+
+std::size_t HttpServer::connections() const
+{
+    return m_connections.size();
+}
+
+std::size_t HttpServer::pending() const
+{
+    return m_pending;
+}
+
+void HttpServer::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+        if (error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            m_retryAccept.expires_after(AcceptPause);
+            m_retryAccept.async_wait([this](const error_code &cancelled) {
+                if (!cancelled) {
+                    accept();
+                }
+            });
+            return;
+        }
+        error_code ignored; // a connection with delayed small packets still works
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto connection = std::make_shared<Connection>(*this, std::move(socket));
+        m_connections.insert(connection);
+        connection->readRequest();
+        scheduleSweep();
+        accept();
+    });
+}
+
+void HttpServer::scheduleSweep()
+{
+    if (m_sweeping || m_connections.empty()) {
+        return;
+    }
+    m_sweeping = true;
+    m_timer.expires_after(SweepPeriod);
+    m_timer.async_wait([this](const error_code &error) {
+        m_sweeping = false;
+        if (!error) {
+            sweep();
+        }
+    });
+}
+
+void HttpServer::sweep()
+{
+    const TimePoint now = BootClock::now();
+    const std::vector<std::shared_ptr<Connection>> connections(m_connections.begin(), m_connections.end());
+    for (const std::shared_ptr<Connection> &connection : connections) {
+        connection->checkDeadlines(now);
+    }
+    scheduleSweep();
+}
+
+} // namespace bergamot::net
--- /dev/null
+++ b/bergamot/net/message.cpp
@@ -0,0 +1,75 @@
+#include "bergamot/net/message.h"
+
+#include <array>
+
+namespace bergamot::net
+{
+
+namespace
+{
+
+constexpr std::array<std::string_view, 9> ConnectionFields{"Connection",
+                                                           "Keep-Alive",
+                                                           "Proxy-Connection",
+                                                           "Proxy-Authenticate",
+                                                           "TE",
+                                                           "Trailer",
+                                                           "Transfer-Encoding",
+                                                           "Content-Length",
+                                                           "Upgrade"};
+
+std::string_view trimmed(std::string_view text)
+{
+    const std::size_t first = text.find_first_not_of(" \t");
+    if (first == std::string_view::npos) {
+        return {};
+    }
+    return text.substr(first, text.find_last_not_of(" \t") - first + 1);
+}
+
+bool namedBy(std::string_view connection, std::string_view field)
+{
+    while (!connection.empty()) {
+        const std::size_t comma = connection.find(',');
+        if (HeaderFields::sameName(trimmed(connection.substr(0, comma)), field)) {
+            return true;
+        }
+        connection = comma == std::string_view::npos ? std::string_view() : connection.substr(comma + 1);
+    }
+    return false;
+}
+
+} // namespace
+
+std::optional<std::string_view> Request::query(std::string_view name) const
+{
+    const std::size_t mark = target.find('?');
+    std::string_view rest = mark == std::string::npos ? std::string_view() : std::string_view(target).substr(mark + 1);
+    while (!rest.empty()) {
+        const std::size_t end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        const std::size_t equals = pair.find('=');
+        if (pair.substr(0, equals) == name) {
+            return equals == std::string_view::npos ? std::string_view() : pair.substr(equals + 1);
+        }
+        rest = end == std::string_view::npos ? std::string_view() : rest.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+HeaderFields endToEnd(const HeaderFields &headers)
+{
+    const std::string_view connection = headers.find("Connection").value_or(std::string_view());
+    HeaderFields kept;
+    for (const HeaderField &field : headers.all()) {
+        const bool hop = std::any_of(ConnectionFields.begin(), ConnectionFields.end(), [&](std::string_view name) {
+            return HeaderFields::sameName(name, field.name);
+        });
+        if (!hop && !namedBy(connection, field.name)) {
+            kept.add(field.name, field.value);
+        }
+    }
+    return kept;
+}
+
+} // namespace bergamot::net
--- /dev/null
+++ b/bergamot/node/batch_log.cpp
@@ -0,0 +1,272 @@
+#include "bergamot/node/batch_log.h"
+
+namespace bergamot::node
+{
+
+namespace
+{
+
+constexpr std::string_view ProducerName = "pool";
+constexpr Duration ClaimTimeout = std::chrono::milliseconds(700);
+constexpr std::uint32_t FetchKilobytes = 256; // of one read; bounds the memory of an instance that serves a reader
+
+} // namespace
+
+struct BatchLog::Fetch
+{
+    std::vector<std::uint64_t> offsets;
+    std::size_t done = 0;
+    std::vector<LogRecord> records;
+    Fetched callback;
+};
+
+BatchLog::BatchLog(boost::asio::io_context &loop,
+                   logstore::LogStore &store,
+                   BatchLogOptions options,
+                   EventLog &log,
+                   std::uint64_t seed)
+    : m_loop(loop)
+    , m_store(store)
+    , m_options(std::move(options))
+    , m_log(log)
+    , m_ownership(m_options.instance, m_options.ownership, seed)
+    , m_tail(loop,
+             store,
+             {.topic = m_options.topic, .pace = m_options.followerPace},
+             {.onRecord =
+                  [this](std::uint64_t offset, const std::string &bytes) {
+                      applyRecord(offset, bytes);
+                  },
+              .onBatchEnd =
+                  [this] {
+                      if (!m_started && m_tail.caughtUp()) {
+                          m_started = true;
+                          m_ownership.logReturned(BootClock::now());
+                      }
+                      updateOwnership();
+                      if (m_progressHandler) {
+                          m_progressHandler();
+                      }
+                  },
+              .onGap =
+                  [this](std::uint64_t first) {
+                      m_log.write(EventKind::State, "batch-log-gap", {{"first", std::to_string(first)}});
+                  },
+              .onLost =
+                  [this] {
+                      m_log.write(EventKind::State, "store-lost", {{"view", "batches"}});
+                  },
+              .onReturned =
+                  [this](Duration) {
+                      m_log.write(EventKind::State, "store-returned", {{"view", "batches"}});
+                      m_ownership.logReturned(BootClock::now());
+                  }})
+    , m_writer(loop,
+               store,
+               {.topic = m_options.topic, .producer = std::string(ProducerName), .callBytes = m_options.callBytes})
+{
+    m_writer.onFenced([this] {
+        m_log.write(EventKind::State, "pool-fenced", {{"epoch", std::to_string(m_ownership.epoch())}});
+        m_ownership.fenced();
+        updateOwnership();
+    });
+}
+
+BatchLog::~BatchLog() = default;
+
+void BatchLog::start()
+{
+    m_tail.start(0);
+}
+
+bool BatchLog::certain(TimePoint now) const
+{
+    return m_started && m_tail.caughtUp() && m_tail.age(now) <= m_options.certainFor;
+}
+
+bool BatchLog::started() const
+{
+    return m_started;
+}
+
+const batch::BatchIndex &BatchLog::index() const
+{
+    return m_index;
+}
+
+const duties::PoolOwnership &BatchLog::ownership() const
+{
+    return m_ownership;
+}
+
+logstore::FencedWriter &BatchLog::writer()
+{
+    return m_writer;
+}
+
+const BatchLogOptions &BatchLog::options() const
+{
+    return m_options;
+}
+
+void BatchLog::append(std::vector<std::string> records,
+                      Duration timeout,
+                      std::function<void(const logstore::AppendOutcome &)> done)
+{
+    m_store.append({.topic = m_options.topic, .records = std::move(records), .timeout = timeout}, std::move(done));
+}
+
+void BatchLog::fetch(std::vector<std::uint64_t> offsets, Fetched done)
+{
+    auto fetch = std::make_shared<Fetch>();
+    fetch->offsets = std::move(offsets);
+    fetch->callback = std::move(done);
+    fetchNext(std::move(fetch));
+}
+
+void BatchLog::fetchNext(std::shared_ptr<Fetch> fetch)
+{
+    if (fetch->done >= fetch->offsets.size()) {
+        fetch->callback(true, std::move(fetch->records));
+        return;
+    }
+    const std::uint64_t from = fetch->offsets[fetch->done];
+    m_store.read({.topic = m_options.topic, .from = from, .mostKilobytes = FetchKilobytes},
+                 [this, fetch, from](logstore::ReadOutcome outcome) {
+                     const std::size_t before = fetch->done;
+                     if (outcome.status == logstore::ReadStatus::Done) {
+                         while (fetch->done < fetch->offsets.size()
+                                && fetch->offsets[fetch->done] - from < outcome.records.size()) {
+                             const std::uint64_t offset = fetch->offsets[fetch->done++];
+                             fetch->records.push_back({offset, std::move(outcome.records[offset - from])});
+                         }
+                     }
+                     if (fetch->done == before) {
+                         fetch->callback(false, std::move(fetch->records));
+                         return;
+                     }
+                     fetchNext(fetch);
+                 });
+}
+
+void BatchLog::onChange(std::function<void(batch::BatchChange, const batch::log::Record &)> handler)
+{
+    m_changeHandler = std::move(handler);
+}
+
+void BatchLog::onProgress(std::function<void()> handler)
+{
+    m_progressHandler = std::move(handler);
+}
+
+void BatchLog::onOwnership(std::function<void(bool)> handler)
+{
+    m_ownershipHandler = std::move(handler);
+}
+
+void BatchLog::tick(TimePoint now)
+{
+    m_index.expire(now);
+    if (m_started && m_tail.caughtUp() && !m_tail.lost() && m_ownership.shouldClaim(now) && !m_claiming) {
+        claim();
+    }
+    if (m_owned && !m_renewing && m_ownership.shouldRenew(m_writer.lastWrittenAt(), now) && m_writer.waiting() == 0) {
+        m_renewing = true;
+        m_writer.write(batch::renewalRecord(m_ownership.epoch()), [this](bool) {
+            m_renewing = false;
+        });
+    }
+}
+
+void BatchLog::retire()
+{
+    m_retired = true;
+    m_ownership.retire();
+    if (m_owned) {
+        m_writer.write(batch::releaseRecord(m_ownership.epoch()), nullptr);
+    }
+}
+
+void BatchLog::applyRecord(std::uint64_t offset, const std::string &bytes)
+{
+    const batch::log::Record *record = batch::parseRecord(bytes);
+    if (record == nullptr) {
+        m_log.write(EventKind::State, "batch-record-unreadable", {{"offset", std::to_string(offset)}});
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    switch (record->payload_type()) {
+    case batch::log::Payload::Claim: {
+        const batch::log::Claim &claimed = *record->payload_as_Claim();
+        m_ownership.applyClaim(batch::text(claimed.instance()), claimed.epoch(), now);
+        m_log.write(EventKind::State,
+                    "pool-claimed",
+                    {{"instance", batch::text(claimed.instance())},
+                     {"epoch", std::to_string(claimed.epoch())},
+                     {"offset", std::to_string(offset)}});
+        break;
+    }
+    case batch::log::Payload::Renewal:
+        m_ownership.applyRenewal(record->payload_as_Renewal()->epoch(), now);
+        break;
+    case batch::log::Payload::Release:
+        m_ownership.applyRelease(record->payload_as_Release()->epoch(), now);
+        break;
+    case batch::log::Payload::LoadIntent: {
+        const batch::log::LoadIntent &intent = *record->payload_as_LoadIntent();
+        m_ownership.applyLoadIntent(intent.epoch(), batch::text(intent.engine()), now);
+        break;
+    }
+    case batch::log::Payload::ItemResult:
+        m_ownership.applyRenewal(m_ownership.epoch(), now);
+        break;
+    default:
+        break;
+    }
+    const batch::BatchChange change = m_index.apply(offset, *record, now);
+    if (change != batch::BatchChange::Nothing && m_changeHandler) {
+        m_changeHandler(change, *record);
+    }
+}
+
+void BatchLog::claim()
+{
+    m_claiming = true;
+    const std::uint64_t epoch = m_ownership.epoch() + 1;
+    m_store.append({.topic = m_options.topic,
+                    .records = {batch::claimRecord(m_options.instance, epoch)},
+                    .at = m_tail.next(),
+                    .producer = logstore::Producer{.name = std::string(ProducerName), .epoch = epoch, .sequence = 0},
+                    .timeout = ClaimTimeout},
+                   [this](const logstore::AppendOutcome &outcome) {
+                       // Whatever the answer is, the log tells who owns the pool.
+                       m_claiming = false;
+                       m_log.write(
+                           EventKind::State,
+                           "pool-claim",
+                           {{"status", std::to_string(static_cast<int>(outcome.status))}, {"detail", outcome.detail}});
+                   });
+}
+
+void BatchLog::updateOwnership()
+{
+    const bool owns = m_ownership.owns() && m_tail.caughtUp();
+    if (owns == m_owned || (owns && !m_started)) {
+        return;
+    }
+    if (!owns && m_ownership.owns()) {
+        return; // behind for a moment
+    }
+    m_owned = owns;
+    m_tail.setPace(owns ? m_options.ownerPace : m_options.followerPace);
+    if (owns) {
+        m_writer.begin(m_ownership.epoch(), 1);
+    } else {
+        m_writer.end();
+    }
+    if (m_ownershipHandler) {
+        m_ownershipHandler(owns);
+    }
+}
+
+} // namespace bergamot::node
--- /dev/null
+++ b/bergamot/node/fleet_view.cpp
@@ -0,0 +1,251 @@
+#include "bergamot/node/fleet_view.h"
+
+namespace bergamot::node
+{
+
+namespace
+{
+
+constexpr Duration FirstReadPause = std::chrono::milliseconds(200); // before a full read is tried again
+
+std::string milliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+void notify(const std::function<void()> &handler)
+{
+    if (handler) {
+        handler();
+    }
+}
+
+} // namespace
+
+FleetView::FleetView(
+    boost::asio::io_context &loop, logstore::LogStore &store, const PlatformCodec &codec, EventLog &log, Duration pace)
+    : m_loop(loop)
+    , m_store(store)
+    , m_codec(codec)
+    , m_log(log)
+    , m_retryOperators(loop)
+    , m_retryEndpoints(loop)
+{
+    logstore::TopicTailEvents operators;
+    operators.onRecord = [this](std::uint64_t offset, const std::string &bytes) {
+        if (const auto record = logstore::splitKeyed(bytes, offset)) {
+            takeOperatorRecord(*record);
+        }
+    };
+    operators.onGap = [this](std::uint64_t) {
+        readOperators();
+    };
+    operators.onLost = [this] {
+        m_log.write(EventKind::State, "store-lost", {{"view", "configuration"}});
+    };
+    operators.onReturned = [this](Duration silence) {
+        m_log.write(
+            EventKind::State, "store-returned", {{"view", "configuration"}, {"after_ms", milliseconds(silence)}});
+    };
+    m_operatorTail = std::make_unique<logstore::TopicTail>(
+        loop, store, logstore::TopicTailOptions{.topic = codec.operatorTopic(), .pace = pace}, std::move(operators));
+
+    logstore::TopicTailEvents endpoints;
+    endpoints.onRecord = [this](std::uint64_t offset, const std::string &bytes) {
+        if (const auto record = logstore::splitKeyed(bytes, offset)) {
+            takeEndpointRecord(*record);
+        }
+    };
+    endpoints.onBatchEnd = [this] {
+        if (std::exchange(m_endpointsChanged, false)) {
+            notify(m_endpointsHandler);
+        }
+    };
+    endpoints.onGap = [this](std::uint64_t) {
+        readEndpoints();
+    };
+    endpoints.onLost = [this] {
+        m_log.write(EventKind::State, "store-lost", {{"view", "endpoints"}});
+    };
+    endpoints.onReturned = [this](Duration silence) {
+        m_log.write(EventKind::State, "store-returned", {{"view", "endpoints"}, {"after_ms", milliseconds(silence)}});
+        m_directory.storeReturned(BootClock::now());
+    };
+    m_endpointTail = std::make_unique<logstore::TopicTail>(
+        loop, store, logstore::TopicTailOptions{.topic = codec.endpointTopic(), .pace = pace}, std::move(endpoints));
+}
+
+FleetView::~FleetView() = default;
+
+void FleetView::start()
+{
+    readOperators();
+    readEndpoints();
+}
+
+bool FleetView::complete() const
+{
+    return m_configuration.version() > 0 && m_endpointsRead;
+}
+
+Duration FleetView::configurationAge(TimePoint now) const
+{
+    return m_operatorTail->age(now);
+}
+
+const fleet::Configuration &FleetView::configuration() const
+{
+    return m_configuration;
+}
+
+const std::map<std::string, std::uint64_t> &FleetView::namedVersions() const
+{
+    return m_namedVersions;
+}
+
+const std::map<std::string, fleet::Endpoint> &FleetView::endpoints() const
+{
+    return m_directory.listed();
+}
+
+void FleetView::onConfiguration(std::function<void()> handler)
+{
+    m_configurationHandler = std::move(handler);
+}
+
+void FleetView::onEndpoints(std::function<void()> handler)
+{
+    m_endpointsHandler = std::move(handler);
+}
+
+void FleetView::onNamedVersion(std::function<void()> handler)
+{
+    m_versionHandler = std::move(handler);
+}
+
+void FleetView::tick(TimePoint now)
+{
+    if (m_directory.expire(now)) {
+        m_log.write(EventKind::State, "endpoints-not-back", {{"listed", std::to_string(endpoints().size())}});
+        notify(m_endpointsHandler);
+    }
+}
+
+void FleetView::setPace(Duration pace)
+{
+    m_operatorTail->setPace(pace);
+    m_endpointTail->setPace(pace);
+}
+
+void FleetView::readOperators()
+{
+    m_store.newest(m_codec.operatorTopic(), [this](const logstore::NewestOutcome &outcome) {
+        if (outcome.status != logstore::ReadStatus::Done) {
+            m_retryOperators.expires_after(FirstReadPause);
+            m_retryOperators.async_wait([this](const boost::system::error_code &error) {
+                if (!error) {
+                    readOperators();
+                }
+            });
+            return;
+        }
+        for (const logstore::KeyedRecord &record : outcome.records) {
+            takeOperatorRecord(record);
+        }
+        if (!std::exchange(m_operatorsRead, true)) {
+            m_operatorTail->start(outcome.end);
+        }
+    });
+}
+
+void FleetView::readEndpoints()
+{
+    m_store.newest(m_codec.endpointTopic(), [this](const logstore::NewestOutcome &outcome) {
+        if (outcome.status != logstore::ReadStatus::Done) {
+            m_retryEndpoints.expires_after(FirstReadPause);
+            m_retryEndpoints.async_wait([this](const boost::system::error_code &error) {
+                if (!error) {
+                    readEndpoints();
+                }
+            });
+            return;
+        }
+        std::map<std::string, fleet::Endpoint> listed;
+        for (const logstore::KeyedRecord &record : outcome.records) {
+            if (std::optional<fleet::Endpoint> endpoint = parseEndpoint(record)) {
+                listed.emplace(record.key, std::move(*endpoint));
+            }
+        }
+        m_directory.replace(std::move(listed), BootClock::now());
+        if (!std::exchange(m_endpointsRead, true)) {
+            m_endpointTail->start(outcome.end);
+        }
+        notify(m_endpointsHandler);
+    });
+}
+
+void FleetView::takeOperatorRecord(const logstore::KeyedRecord &record)
+{
+    if (record.value.empty()) {
+        return;
+    }
+    Result<OperatorRecord> parsed = m_codec.operatorRecord(record.key, record.value);
+    if (!parsed) {
+        m_log.write(
+            EventKind::State, "operator-record-unreadable", {{"key", record.key}, {"reason", parsed.error().message}});
+        return;
+    }
+    if (auto *configuration = std::get_if<fleet::Configuration>(&*parsed)) {
+        if (configuration->version() <= m_configuration.version()) {
+            return;
+        }
+        m_configuration = std::move(*configuration);
+        m_log.write(EventKind::State,
+                    "configuration-in-force",
+                    {{"version", std::to_string(m_configuration.version())},
+                     {"routes", std::to_string(m_configuration.routes().size())}});
+        notify(m_configurationHandler);
+    } else if (const auto *named = std::get_if<NamedVersion>(&*parsed)) {
+        std::uint64_t &newest = m_namedVersions[named->model];
+        if (named->version > newest) {
+            newest = named->version;
+            m_log.write(EventKind::State,
+                        "version-named",
+                        {{"model", named->model}, {"version", std::to_string(named->version)}});
+            notify(m_versionHandler);
+        }
+    }
+}
+
+std::optional<fleet::Endpoint> FleetView::parseEndpoint(const logstore::KeyedRecord &record)
+{
+    if (record.value.empty()) {
+        return std::nullopt;
+    }
+    Result<fleet::Endpoint> endpoint = m_codec.endpoint(record.key, record.value);
+    if (!endpoint) {
+        m_log.write(EventKind::State,
+                    "endpoint-entry-unreadable",
+                    {{"endpoint", record.key}, {"reason", endpoint.error().message}});
+        return std::nullopt;
+    }
+    return std::move(*endpoint);
+}
+
+void FleetView::takeEndpointRecord(const logstore::KeyedRecord &record)
+{
+    std::optional<fleet::Endpoint> endpoint = parseEndpoint(record);
+    const auto before = m_directory.listed().find(record.key);
+    const bool wasDraining = before != m_directory.listed().end() && before->second.draining;
+    const bool drains = endpoint && endpoint->draining;
+    const bool changed =
+        endpoint ? m_directory.put(std::move(*endpoint)) : m_directory.remove(record.key, BootClock::now());
+    m_endpointsChanged = m_endpointsChanged || changed;
+    if (changed && (record.value.empty() || (drains && !wasDraining))) {
+        m_log.write(EventKind::State,
+                    drains ? "endpoint-draining" : "endpoint-gone",
+                    {{"endpoint", record.key}, {"offset", std::to_string(record.offset)}});
+    }
+}
+
+} // namespace bergamot::node
--- /dev/null
+++ b/bergamot/node/request_forwarder.cpp
@@ -0,0 +1,290 @@
+#include "bergamot/node/request_forwarder.h"
+
+#include <boost/asio/post.hpp>
+
+#include "bergamot/routing/crash_quarantine.h"
+
+namespace bergamot::node
+{
+
+namespace
+{
+
+constexpr Duration TickPeriod = std::chrono::milliseconds(10); // granularity of the router's timers
+constexpr int MisdirectedRequest = 421;
+
+std::string milliseconds(Duration duration)
+{
+    const auto whole = std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    return std::to_string(std::max<std::int64_t>(1, whole));
+}
+
+bool isEventStream(const net::ResponseHead &head)
+{
+    return head.headers.find("Content-Type").value_or("").starts_with("text/event-stream");
+}
+
+} // namespace
+
+RequestForwarder::RequestForwarder(boost::asio::io_context &loop,
+                                   net::HttpClient &client,
+                                   const HeaderNames &headers,
+                                   EventLog &log,
+                                   RouterOptions options,
+                                   std::uint64_t seed)
+    : m_loop(loop)
+    , m_client(client)
+    , m_headers(headers)
+    , m_log(log)
+    , m_router(std::move(options), seed)
+    , m_timer(loop)
+{ }
+
+RequestForwarder::~RequestForwarder() = default;
+
+void RequestForwarder::updateEndpoints(const RoutingTable &table)
+{
+    m_router.onView(table, BootClock::now());
+    run();
+}
+
+RequestId RequestForwarder::forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink)
+{
+    const RequestId id = ++m_lastRequest;
+    const fleet::Route &route = request.route;
+    const bool streaming = route.kind == fleet::RouteKind::Streaming || route.kind == fleet::RouteKind::Batch;
+    const TimePoint deadline = request.receivedAt + std::min(request.callerWaits, route.timeout);
+    CallerRequest caller{.id = id,
+                         .target = request.service,
+                         .trafficClass = TrafficClass::Interactive,
+                         .deadline = deadline,
+                         .repeatable = route.kind == fleet::RouteKind::Idempotent || (streaming && route.resumable),
+                         .streaming = streaming,
+                         .fingerprint = requestFingerprint(
+                             request.service, request.request.method, request.request.target, request.request.body),
+                         .mostAttempts = std::max(1U, route.maxAttempts)};
+    m_pending.emplace(id, Pending{.request = std::move(request), .sink = std::move(sink)});
+    m_router.onRequest(std::move(caller), BootClock::now());
+    boost::asio::post(m_loop, [this] {
+        run();
+    });
+    return id;
+}
+
+void RequestForwarder::callerGone(RequestId id)
+{
+    if (m_pending.erase(id) == 0) {
+        return;
+    }
+    m_router.onCallerGone(id, BootClock::now());
+    run();
+}
+
+std::size_t RequestForwarder::pending() const
+{
+    return m_pending.size();
+}
+
+void RequestForwarder::run()
+{
+    if (m_running) {
+        return;
+    }
+    m_running = true;
+    for (Actions actions = m_router.takeActions(); !actions.empty(); actions = m_router.takeActions()) {
+        for (const Action &action : actions) {
+            if (const auto *dispatch = std::get_if<DispatchAction>(&action)) {
+                perform(*dispatch);
+            } else if (const auto *forward = std::get_if<ForwardAction>(&action)) {
+                const auto attempt = m_attempts.find(forward->attempt);
+                const auto pending = m_pending.find(forward->request);
+                if (attempt != m_attempts.end() && pending != m_pending.end()) {
+                    const std::shared_ptr<ForwardSink> sink = pending->second.sink;
+                    net::Response response = std::move(attempt->second.response);
+                    const bool streamed = attempt->second.streaming;
+                    const int status = response.status;
+                    m_attempts.erase(attempt);
+                    finish(forward->request, status, "answered");
+                    streamed ? sink->finishStream() : sink->answer(std::move(response));
+                }
+            } else if (const auto *refuse = std::get_if<RefuseAction>(&action)) {
+                const auto pending = m_pending.find(refuse->request);
+                if (pending != m_pending.end()) {
+                    const std::shared_ptr<ForwardSink> sink = pending->second.sink;
+                    finish(refuse->request, refuse->status, refusalReasonName(refuse->reason));
+                    sink->refuse(*refuse);
+                }
+            } else if (const auto *abort = std::get_if<AbortStreamAction>(&action)) {
+                const auto pending = m_pending.find(abort->request);
+                if (pending != m_pending.end()) {
+                    const std::shared_ptr<ForwardSink> sink = pending->second.sink;
+                    finish(abort->request, 0, "stream broken");
+                    sink->abortStream();
+                }
+            } else if (const auto *cancel = std::get_if<CancelAction>(&action)) {
+                const auto attempt = m_attempts.find(cancel->attempt);
+                if (attempt != m_attempts.end()) {
+                    const std::shared_ptr<net::ClientCall> call = attempt->second.call;
+                    m_attempts.erase(attempt);
+                    if (call != nullptr) {
+                        call->cancel();
+                    }
+                }
+            } else if (const auto *drop = std::get_if<DropConnectionsAction>(&action)) {
+                m_client.dropIdle(drop->address);
+            }
+        }
+    }
+    m_running = false;
+    schedule();
+}
+
+void RequestForwarder::perform(const DispatchAction &action)
+{
+    const auto found = m_pending.find(action.request);
+    if (found == m_pending.end()) {
+        return;
+    }
+    Pending &pending = found->second;
+    ++pending.attempts;
+    const bool stream = pending.request.route.kind == fleet::RouteKind::Streaming;
+    net::ClientRequest outgoing{.to = action.address,
+                                .method = pending.request.request.method,
+                                .target = pending.request.request.target,
+                                .headers = net::endToEnd(pending.request.request.headers),
+                                .body = pending.request.request.body,
+                                .fresh = action.connection == Connection::Fresh,
+                                .connectTimeout = std::min<Duration>(action.timeout, std::chrono::milliseconds(400)),
+                                .headTimeout = action.timeout,
+                                .gapTimeout = stream ? action.timeout : action.deadlineLeft,
+                                .expectedEcho = pending.request.id,
+                                .echoHeader = m_headers.requestId};
+    outgoing.headers.remove("Expect");
+    outgoing.headers.set(m_headers.deadline, milliseconds(action.deadlineLeft));
+    outgoing.headers.set(m_headers.expectedEndpoint, action.endpoint.value());
+    const AttemptId id = action.attempt;
+    Attempt &attempt = m_attempts[id];
+    attempt.request = action.request;
+    attempt.endpoint = action.endpoint.value();
+    attempt.call = m_client.start(std::move(outgoing),
+                                  {.onHead =
+                                       [this, id](const net::ResponseHead &head) {
+                                           attemptHead(id, head);
+                                       },
+                                   .onData =
+                                       [this, id](std::string_view data) {
+                                           attemptData(id, data);
+                                       },
+                                   .onEnd =
+                                       [this, id](const net::CallEnd &end) {
+                                           attemptEnd(id, end);
+                                       }});
+}
+
+void RequestForwarder::attemptHead(AttemptId id, const net::ResponseHead &head)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    Attempt &attempt = found->second;
+    attempt.response.status = head.status;
+    attempt.response.headers = net::endToEnd(head.headers);
+    const auto pending = m_pending.find(attempt.request);
+    const bool success = head.status >= 200 && head.status < 300;
+    if (pending != m_pending.end() && success && isEventStream(head)) {
+        attempt.streaming = true;
+        m_router.onStreamStarted(id);
+        pending->second.sink->beginStream({.status = head.status, .headers = attempt.response.headers});
+    }
+}
+
+void RequestForwarder::attemptData(AttemptId id, std::string_view data)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    if (!found->second.streaming) {
+        found->second.response.body += data;
+        return;
+    }
+    const auto pending = m_pending.find(found->second.request);
+    if (pending != m_pending.end()) {
+        pending->second.sink->write(data);
+    }
+}
+
+void RequestForwarder::attemptEnd(AttemptId id, const net::CallEnd &end)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end()) {
+        return;
+    }
+    Attempt &attempt = found->second;
+    const TimePoint now = BootClock::now();
+    const auto pending = m_pending.find(attempt.request);
+    if (end.failure == net::CallFailure::None) {
+        const bool notRun =
+            attempt.response.headers.has(m_headers.notExecuted) || attempt.response.status == MisdirectedRequest;
+        if (notRun && pending != m_pending.end()) {
+            m_log.write(EventKind::Request,
+                        "attempt-not-executed",
+                        {{"request", pending->second.request.id},
+                         {"endpoint", attempt.endpoint},
+                         {"status", std::to_string(attempt.response.status)}});
+        }
+        m_router.onAnswered(id, {.status = attempt.response.status, .notRun = notRun}, now);
+    } else {
+        if (pending != m_pending.end()) {
+            m_log.write(EventKind::Request,
+                        "attempt-failed",
+                        {{"request", pending->second.request.id},
+                         {"endpoint", attempt.endpoint},
+                         {"reason", end.detail},
+                         {"reused", end.reused ? "yes" : "no"}});
+        }
+        const bool notSent = end.failure == net::CallFailure::NotConnected;
+        m_router.onFailed(id,
+                          {.proof = notSent ? DeliveryProof::NotRun : DeliveryProof::MaybeRan,
+                           .timedOut = end.failure == net::CallFailure::TimedOut},
+                          now);
+    }
+    run();
+    m_attempts.erase(id); // unless its answer has been forwarded
+}
+
+void RequestForwarder::schedule()
+{
+    if (m_scheduled || m_pending.empty()) {
+        return;
+    }
+    m_scheduled = true;
+    m_timer.expires_after(TickPeriod);
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        m_scheduled = false;
+        if (!error) {
+            m_router.tick(BootClock::now());
+            run();
+        }
+    });
+}
+
+void RequestForwarder::finish(RequestId id, int status, std::string_view reason)
+{
+    const auto found = m_pending.find(id);
+    const Pending &pending = found->second;
+    const Duration took = BootClock::now() - pending.request.receivedAt;
+    m_log.write(EventKind::Request,
+                "request-done",
+                {{"request", pending.request.id},
+                 {"route", pending.request.route.name},
+                 {"service", pending.request.service},
+                 {"status", std::to_string(status)},
+                 {"reason", std::string(reason)},
+                 {"attempts", std::to_string(pending.attempts)},
+                 {"took_ms", milliseconds(took)}});
+    m_pending.erase(found);
+}
+
+} // namespace bergamot::node
--- /dev/null
+++ b/bergamot/node/service_choice.h
@@ -0,0 +1,33 @@
+#pragma once
+
+// Which of a route's services takes a request, by weight.
+
+#include <random>
+#include <string>
+
+#include "bergamot/fleet/configuration.h"
+
+namespace bergamot::node
+{
+
+/// Empty if the route names no service.
+inline std::string chooseService(const fleet::Route &route, std::mt19937_64 &random)
+{
+    std::uint64_t total = 0;
+    for (const fleet::WeightedService &service : route.services) {
+        total += service.weight;
+    }
+    if (total == 0) {
+        return route.services.empty() ? std::string() : route.services.front().service;
+    }
+    std::uint64_t drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random);
+    for (const fleet::WeightedService &service : route.services) {
+        if (drawn < service.weight) {
+            return service.service;
+        }
+        drawn -= service.weight;
+    }
+    return route.services.back().service;
+}
+
+} // namespace bergamot::node
--- a/bergamot/routing/request.h
+++ b/bergamot/routing/request.h
@@ -4,6 +4,7 @@
 // `RequestId` and `AttemptId`.
 
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <variant>
 #include <vector>
@@ -32,6 +33,7 @@
     std::uint64_t fingerprint = 0;
     std::uint64_t prefix = 0; // hash of the prompt's beginning; 0: no affinity
     double work = 1; // expected size, in units of the target's smallest request
+    std::uint32_t mostAttempts = std::numeric_limits<std::uint32_t>::max(); // endpoints that it may be sent to
 };
 
 /// Why a request was refused; a label of metrics and logs.
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -90,6 +90,7 @@
         bool streamStarted = false;
         bool timedOut = false;
         std::uint32_t retries = 0;
+        std::uint32_t dispatches = 0;
         Duration retryAfter{};
         std::vector<AttemptId> attempts; // in flight
         std::vector<std::size_t> tried; // slots of its target's pool
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -35,6 +35,7 @@
                                              .usualLatency = target.usualLatency(pending.request.work)});
     const AttemptId id = ++m_lastAttempt;
     pending.stage = Stage::Running;
+    ++pending.dispatches;
     pending.attempts.push_back(id);
     pending.tried.push_back(slot);
     target.pool.dispatched(slot, now);
@@ -185,7 +186,8 @@
 void Router::hedge(Pending &pending, TimePoint now)
 {
     TargetState &target = *pending.target;
-    const bool wanted = pending.stage == Stage::Running && pending.attempts.size() == 1 && target.queue.size() == 0;
+    const bool wanted = pending.stage == Stage::Running && pending.attempts.size() == 1
+        && pending.dispatches < pending.request.mostAttempts && target.queue.size() == 0;
     if (!wanted || target.hedges.available() < 1.0) {
         return;
     }
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -163,7 +163,8 @@
     const Duration pause =
         pending.retries == 0 ? Duration::zero() : backoff(m_options.backoff, pending.retries - 1, m_random);
     const bool inTime = now + pause + attempt.target->pool.requestDuration() < pending.request.deadline;
-    if (!inTime || pending.retries >= m_options.mostRetries || !attempt.target->retries.spend()) {
+    if (!inTime || pending.retries >= m_options.mostRetries || pending.dispatches >= pending.request.mostAttempts
+        || !attempt.target->retries.spend()) {
         giveUp(pending, RefusalReason::RetriesExhausted);
         return;
     }
--- a/bergamot/routing/routing_table.h
+++ b/bergamot/routing/routing_table.h
@@ -1,10 +1,10 @@
 #pragma once
 
-// What the request path knows of the fleet: one immutable value, made from the view that the control process hands
-// out, read by every thread of the entry process.
+// What the request path knows of the fleet: one immutable value.
 //
-//     Snapshot<RoutingTable> table(std::make_shared<const RoutingTable>());
-//     table.publish(std::make_shared<const RoutingTable>(routingTable(view, configuration)));
+//     RoutingTable table;
+//     table.targets["stock"].endpoints.push_back({.id = EndpointId("i-1"), .address = address});
+//     router.onView(table, now);
 
 #include <chrono>
 #include <map>
@@ -14,8 +14,6 @@
 #include "bergamot/base/address.h"
 #include "bergamot/base/clock.h"
 #include "bergamot/base/ids.h"
-#include "bergamot/config/configuration.h"
-#include "bergamot/protocol/generated/inner_generated.h"
 #include "bergamot/routing/crash_quarantine.h"
 
 namespace bergamot
@@ -58,13 +56,6 @@
     bool operator==(const RoutingTable &) const = default;
 };
 
-/// Endpoints whose address cannot be read, or that serve nothing that is configured, are left out.
-RoutingTable routingTable(const inner::ViewT &view, const Configuration &configuration);
-
-/// Reports in the form of the inner protocol, and back.
-std::vector<std::unique_ptr<inner::SuspectT>> toFrames(const std::vector<SuspectReport> &reports);
-std::vector<SuspectReport> fromFrames(const std::vector<std::unique_ptr<inner::SuspectT>> &frames);
-
 /// Whether a request may run more than once: safe and idempotent methods by the HTTP standard, and the paths that the
 /// operators named.
 bool isRepeatable(const RoutedTarget &target, std::string_view method, std::string_view path);
--- a/bergamot/routing/routing_table_test.cpp
+++ b/bergamot/routing/routing_table_test.cpp
@@ -1,4 +1,4 @@
-#include "bergamot/routing/routing_table.h"
+#include "bergamot/routing/routing_view.h"
 
 #include <gtest/gtest.h>
 
--- a/bergamot/samples/fleet_view.cpp
+++ b/bergamot/samples/fleet_view.cpp
@@ -1,7 +1,7 @@
 #include "bergamot/samples/fleet_view.h"
 
 #include "bergamot/base/json.h"
-#include "bergamot/routing/routing_table.h"
+#include "bergamot/routing/routing_view.h"
 
 namespace bergamot
 {
