net: sockets are read until nothing is left

Ruled out: the engine pausing (the bytes came with the next event); Beast's parser (it had consumed all it was given). Change: wait for readability, then read until the socket is empty, and feed Beast's parser.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -5,9 +5,10 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "bergamot/net/internal/socket_reader.h"
+
 namespace bergamot::net
 {
 
@@ -172,42 +173,73 @@
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         m_parser->eager(true);
-        readSome();
+        error_code ignored; // reads would then block, which the wait before each makes unlikely
+        m_connection->socket.non_blocking(true, ignored);
+        awaitData();
     }
 
-    void readSome()
+    void awaitData()
     {
-        http::async_read_some(
-            m_connection->socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, size_t) {
-                self->received(error);
-            });
+        m_connection->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            if (error) {
+                self->connectionEnded(error);
+            } else {
+                self->readAll();
+            }
+        });
     }
 
-    void received(const error_code &error)
+    void readAll()
     {
-        if (m_stage == Stage::Ended) {
-            return;
+        while (m_stage != Stage::Ended) {
+            error_code error;
+            const bool more = internal::readAvailable(m_connection->socket, m_buffer, error);
+            if (error) {
+                connectionEnded(error);
+                return;
+            }
+            if (!more) {
+                awaitData();
+                return;
+            }
+            if (!parse()) {
+                return;
+            }
         }
+    }
+
+    /// False if the call has ended.
+    bool parse()
+    {
+        error_code error;
+        internal::feed(*m_parser, m_buffer, error);
         if (m_stage == Stage::AwaitingHead && m_parser->is_header_done() && !takeHead()) {
-            return;
+            return false;
         }
         if (m_stage == Stage::ReadingBody && !takeBody()) {
-            return;
+            return false;
+        }
+        if (error) {
+            end({.failure = CallFailure::Malformed, .detail = error.message()});
+            return false;
         }
         if (m_stage == Stage::ReadingBody && m_parser->is_done()) {
             complete();
-            return;
+            return false;
         }
-        if (!error) {
-            readSome();
+        return true;
+    }
+
+    void connectionEnded(const error_code &error)
+    {
+        if (m_stage == Stage::Ended) {
             return;
         }
-        if (error == http::error::end_of_stream || error == asio::error::eof || error == http::error::partial_message
-            || error.category() == boost::system::system_category()) {
-            end({.failure = CallFailure::Lost, .detail = error.message()});
+        if (error == asio::error::eof && m_stage == Stage::ReadingBody && m_untilClose) {
+            complete();
             return;
         }
-        end({.failure = CallFailure::Malformed, .detail = error.message()});
+        end({.failure = CallFailure::Lost, .detail = error.message()});
     }
 
     /// False if the call has ended.
@@ -251,7 +283,7 @@
 
     void complete()
     {
-        const bool reusable = m_keepAlive && !m_untilClose && !m_writing && m_sent && m_buffer.size() == 0;
+        const bool reusable = m_keepAlive && !m_untilClose && !m_writing && m_sent && m_buffer.empty();
         m_connection->used = true;
         const Duration limit = m_client.m_options.idleLimit;
         m_connection->idleUntil =
@@ -285,7 +317,7 @@
     TimePoint m_lastDataAt{};
     std::shared_ptr<Connection> m_connection;
     std::string m_head;
-    boost::beast::flat_buffer m_buffer;
+    std::string m_buffer; // received, not parsed yet
     std::optional<http::response_parser<http::string_body>> m_parser;
     Stage m_stage = Stage::Connecting;
     bool m_reused = false;
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -6,9 +6,10 @@
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "bergamot/net/internal/socket_reader.h"
+
 namespace bergamot::net
 {
 
@@ -68,13 +69,13 @@
 
     void readRequest()
     {
-        m_stage = m_buffer.size() == 0 ? Stage::Idle : Stage::ReadingHead;
+        m_stage = m_buffer.empty() ? Stage::Idle : Stage::ReadingHead;
         m_since = BootClock::now();
         m_parser.emplace();
         m_parser->header_limit(m_server.m_limits.headerBytes);
         m_parser->body_limit(m_server.m_limits.bodyBytes);
         m_parser->eager(true);
-        readSome();
+        readAll();
     }
 
     const Request &request() const override
@@ -190,26 +191,55 @@
         Closed,
     };
 
-    void readSome()
+    void awaitData()
     {
-        http::async_read_some(
-            m_socket, m_buffer, *m_parser, [self = shared_from_this()](const error_code &error, size_t) {
-                self->received(error);
-            });
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            if (self->m_stage != Stage::Closed && !error) {
+                self->readAll();
+            }
+        });
     }
 
-    void received(const error_code &error)
+    void readAll()
     {
-        if (m_stage == Stage::Closed) {
-            return;
+        while (reading()) {
+            if (!parse()) {
+                return;
+            }
+            error_code error;
+            const bool more = internal::readAvailable(m_socket, m_buffer, error);
+            if (error) {
+                close();
+                return;
+            }
+            if (!more) {
+                awaitData();
+                return;
+            }
         }
+    }
+
+    bool reading() const
+    {
+        return m_stage == Stage::Idle || m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody;
+    }
+
+    /// False if the request is complete, or cannot be.
+    bool parse()
+    {
+        if (m_stage == Stage::Idle && !m_buffer.empty()) {
+            m_stage = Stage::ReadingHead;
+            m_since = BootClock::now();
+        }
+        error_code error;
+        internal::feed(*m_parser, m_buffer, error);
         if (error) {
             rejectRequest(error);
-            return;
+            return false;
         }
         if (m_parser->is_done()) {
             takeRequest();
-            return;
+            return false;
         }
         if (m_parser->is_header_done()) {
             m_since = BootClock::now();
@@ -218,11 +248,8 @@
                 flush();
             }
             m_stage = Stage::ReadingBody;
-        } else if (m_stage == Stage::Idle) {
-            m_stage = Stage::ReadingHead;
-            m_since = BootClock::now();
         }
-        readSome();
+        return true;
     }
 
     bool expectsContinue() const
@@ -356,7 +383,7 @@
 
     HttpServer &m_server;
     tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    std::string m_buffer; // received, not parsed yet
     std::optional<http::request_parser<http::string_body>> m_parser;
     Request m_request;
     TimePoint m_receivedAt{};
@@ -469,6 +496,7 @@
         }
         error_code ignored; // a connection with delayed small packets still works
         socket.set_option(tcp::no_delay(true), ignored);
+        socket.non_blocking(true, ignored);
         auto connection = std::make_shared<Connection>(*this, std::move(socket));
         m_connections.insert(connection);
         connection->readRequest();
--- /dev/null
+++ b/bergamot/net/internal/socket_reader.h
@@ -0,0 +1,52 @@
+#pragma once
+
+// Reads a socket until nothing is left, then waits for more. Asio's own reads take a short read as a sign that the
+// socket is empty and wait for the next edge of epoll; where the rest of the data is already there, that edge may never
+// come.
+
+#include <array>
+#include <string>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace bergamot::net::internal
+{
+
+inline constexpr std::size_t ReadBytes = 16 * 1024; // of one system call; a few segments
+
+/// Appends what the socket has to `pending`. False: nothing is there now. `error` is set if the connection has ended.
+inline bool readAvailable(boost::asio::ip::tcp::socket &socket, std::string &pending, boost::system::error_code &error)
+{
+    static thread_local std::array<char, ReadBytes> scratch;
+    const std::size_t got = socket.read_some(boost::asio::buffer(scratch), error);
+    if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+        error = {};
+        return false;
+    }
+    if (!error) {
+        pending.append(scratch.data(), got);
+    }
+    return !error;
+}
+
+/// Feeds `pending` to a parser of Beast; what the parser cannot use yet stays.
+template<typename Parser>
+void feed(Parser &parser, std::string &pending, boost::system::error_code &error)
+{
+    while (!pending.empty() && !parser.is_done()) {
+        const std::size_t used = parser.put(boost::asio::buffer(pending), error);
+        pending.erase(0, used);
+        if (error == boost::beast::http::error::need_more) {
+            error = {};
+            return;
+        }
+        if (error || used == 0) {
+            return;
+        }
+    }
+}
+
+} // namespace bergamot::net::internal
