net: a request that was given up is reset instead of closed

A close leaves what was sent to be delivered when the partition ends. Change: calls that are cancelled or time out reset their connection.

--- a/bergamot/entry/data_path_suspects_test.cpp
+++ b/bergamot/entry/data_path_suspects_test.cpp
@@ -2,6 +2,7 @@
 // TCP: how many endpoints it runs on, counted at the endpoints.
 
 #include "bergamot/entry/data_path_test_fixture.h"
+#include "bergamot/routing/routing_view.h"
 
 namespace bergamot
 {
--- a/bergamot/fleet/configuration_test.cpp
+++ b/bergamot/fleet/configuration_test.cpp
@@ -40,8 +40,8 @@
                                          MatchCase{"UnknownHost", "c.example", "/q/1", ""},
                                          MatchCase{"UnknownPath", "a.example", "/r/1", ""},
                                          MatchCase{"PrefixWithoutSlash", "a.example", "/q", ""}),
-                         [](const auto &info) {
-                             return info.param.name;
+                         [](const auto &test) {
+                             return test.param.name;
                          });
 
 } // namespace
--- a/bergamot/fleet/endpoint_directory_test.cpp
+++ b/bergamot/fleet/endpoint_directory_test.cpp
@@ -46,8 +46,8 @@
                                          VanishCase{"NeverBack", true, false, false, milliseconds(2400), false},
                                          VanishCase{"Back", true, false, true, milliseconds(5000), true},
                                          VanishCase{"Draining", true, true, false, milliseconds(200), false}),
-                         [](const auto &info) {
-                             return info.param.name;
+                         [](const auto &test) {
+                             return test.param.name;
                          });
 
 } // namespace
--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -64,6 +64,15 @@
         socket.close(ignored);
     }
 
+    /// Closes so that what the peer has not received yet is lost: a request that was given up must not arrive later,
+    /// for example when a partition ends.
+    void reset()
+    {
+        error_code ignored; // the connection may be closed already
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        close();
+    }
+
     tcp::socket socket;
     Address address;
     bool used = false;
@@ -108,7 +117,7 @@
             return;
         }
         m_stage = Stage::Ended;
-        m_connection->close();
+        m_connection->reset();
         m_events = {};
         m_client.m_calls.erase(shared_from_this());
     }
@@ -300,7 +309,7 @@
         outcome.delimitedByClose = m_untilClose;
         m_stage = Stage::Ended;
         if (m_connection != nullptr) {
-            m_connection->close();
+            m_connection->reset();
         }
         const std::shared_ptr<Call> self = shared_from_this();
         const CallEvents events = std::exchange(m_events, {});
