--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -1,1 +1,393 @@
+#include "bergamot/dispatch/sample_scheduler.h"
+
 #include <gtest/gtest.h>
+
+namespace bergamot::dispatch
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+class SampleSchedulerTest : public testing::Test
+{
+protected:
+    SampleSchedulerTest()
+    {
+        setEngines({engine("e1", 5), engine("e2", 5)});
+    }
+
+    static EngineFacts engine(const std::string &id, std::uint64_t version, std::uint32_t slots = 2)
+    {
+        return {.id = id,
+                .service = "llm",
+                .address = {"10.0.0.1", static_cast<std::uint16_t>(id.back())},
+                .slots = slots,
+                .versions = {{"m", version}}};
+    }
+
+    void setEngines(const std::vector<EngineFacts> &engines)
+    {
+        m_scheduler.setEngines(engines, m_now);
+        collect();
+    }
+
+    void addBatch(const std::string &id, std::size_t items, std::uint64_t minVersion = 4, bool scored = false)
+    {
+        batch::Batch batch{.id = id, .host = "h", .model = "m", .minVersion = minVersion};
+        for (std::size_t index = 0; index < items; ++index) {
+            batch.items.push_back({.id = id + std::to_string(index), .path = "/p", .tokens = 10});
+            if (scored) {
+                batch.items.back().scoring = batch::ScoringCall{.id = "s", .host = "sh", .path = "/s"};
+            }
+        }
+        m_scheduler.addBatch(batch, {}, m_route, m_now);
+        collect();
+    }
+
+    void pass(Duration duration)
+    {
+        m_now += duration;
+        m_scheduler.tick(m_now);
+        collect();
+    }
+
+    void event(RunId run, std::uint64_t id, std::uint64_t version = 5)
+    {
+        m_accepted = m_scheduler.runEvent(run, id, "d" + std::to_string(id), version, m_now);
+        collect();
+    }
+
+    void end(RunId run, RunEnd how)
+    {
+        m_scheduler.runEnded(run, how, m_now);
+        collect();
+    }
+
+    void collect()
+    {
+        for (const SchedulerAction &action : m_scheduler.takeActions()) {
+            if (const auto *start = std::get_if<StartRun>(&action)) {
+                m_starts.push_back(*start);
+            } else if (const auto *cancel = std::get_if<CancelRun>(&action)) {
+                m_cancelled.insert(cancel->run);
+            } else if (const auto *scoring = std::get_if<StartScoring>(&action)) {
+                m_scorings.push_back(scoring->key);
+            } else if (const auto *stop = std::get_if<CancelScoring>(&action)) {
+                m_stoppedScorings.push_back(stop->key);
+            } else if (const auto *list = std::get_if<ListResult>(&action)) {
+                m_results.push_back(list->result);
+            }
+        }
+    }
+
+    SampleScheduler m_scheduler{{}};
+    ItemRoute m_route{.services = {"llm"}, .maxAttempts = 2, .maxScoringFailures = 2};
+    TimePoint m_now{1h};
+    std::vector<StartRun> m_starts;
+    std::set<RunId> m_cancelled;
+    std::vector<ItemKey> m_scorings;
+    std::vector<ItemKey> m_stoppedScorings;
+    std::vector<batch::ItemResult> m_results;
+    bool m_accepted = true;
+};
+
+TEST_F(SampleSchedulerTest, SlotsAreFilledAndTheRestWaits)
+{
+    addBatch("b", 6);
+    EXPECT_EQ(m_starts.size(), 4U);
+    EXPECT_EQ(m_scheduler.waiting(), 2U);
+    event(m_starts[0].run, 1);
+    end(m_starts[0].run, RunEnd::Complete);
+    EXPECT_EQ(m_starts.size(), 5U);
+    EXPECT_EQ(m_starts.back().engine, m_starts[0].engine);
+}
+
+TEST_F(SampleSchedulerTest, AnOlderBatchGoesFirst)
+{
+    addBatch("a", 5);
+    addBatch("b", 5);
+    event(m_starts[0].run, 1);
+    end(m_starts[0].run, RunEnd::Complete);
+    EXPECT_EQ(m_starts.back().key, (ItemKey{"a", 4}));
+}
+
+struct EligibleCase
+{
+    const char *name;
+    EngineFacts engine;
+    bool loading;
+    bool runs;
+};
+
+class EligibleTest : public SampleSchedulerTest, public testing::WithParamInterface<EligibleCase>
+{
+protected:
+    static EngineFacts with(std::uint64_t version, bool draining, const char *service)
+    {
+        EngineFacts facts = engine("e3", version);
+        facts.draining = draining;
+        facts.service = service;
+        return facts;
+    }
+
+public:
+    static std::vector<EligibleCase> cases()
+    {
+        return {{"Fit", with(4, false, "llm"), false, true},
+                {"TooOld", with(3, false, "llm"), false, false},
+                {"Draining", with(5, true, "llm"), false, false},
+                {"OtherService", with(5, false, "desk"), false, false},
+                {"Loading", with(5, false, "llm"), true, false}};
+    }
+};
+
+TEST_P(EligibleTest, OnlyAFitEngineGetsRuns)
+{
+    setEngines({GetParam().engine});
+    if (GetParam().loading) {
+        m_scheduler.loadStarted("e3");
+    }
+    addBatch("b", 1);
+    EXPECT_EQ(m_starts.size(), GetParam().runs ? 1U : 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Engines, EligibleTest, testing::ValuesIn(EligibleTest::cases()), [](const auto &test) {
+    return test.param.name;
+});
+
+struct EndCase
+{
+    const char *name;
+    RunEnd end;
+    std::size_t runsBefore; // that ended so before
+    bool runsAgain;
+    bool givenUp;
+};
+
+class RunEndTest : public SampleSchedulerTest, public testing::WithParamInterface<EndCase>
+{ };
+
+TEST_P(RunEndTest, ABrokenRunGoesOnElsewhereAndAHopelessItemIsGivenUp)
+{
+    addBatch("b", 1);
+    event(m_starts[0].run, 1);
+    for (std::size_t count = 0; count <= GetParam().runsBefore; ++count) {
+        end(m_starts.back().run, GetParam().end);
+        pass(5s); // longer than an engine is left alone after a loss
+    }
+    EXPECT_EQ(m_starts.size() > GetParam().runsBefore + 1, GetParam().runsAgain);
+    EXPECT_EQ(!m_results.empty() && !m_results.back().completed, GetParam().givenUp);
+    if (GetParam().runsAgain) {
+        EXPECT_EQ(m_starts.back().resumeAfter, 1U);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Ends,
+                         RunEndTest,
+                         testing::Values(EndCase{"Broken", RunEnd::Broken, 0, true, false},
+                                         EndCase{"BrokenOften", RunEnd::Broken, 9, true, false},
+                                         EndCase{"Silent", RunEnd::Silent, 0, true, false},
+                                         EndCase{"NotExecuted", RunEnd::NotExecuted, 5, true, false},
+                                         EndCase{"WrongEndpoint", RunEnd::WrongEndpoint, 0, true, false},
+                                         EndCase{"FailedOnce", RunEnd::Failed, 0, true, false},
+                                         EndCase{"FailedTwice", RunEnd::Failed, 1, false, true},
+                                         EndCase{"Impossible", RunEnd::Impossible, 0, false, true}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+struct EventCase
+{
+    const char *name;
+    std::vector<std::uint64_t> ids;
+    std::uint64_t version; // of the last event
+    bool accepted; // the last event
+};
+
+class EventTest : public SampleSchedulerTest, public testing::WithParamInterface<EventCase>
+{ };
+
+TEST_P(EventTest, ATextHasEveryEventOnceAndOnlyAllowedVersions)
+{
+    addBatch("b", 1);
+    for (const std::uint64_t id : GetParam().ids) {
+        event(m_starts[0].run, id, id == GetParam().ids.back() ? GetParam().version : 5);
+    }
+    EXPECT_EQ(m_accepted, GetParam().accepted);
+    EXPECT_EQ(m_cancelled.contains(m_starts[0].run), !GetParam().accepted);
+}
+
+INSTANTIATE_TEST_SUITE_P(Events,
+                         EventTest,
+                         testing::Values(EventCase{"InOrder", {1, 2, 3}, 5, true},
+                                         EventCase{"Missing", {1, 3}, 5, false},
+                                         EventCase{"Twice", {1, 1}, 5, false},
+                                         EventCase{"NewerVersion", {1, 2}, 6, true},
+                                         EventCase{"TooOldVersion", {1, 2}, 3, false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST_F(SampleSchedulerTest, AResumedTextNamesEveryVersionThatMadeIt)
+{
+    addBatch("b", 1);
+    event(m_starts[0].run, 1, 5);
+    end(m_starts[0].run, RunEnd::Broken);
+    pass(1s);
+    event(m_starts[1].run, 2, 6);
+    end(m_starts[1].run, RunEnd::Complete);
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_EQ(m_results[0].text, "d1\nd2");
+    EXPECT_EQ(m_results[0].versions, (std::vector<std::uint64_t>{5, 6}));
+}
+
+TEST_F(SampleSchedulerTest, ARouteOfOneVersionStartsAgainUnderAnother)
+{
+    m_route.singleVersion = true;
+    addBatch("b", 1);
+    event(m_starts[0].run, 1, 5);
+    setEngines({engine("e9", 6)});
+    pass(1s);
+    ASSERT_EQ(m_starts.size(), 2U);
+    EXPECT_FALSE(m_starts[1].resumeAfter);
+    event(m_starts[1].run, 1, 6);
+    end(m_starts[1].run, RunEnd::Complete);
+    EXPECT_EQ(m_results.at(0).versions, (std::vector<std::uint64_t>{6}));
+    EXPECT_EQ(m_results.at(0).text, "d1");
+}
+
+TEST_F(SampleSchedulerTest, AResultWaitsForItsScore)
+{
+    addBatch("b", 1, 4, true);
+    event(m_starts[0].run, 1);
+    end(m_starts[0].run, RunEnd::Complete);
+    EXPECT_TRUE(m_results.empty());
+    ASSERT_EQ(m_scorings.size(), 1U);
+    m_scheduler.scoringEnded({"b", 0}, ScoringEnd::NoAnswer, "", m_now);
+    pass(1s);
+    ASSERT_EQ(m_scorings.size(), 2U);
+    m_scheduler.scoringEnded({"b", 0}, ScoringEnd::Scored, "stamp", m_now);
+    collect();
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_TRUE(m_results[0].completed);
+    EXPECT_EQ(m_results[0].score, "stamp");
+}
+
+TEST_F(SampleSchedulerTest, AScoringCallThatAlwaysFailsGivesTheItemUp)
+{
+    addBatch("b", 1, 4, true);
+    event(m_starts[0].run, 1);
+    end(m_starts[0].run, RunEnd::Complete);
+    for (int failure = 0; failure < 2; ++failure) {
+        ASSERT_TRUE(m_results.empty());
+        m_scheduler.scoringEnded({"b", 0}, ScoringEnd::Failed, "", m_now);
+        pass(1s);
+    }
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_FALSE(m_results[0].completed);
+}
+
+TEST_F(SampleSchedulerTest, AnEndedBatchRunsNoMore)
+{
+    addBatch("b", 6, 4, true);
+    event(m_starts[0].run, 1);
+    end(m_starts[0].run, RunEnd::Complete);
+    const std::size_t started = m_starts.size();
+    m_scheduler.endBatch("b");
+    pass(10s);
+    EXPECT_EQ(m_starts.size(), started);
+    EXPECT_EQ(m_cancelled.size(), 4U);
+    EXPECT_EQ(m_stoppedScorings.size(), 1U);
+}
+
+TEST_F(SampleSchedulerTest, AnItemListedByAnEarlierOwnerIsNotRunAgain)
+{
+    addBatch("b", 1);
+    m_scheduler.itemListed({"b", 0});
+    collect();
+    EXPECT_TRUE(m_cancelled.contains(m_starts[0].run));
+    pass(10s);
+    EXPECT_EQ(m_starts.size(), 1U);
+    EXPECT_FALSE(m_scheduler.hasBatch("b"));
+}
+
+TEST_F(SampleSchedulerTest, RunsAtAnEngineThatHasGoneGoOnElsewhere)
+{
+    addBatch("b", 1);
+    event(m_starts[0].run, 1);
+    setEngines({engine(m_starts[0].engine == "e1" ? "e2" : "e1", 5)});
+    EXPECT_TRUE(m_cancelled.contains(m_starts[0].run));
+    ASSERT_EQ(m_starts.size(), 2U);
+    EXPECT_EQ(m_starts[1].resumeAfter, 1U);
+}
+
+TEST_F(SampleSchedulerTest, AnEngineThatStartedAgainKnowsNothingOfItsRuns)
+{
+    addBatch("b", 1);
+    EngineFacts restarted = engine(m_starts[0].engine, 5);
+    restarted.incarnation = 2;
+    setEngines({restarted});
+    EXPECT_TRUE(m_cancelled.contains(m_starts[0].run));
+    EXPECT_EQ(m_starts.size(), 2U);
+}
+
+TEST_F(SampleSchedulerTest, AnEngineWhoseLoadIsOnlyAssumedIsAskedForThatVersion)
+{
+    setEngines({engine("e3", 4)});
+    m_scheduler.loadStarted("e3");
+    m_scheduler.loadFinished("e3", "m", 5);
+    addBatch("b", 1, 5);
+    ASSERT_EQ(m_starts.size(), 1U);
+    EXPECT_EQ(m_starts[0].expectedVersion, 5U);
+    m_scheduler.runStarted(m_starts[0].run, 5);
+    event(m_starts[0].run, 1);
+    end(m_starts[0].run, RunEnd::Complete);
+    addBatch("c", 1, 5);
+    EXPECT_FALSE(m_starts.back().expectedVersion);
+}
+
+// Replays a step whose last runs sit on an engine that has turned several times slower than the other.
+TEST_F(SampleSchedulerTest, ARunThatCrawlsMovesToAFreeFastEngine)
+{
+    addBatch("b", 2);
+    ASSERT_NE(m_starts[0].engine, m_starts[1].engine);
+    const RunId slow = m_starts[0].run;
+    const RunId fast = m_starts[1].run;
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        m_now += 30ms;
+        event(fast, id);
+    }
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        m_now += 200ms;
+        event(slow, id);
+    }
+    pass(50ms);
+    EXPECT_TRUE(m_cancelled.contains(slow));
+    ASSERT_EQ(m_starts.size(), 3U);
+    EXPECT_EQ(m_starts[2].engine, m_starts[1].engine);
+    EXPECT_EQ(m_starts[2].resumeAfter, 4U);
+}
+
+TEST_F(SampleSchedulerTest, ItemsWithoutARouteAreGivenUp)
+{
+    addBatch("b", 3);
+    m_scheduler.setRoute("b", std::nullopt);
+    pass(50ms);
+    EXPECT_EQ(m_results.size(), 3U);
+    EXPECT_EQ(m_cancelled.size(), 3U);
+}
+
+TEST_F(SampleSchedulerTest, ItemsAreGivenUpOnlyAfterTheirRetention)
+{
+    m_route.retention = 10s;
+    setEngines({});
+    addBatch("b", 1);
+    pass(9s);
+    EXPECT_TRUE(m_results.empty());
+    pass(2s);
+    EXPECT_EQ(m_results.size(), 1U);
+}
+
+} // namespace
+} // namespace bergamot::dispatch
--- /dev/null
+++ b/bergamot/net/http_client_test.cpp
@@ -0,0 +1,334 @@
+#include "bergamot/net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace bergamot::net
+{
+namespace
+{
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+/// Plays an endpoint whose every byte a test decides, on the loop of the client.
+class ScriptedPeer
+{
+public:
+    explicit ScriptedPeer(boost::asio::io_context &loop)
+        : m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    {
+        accept();
+    }
+
+    Address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+    /// Sent at once to each connection, in order, once it has sent something.
+    std::vector<std::string> replies;
+    bool closeAfterReply = false;
+    bool resetAfterReply = false;
+    bool readNothing = false;
+    std::vector<std::shared_ptr<tcp::socket>> connections;
+    std::string received;
+
+private:
+    void accept()
+    {
+        m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            connections.push_back(std::make_shared<tcp::socket>(std::move(socket)));
+            if (!readNothing) {
+                read(connections.back());
+            }
+            accept();
+        });
+    }
+
+    void read(const std::shared_ptr<tcp::socket> &socket)
+    {
+        auto bytes = std::make_shared<std::array<char, 4096>>();
+        socket->async_read_some(boost::asio::buffer(*bytes),
+                                [this, socket, bytes](const error_code &error, size_t got) {
+                                    if (error) {
+                                        return;
+                                    }
+                                    received.append(bytes->data(), got);
+                                    reply(*socket);
+                                    if (socket->is_open()) {
+                                        read(socket);
+                                    }
+                                });
+    }
+
+    void reply(tcp::socket &socket)
+    {
+        if (replies.empty()) {
+            return;
+        }
+        const std::string reply = replies.front();
+        replies.erase(replies.begin());
+        error_code ignored; // the client may have closed
+        boost::asio::write(socket, boost::asio::buffer(reply), ignored);
+        if (resetAfterReply) {
+            socket.set_option(boost::asio::socket_base::linger(true, 0));
+        }
+        if (closeAfterReply || resetAfterReply) {
+            socket.close();
+        }
+    }
+
+    tcp::acceptor m_acceptor;
+};
+
+struct Observed
+{
+    int status = 0;
+    std::string body;
+    std::optional<CallEnd> end;
+};
+
+class HttpClientTest : public testing::Test
+{
+protected:
+    std::shared_ptr<ClientCall> start(Observed &observed, ClientRequest request)
+    {
+        request.to = m_peer.address();
+        request.target = "/work";
+        return m_client.start(std::move(request),
+                              {.onHead =
+                                   [&observed](const ResponseHead &head) {
+                                       observed.status = head.status;
+                                   },
+                               .onData =
+                                   [&observed](std::string_view data) {
+                                       observed.body += data;
+                                   },
+                               .onEnd =
+                                   [&observed](const CallEnd &end) {
+                                       observed.end = end;
+                                   }});
+    }
+
+    /// Runs the loop until `done`; a bound that only a hanging program reaches.
+    template<typename Done>
+    void runUntil(Done done)
+    {
+        for (int turn = 0; turn < 5000 && !done(); ++turn) {
+            m_loop.run_one_for(20ms);
+        }
+        ASSERT_TRUE(done());
+    }
+
+    void finish(Observed &observed)
+    {
+        runUntil([&observed] {
+            return observed.end.has_value();
+        });
+    }
+
+    boost::asio::io_context m_loop;
+    ScriptedPeer m_peer{m_loop};
+    HttpClient m_client{m_loop, {}};
+};
+
+struct AnswerCase
+{
+    const char *name;
+    const char *reply;
+    bool closes;
+    bool resets;
+    CallFailure failure;
+    const char *body;
+};
+
+class AnswerTest : public HttpClientTest, public testing::WithParamInterface<AnswerCase>
+{ };
+
+TEST_P(AnswerTest, OnlyAWholeAnswerToThisRequestIsComplete)
+{
+    m_peer.replies = {GetParam().reply};
+    m_peer.closeAfterReply = GetParam().closes;
+    m_peer.resetAfterReply = GetParam().resets;
+    Observed observed;
+    start(observed, {.expectedEcho = "a1", .echoHeader = "Echo"});
+    finish(observed);
+    EXPECT_EQ(observed.end->failure, GetParam().failure) << observed.end->detail;
+    if (GetParam().failure == CallFailure::None) {
+        EXPECT_EQ(observed.body, GetParam().body);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Answers,
+    AnswerTest,
+    testing::Values(
+        AnswerCase{"Whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, false, CallFailure::None, "ok"},
+        AnswerCase{"Chunked",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                   false,
+                   false,
+                   CallFailure::None,
+                   "ok"},
+        AnswerCase{"EndsWithTheConnection", "HTTP/1.1 200 OK\r\n\r\nok", true, false, CallFailure::None, "ok"},
+        AnswerCase{"ResetWithoutLength", "HTTP/1.1 200 OK\r\n\r\nok", false, true, CallFailure::Lost, ""},
+        AnswerCase{"Truncated", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok", true, false, CallFailure::Lost, ""},
+        AnswerCase{"TruncatedChunks",
+                   "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n",
+                   true,
+                   false,
+                   CallFailure::Lost,
+                   ""},
+        AnswerCase{"NoAnswer", "", true, false, CallFailure::Lost, ""},
+        AnswerCase{"Garbage", "%&/ what is this\r\n\r\n", false, false, CallFailure::Malformed, ""},
+        AnswerCase{"OfAnotherRequest",
+                   "HTTP/1.1 200 OK\r\nEcho: b2\r\nContent-Length: 2\r\n\r\nok",
+                   false,
+                   false,
+                   CallFailure::Malformed,
+                   ""}),
+    [](const auto &test) {
+        return test.param.name;
+    });
+
+TEST_F(HttpClientTest, AStreamCutIntoTornPiecesArrivesWithoutWaiting)
+{
+    // More than one read takes at once: the rest has to be read without another edge of epoll.
+    const std::string piece(100000, 'x');
+    m_peer.replies = {"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + piece};
+    Observed observed;
+    start(observed, {.gapTimeout = 30s});
+    finish(observed);
+    EXPECT_EQ(observed.end->failure, CallFailure::None);
+    EXPECT_EQ(observed.body, piece);
+}
+
+TEST_F(HttpClientTest, AConnectionIsUsedAgainUnlessBytesFollowTheAnswer)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    m_peer.replies = {whole, whole + "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nbad", whole};
+    for (const bool reused : {false, true, false}) {
+        Observed observed;
+        start(observed, {});
+        finish(observed);
+        EXPECT_EQ(observed.end->failure, CallFailure::None);
+        EXPECT_EQ(observed.end->reused, reused);
+        EXPECT_EQ(observed.body, "ok");
+    }
+    EXPECT_EQ(m_client.connectionsOpened(), 2U);
+}
+
+TEST_F(HttpClientTest, ALateSecondAnswerEndsTheIdleConnection)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    m_peer.replies = {whole, whole};
+    Observed first;
+    start(first, {});
+    finish(first);
+    boost::asio::write(*m_peer.connections.front(), boost::asio::buffer(whole));
+    m_loop.run_for(50ms);
+    Observed second;
+    start(second, {});
+    finish(second);
+    EXPECT_FALSE(second.end->reused);
+}
+
+struct ReuseCase
+{
+    const char *name;
+    const char *header;
+    bool reused;
+};
+
+class ReuseTest : public HttpClientTest, public testing::WithParamInterface<ReuseCase>
+{ };
+
+TEST_P(ReuseTest, ThePeersOwnTimeAndWishForTheConnectionHold)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + std::string(GetParam().header) + "Content-Length: 2\r\n\r\nok";
+    m_peer.replies = {answer, answer};
+    Observed first;
+    start(first, {});
+    finish(first);
+    Observed second;
+    start(second, {});
+    finish(second);
+    EXPECT_EQ(second.end->reused, GetParam().reused);
+}
+
+INSTANTIATE_TEST_SUITE_P(Headers,
+                         ReuseTest,
+                         testing::Values(ReuseCase{"None", "", true},
+                                         ReuseCase{"Close", "Connection: close\r\n", false},
+                                         ReuseCase{"LongTime", "Keep-Alive: timeout=10\r\n", true},
+                                         ReuseCase{"NoTime", "Keep-Alive: timeout=0\r\n", false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST_F(HttpClientTest, AnEarlyAnswerToALongBodyEndsTheConnection)
+{
+    m_peer.replies = {"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"};
+    Observed observed;
+    start(observed, {.method = "POST", .body = std::string(32 * 1024 * 1024, 'x')});
+    finish(observed);
+    EXPECT_EQ(observed.status, 413);
+    m_peer.replies = {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
+    Observed next;
+    start(next, {});
+    finish(next);
+    EXPECT_FALSE(next.end->reused);
+}
+
+/// What a request that was given up leaves on its way must not arrive later.
+TEST_F(HttpClientTest, ACancelledRequestIsReset)
+{
+    m_peer.readNothing = true;
+    Observed observed;
+    const std::shared_ptr<ClientCall> call =
+        start(observed, {.method = "POST", .body = std::string(32 * 1024 * 1024, 'x')});
+    runUntil([this] {
+        return !m_peer.connections.empty();
+    });
+    m_loop.run_for(50ms);
+    call->cancel();
+    m_loop.run_for(50ms);
+    std::vector<char> bytes(64 * 1024 * 1024);
+    error_code error;
+    boost::asio::read(*m_peer.connections.front(), boost::asio::buffer(bytes), error);
+    EXPECT_EQ(error, boost::asio::error::connection_reset);
+    EXPECT_FALSE(observed.end.has_value());
+}
+
+TEST_F(HttpClientTest, ASilentPeerTimesOut)
+{
+    Observed observed;
+    start(observed, {.headTimeout = 100ms});
+    finish(observed);
+    EXPECT_EQ(observed.end->failure, CallFailure::TimedOut);
+}
+
+TEST_F(HttpClientTest, APeerThatRefusesIsNotConnected)
+{
+    tcp::acceptor closed(m_loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    const Address address{"127.0.0.1", closed.local_endpoint().port()};
+    closed.close();
+    std::optional<CallEnd> end;
+    m_client.start({.to = address, .target = "/"}, {.onEnd = [&end](const CallEnd &ended) {
+                       end = ended;
+                   }});
+    runUntil([&end] {
+        return end.has_value();
+    });
+    EXPECT_EQ(end->failure, CallFailure::NotConnected);
+}
+
+} // namespace
+} // namespace bergamot::net
--- /dev/null
+++ b/bergamot/net/http_server_test.cpp
@@ -0,0 +1,243 @@
+#include "bergamot/net/http_server.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace bergamot::net
+{
+namespace
+{
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+class HttpServerTest : public testing::Test
+{
+protected:
+    HttpServerTest()
+        : m_server(m_loop, [this](std::shared_ptr<Exchange> exchange) {
+            m_exchanges.push_back(exchange);
+            if (m_onRequest) {
+                m_onRequest(*exchange);
+            }
+        })
+    {
+        EXPECT_TRUE(m_server.listen({"127.0.0.1", 0}));
+        m_caller.connect(tcp::endpoint(boost::asio::ip::address_v4::loopback(), m_server.port()));
+    }
+
+    void send(std::string_view text)
+    {
+        boost::asio::write(m_caller, boost::asio::buffer(text));
+    }
+
+    /// Runs the loop until `done`; a bound that only a hanging program reaches.
+    template<typename Done>
+    void runUntil(Done done)
+    {
+        for (int turn = 0; turn < 5000 && !done(); ++turn) {
+            m_loop.run_one_for(20ms);
+        }
+        ASSERT_TRUE(done());
+    }
+
+    void awaitRequests(std::size_t count)
+    {
+        runUntil([this, count] {
+            return m_exchanges.size() >= count;
+        });
+    }
+
+    /// What the caller has received once `text` is part of it, or the connection has ended.
+    std::string receive(std::string_view text)
+    {
+        m_caller.non_blocking(true);
+        std::string received;
+        runUntil([&] {
+            std::array<char, 4096> bytes{};
+            error_code error;
+            const std::size_t got = m_caller.read_some(boost::asio::buffer(bytes), error);
+            received.append(bytes.data(), got);
+            m_ended = error && error != boost::asio::error::would_block;
+            return m_ended || received.find(text) != std::string::npos;
+        });
+        return received;
+    }
+
+    boost::asio::io_context m_loop;
+    std::vector<std::shared_ptr<Exchange>> m_exchanges;
+    std::function<void(Exchange &)> m_onRequest;
+    HttpServer m_server;
+    tcp::socket m_caller{m_loop};
+    bool m_ended = false;
+};
+
+struct BodyCase
+{
+    const char *name;
+    const char *request;
+    const char *body;
+};
+
+class BodyTest : public HttpServerTest, public testing::WithParamInterface<BodyCase>
+{ };
+
+TEST_P(BodyTest, BodiesComeWithALengthOrInChunks)
+{
+    send(GetParam().request);
+    awaitRequests(1);
+    EXPECT_EQ(m_exchanges.front()->request().body, GetParam().body);
+    m_exchanges.front()->respond({.status = 200, .body = "done"});
+    EXPECT_NE(receive("done").find("HTTP/1.1 200 OK\r\n"), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Bodies,
+    BodyTest,
+    testing::Values(
+        BodyCase{"None", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", ""},
+        BodyCase{"Length", "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc", "abc"},
+        BodyCase{"Chunks",
+                 "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n2\r\nbc\r\n0\r\n\r\n",
+                 "abc"}),
+    [](const auto &test) {
+        return test.param.name;
+    });
+
+struct RejectCase
+{
+    const char *name;
+    std::string request;
+    const char *status;
+};
+
+class RejectTest : public HttpServerTest, public testing::WithParamInterface<RejectCase>
+{ };
+
+TEST_P(RejectTest, WhatIsOverABoundOrUnreadableIsRefusedWithItsStatus)
+{
+    m_server.setLimits({.headerBytes = 200, .bodyBytes = 10});
+    send(GetParam().request);
+    EXPECT_NE(receive("\r\n\r\n").find(GetParam().status), std::string::npos);
+    EXPECT_TRUE(m_exchanges.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Requests,
+    RejectTest,
+    testing::Values(RejectCase{"LongHead", "GET / HTTP/1.1\r\nLong: " + std::string(400, 'x') + "\r\n\r\n", " 431 "},
+                    RejectCase{"LongBody", "POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", " 413 "},
+                    RejectCase{"Garbage", "\x01\x02 nothing\r\n\r\n", " 400 "}),
+    [](const auto &test) {
+        return test.param.name;
+    });
+
+struct LeaveCase
+{
+    const char *name;
+    bool streaming;
+    bool answered;
+    bool told;
+};
+
+class LeaveTest : public HttpServerTest, public testing::WithParamInterface<LeaveCase>
+{ };
+
+TEST_P(LeaveTest, ACallerThatClosesWhileItsAnswerIsPendingIsNoticed)
+{
+    send("GET /a HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    bool told = false;
+    m_exchanges.front()->onCallerGone([&told] {
+        told = true;
+    });
+    if (GetParam().streaming) {
+        m_exchanges.front()->beginStream({.status = 200});
+        m_exchanges.front()->write("first");
+        receive("first");
+    }
+    if (GetParam().answered) {
+        m_exchanges.front()->respond({.body = "all"});
+        receive("all");
+    }
+    m_caller.close();
+    runUntil([this] {
+        return m_server.connections() == 0;
+    });
+    EXPECT_EQ(told, GetParam().told);
+    EXPECT_EQ(m_server.pending(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Moments,
+                         LeaveTest,
+                         testing::Values(LeaveCase{"BeforeTheAnswer", false, false, true},
+                                         LeaveCase{"DuringAStream", true, false, true},
+                                         LeaveCase{"AfterTheAnswer", false, true, false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST_F(HttpServerTest, AnAbortedStreamDoesNotLookComplete)
+{
+    send("GET /a HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_exchanges.front()->beginStream({.status = 200});
+    m_exchanges.front()->write("part");
+    std::string received = receive("part");
+    m_exchanges.front()->abort();
+    received += receive("never");
+    EXPECT_TRUE(m_ended);
+    EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(HttpServerTest, RequestsOnOneConnectionAreAnsweredInOrder)
+{
+    send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    EXPECT_EQ(m_exchanges.size(), 1U);
+    m_exchanges.front()->respond({.body = "first"});
+    awaitRequests(2);
+    EXPECT_EQ(m_exchanges.front()->request().target, "/2"); // one exchange for each connection
+    m_exchanges.back()->respond({.body = "second"});
+    EXPECT_NE(receive("second").find("first"), std::string::npos);
+}
+
+TEST_F(HttpServerTest, WhileDrainingAnAnswerClosesItsConnection)
+{
+    send("GET /1 HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.drain();
+    m_exchanges.front()->respond({.body = "last"});
+    std::string received = receive("last");
+    EXPECT_NE(received.find("Connection: close"), std::string::npos);
+    receive("never");
+    EXPECT_TRUE(m_ended);
+}
+
+TEST_F(HttpServerTest, ClosingIdleConnectionsCutsNoRequest)
+{
+    send("GET /1 HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.closeIdle();
+    EXPECT_EQ(m_server.connections(), 1U);
+    m_exchanges.front()->respond({.body = "whole"});
+    EXPECT_NE(receive("whole").find("whole"), std::string::npos);
+    runUntil([this] {
+        return m_server.pending() == 0;
+    });
+    m_server.closeIdle();
+    EXPECT_EQ(m_server.connections(), 0U);
+}
+
+TEST_F(HttpServerTest, ACallerThatStopsInTheMiddleOfItsHeadIsClosed)
+{
+    m_server.setLimits({.requestTimeout = 50ms});
+    send("GET /1 HTT");
+    receive("never");
+    EXPECT_TRUE(m_ended);
+}
+
+} // namespace
+} // namespace bergamot::net
--- /dev/null
+++ b/bergamot/net/message_test.cpp
@@ -0,0 +1,70 @@
+#include "bergamot/net/message.h"
+
+#include <gtest/gtest.h>
+
+namespace bergamot::net
+{
+namespace
+{
+
+struct HopCase
+{
+    const char *name;
+    const char *field;
+    const char *value;
+    bool kept;
+};
+
+class EndToEndTest : public testing::TestWithParam<HopCase>
+{ };
+
+TEST_P(EndToEndTest, FieldsOfASingleConnectionAreNotForwarded)
+{
+    HeaderFields headers;
+    headers.add("Connection", "keep-alive, X-Private");
+    headers.add(GetParam().field, GetParam().value);
+    EXPECT_EQ(endToEnd(headers).has(GetParam().field), GetParam().kept);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         EndToEndTest,
+                         testing::Values(HopCase{"Host", "Host", "a.example", true},
+                                         HopCase{"Framing", "transfer-encoding", "chunked", false},
+                                         HopCase{"Length", "Content-Length", "5", false},
+                                         HopCase{"KeepAlive", "Keep-Alive", "timeout=5", false},
+                                         HopCase{"NamedByConnection", "x-private", "1", false},
+                                         HopCase{"Other", "X-Public", "1", true}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+struct QueryCase
+{
+    const char *name;
+    const char *target;
+    std::optional<std::string_view> value;
+};
+
+class QueryTest : public testing::TestWithParam<QueryCase>
+{ };
+
+TEST_P(QueryTest, ParametersAreFoundByName)
+{
+    Request request;
+    request.target = GetParam().target;
+    EXPECT_EQ(request.query("after"), GetParam().value);
+}
+
+INSTANTIATE_TEST_SUITE_P(Targets,
+                         QueryTest,
+                         testing::Values(QueryCase{"Only", "/a?after=3", "3"},
+                                         QueryCase{"Second", "/a?x=1&after=4", "4"},
+                                         QueryCase{"Empty", "/a?after", ""},
+                                         QueryCase{"OtherName", "/a?afterwards=4", std::nullopt},
+                                         QueryCase{"None", "/a", std::nullopt}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+} // namespace
+} // namespace bergamot::net
