routing: an endpoint that comes back keeps its slot

An endpoint that left the list and came back could take the slot of another one; its old slot then removed the new entry, two endpoints shared a slot, and its counts started anew under a request in flight. Ruled out: an attempt that ends twice (each is erased from the router when it ends). Change: a slot is freed only by the entry that points to it.

--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -63,7 +63,13 @@
     }
     for (std::size_t slot = 0; slot < m_states.size(); ++slot) {
         const State &state = m_states[slot];
-        if (!state.present && state.load.inFlight() == 0 && !state.reserved && m_slots.erase(state.listed.id) > 0) {
+        if (state.present || state.load.inFlight() > 0 || state.reserved) {
+            continue;
+        }
+        // An endpoint that has come back may have another slot now.
+        const auto found = m_slots.find(state.listed.id);
+        if (found != m_slots.end() && found->second == slot) {
+            m_slots.erase(found);
             m_free.push_back(slot);
         }
     }
