dispatch: each model keeps its own share of the engines fresh; groups with the least to do first

Cause: with three models, every engine loaded every version: some 108 loads of 0.9 s in 4 s, where 31 fit. Ruled out: loads at once beyond a fifth of the engines (they slow each other). Change: engines are divided among the models by their work; batches that are late yield; groups that came again first, then those with the shortest expected output.

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -31,6 +31,7 @@
     record->body = item.body;
     record->tokens = item.tokens;
     record->group = item.group;
+    record->expected_output = item.expectedOutput;
     for (const ItemHeader &header : item.headers) {
         auto field = std::make_unique<log::HeaderFieldT>();
         field->name = header.name;
@@ -177,7 +178,8 @@
               .path = text(record.path()),
               .body = text(record.body()),
               .tokens = record.tokens(),
-              .group = text(record.group())};
+              .group = text(record.group()),
+              .expectedOutput = record.expected_output()};
     if (record.headers() != nullptr) {
         for (const log::HeaderField *field : *record.headers()) {
             item.headers.push_back({text(field->name()), text(field->value())});
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -40,6 +40,7 @@
     std::string body;
     std::uint32_t tokens = 0; // of the prompt and the longest output together
     std::string group; // samples of one prompt; a trainer needs whole groups
+    std::uint32_t expectedOutput = 0; // tokens, by the trainer's estimate; 0: not known
     std::optional<ScoringCall> scoring;
 };
 
--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -7,8 +7,106 @@
 namespace bergamot::dispatch
 {
 
+namespace
+{
+
+/// Engines for each model: shares of `engines` by work, at least one each.
+std::map<std::string, std::size_t> shares(std::size_t engines, const std::map<std::string, ModelDemand> &demand)
+{
+    double total = 0;
+    double known = 0;
+    std::size_t withWork = 0;
+    for (const auto &[model, asked] : demand) {
+        known += asked.work;
+        withWork += asked.work > 0 ? 1 : 0;
+    }
+    const double usual = withWork == 0 ? 1 : known / static_cast<double>(withWork);
+    const auto work = [usual](const ModelDemand &asked) {
+        return asked.work > 0 ? asked.work : usual;
+    };
+    for (const auto &[model, asked] : demand) {
+        total += work(asked);
+    }
+    std::map<std::string, std::size_t> result;
+    std::vector<std::pair<double, std::string>> remainders;
+    std::size_t given = 0;
+    for (const auto &[model, asked] : demand) {
+        const double exact = static_cast<double>(engines) * work(asked) / total;
+        result[model] = std::max<std::size_t>(1, static_cast<std::size_t>(exact));
+        given += result[model];
+        remainders.emplace_back(exact - std::floor(exact), model);
+    }
+    std::sort(remainders.rbegin(), remainders.rend());
+    for (const auto &[remainder, model] : remainders) {
+        if (given < engines) {
+            ++result[model];
+            ++given;
+        }
+    }
+    return result;
+}
+
+} // namespace
+
+void EngineHomes::update(const std::vector<LoadCandidate> &engines, const std::map<std::string, ModelDemand> &demand)
+{
+    if (demand.empty()) {
+        return;
+    }
+    std::map<std::string, std::vector<std::string>> settled; // engines by model
+    std::vector<std::string> unsettled;
+    std::map<std::string, std::string> kept;
+    for (const LoadCandidate &engine : engines) {
+        const auto home = m_homes.find(engine.engine);
+        if (home != m_homes.end() && demand.contains(home->second)) {
+            settled[home->second].push_back(engine.engine);
+            kept.insert(*home);
+        } else {
+            unsettled.push_back(engine.engine);
+        }
+    }
+    m_homes = std::move(kept);
+    const std::map<std::string, std::size_t> wanted = shares(engines.size(), demand);
+    const auto shortage = [&](const std::string &model) {
+        return static_cast<std::ptrdiff_t>(wanted.at(model)) - static_cast<std::ptrdiff_t>(settled[model].size());
+    };
+    const auto neediest = [&] {
+        return std::max_element(wanted.begin(),
+                                wanted.end(),
+                                [&](const auto &left, const auto &right) {
+                                    return shortage(left.first) < shortage(right.first);
+                                })
+            ->first;
+    };
+    for (const std::string &engine : unsettled) {
+        const std::string model = neediest();
+        settled[model].push_back(engine);
+        m_homes[engine] = model;
+    }
+    constexpr std::ptrdiff_t WorthMoving = 2; // a move costs a load
+    for (std::string needy = neediest(); shortage(needy) >= WorthMoving; needy = neediest()) {
+        const auto rich = std::min_element(wanted.begin(), wanted.end(), [&](const auto &left, const auto &right) {
+            return shortage(left.first) < shortage(right.first);
+        });
+        std::vector<std::string> &from = settled[rich->first];
+        if (shortage(rich->first) >= 0 || from.empty()) {
+            return;
+        }
+        settled[needy].push_back(from.back());
+        m_homes[from.back()] = needy;
+        from.pop_back();
+    }
+}
+
+std::string EngineHomes::of(const std::string &engine) const
+{
+    const auto found = m_homes.find(engine);
+    return found == m_homes.end() ? std::string() : found->second;
+}
+
 std::optional<PlannedLoad> nextLoad(const std::vector<LoadCandidate> &engines,
                                     const std::map<std::string, ModelDemand> &demand,
+                                    const EngineHomes &homes,
                                     const LoadPlannerOptions &options)
 {
     const auto loading = std::count_if(engines.begin(), engines.end(), [](const LoadCandidate &engine) {
@@ -28,7 +126,8 @@
         }
         for (const auto &[model, version] : engine.versions) {
             const auto found = demand.find(model);
-            if (found == demand.end() || version >= found->second.named) {
+            const bool elsewhere = homes.of(engine.engine) != model;
+            if (found == demand.end() || elsewhere || version >= found->second.named) {
                 continue;
             }
             const ModelDemand &asked = found->second;
--- a/bergamot/dispatch/load_planner.h
+++ b/bergamot/dispatch/load_planner.h
@@ -30,6 +30,7 @@
 /// What is asked of one model.
 struct ModelDemand
 {
+    double work = 0; // slots x seconds of a usual batch; 0: not known
     std::uint64_t named = 0; // newest version that was named
     std::uint64_t needed = 0; // oldest version that open batches allow
     std::size_t waiting = 0; // samples without an engine
@@ -47,9 +48,27 @@
     std::uint64_t version = 0;
 };
 
+/// Which model each engine keeps fresh. Loads of several models on every engine would take more time than there is
+/// between two versions, so each model gets a share of the engines by its work.
+///
+///     EngineHomes homes;
+///     homes.update(engines, demand);
+///     homes.of("engine-1"); // a model, or empty
+class EngineHomes
+{
+public:
+    /// Keeps what is assigned as long as no model is short of more than one engine.
+    void update(const std::vector<LoadCandidate> &engines, const std::map<std::string, ModelDemand> &demand);
+    std::string of(const std::string &engine) const;
+
+private:
+    std::map<std::string, std::string> m_homes; // model by engine
+};
+
 /// The load to begin now, if any.
 std::optional<PlannedLoad> nextLoad(const std::vector<LoadCandidate> &engines,
                                     const std::map<std::string, ModelDemand> &demand,
+                                    const EngineHomes &homes,
                                     const LoadPlannerOptions &options);
 
 } // namespace bergamot::dispatch
--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -31,7 +31,9 @@
 
 TEST_P(PlanTest, UselessEnginesLoadFirstAndUsefulOnesOnlyWhenNothingWaits)
 {
-    const std::optional<PlannedLoad> load = nextLoad(GetParam().engines, {{"m", GetParam().demand}}, {});
+    EngineHomes homes;
+    homes.update(GetParam().engines, {{"m", GetParam().demand}});
+    const std::optional<PlannedLoad> load = nextLoad(GetParam().engines, {{"m", GetParam().demand}}, homes, {});
     EXPECT_EQ(load ? load->engine : "", GetParam().engine);
     if (load) {
         EXPECT_EQ(load->version, GetParam().demand.named);
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace bergamot::dispatch
 {
@@ -10,6 +11,8 @@
 {
 
 constexpr double PaceSmoothing = 0.2; // weight of a new pace; about the last ten events count
+constexpr double DemandSmoothing = 0.3; // weight of a new batch's size
+constexpr double DurationSmoothing = 0.02; // weight of one run's time; about the last batch counts
 
 std::uint64_t versionOf(const std::map<std::string, std::uint64_t> &versions, const std::string &model)
 {
@@ -48,7 +51,7 @@
         for (const auto &[model, version] : facts.versions) {
             // The list lags behind what the engine itself said of a load.
             std::uint64_t &known = engine.versions[model];
-            if (version >= known || (!engine.loading && !engine.assumed)) {
+            if (version >= known || (engine.loading.empty() && !engine.assumed)) {
                 engine.assumed = engine.assumed && version < known;
                 known = std::max(known, version);
             }
@@ -87,8 +90,12 @@
     state.route = std::move(route);
     state.addedAt = now;
     state.items.reserve(batch.items.size());
+    Demand &demand = m_demand[batch.model];
+    const auto size = static_cast<double>(batch.items.size());
+    demand.items = demand.items == 0 ? size : demand.items + DemandSmoothing * (size - demand.items);
     for (std::size_t index = 0; index < batch.items.size(); ++index) {
         ItemState item;
+        state.groups.push_back(batch.items[index].group);
         if (index < listed.size() && listed[index]) {
             item.stage = Stage::Done;
         } else {
@@ -98,6 +105,7 @@
         state.items.push_back(std::move(item));
     }
     m_order[state.order] = batch.id;
+    orderItems(state);
     closeIfDone(batch.id);
     assign(now);
 }
@@ -212,8 +220,13 @@
     }
     const ItemKey key = found->second.key;
     const auto engine = m_engines.find(found->second.engine);
+    const double seconds = std::chrono::duration<double>(now - found->second.startedAt).count();
     detach(run);
     ItemState *item = findItem(key);
+    if (item != nullptr && end == RunEnd::Complete) {
+        double &usual = m_demand[findBatch(key.batch)->model].secondsPerItem;
+        usual += DurationSmoothing * (seconds - usual);
+    }
     if (item != nullptr) {
         item->stage = Stage::Waiting;
     }
@@ -269,11 +282,11 @@
     item->notBefore = now + m_options.scoringPause;
 }
 
-void SampleScheduler::loadStarted(const std::string &engine)
+void SampleScheduler::loadStarted(const std::string &engine, const std::string &model)
 {
     const auto found = m_engines.find(engine);
     if (found != m_engines.end()) {
-        found->second.loading = true;
+        found->second.loading = model;
     }
 }
 
@@ -283,7 +296,7 @@
     if (found == m_engines.end()) {
         return;
     }
-    found->second.loading = false;
+    found->second.loading.clear();
     std::uint64_t &known = found->second.versions[model];
     found->second.assumed = version > known || found->second.assumed;
     known = std::max(known, version);
@@ -302,7 +315,7 @@
 {
     const auto found = m_engines.find(engine);
     if (found != m_engines.end()) {
-        found->second.loading = false;
+        found->second.loading.clear();
     }
 }
 
@@ -337,12 +350,13 @@
 {
     m_batches.clear();
     m_order.clear();
+    m_seenGroups.clear();
     m_runs.clear();
     m_actions.clear();
     for (auto &[id, engine] : m_engines) {
         engine.runs.clear();
         engine.tokens = 0;
-        engine.loading = false;
+        engine.loading.clear();
         engine.assumed = false;
     }
 }
@@ -356,7 +370,7 @@
                          .address = engine.facts.address,
                          .versions = engine.versions,
                          .runs = static_cast<std::uint32_t>(engine.runs.size()),
-                         .loading = engine.loading,
+                         .loading = !engine.loading.empty(),
                          .usable = !engine.facts.draining && now >= engine.notBefore});
     }
     return loads;
@@ -433,7 +447,7 @@
                            const ItemState &item,
                            TimePoint now) const
 {
-    if (engine.facts.draining || engine.loading || now < engine.notBefore || !serves(engine, batch)) {
+    if (engine.facts.draining || engine.loading == batch.model || now < engine.notBefore || !serves(engine, batch)) {
         return false;
     }
     if (engine.runs.size() >= engine.facts.slots || versionOf(engine.versions, batch.model) < batch.minVersion) {
@@ -485,12 +499,12 @@
 
 void SampleScheduler::assign(TimePoint now)
 {
-    for (const auto &[order, id] : m_order) {
+    for (const std::string &id : batchesByUrgency(now)) {
         BatchState &batch = m_batches[id];
         if (!batch.route) {
             continue;
         }
-        for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
+        for (const std::uint32_t index : batch.startOrder) {
             ItemState &item = batch.items[index];
             if (item.stage != Stage::Waiting || now < item.notBefore) {
                 continue;
@@ -504,6 +518,60 @@
     }
 }
 
+std::vector<std::string> SampleScheduler::batchesByUrgency(TimePoint now) const
+{
+    std::vector<std::string> inTime;
+    std::vector<std::string> late;
+    for (const auto &[order, id] : m_order) {
+        const BatchState &batch = m_batches.at(id);
+        const bool isLate = batch.route && now - batch.addedAt > batch.route->resultDeadline;
+        (isLate ? late : inTime).push_back(id);
+    }
+    inTime.insert(inTime.end(), late.begin(), late.end());
+    return inTime;
+}
+
+void SampleScheduler::orderItems(BatchState &batch)
+{
+    struct Group
+    {
+        std::uint64_t expected = 0; // output tokens of its longest item, the one that it is complete with
+        bool begun = false; // an item has a result, or came again with its group
+        std::vector<std::uint32_t> items;
+    };
+    std::map<std::string, Group> groups;
+    std::vector<std::string> names; // in the order of the batch
+    for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
+        const ItemState &item = batch.items[index];
+        Group &group = groups[batch.groups[index]];
+        if (group.items.empty()) {
+            names.push_back(batch.groups[index]);
+        }
+        group.items.push_back(index);
+        group.expected = std::max<std::uint64_t>(group.expected, item.item.expectedOutput);
+        group.begun = group.begun || item.stage == Stage::Done || m_seenGroups.contains(batch.groups[index]);
+    }
+    std::stable_sort(names.begin(), names.end(), [&groups](const std::string &left, const std::string &right) {
+        const Group &one = groups[left];
+        const Group &other = groups[right];
+        return std::tuple(!one.begun, one.expected) < std::tuple(!other.begun, other.expected);
+    });
+    for (const std::string &name : names) {
+        std::vector<std::uint32_t> &items = groups[name].items;
+        std::stable_sort(items.begin(), items.end(), [&batch](std::uint32_t left, std::uint32_t right) {
+            return batch.items[left].item.expectedOutput > batch.items[right].item.expectedOutput;
+        });
+        batch.startOrder.insert(batch.startOrder.end(), items.begin(), items.end());
+        m_seenGroups.insert(name);
+    }
+}
+
+double SampleScheduler::demand(const std::string &model) const
+{
+    const auto found = m_demand.find(model);
+    return found == m_demand.end() ? 0 : found->second.items * found->second.secondsPerItem;
+}
+
 void SampleScheduler::start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now)
 {
     restartIfMixed(batch, item, engine);
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -52,6 +52,7 @@
     std::uint32_t maxAttempts = 1; // failures of its runs before an item is given up
     std::uint32_t maxScoringFailures = 1; // the same for its scoring call
     bool singleVersion = false;
+    Duration resultDeadline = std::chrono::seconds(60); // results that come later are worth less
     Duration retention = std::chrono::seconds(120);
 
     bool operator==(const ItemRoute &) const = default;
@@ -150,8 +151,8 @@
     void runEnded(RunId run, RunEnd end, TimePoint now);
     void scoringEnded(const ItemKey &key, ScoringEnd end, const std::string &score, TimePoint now);
 
-    /// No new run starts at the engine while it takes new weights.
-    void loadStarted(const std::string &engine);
+    /// No new run of `model` starts at the engine while it takes new weights.
+    void loadStarted(const std::string &engine, const std::string &model);
     /// The engine is assumed to have `version`; runs say so to it until it confirms.
     void loadFinished(const std::string &engine, const std::string &model, std::uint64_t version);
     /// The engine itself said which version it has.
@@ -182,6 +183,8 @@
     /// The oldest version that the newest open batch of `model` allows; 0 if none is open.
     std::uint64_t neededVersion(const std::string &model) const;
     bool hasBatch(const std::string &batch) const;
+    /// Slots x seconds that a batch of `model` usually takes; 0 before the first one.
+    double demand(const std::string &model) const;
 
 private:
     enum class Stage {
@@ -217,6 +220,8 @@
         std::optional<ItemRoute> route;
         TimePoint addedAt{};
         std::vector<ItemState> items;
+        std::vector<std::string> groups; // of the items
+        std::vector<std::uint32_t> startOrder; // of the items
         std::size_t open = 0; // items without a result
     };
 
@@ -238,16 +243,27 @@
         double pace = 0; // seconds for an event with nothing else running; 0: not known
         TimePoint notBefore{};
         std::uint32_t losses = 0; // in a row
-        bool loading = false;
+        std::string loading; // the model whose weights it takes; empty: none
         bool assumed = false; // the version is not confirmed
         bool listed = true;
     };
 
+    /// How much work the batches of a model are.
+    struct Demand
+    {
+        double items = 0; // of a batch
+        double secondsPerItem = 1; // at an engine
+    };
+
     bool fits(const EngineState &engine, const BatchState &batch, const ItemState &item, TimePoint now) const;
     bool serves(const EngineState &engine, const BatchState &batch) const;
     double cost(const EngineState &engine) const;
     double usualPace() const;
     EngineState *bestEngine(const BatchState &batch, const ItemState &item, TimePoint now);
+    /// Batches whose results can still be in time go before those that are late.
+    std::vector<std::string> batchesByUrgency(TimePoint now) const;
+    /// Groups that came again first, then those with the least to do: the trainer does not wait for all groups.
+    void orderItems(BatchState &batch);
     void assign(TimePoint now);
     void start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now);
     void detach(RunId run);
@@ -267,6 +283,8 @@
     std::map<std::string, BatchState> m_batches;
     std::map<std::uint64_t, std::string> m_order; // batches by acceptance
     std::map<RunId, Run> m_runs;
+    std::map<std::string, Demand> m_demand; // by model
+    std::set<std::string> m_seenGroups; // of earlier batches; those that come again are waited for
     std::vector<SchedulerAction> m_actions;
     RunId m_lastRun = 0;
     std::uint64_t m_lastOrder = 0;
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -146,7 +146,7 @@
 {
     setEngines({GetParam().engine});
     if (GetParam().loading) {
-        m_scheduler.loadStarted("e3");
+        m_scheduler.loadStarted("e3", "m");
     }
     addBatch("b", 1);
     EXPECT_EQ(m_starts.size(), GetParam().runs ? 1U : 0U);
@@ -335,7 +335,7 @@
 TEST_F(SampleSchedulerTest, AnEngineWhoseLoadIsOnlyAssumedIsAskedForThatVersion)
 {
     setEngines({engine("e3", 4)});
-    m_scheduler.loadStarted("e3");
+    m_scheduler.loadStarted("e3", "m");
     m_scheduler.loadFinished("e3", "m", 5);
     addBatch("b", 1, 5);
     ASSERT_EQ(m_starts.size(), 1U);
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -242,6 +242,7 @@
                               .maxScoringFailures =
                                   std::max(route->maxAttempts, scoring == nullptr ? 1U : scoring->maxAttempts),
                               .singleVersion = route->singleVersion,
+                              .resultDeadline = route->resultDeadline,
                               .retention = route->retention};
     for (const fleet::WeightedService &service : route->services) {
         found.services.push_back(service.service);
@@ -554,8 +555,10 @@
 {
     std::map<std::string, dispatch::ModelDemand> demand;
     for (const auto &[model, version] : m_view.namedVersions()) {
-        demand[model] = {
-            .named = version, .needed = m_scheduler.neededVersion(model), .waiting = m_scheduler.waiting(model)};
+        demand[model] = {.work = m_scheduler.demand(model),
+                         .named = version,
+                         .needed = m_scheduler.neededVersion(model),
+                         .waiting = m_scheduler.waiting(model)};
     }
     while (true) {
         std::vector<dispatch::LoadCandidate> candidates;
@@ -568,7 +571,8 @@
                  .usable = engine.usable && !m_loads.contains(engine.id) && now >= m_loadNotBefore[engine.id],
                  .mayOrder = m_log.ownership().mayOrder(engine.id, now)});
         }
-        const std::optional<dispatch::PlannedLoad> planned = nextLoad(candidates, demand, m_options.loads);
+        m_homes.update(candidates, demand);
+        const std::optional<dispatch::PlannedLoad> planned = nextLoad(candidates, demand, m_homes, m_options.loads);
         if (!planned) {
             return;
         }
@@ -578,7 +582,7 @@
 
 void EnginePool::beginLoad(const dispatch::PlannedLoad &planned)
 {
-    m_scheduler.loadStarted(planned.engine);
+    m_scheduler.loadStarted(planned.engine, planned.model);
     Load &load = m_loads[planned.engine];
     load = {.engine = planned.engine,
             .model = planned.model,
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -155,6 +155,7 @@
     std::map<dispatch::RunId, ActiveRun> m_runs;
     std::map<dispatch::ItemKey, RequestId> m_scorings;
     std::map<std::string, BatchAddress> m_addresses;
+    dispatch::EngineHomes m_homes;
     std::map<std::string, Load> m_loads; // by engine
     std::map<std::string, TimePoint> m_loadNotBefore; // engines whose last load failed
     std::map<std::string, std::uint64_t> m_orderCounts; // accepted by each engine, as last reported
