--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -117,6 +117,18 @@
     return packed(std::move(record));
 }
 
+std::string progressRecord(const ItemProgress &progress)
+{
+    log::ItemProgressT record;
+    record.batch = progress.batch;
+    record.item = progress.item;
+    record.first_event = progress.firstEvent;
+    record.last_event = progress.lastEvent;
+    record.text = progress.text;
+    record.versions = progress.versions;
+    return packed(std::move(record));
+}
+
 std::string endRecord(const std::string &batch)
 {
     log::BatchEndT record;
@@ -205,4 +217,17 @@
     return result;
 }
 
+ItemProgress toProgress(const log::ItemProgress &record)
+{
+    ItemProgress progress{.batch = text(record.batch()),
+                          .item = record.item(),
+                          .firstEvent = record.first_event(),
+                          .lastEvent = record.last_event(),
+                          .text = text(record.text())};
+    if (record.versions() != nullptr) {
+        progress.versions.assign(record.versions()->begin(), record.versions()->end());
+    }
+    return progress;
+}
+
 } // namespace bergamot::batch
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -66,6 +66,17 @@
     std::string score;
 };
 
+/// Some consecutive events of an item's text.
+struct ItemProgress
+{
+    std::string batch;
+    std::uint32_t item = 0;
+    std::uint64_t firstEvent = 0;
+    std::uint64_t lastEvent = 0;
+    std::string text;
+    std::vector<std::uint64_t> versions;
+};
+
 struct RecordLimits
 {
     std::size_t recordBytes = 256 * 1024;
@@ -75,6 +86,7 @@
 Result<std::vector<std::string>>
 acceptanceRecords(const Batch &batch, std::uint64_t submission, const RecordLimits &limits);
 std::string resultRecord(const ItemResult &result);
+std::string progressRecord(const ItemProgress &progress);
 std::string endRecord(const std::string &batch);
 std::string claimRecord(const std::string &instance, std::uint64_t epoch);
 std::string renewalRecord(std::uint64_t epoch);
@@ -87,6 +99,7 @@
 
 Item toItem(const log::Item &record);
 ItemResult toResult(const log::ItemResult &record);
+ItemProgress toProgress(const log::ItemProgress &record);
 
 /// The text of a field that may be absent.
 std::string text(const flatbuffers::String *field);
--- a/bergamot/batch/batch_index.cpp
+++ b/bergamot/batch/batch_index.cpp
@@ -16,8 +16,12 @@
             return BatchChange::Nothing;
         }
         found->second.ended = true;
+        found->second.progress.clear();
         return BatchChange::Ended;
     }
+    case log::Payload::ItemProgress:
+        applyProgress(offset, *record.payload_as_ItemProgress());
+        return BatchChange::Nothing;
     default:
         return BatchChange::Nothing;
     }
@@ -76,8 +80,20 @@
         return BatchChange::Nothing;
     }
     entry.listed[result.item()] = true;
+    entry.progress.erase(result.item());
     entry.results.push_back({result.item(), offset});
     return BatchChange::ResultListed;
 }
 
+void BatchIndex::applyProgress(std::uint64_t offset, const log::ItemProgress &progress)
+{
+    const auto found = m_batches.find(text(progress.batch()));
+    if (found == m_batches.end() || found->second.ended || progress.item() >= found->second.listed.size()) {
+        return;
+    }
+    if (!found->second.listed[progress.item()]) {
+        found->second.progress[progress.item()].push_back(offset);
+    }
+}
+
 } // namespace bergamot::batch
--- a/bergamot/batch/batch_index.h
+++ b/bergamot/batch/batch_index.h
@@ -31,6 +31,7 @@
     std::vector<std::uint64_t> partOffsets; // of the records that accepted it
     std::vector<ListedResult> results; // by position
     std::vector<bool> listed; // by item
+    std::map<std::uint32_t, std::vector<std::uint64_t>> progress; // offsets by item, of items without a result
     bool ended = false;
     TimePoint acceptedAt{}; // as this instance saw it
 };
@@ -74,6 +75,7 @@
 
     BatchChange applyPart(std::uint64_t offset, const log::BatchPart &part, TimePoint now);
     BatchChange applyResult(std::uint64_t offset, const log::ItemResult &result);
+    void applyProgress(std::uint64_t offset, const log::ItemProgress &progress);
 
     BatchIndexOptions m_options;
     std::map<std::string, BatchEntry> m_batches;
--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -116,8 +116,8 @@
     if (loading >= most) {
         return std::nullopt;
     }
-    // The oldest version first, then the engine with the least to finish.
-    using Rank = std::tuple<std::uint64_t, std::uint32_t>;
+    // The one that is furthest behind first, then the one with the least to finish.
+    using Rank = std::tuple<std::int64_t, std::uint32_t>;
     std::optional<PlannedLoad> best;
     Rank bestRank{};
     for (const LoadCandidate &engine : engines) {
@@ -133,7 +133,7 @@
             const ModelDemand &asked = found->second;
             const bool useless = version < asked.needed || version + 1 < asked.named;
             const bool idle = engine.runs == 0 && asked.waiting == 0;
-            const Rank rank{version, engine.runs};
+            const Rank rank{static_cast<std::int64_t>(version) - static_cast<std::int64_t>(asked.named), engine.runs};
             if ((useless || idle) && (!best || rank < bestRank)) {
                 best = PlannedLoad{.engine = engine.engine, .model = model, .version = asked.named};
                 bestRank = rank;
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -110,6 +110,77 @@
     assign(now);
 }
 
+void SampleScheduler::restore(const batch::ItemProgress &progress)
+{
+    ItemState *item = findItem({progress.batch, progress.item});
+    if (item == nullptr || item->stage != Stage::Waiting || progress.text.empty()) {
+        return;
+    }
+    if (!item->hasEvents || progress.firstEvent != item->lastEvent + 1) {
+        // The first events, or those of a run that began anew.
+        item->text = progress.text;
+        item->versions = progress.versions;
+    } else {
+        item->text += '\n' + progress.text;
+        for (const std::uint64_t version : progress.versions) {
+            addVersion(item->versions, version);
+        }
+    }
+    item->hasEvents = true;
+    item->lastEvent = progress.lastEvent;
+    item->savedEvent = progress.lastEvent;
+    item->savedBytes = item->text.size();
+}
+
+void SampleScheduler::holdStarts()
+{
+    m_startsHeld = true;
+}
+
+void SampleScheduler::releaseStarts(TimePoint now)
+{
+    m_startsHeld = false;
+    assign(now);
+}
+
+void SampleScheduler::saveAll()
+{
+    for (const auto &[run, facts] : m_runs) {
+        if (ItemState *item = findItem(facts.key)) {
+            save(facts.key, *item);
+        }
+    }
+}
+
+void SampleScheduler::saveProgress(TimePoint now)
+{
+    for (const auto &[run, facts] : m_runs) {
+        ItemState *item = findItem(facts.key);
+        if (item == nullptr || now - std::max(facts.startedAt, item->savedAt) < m_options.saveEvery) {
+            continue;
+        }
+        item->savedAt = now;
+        save(facts.key, *item);
+    }
+}
+
+void SampleScheduler::save(const ItemKey &key, ItemState &item)
+{
+    if (!item.hasEvents || item.lastEvent == item.savedEvent) {
+        return;
+    }
+    const bool first = item.savedBytes == 0;
+    SaveProgress action{.progress = {.batch = key.batch,
+                                     .item = key.item,
+                                     .firstEvent = first ? item.firstEvent : item.savedEvent + 1,
+                                     .lastEvent = item.lastEvent,
+                                     .text = item.text.substr(first ? 0 : item.savedBytes + 1),
+                                     .versions = item.versions}};
+    item.savedEvent = item.lastEvent;
+    item.savedBytes = item.text.size();
+    m_actions.emplace_back(std::move(action));
+}
+
 void SampleScheduler::setRoute(const std::string &batch, std::optional<ItemRoute> route)
 {
     BatchState *state = findBatch(batch);
@@ -195,6 +266,8 @@
     }
     if (item->hasEvents) {
         item->text += '\n';
+    } else {
+        item->firstEvent = eventId;
     }
     item->text += data;
     item->lastEvent = eventId;
@@ -337,6 +410,7 @@
             }
         }
     }
+    saveProgress(now);
     moveStragglers(now);
     assign(now);
 }
@@ -499,6 +573,9 @@
 
 void SampleScheduler::assign(TimePoint now)
 {
+    if (m_startsHeld) {
+        return;
+    }
     for (const std::string &id : batchesByUrgency(now)) {
         BatchState &batch = m_batches[id];
         if (!batch.route) {
@@ -600,6 +677,8 @@
         item.versions.clear();
         item.hasEvents = false;
         item.lastEvent = 0;
+        item.savedEvent = 0;
+        item.savedBytes = 0;
     }
 }
 
@@ -648,7 +727,9 @@
             continue;
         }
         const EngineState *other = bestEngine(*batch, *item, now);
-        if (other != nullptr && cost(engine->second) > m_options.slowFactor * cost(*other)) {
+        const double here = cost(engine->second) / (1 + m_options.crowding); // the run itself is counted there
+        if (other != nullptr && now - facts.startedAt >= m_options.settleTime
+            && here > m_options.slowFactor * cost(*other)) {
             slow.push_back(run);
         }
     }
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -96,7 +96,13 @@
     batch::ItemResult result;
 };
 
-using SchedulerAction = std::variant<StartRun, CancelRun, StartScoring, CancelScoring, ListResult>;
+/// Events of a text that takes long, to be kept for the case that another instance goes on with it.
+struct SaveProgress
+{
+    batch::ItemProgress progress;
+};
+
+using SchedulerAction = std::variant<StartRun, CancelRun, StartScoring, CancelScoring, ListResult, SaveProgress>;
 
 /// How a run ended.
 enum class RunEnd {
@@ -123,8 +129,11 @@
     Duration firstSuspicion = std::chrono::milliseconds(400); // after a lost run; doubles with each further one
     Duration longestSuspicion = std::chrono::seconds(4);
     Duration scoringPause = std::chrono::milliseconds(150); // before a scoring call is repeated
-    double slowFactor = 2.0; // a run at an engine slower than this multiple of the best moves, if a place is free
+    double slowFactor = 1.25; // a run that would be faster by this elsewhere moves, if a place is free: reading the
+                              // text again takes some ten milliseconds
+    Duration settleTime = std::chrono::milliseconds(300); // before a run that has just started moves again
     std::uint64_t leastEventsToMove = 3; // a run that is nearly done stays
+    Duration saveEvery = std::chrono::milliseconds(1000); // progress of one run; a new owner repeats at most this much
     double crowding = 0.02; // slowdown of each run by one more at the same engine
     double memoryShare = 0.95; // of an engine's memory that declared tokens may fill
 };
@@ -138,6 +147,13 @@
     void setEngines(const std::vector<EngineFacts> &engines, TimePoint now);
     void
     addBatch(const batch::Batch &batch, const std::vector<bool> &listed, std::optional<ItemRoute> route, TimePoint now);
+    /// What an earlier owner saved of an item's text; call it in the order of the log, right after `addBatch`.
+    void restore(const batch::ItemProgress &progress);
+    /// No run starts until `releaseStarts`.
+    void holdStarts();
+    void releaseStarts(TimePoint now);
+    /// Saves what has arrived of every text, because this instance is about to stop.
+    void saveAll();
     /// No route: its items are given up.
     void setRoute(const std::string &batch, std::optional<ItemRoute> route);
     void endBatch(const std::string &batch);
@@ -202,8 +218,12 @@
         Stage stage = Stage::Waiting;
         RunId run = 0;
         std::string text;
+        std::uint64_t firstEvent = 0;
         std::uint64_t lastEvent = 0;
         bool hasEvents = false;
+        std::uint64_t savedEvent = 0; // newest event that was saved; 0: none
+        std::size_t savedBytes = 0; // of the text
+        TimePoint savedAt{};
         bool complete = false;
         std::vector<std::uint64_t> versions;
         std::uint32_t failures = 0;
@@ -270,6 +290,8 @@
     void cancel(RunId run);
     void restartIfMixed(const BatchState &batch, ItemState &item, const EngineState &engine);
     void moveStragglers(TimePoint now);
+    void saveProgress(TimePoint now);
+    void save(const ItemKey &key, ItemState &item);
     void suspect(EngineState &engine, TimePoint now);
     void list(const ItemKey &key, ItemState &item, bool completed);
     void finishText(const ItemKey &key, ItemState &item);
@@ -286,6 +308,7 @@
     std::map<std::string, Demand> m_demand; // by model
     std::set<std::string> m_seenGroups; // of earlier batches; those that come again are waited for
     std::vector<SchedulerAction> m_actions;
+    bool m_startsHeld = false;
     RunId m_lastRun = 0;
     std::uint64_t m_lastOrder = 0;
 };
--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -231,7 +231,7 @@
         notFoundOrUnsure(*exchange, call.batch, "read");
         return;
     }
-    respond(*exchange, Ok, m_codec.results(entry->totalItems, call.after, {}), Json);
+    respondResults(*exchange, call, *entry, {});
 }
 
 void BatchService::collect(ReadResultsCall call,
@@ -249,8 +249,7 @@
     }
     const std::size_t position = call.after + collected.size();
     if (bytes >= m_options.resultBytes || position >= entry->results.size()) {
-        const std::string body = m_codec.results(entry->totalItems, position, collected);
-        respond(*exchange, Ok, body, Json);
+        respondResults(*exchange, call, *entry, collected);
         return;
     }
     // One read of the store brings a run of records; what it does not reach is left to the next round.
@@ -289,11 +288,28 @@
                         respond(*exchange, Unavailable);
                         return;
                     }
-                    const std::string body = m_codec.results(now->totalItems, call.after + collected.size(), collected);
-                    respond(*exchange, Ok, body, Json);
+                    respondResults(*exchange, call, *now, collected);
                 });
 }
 
+void BatchService::respondResults(net::Exchange &exchange,
+                                  const ReadResultsCall &call,
+                                  const batch::BatchEntry &entry,
+                                  const std::vector<batch::ItemResult> &results)
+{
+    const std::uint64_t next = call.after + results.size();
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - exchange.receivedAt());
+    m_eventLog.write(EventKind::Request,
+                     "results-read",
+                     {{"batch", call.batch},
+                      {"after", std::to_string(call.after)},
+                      {"next", std::to_string(next)},
+                      {"known", std::to_string(entry.results.size())},
+                      {"total", std::to_string(entry.totalItems)},
+                      {"took_ms", std::to_string(took.count())}});
+    respond(exchange, Ok, m_codec.results(entry.totalItems, next, results), Json);
+}
+
 void BatchService::readItem(const ReadItemCall &call, std::shared_ptr<net::Exchange> exchange)
 {
     const batch::BatchEntry *entry = m_log.index().find(call.batch);
--- a/bergamot/node/batch_service.h
+++ b/bergamot/node/batch_service.h
@@ -81,6 +81,10 @@
     void answerResults(const ReadResultsCall &call, const std::shared_ptr<net::Exchange> &exchange);
     void
     collect(ReadResultsCall call, std::shared_ptr<net::Exchange> exchange, std::vector<batch::ItemResult> collected);
+    void respondResults(net::Exchange &exchange,
+                        const ReadResultsCall &call,
+                        const batch::BatchEntry &entry,
+                        const std::vector<batch::ItemResult> &results);
     void respond(net::Exchange &exchange, int status, std::string body = {}, std::string_view type = {});
     void notFoundOrUnsure(net::Exchange &exchange, const std::string &batch, std::string_view call);
 
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -110,6 +110,12 @@
     }
 }
 
+void EnginePool::save()
+{
+    m_scheduler.saveAll();
+    perform();
+}
+
 void EnginePool::end()
 {
     m_active = false;
@@ -225,12 +231,46 @@
                           {"items", std::to_string(loaded.items.size())},
                           {"listed", std::to_string(now->results.size())},
                           {"min_version", std::to_string(loaded.minVersion)}});
-        m_scheduler.addBatch(loaded, now->listed, routeOf(address), BootClock::now());
         m_addresses[batch] = std::move(address);
-        perform();
+        restoreProgress(std::move(loaded));
     });
 }
 
+void EnginePool::restoreProgress(batch::Batch loaded)
+{
+    std::vector<std::uint64_t> offsets;
+    for (const auto &[item, saved] : m_log.index().find(loaded.id)->progress) {
+        offsets.insert(offsets.end(), saved.begin(), saved.end());
+    }
+    std::sort(offsets.begin(), offsets.end());
+    const auto take = [this, loaded = std::move(loaded), turn = m_turn](bool complete,
+                                                                        const std::vector<LogRecord> &records) {
+        const batch::BatchEntry *now = m_log.index().find(loaded.id);
+        if (turn != m_turn || now == nullptr || now->ended) {
+            return;
+        }
+        if (!complete) {
+            m_eventLog.write(EventKind::State, "progress-unreadable", {{"batch", loaded.id}});
+        }
+        const auto address = m_addresses.find(loaded.id);
+        m_scheduler.holdStarts();
+        m_scheduler.addBatch(loaded, now->listed, routeOf(address->second), BootClock::now());
+        for (const LogRecord &fetched : records) {
+            const batch::log::Record *record = batch::parseRecord(fetched.bytes);
+            if (record != nullptr && record->payload_as_ItemProgress() != nullptr) {
+                m_scheduler.restore(batch::toProgress(*record->payload_as_ItemProgress()));
+            }
+        }
+        m_scheduler.releaseStarts(BootClock::now());
+        perform();
+    };
+    if (offsets.empty()) {
+        take(true, {});
+        return;
+    }
+    m_log.fetch(std::move(offsets), take);
+}
+
 std::optional<dispatch::ItemRoute> EnginePool::routeOf(const BatchAddress &address) const
 {
     const fleet::Route *route = m_view.configuration().match(address.host, address.itemPath);
@@ -342,6 +382,8 @@
                 }
             } else if (const auto *list = std::get_if<dispatch::ListResult>(&action)) {
                 listResult(list->result);
+            } else if (const auto *save = std::get_if<dispatch::SaveProgress>(&action)) {
+                m_log.writer().write(batch::progressRecord(save->progress), nullptr);
             }
         }
     }
@@ -416,6 +458,10 @@
     if (head.status == Ok) {
         run.version = number(head.headers.find(m_codec.headers().weightVersions).value_or(""));
         m_scheduler.runStarted(id, run.version);
+        const auto load = m_loads.find(run.engine);
+        if (load != m_loads.end() && load->second.assumed && run.expectsVersion) {
+            endLoad(run.engine, "loaded");
+        }
     }
 }
 
@@ -699,6 +745,30 @@
     sendOrder(engine);
 }
 
+void EnginePool::confirmLoad(const std::string &engine)
+{
+    Load &load = m_loads[engine];
+    load.asking = true;
+    callEngine(engine, m_codec.reportCall(), [this, engine](int status, const std::string &body, const net::CallEnd &) {
+        const auto found = m_loads.find(engine);
+        if (found == m_loads.end()) {
+            return;
+        }
+        Load &asked = found->second;
+        asked.asking = false;
+        asked.confirmAt = BootClock::now() + m_options.confirmEvery;
+        const Result<EngineReport> report = m_codec.report(body);
+        if (status != Ok || !report) {
+            return; // asked again until its patience ends
+        }
+        const auto version = report->versions.find(asked.model);
+        if (version != report->versions.end() && version->second >= asked.version) {
+            m_scheduler.versionSeen(engine, asked.model, version->second);
+            endLoad(engine, "loaded");
+        }
+    });
+}
+
 void EnginePool::sendOrder(const std::string &engine)
 {
     Load &load = m_loads[engine];
@@ -791,12 +861,15 @@
             } else {
                 askReport(engine);
             }
+        } else if (load.phase == LoadPhase::Loading && waited >= m_options.loadPatience) {
+            m_orderCounts.erase(engine);
+            pauseLoad(load);
         } else if (load.phase == LoadPhase::Loading && !load.assumed && waited >= m_options.usualLoad) {
             load.assumed = true;
+            load.confirmAt = now + m_options.confirmEvery;
             m_scheduler.loadFinished(engine, load.model, load.version);
-        } else if (load.phase == LoadPhase::Loading && waited >= m_options.loadPatience) {
-            m_orderCounts.erase(engine);
-            askReport(engine);
+        } else if (load.phase == LoadPhase::Loading && load.assumed && !load.asking && now >= load.confirmAt) {
+            confirmLoad(engine);
         }
     }
 }
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -35,7 +35,8 @@
     Duration headTimeout = std::chrono::milliseconds(1500); // an engine begins a sample within tens of milliseconds
     Duration gapTimeout = std::chrono::milliseconds(1200); // longer than an engine pauses to take new weights
     Duration usualLoad = std::chrono::milliseconds(920); // before an engine is asked again after an order
-    Duration loadPatience = std::chrono::seconds(4); // before an order without visible effect is looked into
+    Duration confirmEvery = std::chrono::milliseconds(250); // reports lag by some hundred milliseconds
+    Duration loadPatience = std::chrono::seconds(6); // before an order without visible effect is given again
     Duration orderTimeout = std::chrono::milliseconds(700);
     Duration orderPause = std::chrono::milliseconds(250); // before an engine is asked for its report again
     Duration loadFailurePause = std::chrono::milliseconds(600); // before another order after a failed one
@@ -60,6 +61,8 @@
 
     /// This instance owns the pool from now on: takes up the open batches.
     void begin();
+    /// Saves what has arrived of every text for the next owner.
+    void save();
     /// Cancels what runs here.
     void end();
     bool active() const;
@@ -114,9 +117,13 @@
         TimePoint since{}; // of the phase
         TimePoint intendedAt{};
         bool assumed = false; // taken as done; waits for confirmation
+        TimePoint confirmAt{};
+        bool asking = false; // for a report that confirms it
     };
 
     void loadBatch(const std::string &batch);
+    /// Adds a batch that has been read, with what earlier owners saved of its texts.
+    void restoreProgress(batch::Batch loaded);
     std::optional<dispatch::ItemRoute> routeOf(const BatchAddress &address) const;
     void perform();
     void startRun(const dispatch::StartRun &action);
@@ -131,6 +138,8 @@
     void beginLoad(const dispatch::PlannedLoad &planned);
     void askReport(const std::string &engine);
     void takeReport(const std::string &engine, const EngineReport &report);
+    /// Asks an engine whose load is only assumed.
+    void confirmLoad(const std::string &engine);
     void sendOrder(const std::string &engine);
     void orderAnswered(const std::string &engine, int status, const net::CallEnd &end);
     void pauseLoad(Load &load);
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -218,6 +218,7 @@
     m_stopped = std::move(stopped);
     m_stopAt = BootClock::now();
     m_callers.drain();
+    m_pool.save();
     m_batches.retire();
     drainStep();
 }
