batch: texts and bodies lie in partitions of their own; the log that all follow holds their offsets

Ruled out: the owner's processor (0.032 cores at most); moves of runs (112 runs for 144 samples). Change: payloads go to the batch's own partition first; records of the log name their offset. An append of payloads whose outcome is unknown is done again: only named ones count. An owner that stops saves every text before it hands over. Conclusion: no work grows with instances but small records.

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -60,50 +60,66 @@
 
 } // namespace
 
-Result<std::vector<std::string>>
-acceptanceRecords(const Batch &batch, std::uint64_t submission, const RecordLimits &limits)
+Result<std::vector<std::string>> partRecords(const Batch &batch, const RecordLimits &limits)
 {
     const std::size_t most = std::min(PartBytes, limits.recordBytes);
-    std::vector<std::pair<std::size_t, std::size_t>> ranges; // of item indices
-    std::size_t first = 0;
+    std::vector<std::string> records;
+    log::BatchPartT part;
     std::size_t size = PartOverhead;
-    for (std::size_t index = 0; index < batch.items.size(); ++index) {
-        const std::size_t itemSize = sizeOf(batch.items[index]);
+    const auto close = [&] {
+        part.batch = batch.id;
+        records.push_back(packed(std::move(part)));
+        part = {};
+        size = PartOverhead;
+    };
+    for (const Item &item : batch.items) {
+        const std::size_t itemSize = sizeOf(item);
         if (itemSize + PartOverhead > limits.recordBytes) {
-            return failure(ErrorCode::InvalidArgument,
-                           "item " + batch.items[index].id + " is larger than a record of the log");
+            return failure(ErrorCode::InvalidArgument, "item " + item.id + " is larger than a record of the log");
         }
-        if (index > first && size + itemSize > most) {
-            ranges.emplace_back(first, index);
-            first = index;
-            size = PartOverhead;
+        if (!part.items.empty() && size + itemSize > most) {
+            close();
         }
+        part.items.push_back(toRecord(item));
         size += itemSize;
     }
-    ranges.emplace_back(first, batch.items.size());
-
-    std::vector<std::string> records;
-    for (const auto &[begin, end] : ranges) {
-        log::BatchPartT part;
-        part.batch = batch.id;
-        part.submission = submission;
-        part.part = static_cast<std::uint32_t>(records.size());
-        part.parts = static_cast<std::uint32_t>(ranges.size());
-        part.host = batch.host;
-        part.step = batch.step;
-        part.model = batch.model;
-        part.min_version = batch.minVersion;
-        part.wanted_groups = batch.wantedGroups;
-        part.first_item = static_cast<std::uint32_t>(begin);
-        part.total_items = static_cast<std::uint32_t>(batch.items.size());
-        for (std::size_t index = begin; index < end; ++index) {
-            part.items.push_back(toRecord(batch.items[index]));
-        }
-        records.push_back(packed(std::move(part)));
-    }
+    close();
     return records;
 }
 
+std::string acceptedRecord(const Batch &batch, std::uint32_t partition, const std::vector<std::uint64_t> &parts)
+{
+    log::BatchAcceptedT record;
+    record.batch = batch.id;
+    record.host = batch.host;
+    record.step = batch.step;
+    record.model = batch.model;
+    record.min_version = batch.minVersion;
+    record.wanted_groups = batch.wantedGroups;
+    record.total_items = static_cast<std::uint32_t>(batch.items.size());
+    record.partition = partition;
+    record.parts = parts;
+    return packed(std::move(record));
+}
+
+std::string listedRecord(const std::string &batch, std::uint32_t item, std::uint64_t payload)
+{
+    log::ResultListedT record;
+    record.batch = batch;
+    record.item = item;
+    record.payload = payload;
+    return packed(std::move(record));
+}
+
+std::string savedRecord(const std::string &batch, std::uint32_t item, std::uint64_t payload)
+{
+    log::ProgressSavedT record;
+    record.batch = batch;
+    record.item = item;
+    record.payload = payload;
+    return packed(std::move(record));
+}
+
 std::string resultRecord(const ItemResult &result)
 {
     log::ItemResultT record;
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -2,8 +2,11 @@
 
 // A batch of samples as a trainer submits it, and the records that the batch log keeps of it.
 //
-//     std::vector<std::string> records = acceptanceRecords(batch, submission, {.recordBytes = 262144});
-//     std::optional<Record> record = parseRecord(bytes);
+//     Result<std::vector<std::string>> parts = partRecords(batch, {.recordBytes = 262144});
+//     const log::Record *record = parseRecord(bytes);
+//
+// Texts and bodies are payloads: they lie in partitions of their own, which only those read who need them. The batch
+// log itself, which every instance follows, holds their offsets.
 
 #include <cstdint>
 #include <optional>
@@ -82,11 +85,13 @@
     std::size_t recordBytes = 256 * 1024;
 };
 
-/// The records that accept `batch`, in order; an error if one item does not fit into a record.
-Result<std::vector<std::string>>
-acceptanceRecords(const Batch &batch, std::uint64_t submission, const RecordLimits &limits);
+/// The items of `batch` as payloads, in order; an error if one item does not fit into a record.
+Result<std::vector<std::string>> partRecords(const Batch &batch, const RecordLimits &limits);
 std::string resultRecord(const ItemResult &result);
 std::string progressRecord(const ItemProgress &progress);
+std::string acceptedRecord(const Batch &batch, std::uint32_t partition, const std::vector<std::uint64_t> &parts);
+std::string listedRecord(const std::string &batch, std::uint32_t item, std::uint64_t payload);
+std::string savedRecord(const std::string &batch, std::uint32_t item, std::uint64_t payload);
 std::string endRecord(const std::string &batch);
 std::string claimRecord(const std::string &instance, std::uint64_t epoch);
 std::string renewalRecord(std::uint64_t epoch);
--- a/bergamot/batch/batch_index.cpp
+++ b/bergamot/batch/batch_index.cpp
@@ -3,13 +3,23 @@
 namespace bergamot::batch
 {
 
-BatchChange BatchIndex::apply(std::uint64_t offset, const log::Record &record, TimePoint now)
+namespace
+{
+
+constexpr int OpenFactor = 2; // a batch that nobody ends is kept for this multiple of the time
+
+} // namespace
+
+BatchChange BatchIndex::apply(const log::Record &record, TimePoint now)
 {
     switch (record.payload_type()) {
-    case log::Payload::BatchPart:
-        return applyPart(offset, *record.payload_as_BatchPart(), now);
-    case log::Payload::ItemResult:
-        return applyResult(offset, *record.payload_as_ItemResult());
+    case log::Payload::BatchAccepted:
+        return applyAccepted(*record.payload_as_BatchAccepted(), now);
+    case log::Payload::ResultListed:
+        return applyListed(*record.payload_as_ResultListed());
+    case log::Payload::ProgressSaved:
+        applySaved(*record.payload_as_ProgressSaved());
+        return BatchChange::Nothing;
     case log::Payload::BatchEnd: {
         const auto found = m_batches.find(text(record.payload_as_BatchEnd()->batch()));
         if (found == m_batches.end() || found->second.ended) {
@@ -19,9 +29,6 @@
         found->second.progress.clear();
         return BatchChange::Ended;
     }
-    case log::Payload::ItemProgress:
-        applyProgress(offset, *record.payload_as_ItemProgress());
-        return BatchChange::Nothing;
     default:
         return BatchChange::Nothing;
     }
@@ -36,63 +43,57 @@
 void BatchIndex::expire(TimePoint now)
 {
     std::erase_if(m_batches, [&](const auto &entry) {
-        const Duration keep = entry.second.ended ? m_options.keepEndedFor : m_options.keepFor * 2;
+        const Duration keep = entry.second.ended ? m_options.keepFor : m_options.keepFor * OpenFactor;
         return now - entry.second.acceptedAt > keep;
     });
-    std::erase_if(m_incomplete, [&](const auto &entry) {
-        return now - entry.second.seenAt > m_options.keepFor;
-    });
 }
 
-BatchChange BatchIndex::applyPart(std::uint64_t offset, const log::BatchPart &part, TimePoint now)
+BatchChange BatchIndex::applyAccepted(const log::BatchAccepted &accepted, TimePoint now)
 {
-    const std::string batch = text(part.batch());
-    if (m_batches.contains(batch) || part.parts() == 0) {
+    const auto [place, added] = m_batches.try_emplace(text(accepted.batch()));
+    if (!added) {
         return BatchChange::Nothing;
     }
-    Submission &submission = m_incomplete[{batch, part.submission()}];
-    submission.offsets.emplace(part.part(), offset);
-    submission.seenAt = now;
-    if (submission.offsets.size() < part.parts()) {
-        return BatchChange::Nothing;
+    BatchEntry &entry = place->second;
+    entry.host = text(accepted.host());
+    entry.step = accepted.step();
+    entry.model = text(accepted.model());
+    entry.minVersion = accepted.min_version();
+    entry.wantedGroups = accepted.wanted_groups();
+    entry.totalItems = accepted.total_items();
+    entry.partition = accepted.partition();
+    if (accepted.parts() != nullptr) {
+        entry.parts.assign(accepted.parts()->begin(), accepted.parts()->end());
     }
-    BatchEntry &entry = m_batches[batch];
-    entry.totalItems = part.total_items();
-    entry.listed.resize(part.total_items());
+    entry.listed.resize(entry.totalItems);
     entry.acceptedAt = now;
-    for (const auto &[number, partOffset] : submission.offsets) {
-        entry.partOffsets.push_back(partOffset);
-    }
-    std::erase_if(m_incomplete, [&](const auto &other) {
-        return other.first.first == batch;
-    });
     return BatchChange::Accepted;
 }
 
-BatchChange BatchIndex::applyResult(std::uint64_t offset, const log::ItemResult &result)
+BatchChange BatchIndex::applyListed(const log::ResultListed &listed)
 {
-    const auto found = m_batches.find(text(result.batch()));
-    if (found == m_batches.end() || result.item() >= found->second.listed.size()) {
+    const auto found = m_batches.find(text(listed.batch()));
+    if (found == m_batches.end() || listed.item() >= found->second.listed.size()) {
         return BatchChange::Nothing;
     }
     BatchEntry &entry = found->second;
-    if (entry.listed[result.item()]) {
+    if (entry.listed[listed.item()]) {
         return BatchChange::Nothing;
     }
-    entry.listed[result.item()] = true;
-    entry.progress.erase(result.item());
-    entry.results.push_back({result.item(), offset});
+    entry.listed[listed.item()] = true;
+    entry.progress.erase(listed.item());
+    entry.results.push_back({.item = listed.item(), .payload = listed.payload()});
     return BatchChange::ResultListed;
 }
 
-void BatchIndex::applyProgress(std::uint64_t offset, const log::ItemProgress &progress)
+void BatchIndex::applySaved(const log::ProgressSaved &saved)
 {
-    const auto found = m_batches.find(text(progress.batch()));
-    if (found == m_batches.end() || found->second.ended || progress.item() >= found->second.listed.size()) {
+    const auto found = m_batches.find(text(saved.batch()));
+    if (found == m_batches.end() || found->second.ended || saved.item() >= found->second.listed.size()) {
         return;
     }
-    if (!found->second.listed[progress.item()]) {
-        found->second.progress[progress.item()].push_back(offset);
+    if (!found->second.listed[saved.item()]) {
+        found->second.progress[saved.item()].push_back(saved.payload());
     }
 }
 
--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -64,5 +64,63 @@
         return test.param.name;
     });
 
+struct HomeCase
+{
+    const char *name;
+    std::map<std::string, double> work;
+    std::map<std::string, std::size_t> engines; // of 12
+};
+
+class HomeTest : public testing::TestWithParam<HomeCase>
+{ };
+
+TEST_P(HomeTest, EachModelKeepsEnginesByItsWork)
+{
+    std::vector<LoadCandidate> engines;
+    for (int number = 0; number < 12; ++number) {
+        engines.push_back(engine(("e" + std::to_string(number)).c_str(), 1));
+    }
+    std::map<std::string, ModelDemand> demand;
+    for (const auto &[model, work] : GetParam().work) {
+        demand[model].work = work;
+    }
+    EngineHomes homes;
+    homes.update(engines, demand);
+    std::map<std::string, std::size_t> counted;
+    for (const LoadCandidate &candidate : engines) {
+        ++counted[homes.of(candidate.engine)];
+    }
+    EXPECT_EQ(counted, GetParam().engines);
+}
+
+INSTANTIATE_TEST_SUITE_P(Works,
+                         HomeTest,
+                         testing::Values(HomeCase{"One", {{"a", 5}}, {{"a", 12}}},
+                                         HomeCase{"Unknown", {{"a", 0}, {"b", 0}}, {{"a", 6}, {"b", 6}}},
+                                         HomeCase{"ByWork", {{"a", 10}, {"b", 20}}, {{"a", 4}, {"b", 8}}},
+                                         HomeCase{"AtLeastOne", {{"a", 0.001}, {"b", 90}}, {{"a", 1}, {"b", 11}}}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST(EngineHomesTest, ASmallDifferenceMovesNoEngine)
+{
+    std::vector<LoadCandidate> engines;
+    for (int number = 0; number < 12; ++number) {
+        engines.push_back(engine(("e" + std::to_string(number)).c_str(), 1));
+    }
+    EngineHomes homes;
+    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 10}}});
+    const std::string before = homes.of("e0");
+    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 12}}});
+    EXPECT_EQ(homes.of("e0"), before);
+    std::size_t ofB = 0;
+    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 30}}});
+    for (const LoadCandidate &candidate : engines) {
+        ofB += homes.of(candidate.engine) == "b" ? 1U : 0U;
+    }
+    EXPECT_GE(ofB, 8U);
+}
+
 } // namespace
 } // namespace bergamot::dispatch
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -77,6 +77,8 @@
                 m_stoppedScorings.push_back(stop->key);
             } else if (const auto *list = std::get_if<ListResult>(&action)) {
                 m_results.push_back(list->result);
+            } else if (const auto *save = std::get_if<SaveProgress>(&action)) {
+                m_saved.push_back(save->progress);
             }
         }
     }
@@ -89,6 +91,7 @@
     std::vector<ItemKey> m_scorings;
     std::vector<ItemKey> m_stoppedScorings;
     std::vector<batch::ItemResult> m_results;
+    std::vector<batch::ItemProgress> m_saved;
     bool m_accepted = true;
 };
 
@@ -369,6 +372,94 @@
     EXPECT_EQ(m_starts[2].resumeAfter, 4U);
 }
 
+// Replays an owner that is lost in the middle of a long text.
+TEST_F(SampleSchedulerTest, ANewOwnerGoesOnFromWhatWasSaved)
+{
+    addBatch("b", 1);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        event(m_starts[0].run, id);
+        pass(600ms);
+    }
+    ASSERT_EQ(m_saved.size(), 2U);
+    EXPECT_EQ(m_saved[0].firstEvent, 1U);
+    EXPECT_EQ(m_saved[1].firstEvent, m_saved[0].lastEvent + 1);
+    const std::vector<batch::ItemProgress> saved = m_saved;
+
+    SampleScheduler successor({});
+    successor.setEngines({engine("e1", 6)}, m_now);
+    successor.holdStarts();
+    batch::Batch batch{.id = "b", .host = "h", .model = "m", .minVersion = 4};
+    batch.items.push_back({.id = "b0", .path = "/p"});
+    successor.addBatch(batch, {}, m_route, m_now);
+    for (const batch::ItemProgress &progress : saved) {
+        successor.restore(progress);
+    }
+    successor.releaseStarts(m_now);
+    const std::vector<SchedulerAction> actions = successor.takeActions();
+    ASSERT_EQ(actions.size(), 1U);
+    const auto &start = std::get<StartRun>(actions[0]);
+    EXPECT_EQ(start.resumeAfter, saved.back().lastEvent);
+    successor.runEvent(start.run, saved.back().lastEvent + 1, "end", 6, m_now);
+    successor.runEnded(start.run, RunEnd::Complete, m_now);
+    const std::vector<SchedulerAction> ends = successor.takeActions();
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(std::get<ListResult>(ends[0]).result.text, "d1\nd2\nd3\nd4\nend");
+    EXPECT_EQ(std::get<ListResult>(ends[0]).result.versions, (std::vector<std::uint64_t>{5, 6}));
+}
+
+TEST_F(SampleSchedulerTest, ProgressOfARunThatBeganAnewReplacesWhatWasSaved)
+{
+    m_scheduler.holdStarts();
+    addBatch("b", 1);
+    m_scheduler.restore({.batch = "b", .item = 0, .firstEvent = 1, .lastEvent = 3, .text = "a\nb\nc", .versions = {4}});
+    m_scheduler.restore({.batch = "b", .item = 0, .firstEvent = 1, .lastEvent = 1, .text = "x", .versions = {5}});
+    m_scheduler.releaseStarts(m_now);
+    collect();
+    ASSERT_EQ(m_starts.size(), 1U);
+    EXPECT_EQ(m_starts[0].resumeAfter, 1U);
+    event(m_starts[0].run, 2);
+    end(m_starts[0].run, RunEnd::Complete);
+    EXPECT_EQ(m_results.at(0).text, "x\nd2");
+    EXPECT_EQ(m_results.at(0).versions, (std::vector<std::uint64_t>{5}));
+}
+
+TEST_F(SampleSchedulerTest, GroupsThatCameAgainGoFirstThenThoseWithTheLeastToDo)
+{
+    setEngines({engine("e1", 5, 1)});
+    batch::Batch first{.id = "a", .host = "h", .model = "m", .minVersion = 4};
+    first.items.push_back({.id = "a0", .path = "/p", .group = "again", .expectedOutput = 900});
+    m_scheduler.addBatch(first, {}, m_route, m_now);
+    m_scheduler.endBatch("a");
+    collect();
+    batch::Batch second{.id = "b", .host = "h", .model = "m", .minVersion = 4};
+    second.items.push_back({.id = "b0", .path = "/p", .group = "long", .expectedOutput = 500});
+    second.items.push_back({.id = "b1", .path = "/p", .group = "short", .expectedOutput = 50});
+    second.items.push_back({.id = "b2", .path = "/p", .group = "short", .expectedOutput = 80});
+    second.items.push_back({.id = "a0", .path = "/p", .group = "again", .expectedOutput = 900});
+    m_scheduler.addBatch(second, {}, m_route, m_now);
+    collect();
+    m_starts.erase(m_starts.begin());
+    std::vector<std::uint32_t> order;
+    for (int count = 0; count < 4; ++count) {
+        order.push_back(m_starts.back().key.item);
+        event(m_starts.back().run, 1);
+        end(m_starts.back().run, RunEnd::Complete);
+    }
+    EXPECT_EQ(order, (std::vector<std::uint32_t>{3, 2, 1, 0}));
+}
+
+TEST_F(SampleSchedulerTest, ALateBatchYieldsToOneThatCanBeInTime)
+{
+    m_route.resultDeadline = 5s;
+    setEngines({engine("e1", 5, 1)});
+    addBatch("late", 3);
+    pass(6s);
+    addBatch("new", 1);
+    event(m_starts[0].run, 1);
+    end(m_starts[0].run, RunEnd::Complete);
+    EXPECT_EQ(m_starts.back().key.batch, "new");
+}
+
 TEST_F(SampleSchedulerTest, ItemsWithoutARouteAreGivenUp)
 {
     addBatch("b", 3);
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -1,5 +1,7 @@
 #include "bergamot/node/batch_log.h"
 
+#include "bergamot/base/hash.h"
+
 namespace bergamot::node
 {
 
@@ -14,6 +16,7 @@
 
 struct BatchLog::Fetch
 {
+    std::uint32_t partition = 0;
     std::vector<std::uint64_t> offsets;
     std::size_t done = 0;
     std::vector<LogRecord> records;
@@ -64,6 +67,7 @@
     , m_writer(loop,
                store,
                {.topic = m_options.topic, .producer = std::string(ProducerName), .callBytes = m_options.callBytes})
+    , m_payloads(loop, store, {.topic = m_options.payloadTopic, .callBytes = m_options.callBytes})
 {
     m_writer.onFenced([this] {
         m_log.write(EventKind::State, "pool-fenced", {{"epoch", std::to_string(m_ownership.epoch())}});
@@ -116,9 +120,46 @@
     m_store.append({.topic = m_options.topic, .records = std::move(records), .timeout = timeout}, std::move(done));
 }
 
-void BatchLog::fetch(std::vector<std::uint64_t> offsets, Fetched done)
+void BatchLog::appendPayloads(std::uint32_t partition,
+                              std::vector<std::string> records,
+                              Duration timeout,
+                              std::function<void(const logstore::AppendOutcome &)> done)
+{
+    m_store.append(
+        {.topic = m_options.payloadTopic, .partition = partition, .records = std::move(records), .timeout = timeout},
+        std::move(done));
+}
+
+std::uint32_t BatchLog::payloadPartition(const std::string &batch) const
+{
+    return static_cast<std::uint32_t>(stableHash(batch) % std::max(1U, m_options.payloadPartitions));
+}
+
+void BatchLog::writeWithPayload(std::uint32_t partition,
+                                std::string payload,
+                                std::function<std::string(std::uint64_t)> record,
+                                std::function<void(bool)> done)
+{
+    m_payloads.write(partition,
+                     std::move(payload),
+                     [this, record = std::move(record), done = std::move(done)](std::optional<std::uint64_t> offset) {
+                         if (offset) {
+                             m_writer.write(record(*offset), done);
+                         } else if (done) {
+                             done(false);
+                         }
+                     });
+}
+
+std::size_t BatchLog::unwritten() const
+{
+    return m_writer.waiting() + m_payloads.waiting();
+}
+
+void BatchLog::fetch(std::uint32_t partition, std::vector<std::uint64_t> offsets, Fetched done)
 {
     auto fetch = std::make_shared<Fetch>();
+    fetch->partition = partition;
     fetch->offsets = std::move(offsets);
     fetch->callback = std::move(done);
     fetchNext(std::move(fetch));
@@ -131,22 +172,23 @@
         return;
     }
     const std::uint64_t from = fetch->offsets[fetch->done];
-    m_store.read({.topic = m_options.topic, .from = from, .mostKilobytes = FetchKilobytes},
-                 [this, fetch, from](logstore::ReadOutcome outcome) {
-                     const std::size_t before = fetch->done;
-                     if (outcome.status == logstore::ReadStatus::Done) {
-                         while (fetch->done < fetch->offsets.size()
-                                && fetch->offsets[fetch->done] - from < outcome.records.size()) {
-                             const std::uint64_t offset = fetch->offsets[fetch->done++];
-                             fetch->records.push_back({offset, std::move(outcome.records[offset - from])});
-                         }
-                     }
-                     if (fetch->done == before) {
-                         fetch->callback(false, std::move(fetch->records));
-                         return;
-                     }
-                     fetchNext(fetch);
-                 });
+    m_store.read(
+        {.topic = m_options.payloadTopic, .partition = fetch->partition, .from = from, .mostKilobytes = FetchKilobytes},
+        [this, fetch, from](logstore::ReadOutcome outcome) {
+            const std::size_t before = fetch->done;
+            if (outcome.status == logstore::ReadStatus::Done) {
+                while (fetch->done < fetch->offsets.size()
+                       && fetch->offsets[fetch->done] - from < outcome.records.size()) {
+                    const std::uint64_t offset = fetch->offsets[fetch->done++];
+                    fetch->records.push_back({offset, std::move(outcome.records[offset - from])});
+                }
+            }
+            if (fetch->done == before) {
+                fetch->callback(false, std::move(fetch->records));
+                return;
+            }
+            fetchNext(fetch);
+        });
 }
 
 void BatchLog::onChange(std::function<void(batch::BatchChange, const batch::log::Record &)> handler)
@@ -170,6 +212,11 @@
     if (m_started && m_tail.caughtUp() && !m_tail.lost() && m_ownership.shouldClaim(now) && !m_claiming) {
         claim();
     }
+    if (m_owned && m_releasing && m_payloads.waiting() == 0) {
+        // The successor finds what was saved before this record.
+        m_releasing = false;
+        m_writer.write(batch::releaseRecord(m_ownership.epoch()), nullptr);
+    }
     if (m_owned && !m_renewing && m_ownership.shouldRenew(m_writer.lastWrittenAt(), now) && m_writer.waiting() == 0) {
         m_renewing = true;
         m_writer.write(batch::renewalRecord(m_ownership.epoch()), [this](bool) {
@@ -180,11 +227,8 @@
 
 void BatchLog::retire()
 {
-    m_retired = true;
     m_ownership.retire();
-    if (m_owned) {
-        m_writer.write(batch::releaseRecord(m_ownership.epoch()), nullptr);
-    }
+    m_releasing = m_owned;
 }
 
 void BatchLog::applyRecord(std::uint64_t offset, const std::string &bytes)
@@ -217,13 +261,14 @@
         m_ownership.applyLoadIntent(intent.epoch(), batch::text(intent.engine()), now);
         break;
     }
-    case batch::log::Payload::ItemResult:
+    case batch::log::Payload::ResultListed:
+    case batch::log::Payload::ProgressSaved:
         m_ownership.applyRenewal(m_ownership.epoch(), now);
         break;
     default:
         break;
     }
-    const batch::BatchChange change = m_index.apply(offset, *record, now);
+    const batch::BatchChange change = m_index.apply(*record, now);
     if (change != batch::BatchChange::Nothing && m_changeHandler) {
         m_changeHandler(change, *record);
     }
@@ -263,6 +308,7 @@
         m_writer.begin(m_ownership.epoch(), 1);
     } else {
         m_writer.end();
+        m_payloads.clear();
     }
     if (m_ownershipHandler) {
         m_ownershipHandler(owns);
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -17,6 +17,7 @@
 #include "bergamot/base/event_log.h"
 #include "bergamot/batch/batch_index.h"
 #include "bergamot/duties/pool_ownership.h"
+#include "bergamot/logstore/bulk_writer.h"
 #include "bergamot/logstore/fenced_writer.h"
 #include "bergamot/logstore/topic_tail.h"
 
@@ -27,6 +28,8 @@
 {
     std::string instance;
     std::string topic = "batches";
+    std::string payloadTopic = "payloads";
+    std::uint32_t payloadPartitions = 12; // of the store's topics
     std::size_t recordBytes = 256 * 1024; // limits of the store
     std::size_t callBytes = 2 * 1024 * 1024;
     Duration ownerPace = std::chrono::milliseconds(20); // between two reads of the owner that brought records
@@ -68,8 +71,21 @@
     void append(std::vector<std::string> records,
                 Duration timeout,
                 std::function<void(const logstore::AppendOutcome &)> done);
-    /// Reads the records at `offsets`, which rise.
-    void fetch(std::vector<std::uint64_t> offsets, Fetched done);
+    void appendPayloads(std::uint32_t partition,
+                        std::vector<std::string> records,
+                        Duration timeout,
+                        std::function<void(const logstore::AppendOutcome &)> done);
+    /// The partition of a batch's payloads.
+    std::uint32_t payloadPartition(const std::string &batch) const;
+    /// Reads the payloads at `offsets`, which rise.
+    void fetch(std::uint32_t partition, std::vector<std::uint64_t> offsets, Fetched done);
+    /// Writes a payload and then, in the order of the calls that got their payload, the record that names it.
+    void writeWithPayload(std::uint32_t partition,
+                          std::string payload,
+                          std::function<std::string(std::uint64_t offset)> record,
+                          std::function<void(bool written)> done);
+    /// Records and payloads that are not known to be written.
+    std::size_t unwritten() const;
 
     void onChange(std::function<void(batch::BatchChange, const batch::log::Record &)> handler);
     /// The records of one read have been folded.
@@ -95,13 +111,14 @@
     duties::PoolOwnership m_ownership;
     logstore::TopicTail m_tail;
     logstore::FencedWriter m_writer;
+    logstore::BulkWriter m_payloads;
     std::function<void(batch::BatchChange, const batch::log::Record &)> m_changeHandler;
     std::function<void()> m_progressHandler;
     std::function<void(bool)> m_ownershipHandler;
     bool m_started = false;
     bool m_owned = false;
     bool m_claiming = false;
-    bool m_retired = false;
+    bool m_releasing = false; // gives the ownership up once everything is written
     bool m_renewing = false;
 };
 
--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -53,8 +53,7 @@
         respond(*exchange, Accepted);
         return;
     }
-    Result<std::vector<std::string>> records =
-        batch::acceptanceRecords(*batch, m_random(), {.recordBytes = m_log.options().recordBytes});
+    Result<std::vector<std::string>> records = batch::partRecords(*batch, {.recordBytes = m_log.options().recordBytes});
     if (!records) {
         m_eventLog.write(
             EventKind::Request, "batch-too-large", {{"batch", batch->id}, {"reason", records.error().message}});
@@ -65,6 +64,8 @@
     settling->batch = batch->id;
     settling->exchange = std::move(exchange);
     settling->until = BootClock::now() + m_options.settleFor;
+    settling->partition = m_log.payloadPartition(batch->id);
+    settling->content = std::move(*batch);
     std::size_t bytes = 0;
     constexpr std::size_t LengthField = 4; // before each record
     for (std::string &record : *records) {
@@ -98,7 +99,6 @@
     auto settling = std::make_shared<Settling>();
     settling->batch = call.batch;
     settling->isEnd = true;
-    settling->calls.push_back({batch::endRecord(call.batch)});
     settling->exchange = std::move(exchange);
     settling->until = BootClock::now() + m_options.settleFor;
     m_settling.push_back(settling);
@@ -107,25 +107,51 @@
 
 void BatchService::appendNext(std::shared_ptr<Settling> settling)
 {
-    std::vector<std::string> records = settling->calls[settling->nextCall];
-    m_log.append(std::move(records), m_options.appendTimeout, [this, settling](const logstore::AppendOutcome &outcome) {
-        appended(settling, outcome);
-    });
+    if (!settling->calls.empty()) {
+        std::vector<std::string> records = settling->calls.front();
+        m_log.appendPayloads(settling->partition,
+                             std::move(records),
+                             m_options.appendTimeout,
+                             [this, settling](const logstore::AppendOutcome &outcome) {
+                                 payloadsAppended(settling, outcome);
+                             });
+        return;
+    }
+    std::string record = settling->isEnd
+        ? batch::endRecord(settling->batch)
+        : batch::acceptedRecord(settling->content, settling->partition, settling->parts);
+    m_log.append(
+        {std::move(record)}, m_options.appendTimeout, [this, settling](const logstore::AppendOutcome &outcome) {
+            appended(settling, outcome);
+        });
+}
+
+void BatchService::payloadsAppended(std::shared_ptr<Settling> settling, const logstore::AppendOutcome &outcome)
+{
+    if (outcome.status != logstore::AppendStatus::Appended) {
+        tryAgain(std::move(settling), outcome);
+        return;
+    }
+    for (std::size_t record = 0; record < settling->calls.front().size(); ++record) {
+        settling->parts.push_back(outcome.offset + record);
+    }
+    settling->calls.erase(settling->calls.begin());
+    appendNext(std::move(settling));
 }
 
 void BatchService::appended(std::shared_ptr<Settling> settling, const logstore::AppendOutcome &outcome)
 {
     if (outcome.status == logstore::AppendStatus::Appended) {
-        settling->unknown = true; // from now on part of it is in the log
-        if (++settling->nextCall == settling->calls.size()) {
-            settled(*settling, settling->isEnd ? Ok : Accepted, "appended");
-            m_settling.remove(settling);
-            return;
-        }
-        appendNext(std::move(settling));
+        settled(*settling, settling->isEnd ? Ok : Accepted, "appended");
+        m_settling.remove(settling);
         return;
     }
     settling->unknown = settling->unknown || outcome.status == logstore::AppendStatus::Unknown;
+    tryAgain(std::move(settling), outcome);
+}
+
+void BatchService::tryAgain(std::shared_ptr<Settling> settling, const logstore::AppendOutcome &outcome)
+{
     if (done(*settling)) {
         settled(*settling, settling->isEnd ? Ok : Accepted, "found in the log");
         m_settling.remove(settling);
@@ -256,9 +282,10 @@
     constexpr std::size_t MostAtOnce = 32;
     std::vector<std::uint64_t> offsets;
     for (std::size_t index = position; index < entry->results.size() && offsets.size() < MostAtOnce; ++index) {
-        offsets.push_back(entry->results[index].offset);
+        offsets.push_back(entry->results[index].payload);
     }
-    m_log.fetch(std::move(offsets),
+    m_log.fetch(entry->partition,
+                std::move(offsets),
                 [this, call, exchange, collected = std::move(collected)](bool complete,
                                                                          std::vector<LogRecord> records) mutable {
                     if (!complete && records.empty() && collected.empty()) {
@@ -321,29 +348,30 @@
         respond(*exchange, NotFound);
         return;
     }
-    m_log.fetch(entry->partOffsets, [this, call, exchange](bool complete, const std::vector<LogRecord> &records) {
-        const batch::BatchEntry *now = m_log.index().find(call.batch);
-        for (const LogRecord &fetched : records) {
-            const batch::log::Record *record = batch::parseRecord(fetched.bytes);
-            const batch::log::BatchPart *part = record == nullptr ? nullptr : record->payload_as_BatchPart();
-            if (part == nullptr || part->items() == nullptr || now == nullptr) {
-                continue;
-            }
-            std::uint32_t index = part->first_item();
-            for (const batch::log::Item *item : *part->items()) {
-                if (batch::text(item->id()) == call.item) {
-                    const bool listed = now->listed[index];
-                    respond(*exchange,
-                            listed ? NotFound : Ok,
-                            listed ? std::string() : batch::text(item->body()),
-                            listed ? std::string_view() : "application/octet-stream");
-                    return;
+    m_log.fetch(
+        entry->partition, entry->parts, [this, call, exchange](bool complete, const std::vector<LogRecord> &records) {
+            const batch::BatchEntry *now = m_log.index().find(call.batch);
+            std::uint32_t index = 0;
+            for (const LogRecord &fetched : records) {
+                const batch::log::Record *record = batch::parseRecord(fetched.bytes);
+                const batch::log::BatchPart *part = record == nullptr ? nullptr : record->payload_as_BatchPart();
+                if (part == nullptr || part->items() == nullptr || now == nullptr) {
+                    break;
+                }
+                for (const batch::log::Item *item : *part->items()) {
+                    if (batch::text(item->id()) == call.item && index < now->listed.size()) {
+                        const bool listed = now->listed[index];
+                        respond(*exchange,
+                                listed ? NotFound : Ok,
+                                listed ? std::string() : batch::text(item->body()),
+                                listed ? std::string_view() : "application/octet-stream");
+                        return;
+                    }
+                    ++index;
                 }
-                ++index;
             }
-        }
-        respond(*exchange, complete ? NotFound : Unavailable);
-    });
+            respond(*exchange, complete ? NotFound : Unavailable);
+        });
 }
 
 void BatchService::notFoundOrUnsure(net::Exchange &exchange, const std::string &batch, std::string_view call)
--- a/bergamot/node/batch_service.h
+++ b/bergamot/node/batch_service.h
@@ -58,11 +58,13 @@
     struct Settling
     {
         std::string batch;
-        std::vector<std::vector<std::string>> calls; // records, by call
-        std::size_t nextCall = 0;
+        batch::Batch content; // without its items
+        std::uint32_t partition = 0;
+        std::vector<std::vector<std::string>> calls; // payloads, by call
+        std::vector<std::uint64_t> parts; // offsets of the payloads that are written
         std::shared_ptr<net::Exchange> exchange;
         TimePoint until{};
-        bool unknown = false; // one of the appends may have been done
+        bool unknown = false; // the record that counts may be in the log
         bool gone = false; // the caller has left
         bool isEnd = false;
     };
@@ -75,7 +77,9 @@
     };
 
     void appendNext(std::shared_ptr<Settling> settling);
+    void payloadsAppended(std::shared_ptr<Settling> settling, const logstore::AppendOutcome &outcome);
     void appended(std::shared_ptr<Settling> settling, const logstore::AppendOutcome &outcome);
+    void tryAgain(std::shared_ptr<Settling> settling, const logstore::AppendOutcome &outcome);
     void settled(const Settling &settling, int status, std::string_view reason);
     bool done(const Settling &settling) const;
     void answerResults(const ReadResultsCall &call, const std::shared_ptr<net::Exchange> &exchange);
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -160,11 +160,11 @@
     }
     switch (change) {
     case batch::BatchChange::Accepted:
-        loadBatch(batch::text(record.payload_as_BatchPart()->batch()));
+        loadBatch(batch::text(record.payload_as_BatchAccepted()->batch()));
         break;
     case batch::BatchChange::ResultListed: {
-        const batch::log::ItemResult &result = *record.payload_as_ItemResult();
-        m_scheduler.itemListed({batch::text(result.batch()), result.item()});
+        const batch::log::ResultListed &listed = *record.payload_as_ResultListed();
+        m_scheduler.itemListed({batch::text(listed.batch()), listed.item()});
         break;
     }
     case batch::BatchChange::Ended: {
@@ -183,61 +183,65 @@
 void EnginePool::loadBatch(const std::string &batch)
 {
     const batch::BatchEntry *entry = m_log.index().find(batch);
-    m_log.fetch(entry->partOffsets, [this, batch, turn = m_turn](bool complete, const std::vector<LogRecord> &records) {
-        if (turn != m_turn) {
-            return;
-        }
-        const batch::BatchEntry *now = m_log.index().find(batch);
-        if (now == nullptr || now->ended) {
-            return;
-        }
-        if (!complete) {
-            auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_options.orderPause);
-            timer->async_wait([this, batch, turn, timer](const boost::system::error_code &) {
-                if (turn == m_turn && m_log.index().find(batch) != nullptr) {
-                    loadBatch(batch);
-                }
-            });
-            return;
-        }
-        batch::Batch loaded{.id = batch};
-        for (const LogRecord &fetched : records) {
-            const batch::log::Record *record = batch::parseRecord(fetched.bytes);
-            const batch::log::BatchPart *part = record == nullptr ? nullptr : record->payload_as_BatchPart();
-            if (part == nullptr || part->items() == nullptr) {
-                continue;
-            }
-            loaded.host = batch::text(part->host());
-            loaded.step = part->step();
-            loaded.model = batch::text(part->model());
-            loaded.minVersion = part->min_version();
-            loaded.wantedGroups = part->wanted_groups();
-            for (const batch::log::Item *item : *part->items()) {
-                loaded.items.push_back(batch::toItem(*item));
-            }
-        }
-        if (loaded.items.empty()) {
-            return;
-        }
-        BatchAddress address{.host = loaded.host, .itemPath = loaded.items.front().path};
-        if (loaded.items.front().scoring) {
-            address.scoringHost = loaded.items.front().scoring->host;
-            address.scoringPath = loaded.items.front().scoring->path;
-        }
-        m_eventLog.write(EventKind::State,
-                         "batch-taken-up",
-                         {{"batch", batch},
-                          {"step", std::to_string(loaded.step)},
-                          {"items", std::to_string(loaded.items.size())},
-                          {"listed", std::to_string(now->results.size())},
-                          {"min_version", std::to_string(loaded.minVersion)}});
-        m_addresses[batch] = std::move(address);
-        restoreProgress(std::move(loaded));
-    });
+    m_log.fetch(entry->partition,
+                entry->parts,
+                [this, batch, turn = m_turn](bool complete, const std::vector<LogRecord> &records) {
+                    if (turn != m_turn) {
+                        return;
+                    }
+                    const batch::BatchEntry *now = m_log.index().find(batch);
+                    if (now == nullptr || now->ended) {
+                        return;
+                    }
+                    if (!complete) {
+                        auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_options.orderPause);
+                        timer->async_wait([this, batch, turn, timer](const boost::system::error_code &) {
+                            if (turn == m_turn && m_log.index().find(batch) != nullptr) {
+                                loadBatch(batch);
+                            }
+                        });
+                        return;
+                    }
+                    batch::Batch loaded{.id = batch,
+                                        .host = now->host,
+                                        .step = now->step,
+                                        .model = now->model,
+                                        .minVersion = now->minVersion,
+                                        .wantedGroups = now->wantedGroups};
+                    for (const LogRecord &fetched : records) {
+                        const batch::log::Record *record = batch::parseRecord(fetched.bytes);
+                        const batch::log::BatchPart *part =
+                            record == nullptr ? nullptr : record->payload_as_BatchPart();
+                        if (part == nullptr || part->items() == nullptr) {
+                            continue;
+                        }
+                        for (const batch::log::Item *item : *part->items()) {
+                            loaded.items.push_back(batch::toItem(*item));
+                        }
+                    }
+                    if (loaded.items.empty()) {
+                        return;
+                    }
+                    BatchAddress address{.host = loaded.host, .itemPath = loaded.items.front().path};
+                    if (loaded.items.front().scoring) {
+                        address.scoringHost = loaded.items.front().scoring->host;
+                        address.scoringPath = loaded.items.front().scoring->path;
+                    }
+                    m_eventLog.write(EventKind::State,
+                                     "batch-taken-up",
+                                     {{"batch", batch},
+                                      {"step", std::to_string(loaded.step)},
+                                      {"items", std::to_string(loaded.items.size())},
+                                      {"listed", std::to_string(now->results.size())},
+                                      {"min_version", std::to_string(loaded.minVersion)}});
+                    m_addresses[batch] = std::move(address);
+                    restoreProgress(std::move(loaded));
+                });
 }
 
 void EnginePool::restoreProgress(batch::Batch loaded)
 {
+    const std::string batch = loaded.id;
     std::vector<std::uint64_t> offsets;
     for (const auto &[item, saved] : m_log.index().find(loaded.id)->progress) {
         offsets.insert(offsets.end(), saved.begin(), saved.end());
@@ -268,7 +272,7 @@
         take(true, {});
         return;
     }
-    m_log.fetch(std::move(offsets), take);
+    m_log.fetch(m_log.index().find(batch)->partition, std::move(offsets), take);
 }
 
 std::optional<dispatch::ItemRoute> EnginePool::routeOf(const BatchAddress &address) const
@@ -383,7 +387,7 @@
             } else if (const auto *list = std::get_if<dispatch::ListResult>(&action)) {
                 listResult(list->result);
             } else if (const auto *save = std::get_if<dispatch::SaveProgress>(&action)) {
-                m_log.writer().write(batch::progressRecord(save->progress), nullptr);
+                saveProgress(save->progress);
             }
         }
     }
@@ -591,10 +595,28 @@
 
 void EnginePool::listResult(const batch::ItemResult &result)
 {
-    m_log.writer().write(batch::resultRecord(result), [this, result = result.id, batch = result.batch](bool written) {
-        m_eventLog.write(
-            EventKind::Request, written ? "result-listed" : "result-not-written", {{"item", result}, {"batch", batch}});
-    });
+    m_log.writeWithPayload(
+        m_log.payloadPartition(result.batch),
+        batch::resultRecord(result),
+        [batch = result.batch, item = result.item](std::uint64_t offset) {
+            return batch::listedRecord(batch, item, offset);
+        },
+        [this, item = result.id, batch = result.batch, completed = result.completed](bool written) {
+            m_eventLog.write(EventKind::Request,
+                             written ? "result-listed" : "result-not-written",
+                             {{"item", item}, {"batch", batch}, {"completed", completed ? "yes" : "no"}});
+        });
+}
+
+void EnginePool::saveProgress(const batch::ItemProgress &progress)
+{
+    m_log.writeWithPayload(
+        m_log.payloadPartition(progress.batch),
+        batch::progressRecord(progress),
+        [batch = progress.batch, item = progress.item](std::uint64_t offset) {
+            return batch::savedRecord(batch, item, offset);
+        },
+        nullptr);
 }
 
 void EnginePool::planLoads(TimePoint now)
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -134,6 +134,7 @@
     void startScoring(const dispatch::ItemKey &key);
     void scoringEnded(const dispatch::ItemKey &key, int status, const net::Response *response);
     void listResult(const batch::ItemResult &result);
+    void saveProgress(const batch::ItemProgress &progress);
     void planLoads(TimePoint now);
     void beginLoad(const dispatch::PlannedLoad &planned);
     void askReport(const std::string &engine);
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -50,6 +50,7 @@
     log.instance = options.instance;
     log.recordBytes = options.recordBytes;
     log.callBytes = options.callBytes;
+    log.payloadPartitions = options.storePartitions;
     log.followerPace = options.followPace;
     log.ownership.orderLease = options.orderLease + OrderLeaseMargin;
     if (options.cpuShare < SmallCpuShare) {
@@ -229,7 +230,7 @@
     if (passed >= ServeOnFor) {
         m_callers.closeIdle();
     }
-    const bool idle = m_callers.pending() == 0 && m_callers.connections() == 0 && m_batches.writer().waiting() == 0;
+    const bool idle = m_callers.pending() == 0 && m_callers.connections() == 0 && m_batches.unwritten() == 0;
     const bool late = passed >= m_options.grace - GraceMargin;
     if ((passed >= ServeOnFor && idle) || late) {
         m_callers.stopListening();
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -38,6 +38,7 @@
     std::optional<Address> metrics;
     std::size_t recordBytes = 256 * 1024; // limits of the store
     std::size_t callBytes = 2 * 1024 * 1024;
+    std::uint32_t storePartitions = 12; // of a topic
     double cpuShare = 1.0; // of a core; a small one owns the engines only if no other instance does
     Duration grace = std::chrono::seconds(8); // from the request to stop until the process is killed
     Duration resultsKept = std::chrono::seconds(120); // after a batch's submission
