--- /dev/null
+++ b/bergamot/logstore/fake_log_store.h
@@ -0,0 +1,86 @@
+#pragma once
+
+// A store for tests, on a loop and over a `MemoryLog`, with faults that a test switches.
+//
+//     FakeLogStore store(loop, log);
+//     store.faults.loseAnswers = 2; // the next two appends are done, but not answered
+
+#include <memory>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "bergamot/logstore/memory_log.h"
+
+namespace bergamot::logstore
+{
+
+struct StoreFaults
+{
+    bool down = false; // refuses every call
+    int loseAnswers = 0; // of the next appends: they are done, their caller learns nothing
+    int refuse = 0; // the next appends
+};
+
+/// Not thread-safe.
+class FakeLogStore final : public LogStore
+{
+public:
+    FakeLogStore(boost::asio::io_context &loop, MemoryLog &log)
+        : m_loop(loop)
+        , m_log(log)
+    { }
+
+    void append(Append append, std::function<void(const AppendOutcome &)> done) override
+    {
+        ++appends;
+        AppendOutcome outcome{.status = AppendStatus::NotDone};
+        if (faults.down || faults.refuse > 0) {
+            faults.refuse -= faults.refuse > 0 ? 1 : 0;
+        } else {
+            outcome = m_log.append(append);
+            if (faults.loseAnswers > 0) {
+                --faults.loseAnswers;
+                outcome = {.status = AppendStatus::Unknown};
+            }
+        }
+        boost::asio::post(m_loop, [done = std::move(done), outcome] {
+            done(outcome);
+        });
+    }
+
+    void read(Read read, std::function<void(ReadOutcome)> done) override
+    {
+        ReadOutcome outcome;
+        if (!faults.down) {
+            outcome = m_log.read(read.topic, read.partition, read.from, std::size_t{read.mostKilobytes} * 1024);
+        }
+        const bool empty =
+            outcome.status == ReadStatus::Done && outcome.records.empty() && read.wait > Duration::zero();
+        auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, empty ? PollEvery : Duration::zero());
+        timer->async_wait(
+            [done = std::move(done), outcome = std::move(outcome), timer](const boost::system::error_code &) {
+                done(outcome);
+            });
+    }
+
+    void newest(const std::string &topic, std::function<void(NewestOutcome)> done) override
+    {
+        boost::asio::post(m_loop,
+                          [done = std::move(done), outcome = faults.down ? NewestOutcome() : m_log.newest(topic)] {
+                              done(outcome);
+                          });
+    }
+
+    StoreFaults faults;
+    int appends = 0;
+
+private:
+    static constexpr Duration PollEvery = std::chrono::milliseconds(5); // stands for a long read
+
+    boost::asio::io_context &m_loop;
+    MemoryLog &m_log;
+};
+
+} // namespace bergamot::logstore
--- a/bergamot/net/message.cpp
+++ b/bergamot/net/message.cpp
@@ -1,6 +1,7 @@
 #include "bergamot/net/message.h"
 
 #include <array>
+#include <charconv>
 
 namespace bergamot::net
 {
@@ -72,4 +73,19 @@
     return kept;
 }
 
+std::string percentDecoded(std::string_view text)
+{
+    constexpr int Hexadecimal = 16;
+    std::string decoded;
+    for (std::size_t at = 0; at < text.size(); ++at) {
+        unsigned int byte = 0;
+        const char *digits = text.data() + at + 1;
+        const bool escaped = text[at] == '%' && at + 2 < text.size()
+            && std::from_chars(digits, digits + 2, byte, Hexadecimal).ptr == digits + 2;
+        decoded += escaped ? static_cast<char>(byte) : text[at];
+        at += escaped ? 2 : 0;
+    }
+    return decoded;
+}
+
 } // namespace bergamot::net
--- a/bergamot/net/message.h
+++ b/bergamot/net/message.h
@@ -100,6 +100,9 @@
     std::string body;
 };
 
+/// Undoes the percent-encoding of a query value.
+std::string percentDecoded(std::string_view text);
+
 /// Drops the fields that concern a single connection: `Connection` and what it names, framing, upgrades.
 HeaderFields endToEnd(const HeaderFields &headers);
 
--- a/bergamot/net/message_test.cpp
+++ b/bergamot/net/message_test.cpp
@@ -66,5 +66,31 @@
                              return test.param.name;
                          });
 
+struct EscapeCase
+{
+    const char *name;
+    const char *text;
+    const char *decoded;
+};
+
+class PercentTest : public testing::TestWithParam<EscapeCase>
+{ };
+
+TEST_P(PercentTest, OnlyWholeEscapesAreDecoded)
+{
+    EXPECT_EQ(percentDecoded(GetParam().text), GetParam().decoded);
+}
+
+INSTANTIATE_TEST_SUITE_P(Texts,
+                         PercentTest,
+                         testing::Values(EscapeCase{"Plain", "a-b.c", "a-b.c"},
+                                         EscapeCase{"Slash", "version%2Fm", "version/m"},
+                                         EscapeCase{"AtTheEnd", "a%2F", "a/"},
+                                         EscapeCase{"CutOff", "a%2", "a%2"},
+                                         EscapeCase{"NoDigits", "a%zz", "a%zz"}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 } // namespace
 } // namespace bergamot::net
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -123,6 +123,11 @@
     m_versionHandler = std::move(handler);
 }
 
+void FleetView::onHeartbeat(std::function<void(const std::string &)> handler)
+{
+    m_heartbeatHandler = std::move(handler);
+}
+
 void FleetView::tick(TimePoint now)
 {
     if (m_directory.expire(now)) {
@@ -238,6 +243,10 @@
     const auto before = m_directory.listed().find(record.key);
     const bool wasDraining = before != m_directory.listed().end() && before->second.draining;
     const bool drains = endpoint && endpoint->draining;
+    if (endpoint && before != m_directory.listed().end() && before->second.incarnation == endpoint->incarnation
+        && m_heartbeatHandler) {
+        m_heartbeatHandler(record.key);
+    }
     const bool changed =
         endpoint ? m_directory.put(std::move(*endpoint)) : m_directory.remove(record.key, BootClock::now());
     m_endpointsChanged = m_endpointsChanged || changed;
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -46,6 +46,8 @@
     void onConfiguration(std::function<void()> handler);
     void onEndpoints(std::function<void()> handler);
     void onNamedVersion(std::function<void()> handler);
+    /// An endpoint that was listed before has written again, without a start in between.
+    void onHeartbeat(std::function<void(const std::string &endpoint)> handler);
     /// Drops endpoints that did not come back after an outage. Call it a few times a second.
     void tick(TimePoint now);
     /// Time between two reads that brought records.
@@ -75,6 +77,7 @@
     std::function<void()> m_configurationHandler;
     std::function<void()> m_endpointsHandler;
     std::function<void()> m_versionHandler;
+    std::function<void(const std::string &)> m_heartbeatHandler;
 };
 
 } // namespace bergamot::node
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -187,6 +187,9 @@
         publishEndpoints();
         m_pool.endpointsChanged();
     });
+    m_view.onHeartbeat([this](const std::string &endpoint) {
+        m_forwarder.endpointAlive(endpoint);
+    });
     m_view.onNamedVersion([this] {
         m_pool.tick(BootClock::now());
     });
@@ -209,6 +212,16 @@
     return {};
 }
 
+std::uint16_t Node::callersPort() const
+{
+    return m_callers.port();
+}
+
+bool Node::ownsPool() const
+{
+    return m_pool.active();
+}
+
 void Node::stop(std::function<void()> stopped)
 {
     if (m_stopping) {
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -60,6 +60,11 @@
 
     /// Listens and begins to follow the store.
     Result<void> start();
+    /// Where callers connect; tells the port if a free one was asked for.
+    std::uint16_t callersPort() const;
+    bool ready() const;
+    /// Whether this instance owns the engines.
+    bool ownsPool() const;
     /// Stops gracefully: not ready, serve on, hand the pool over, close; then `stopped` runs.
     void stop(std::function<void()> stopped);
 
@@ -71,7 +76,6 @@
     void forward(const fleet::Route &route, std::shared_ptr<net::Exchange> exchange);
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
     void refuse(net::Exchange &exchange, int status, std::string_view reason);
-    bool ready() const;
     void publishEndpoints();
     void applyLimits();
     void scheduleTick();
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10); // granularity of the router's timers
+constexpr Duration HeartbeatLag = std::chrono::milliseconds(1500); // from being written until it is read here
 constexpr int MisdirectedRequest = 421;
 
 std::string milliseconds(Duration duration)
@@ -48,6 +49,13 @@
     run();
 }
 
+void RequestForwarder::endpointAlive(const std::string &endpoint)
+{
+    const TimePoint now = BootClock::now();
+    m_router.onAlive(EndpointId(endpoint), now - HeartbeatLag, now);
+    run();
+}
+
 RequestId RequestForwarder::forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink)
 {
     const RequestId id = ++m_lastRequest;
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -62,6 +62,8 @@
     ~RequestForwarder();
 
     void updateEndpoints(const RoutingTable &table);
+    /// The endpoint has written a heartbeat.
+    void endpointAlive(const std::string &endpoint);
     RequestId forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink);
     void callerGone(RequestId id);
     std::size_t pending() const;
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -58,6 +58,8 @@
     void onCallerGone(RequestId id, TimePoint now);
     /// From now on new requests are refused as not run; those that are here finish.
     void stopAccepting();
+    /// The endpoint was alive at `aliveAt`, without a start since: what it lost before that, it did not die of.
+    void onAlive(const EndpointId &endpoint, TimePoint aliveAt, TimePoint now);
     /// Call it every few milliseconds.
     void tick(TimePoint now);
 
@@ -149,6 +151,7 @@
     void pumpQuarantine(TargetState &target, TimePoint now);
     void quarantine(Pending &pending, TimePoint now);
     void exonerate(const Attempt &answered, TimePoint now);
+    void exonerateWhere(TargetState &target, const std::function<bool(const ConnectionLoss &)> &lived, TimePoint now);
     void hedge(Pending &pending, TimePoint now);
     void runTimers(TimePoint now);
     void deadlinePassed(Pending &pending, TimePoint now);
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -158,10 +158,30 @@
 
 void Router::exonerate(const Attempt &answered, TimePoint now)
 {
-    TargetState &target = *answered.target;
-    const auto lived = [&](const ConnectionLoss &loss) {
-        return loss.slot == answered.slot && loss.at > answered.dispatchedAt;
-    };
+    exonerateWhere(
+        *answered.target,
+        [&answered](const ConnectionLoss &loss) {
+            return loss.slot == answered.slot && loss.at > answered.dispatchedAt;
+        },
+        now);
+}
+
+void Router::onAlive(const EndpointId &endpoint, TimePoint aliveAt, TimePoint now)
+{
+    for (auto &[name, target] : m_targets) {
+        exonerateWhere(
+            *target,
+            [&](const ConnectionLoss &loss) {
+                return loss.at < aliveAt && target->pool.endpoint(loss.slot) == endpoint;
+            },
+            now);
+    }
+}
+
+void Router::exonerateWhere(TargetState &target,
+                            const std::function<bool(const ConnectionLoss &)> &lived,
+                            TimePoint now)
+{
     for (const ConnectionLoss &loss : target.losses) {
         if (lived(loss)) {
             m_quarantine.exonerate(loss.fingerprint, target.pool.endpoint(loss.slot), now);
--- a/bergamot/routing/router_trouble_test.cpp
+++ b/bergamot/routing/router_trouble_test.cpp
@@ -99,6 +99,30 @@
     EXPECT_EQ(dispatchesOf(again), 1U);
 }
 
+// Replays endpoints that run a request and lose the answer, again and again, without dying.
+TEST_F(RouterTest, EndpointsThatAreAliveAfterwardsDidNotDieOfARequest)
+{
+    showEndpoints(4);
+    const auto unlucky = [](CallerRequest &request) {
+        request.fingerprint = 77;
+        request.repeatable = true;
+    };
+    const RequestId first = send(unlucky);
+    for (std::size_t next = 0; next < m_dispatches.size(); ++next) {
+        fail(m_dispatches[next].attempt, ConnectionLost);
+        pass(1ms);
+    }
+    ASSERT_EQ(m_refusals[first].reason, RefusalReason::CrashSuspect);
+    const TimePoint lostBy = m_now;
+    pass(2s);
+    for (const char *endpoint : {"endpoint-0", "endpoint-1", "endpoint-2", "endpoint-3"}) {
+        m_router.onAlive(EndpointId(endpoint), lostBy, m_now);
+    }
+    const RequestId again = send(unlucky);
+    EXPECT_FALSE(m_refusals.contains(again));
+    EXPECT_EQ(dispatchesOf(again), 1U);
+}
+
 TEST_F(RouterTest, TroubleOfAllEndpointsEjectsOnlySome)
 {
     showEndpoints(9);
