samples: a batch whose route is not known yet waits; an instance claims the engines once it knows the configuration

Change: claims wait for the configuration; items are given up only when a fresh configuration has had no route for 5 s.

--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -188,6 +188,15 @@
         return;
     }
     state->route = std::move(route);
+    state->routeGone = false;
+}
+
+void SampleScheduler::routeGone(const std::string &batch)
+{
+    BatchState *state = findBatch(batch);
+    if (state != nullptr && !state->route) {
+        state->routeGone = true;
+    }
 }
 
 void SampleScheduler::endBatch(const std::string &batch)
@@ -402,7 +411,7 @@
                 m_actions.emplace_back(StartScoring{{id, index}});
             }
             const bool expired = batch.route && now - batch.addedAt > batch.route->retention;
-            if ((!batch.route || expired) && (item.stage == Stage::Waiting || item.stage == Stage::Running)) {
+            if ((batch.routeGone || expired) && (item.stage == Stage::Waiting || item.stage == Stage::Running)) {
                 if (item.run != 0) {
                     cancel(item.run);
                 }
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -154,8 +154,10 @@
     void releaseStarts(TimePoint now);
     /// Saves what has arrived of every text, because this instance is about to stop.
     void saveAll();
-    /// No route: its items are given up.
+    /// No route: its items wait, as a newer configuration may have one, until `routeGone`.
     void setRoute(const std::string &batch, std::optional<ItemRoute> route);
+    /// The batch has no route any more: its items are given up.
+    void routeGone(const std::string &batch);
     void endBatch(const std::string &batch);
     /// The log holds the item's result, whoever wrote it.
     void itemListed(const ItemKey &key);
@@ -238,6 +240,7 @@
         std::string model;
         std::uint64_t minVersion = 0;
         std::optional<ItemRoute> route;
+        bool routeGone = false;
         TimePoint addedAt{};
         std::vector<ItemState> items;
         std::vector<std::string> groups; // of the items
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -92,6 +92,8 @@
     void onProgress(std::function<void()> handler);
     void onOwnership(std::function<void(bool owns)> handler);
     void tick(TimePoint now);
+    /// Whether this instance knows enough to own the engines; it claims nothing before.
+    void allowClaims(bool allowed);
     /// Gives the ownership up, and claims it no more.
     void retire();
     const BatchLogOptions &options() const;
@@ -118,6 +120,7 @@
     bool m_started = false;
     bool m_owned = false;
     bool m_claiming = false;
+    bool m_claimsAllowed = false;
     bool m_releasing = false; // gives the ownership up once everything is written
     bool m_renewing = false;
 };
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -353,6 +353,7 @@
     if (!m_active) {
         return;
     }
+    checkRoutes(now);
     m_scheduler.tick(now);
     advanceLoads(now);
     planLoads(now);
@@ -619,6 +620,24 @@
         nullptr);
 }
 
+void EnginePool::checkRoutes(TimePoint now)
+{
+    const bool fresh =
+        m_view.configuration().version() > 0 && m_view.configurationAge(now) <= m_options.freshConfiguration;
+    for (auto &[batch, address] : m_addresses) {
+        if (!fresh || m_view.configuration().match(address.host, address.itemPath) != nullptr) {
+            address.withoutRouteSince.reset();
+            continue;
+        }
+        if (!address.withoutRouteSince) {
+            address.withoutRouteSince = now;
+        }
+        if (now - *address.withoutRouteSince >= m_options.routeGoneAfter) {
+            m_scheduler.routeGone(batch);
+        }
+    }
+}
+
 void EnginePool::planLoads(TimePoint now)
 {
     std::map<std::string, dispatch::ModelDemand> demand;
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -41,6 +41,8 @@
     Duration orderPause = std::chrono::milliseconds(250); // before an engine is asked for its report again
     Duration loadFailurePause = std::chrono::milliseconds(600); // before another order after a failed one
     Duration intentValidFor = std::chrono::milliseconds(500); // from writing an intent to sending the order
+    Duration routeGoneAfter = std::chrono::seconds(5); // a batch may be known before the configuration with its route
+    Duration freshConfiguration = std::chrono::milliseconds(1500); // two long reads
     int sampleUrgency = 7; // of 0 to 9; samples yield to callers' requests
 };
 
@@ -98,6 +100,7 @@
         std::string itemPath;
         std::string scoringHost;
         std::string scoringPath;
+        std::optional<TimePoint> withoutRouteSince;
     };
 
     enum class LoadPhase {
@@ -135,6 +138,8 @@
     void scoringEnded(const dispatch::ItemKey &key, int status, const net::Response *response);
     void listResult(const batch::ItemResult &result);
     void saveProgress(const batch::ItemProgress &progress);
+    /// Gives up the batches whose route is gone for good.
+    void checkRoutes(TimePoint now);
     void planLoads(TimePoint now);
     void beginLoad(const dispatch::PlannedLoad &planned);
     void askReport(const std::string &engine);
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -402,6 +402,7 @@
 {
     const TimePoint now = BootClock::now();
     m_view.tick(now);
+    m_batches.allowClaims(m_view.complete());
     m_batches.tick(now);
     m_batchService.tick(now);
     m_pool.tick(now);
