net: connections to engines are kept between a trainer's steps; a stale one says nothing of its engine

Ruled out: the engines' own limit (Keep-Alive names 10 s). Change: 9 s, unless the peer names less; a used connection that breaks before any answer repeats the sample at once without suspecting the engine.

--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -325,6 +325,7 @@
         case RunEnd::Silent:
             suspect(engine->second, now);
             break;
+        case RunEnd::StaleConnection:
         case RunEnd::Complete:
         case RunEnd::Failed:
         case RunEnd::Impossible:
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -113,6 +113,7 @@
     Failed, // the engine's own failure: it ran
     Impossible, // no engine can ever do it
     Broken, // the stream broke off
+    StaleConnection, // a connection that was used before broke without an answer: says nothing of the engine
     Silent, // no connection, or no event in time
 };
 
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -190,6 +190,7 @@
                          RunEndTest,
                          testing::Values(EndCase{"Broken", RunEnd::Broken, 0, true, false},
                                          EndCase{"BrokenOften", RunEnd::Broken, 9, true, false},
+                                         EndCase{"StaleConnection", RunEnd::StaleConnection, 0, true, false},
                                          EndCase{"Silent", RunEnd::Silent, 0, true, false},
                                          EndCase{"NotExecuted", RunEnd::NotExecuted, 5, true, false},
                                          EndCase{"WrongEndpoint", RunEnd::WrongEndpoint, 0, true, false},
@@ -232,6 +233,17 @@
                              return test.param.name;
                          });
 
+TEST_F(SampleSchedulerTest, AStaleConnectionSaysNothingOfItsEngine)
+{
+    setEngines({engine("e1", 5)});
+    addBatch("b", 1);
+    end(m_starts[0].run, RunEnd::StaleConnection);
+    ASSERT_EQ(m_starts.size(), 2U);
+    EXPECT_EQ(m_starts[1].engine, "e1");
+    end(m_starts[1].run, RunEnd::Broken);
+    EXPECT_EQ(m_starts.size(), 2U);
+}
+
 TEST_F(SampleSchedulerTest, AResumedTextNamesEveryVersionThatMadeIt)
 {
     addBatch("b", 1);
--- a/bergamot/net/http_client.h
+++ b/bergamot/net/http_client.h
@@ -66,7 +66,8 @@
 struct HttpClientOptions
 {
     std::size_t mostIdlePerAddress = 64; // connections kept for reuse
-    Duration idleLimit = std::chrono::seconds(4); // unless the peer names a shorter time
+    Duration idleLimit = std::chrono::seconds(9); // unless the peer names a shorter time; longer than the pause between
+                                                  // two steps of a trainer
     Duration sweepPeriod = std::chrono::milliseconds(50); // granularity of the timeouts
 };
 
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -511,7 +511,9 @@
                 m_client.dropIdle(endpoint->second.address);
             }
         }
-        endRun(id, silent ? dispatch::RunEnd::Silent : dispatch::RunEnd::Broken, end.detail);
+        const bool stale = end.failure == net::CallFailure::Lost && end.reused && run.status == 0;
+        const dispatch::RunEnd lost = stale ? dispatch::RunEnd::StaleConnection : dispatch::RunEnd::Broken;
+        endRun(id, silent ? dispatch::RunEnd::Silent : lost, end.detail);
         return;
     }
     if (run.status == Ok) {
