node: the pool's owner, the scheduler and the server in smaller files

Ruled out: nothing; no behaviour changes. Change: runs and loads of the pool, the scheduler's choice and the text of responses have files of their own; one widening product (lint).

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -8,7 +8,8 @@
 
 constexpr std::size_t ItemOverhead = 256; // tables and lengths around an item's own bytes, rounded up
 constexpr std::size_t PartOverhead = 1024; // the same for a part
-constexpr std::size_t PartBytes = 64 * 1024; // small parts keep the memory low of an instance that looks up one item
+constexpr std::size_t PartBytes =
+    std::size_t{64} * 1024; // small parts keep the memory low of an instance that looks up one item
 
 std::size_t sizeOf(const Item &item)
 {
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -1,13 +1,11 @@
 #include "bergamot/net/http_server.h"
 
-#include <array>
-#include <cstdio>
-#include <deque>
 #include <sys/socket.h>
 
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include "bergamot/net/internal/response_text.h"
 #include "bergamot/net/internal/socket_reader.h"
 
 namespace bergamot::net
@@ -28,37 +26,8 @@
 constexpr int PayloadTooLarge = 413;
 constexpr int HeaderFieldsTooLarge = 431;
 
-std::string serializedHead(int status, const HeaderFields &headers, bool close)
-{
-    std::string head = "HTTP/1.1 " + std::to_string(status) + " ";
-    head += reasonPhrase(status);
-    head += "\r\n";
-    for (const HeaderField &field : headers.all()) {
-        head += field.name + ": " + field.value + "\r\n";
-    }
-    if (close) {
-        head += "Connection: close\r\n";
-    }
-    return head;
-}
-
-std::string chunk(std::string_view data)
-{
-    std::array<char, 20> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", data.size());
-    std::string framed(size.data());
-    framed += data;
-    return framed + "\r\n";
-}
-
 } // namespace
 
-std::string_view reasonPhrase(int status)
-{
-    const boost::beast::string_view phrase = http::obsolete_reason(http::int_to_status(static_cast<unsigned>(status)));
-    return {phrase.data(), phrase.size()};
-}
-
 class HttpServer::Connection final : public Exchange, public std::enable_shared_from_this<HttpServer::Connection>
 {
 public:
@@ -99,7 +68,7 @@
             return;
         }
         m_closeAfter = m_closeAfter || m_server.m_draining;
-        std::string head = serializedHead(response.status, response.headers, m_closeAfter);
+        std::string head = internal::responseHead(response.status, response.headers, m_closeAfter);
         head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
         m_outgoing.push_back(std::move(head));
         if (!response.body.empty()) {
@@ -114,7 +83,7 @@
             return;
         }
         m_closeAfter = m_closeAfter || m_server.m_draining;
-        m_outgoing.push_back(serializedHead(head.status, head.headers, m_closeAfter)
+        m_outgoing.push_back(internal::responseHead(head.status, head.headers, m_closeAfter)
                              + "Transfer-Encoding: chunked\r\n\r\n");
         flush();
     }
@@ -122,7 +91,7 @@
     void write(std::string_view data) override
     {
         if (m_stage == Stage::Handling && !data.empty()) {
-            m_outgoing.push_back(chunk(data));
+            m_outgoing.push_back(internal::chunk(data));
             flush();
         }
     }
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -107,7 +107,4 @@
     bool m_sweeping = false;
 };
 
-/// The standard reason phrase of a status.
-std::string_view reasonPhrase(int status);
-
 } // namespace bergamot::net
--- /dev/null
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -0,0 +1,292 @@
+// Weight versions onto engines: intent, report, order, confirmation.
+
+#include "bergamot/node/engine_pool.h"
+
+namespace bergamot::node
+{
+
+namespace
+{
+
+constexpr int Ok = 200;
+
+} // namespace
+
+void EnginePool::planLoads(TimePoint now)
+{
+    std::map<std::string, dispatch::ModelDemand> demand;
+    for (const auto &[model, version] : m_view.namedVersions()) {
+        demand[model] = {.work = m_scheduler.demand(model),
+                         .named = version,
+                         .needed = m_scheduler.neededVersion(model),
+                         .waiting = m_scheduler.waiting(model)};
+    }
+    while (true) {
+        std::vector<dispatch::LoadCandidate> candidates;
+        for (const dispatch::SampleScheduler::EngineLoad &engine : m_scheduler.engineLoads(now)) {
+            candidates.push_back(
+                {.engine = engine.id,
+                 .versions = engine.versions,
+                 .runs = engine.runs,
+                 .loading = engine.loading,
+                 .usable = engine.usable && !m_loads.contains(engine.id) && now >= m_loadNotBefore[engine.id],
+                 .mayOrder = m_log.ownership().mayOrder(engine.id, now)});
+        }
+        m_homes.update(candidates, demand);
+        const std::optional<dispatch::PlannedLoad> planned = nextLoad(candidates, demand, m_homes, m_options.loads);
+        if (!planned) {
+            return;
+        }
+        beginLoad(*planned);
+    }
+}
+
+void EnginePool::beginLoad(const dispatch::PlannedLoad &planned)
+{
+    m_scheduler.loadStarted(planned.engine, planned.model);
+    Load &load = m_loads[planned.engine];
+    load = {.engine = planned.engine,
+            .model = planned.model,
+            .version = planned.version,
+            .since = BootClock::now(),
+            .intendedAt = BootClock::now()};
+    m_eventLog.write(
+        EventKind::State,
+        "load-planned",
+        {{"engine", planned.engine}, {"model", planned.model}, {"version", std::to_string(planned.version)}});
+    m_log.writer().write(
+        batch::loadIntentRecord(m_log.ownership().epoch(), planned.engine, planned.model, planned.version),
+        [this, engine = planned.engine, turn = m_turn](bool written) {
+            const auto found = m_loads.find(engine);
+            if (turn != m_turn || found == m_loads.end()) {
+                return;
+            }
+            found->second.intendedAt = BootClock::now();
+            if (!written) {
+                failLoad(engine, "the intent was not written");
+            } else if (m_orderCounts.contains(engine)) {
+                sendOrder(engine);
+            } else {
+                askReport(engine);
+            }
+        });
+}
+
+void EnginePool::callEngine(const std::string &engine,
+                            const net::Request &request,
+                            std::function<void(int status, const std::string &body, const net::CallEnd &end)> done)
+{
+    const auto endpoint = m_view.endpoints().find(engine);
+    if (endpoint == m_view.endpoints().end()) {
+        failLoad(engine, "the engine is gone");
+        return;
+    }
+    net::ClientRequest outgoing{.to = endpoint->second.address,
+                                .method = request.method,
+                                .target = request.target,
+                                .headers = request.headers,
+                                .body = request.body,
+                                .connectTimeout = m_options.connectTimeout,
+                                .headTimeout = m_options.orderTimeout,
+                                .gapTimeout = m_options.orderTimeout};
+    outgoing.headers.set("Host", toString(endpoint->second.address));
+    outgoing.headers.set(m_codec.headers().expectedEndpoint, engine);
+    struct Answer
+    {
+        int status = 0;
+        std::string body;
+    };
+    auto answer = std::make_shared<Answer>();
+    m_client.start(std::move(outgoing),
+                   {.onHead =
+                        [answer](const net::ResponseHead &head) {
+                            answer->status = head.status;
+                        },
+                    .onData =
+                        [answer](std::string_view data) {
+                            answer->body += data;
+                        },
+                    .onEnd =
+                        [this, answer, turn = m_turn, done = std::move(done)](const net::CallEnd &end) {
+                            if (turn == m_turn) {
+                                done(answer->status, answer->body, end);
+                                perform();
+                            }
+                        }});
+}
+
+void EnginePool::askReport(const std::string &engine)
+{
+    Load &load = m_loads[engine];
+    load.phase = LoadPhase::Asking;
+    load.since = BootClock::now();
+    callEngine(
+        engine, m_codec.reportCall(), [this, engine](int status, const std::string &body, const net::CallEnd &end) {
+            const auto found = m_loads.find(engine);
+            if (found == m_loads.end()) {
+                return;
+            }
+            if (end.failure != net::CallFailure::None || status != Ok) {
+                failLoad(engine, "no report: " + (end.detail.empty() ? std::to_string(status) : end.detail));
+                return;
+            }
+            const Result<EngineReport> report = m_codec.report(body);
+            if (!report) {
+                failLoad(engine, report.error().message);
+                return;
+            }
+            takeReport(engine, *report);
+        });
+}
+
+void EnginePool::takeReport(const std::string &engine, const EngineReport &report)
+{
+    Load &load = m_loads[engine];
+    m_orderCounts[engine] = report.orders;
+    const auto version = report.versions.find(load.model);
+    if (version != report.versions.end() && version->second >= load.version) {
+        m_scheduler.versionSeen(engine, load.model, version->second);
+        endLoad(engine, "loaded");
+        return;
+    }
+    if (report.busy) {
+        pauseLoad(load);
+        return;
+    }
+    if (BootClock::now() - load.intendedAt > m_options.intentValidFor) {
+        endLoad(engine, "the intent is too old");
+        return;
+    }
+    sendOrder(engine);
+}
+
+void EnginePool::confirmLoad(const std::string &engine)
+{
+    Load &load = m_loads[engine];
+    load.asking = true;
+    callEngine(engine, m_codec.reportCall(), [this, engine](int status, const std::string &body, const net::CallEnd &) {
+        const auto found = m_loads.find(engine);
+        if (found == m_loads.end()) {
+            return;
+        }
+        Load &asked = found->second;
+        asked.asking = false;
+        asked.confirmAt = BootClock::now() + m_options.confirmEvery;
+        const Result<EngineReport> report = m_codec.report(body);
+        if (status != Ok || !report) {
+            return; // asked again until its patience ends
+        }
+        const auto version = report->versions.find(asked.model);
+        if (version != report->versions.end() && version->second >= asked.version) {
+            m_scheduler.versionSeen(engine, asked.model, version->second);
+            endLoad(engine, "loaded");
+        }
+    });
+}
+
+void EnginePool::sendOrder(const std::string &engine)
+{
+    Load &load = m_loads[engine];
+    load.phase = LoadPhase::Ordering;
+    load.since = BootClock::now();
+    const LoadOrder order{.model = load.model,
+                          .version = load.version,
+                          .holder = m_options.holder,
+                          .fencing = m_log.ownership().epoch(),
+                          .expectedOrders = m_orderCounts[engine]};
+    m_eventLog.write(EventKind::State,
+                     "load-ordered",
+                     {{"engine", engine},
+                      {"version", std::to_string(load.version)},
+                      {"fencing", std::to_string(order.fencing)},
+                      {"expected_orders", std::to_string(order.expectedOrders)}});
+    callEngine(
+        engine, m_codec.loadOrder(order), [this, engine](int status, const std::string &, const net::CallEnd &end) {
+            if (m_loads.contains(engine)) {
+                orderAnswered(engine, status, end);
+            }
+        });
+}
+
+void EnginePool::orderAnswered(const std::string &engine, int status, const net::CallEnd &end)
+{
+    constexpr int Accepted = 202;
+    constexpr int Conflict = 409;
+    Load &load = m_loads[engine];
+    m_eventLog.write(EventKind::State,
+                     "load-answered",
+                     {{"engine", engine}, {"status", std::to_string(status)}, {"detail", end.detail}});
+    if (end.failure != net::CallFailure::None || status == Conflict) {
+        // The order may have been accepted, or another one was: the engine's report tells.
+        m_orderCounts.erase(engine);
+        pauseLoad(load);
+        return;
+    }
+    if (status == Accepted) {
+        ++m_orderCounts[engine];
+        load.phase = LoadPhase::Loading;
+        load.since = BootClock::now();
+        return;
+    }
+    if (status == Ok) {
+        m_scheduler.versionSeen(engine, load.model, load.version);
+        endLoad(engine, "holds already");
+        return;
+    }
+    m_orderCounts.erase(engine);
+    failLoad(engine, "refused with status " + std::to_string(status));
+}
+
+void EnginePool::pauseLoad(Load &load)
+{
+    load.phase = LoadPhase::Pausing;
+    load.since = BootClock::now();
+}
+
+void EnginePool::endLoad(const std::string &engine, std::string_view reason)
+{
+    m_eventLog.write(EventKind::State, "load-ended", {{"engine", engine}, {"reason", std::string(reason)}});
+    m_scheduler.loadAbandoned(engine);
+    m_loads.erase(engine);
+}
+
+void EnginePool::failLoad(const std::string &engine, std::string_view reason)
+{
+    m_loadNotBefore[engine] = BootClock::now() + m_options.loadFailurePause;
+    endLoad(engine, reason);
+}
+
+void EnginePool::advanceLoads(TimePoint now)
+{
+    std::vector<std::string> engines;
+    for (const auto &[engine, load] : m_loads) {
+        engines.push_back(engine);
+    }
+    for (const std::string &engine : engines) {
+        const auto found = m_loads.find(engine);
+        if (found == m_loads.end()) {
+            continue;
+        }
+        Load &load = found->second;
+        const Duration waited = now - load.since;
+        if (load.phase == LoadPhase::Pausing && waited >= m_options.orderPause) {
+            if (now - load.intendedAt > m_options.intentValidFor) {
+                // A new intent is written before the engine is ordered again.
+                beginLoad({.engine = engine, .model = load.model, .version = load.version});
+            } else {
+                askReport(engine);
+            }
+        } else if (load.phase == LoadPhase::Loading && waited >= m_options.loadPatience) {
+            m_orderCounts.erase(engine);
+            pauseLoad(load);
+        } else if (load.phase == LoadPhase::Loading && !load.assumed && waited >= m_options.usualLoad) {
+            load.assumed = true;
+            load.confirmAt = now + m_options.confirmEvery;
+            m_scheduler.loadFinished(engine, load.model, load.version);
+        } else if (load.phase == LoadPhase::Loading && load.assumed && !load.asking && now >= load.confirmAt) {
+            confirmLoad(engine);
+        }
+    }
+}
+
+} // namespace bergamot::node
--- /dev/null
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -0,0 +1,306 @@
+// Samples on their way: runs at engines, scoring calls, results.
+
+#include "bergamot/node/engine_pool.h"
+
+#include <boost/asio/post.hpp>
+
+#include "bergamot/node/service_choice.h"
+
+namespace bergamot::node
+{
+
+namespace
+{
+
+constexpr int Ok = 200;
+constexpr int Misdirected = 421;
+constexpr int Unprocessable = 422;
+constexpr int ServerError = 500;
+
+std::uint64_t number(std::string_view text)
+{
+    std::uint64_t value = 0;
+    for (const char digit : text) {
+        if (digit < '0' || digit > '9') {
+            return value;
+        }
+        value = value * 10 + static_cast<std::uint64_t>(digit - '0');
+    }
+    return value;
+}
+
+} // namespace
+
+/// Takes the answer to a scoring call.
+class EnginePool::ScoringSink final : public ForwardSink
+{
+public:
+    ScoringSink(EnginePool &pool, dispatch::ItemKey key, std::uint64_t turn)
+        : m_pool(pool)
+        , m_key(std::move(key))
+        , m_turn(turn)
+    { }
+
+    void answer(net::Response response) override
+    {
+        if (m_turn == m_pool.m_turn) {
+            m_pool.scoringEnded(m_key, response.status, &response);
+        }
+    }
+    void refuse(const RefuseAction &refusal) override
+    {
+        if (m_turn == m_pool.m_turn) {
+            m_pool.scoringEnded(m_key, refusal.status, nullptr);
+        }
+    }
+    void beginStream(const net::ResponseHead &head) override
+    {
+        m_streamed.status = head.status;
+        m_streamed.headers = head.headers;
+    }
+    void write(std::string_view) override
+    { }
+    void finishStream() override
+    {
+        answer(std::move(m_streamed));
+    }
+    void abortStream() override
+    {
+        refuse({});
+    }
+
+private:
+    EnginePool &m_pool;
+    dispatch::ItemKey m_key;
+    std::uint64_t m_turn;
+    net::Response m_streamed;
+};
+
+void EnginePool::startRun(const dispatch::StartRun &action)
+{
+    const batch::Item *item = m_scheduler.item(action.key);
+    const std::string *host = m_scheduler.host(action.key.batch);
+    if (item == nullptr || host == nullptr) {
+        return;
+    }
+    const HeaderNames &names = m_codec.headers();
+    net::ClientRequest request{.to = action.address,
+                               .method = "POST",
+                               .target = item->path,
+                               .body = item->body,
+                               .connectTimeout = m_options.connectTimeout,
+                               .headTimeout = m_options.headTimeout,
+                               .gapTimeout = m_options.gapTimeout,
+                               .expectedEcho = item->id,
+                               .echoHeader = names.requestId};
+    for (const batch::ItemHeader &header : item->headers) {
+        request.headers.add(header.name, header.value);
+    }
+    request.headers.set("Host", *host);
+    request.headers.set(names.requestId, item->id);
+    request.headers.set(names.expectedEndpoint, action.engine);
+    request.headers.set(names.urgency, std::to_string(m_options.sampleUrgency));
+    if (action.resumeAfter) {
+        request.headers.set("Last-Event-Id", std::to_string(*action.resumeAfter));
+    }
+    if (action.expectedVersion) {
+        request.headers.set(names.expectedVersion, std::to_string(*action.expectedVersion));
+    }
+    m_eventLog.write(EventKind::Request,
+                     "sample-run",
+                     {{"item", item->id},
+                      {"batch", action.key.batch},
+                      {"engine", action.engine},
+                      {"after_event", action.resumeAfter ? std::to_string(*action.resumeAfter) : "start"}});
+    const dispatch::RunId id = action.run;
+    ActiveRun &run = m_runs[id];
+    run.key = action.key;
+    run.engine = action.engine;
+    run.expectsVersion = action.expectedVersion.has_value();
+    run.call = m_client.start(std::move(request),
+                              {.onHead =
+                                   [this, id](const net::ResponseHead &head) {
+                                       runHead(id, head);
+                                   },
+                               .onData =
+                                   [this, id](std::string_view data) {
+                                       runData(id, data);
+                                   },
+                               .onEnd =
+                                   [this, id](const net::CallEnd &end) {
+                                       runEnd(id, end);
+                                   }});
+}
+
+void EnginePool::runHead(dispatch::RunId id, const net::ResponseHead &head)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end()) {
+        return;
+    }
+    ActiveRun &run = found->second;
+    run.status = head.status;
+    run.notExecuted = head.headers.has(m_codec.headers().notExecuted);
+    if (head.status == Ok) {
+        run.version = number(head.headers.find(m_codec.headers().weightVersions).value_or(""));
+        m_scheduler.runStarted(id, run.version);
+        const auto load = m_loads.find(run.engine);
+        if (load != m_loads.end() && load->second.assumed && run.expectsVersion) {
+            endLoad(run.engine, "loaded");
+        }
+    }
+}
+
+void EnginePool::runData(dispatch::RunId id, std::string_view data)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end() || found->second.status != Ok) {
+        return;
+    }
+    const TimePoint now = BootClock::now();
+    for (const dispatch::StreamEvent &event : found->second.reader.feed(data)) {
+        ActiveRun &run = found->second;
+        for (const auto &[name, value] : event.otherFields) {
+            if (name == m_codec.headers().weightVersionField) {
+                run.version = number(value);
+            }
+        }
+        if (!event.id) {
+            continue;
+        }
+        run.hasEvents = true;
+        if (!m_scheduler.runEvent(id, *event.id, event.data, run.version, now)) {
+            break;
+        }
+    }
+    perform();
+}
+
+void EnginePool::runEnd(dispatch::RunId id, const net::CallEnd &end)
+{
+    const auto found = m_runs.find(id);
+    if (found == m_runs.end()) {
+        return;
+    }
+    const ActiveRun &run = found->second;
+    if (end.failure != net::CallFailure::None) {
+        const bool silent = end.failure == net::CallFailure::TimedOut || end.failure == net::CallFailure::NotConnected;
+        if (silent && end.reused) {
+            // The connection may have gone silent rather than the engine; the others may have as well.
+            const auto endpoint = m_view.endpoints().find(run.engine);
+            if (endpoint != m_view.endpoints().end()) {
+                m_client.dropIdle(endpoint->second.address);
+            }
+        }
+        const bool stale = end.failure == net::CallFailure::Lost && end.reused && run.status == 0;
+        const dispatch::RunEnd lost = stale ? dispatch::RunEnd::StaleConnection : dispatch::RunEnd::Broken;
+        endRun(id, silent ? dispatch::RunEnd::Silent : lost, end.detail);
+        return;
+    }
+    if (run.status == Ok) {
+        const bool whole = !run.reader.inEvent() && run.hasEvents;
+        endRun(id, whole ? dispatch::RunEnd::Complete : dispatch::RunEnd::Broken, whole ? "complete" : "cut off");
+    } else if (run.status == Misdirected) {
+        endRun(id,
+               run.expectsVersion ? dispatch::RunEnd::WrongVersion : dispatch::RunEnd::WrongEndpoint,
+               "another endpoint or version");
+    } else if (run.notExecuted) {
+        endRun(id, dispatch::RunEnd::NotExecuted, "not executed");
+    } else if (run.status == Unprocessable) {
+        endRun(id, dispatch::RunEnd::Impossible, "the item can never be done");
+    } else if (run.status == ServerError) {
+        endRun(id, dispatch::RunEnd::Failed, "the engine failed");
+    } else {
+        endRun(id, dispatch::RunEnd::Broken, "status " + std::to_string(run.status));
+    }
+}
+
+void EnginePool::endRun(dispatch::RunId id, dispatch::RunEnd end, std::string_view reason)
+{
+    const auto found = m_runs.find(id);
+    if (end != dispatch::RunEnd::Complete) {
+        const batch::Item *item = m_scheduler.item(found->second.key);
+        m_eventLog.write(EventKind::Request,
+                         "sample-run-ended",
+                         {{"item", item == nullptr ? std::string() : item->id},
+                          {"engine", found->second.engine},
+                          {"status", std::to_string(found->second.status)},
+                          {"reason", std::string(reason)}});
+    }
+    m_runs.erase(found);
+    m_scheduler.runEnded(id, end, BootClock::now());
+    perform();
+}
+
+void EnginePool::startScoring(const dispatch::ItemKey &key)
+{
+    const batch::Item *item = m_scheduler.item(key);
+    if (item == nullptr || !item->scoring) {
+        return;
+    }
+    const batch::ScoringCall &call = *item->scoring;
+    const fleet::Route *route = m_view.configuration().match(call.host, call.path);
+    if (route == nullptr || route->services.empty()) {
+        m_eventLog.write(EventKind::Request, "scoring-without-route", {{"item", item->id}, {"host", call.host}});
+        boost::asio::post(m_loop, [this, key, turn = m_turn] {
+            if (turn == m_turn) {
+                m_scheduler.scoringEnded(key, dispatch::ScoringEnd::NoAnswer, {}, BootClock::now());
+                perform();
+            }
+        });
+        return;
+    }
+    ForwardRequest request{.id = call.id,
+                           .request = {.method = "POST", .target = call.path, .body = call.body},
+                           .route = *route,
+                           .service = chooseService(*route, m_random),
+                           .receivedAt = BootClock::now(),
+                           .callerWaits = route->timeout};
+    request.request.headers.add("Host", call.host);
+    request.request.headers.add(m_codec.headers().requestId, call.id);
+    m_scorings[key] = m_forwarder.forward(std::move(request), std::make_shared<ScoringSink>(*this, key, m_turn));
+}
+
+void EnginePool::scoringEnded(const dispatch::ItemKey &key, int status, const net::Response *response)
+{
+    m_scorings.erase(key);
+    const bool success = response != nullptr && status >= Ok && status < 300;
+    const std::string_view stamp =
+        success ? response->headers.find(m_codec.headers().stamp).value_or("") : std::string_view();
+    dispatch::ScoringEnd end = dispatch::ScoringEnd::NoAnswer;
+    if (success && !stamp.empty()) {
+        end = dispatch::ScoringEnd::Scored;
+    } else if (response != nullptr && status == ServerError) {
+        end = dispatch::ScoringEnd::Failed;
+    }
+    m_scheduler.scoringEnded(key, end, std::string(stamp), BootClock::now());
+    perform();
+}
+
+void EnginePool::listResult(const batch::ItemResult &result)
+{
+    m_log.writeWithPayload(
+        m_log.payloadPartition(result.batch),
+        batch::resultRecord(result),
+        [batch = result.batch, item = result.item](std::uint64_t offset) {
+            return batch::listedRecord(batch, item, offset);
+        },
+        [this, item = result.id, batch = result.batch, completed = result.completed](bool written) {
+            m_eventLog.write(EventKind::Request,
+                             written ? "result-listed" : "result-not-written",
+                             {{"item", item}, {"batch", batch}, {"completed", completed ? "yes" : "no"}});
+        });
+}
+
+void EnginePool::saveProgress(const batch::ItemProgress &progress)
+{
+    m_log.writeWithPayload(
+        m_log.payloadPartition(progress.batch),
+        batch::progressRecord(progress),
+        [batch = progress.batch, item = progress.item](std::uint64_t offset) {
+            return batch::savedRecord(batch, item, offset);
+        },
+        nullptr);
+}
+
+} // namespace bergamot::node
