lint: the new files are clean

Cause: clang-tidy named 14 places in the new code (unused members, widening products, a captured binding, vectors that grow in loops). Ruled out: nothing; no behaviour changes. Change: as named.

--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -64,6 +64,17 @@
         return test.param.name;
     });
 
+std::vector<LoadCandidate> twelveEngines()
+{
+    constexpr std::size_t Count = 12;
+    std::vector<LoadCandidate> engines;
+    engines.reserve(Count);
+    for (std::size_t number = 0; number < Count; ++number) {
+        engines.push_back(engine(("e" + std::to_string(number)).c_str(), 1));
+    }
+    return engines;
+}
+
 struct HomeCase
 {
     const char *name;
@@ -76,10 +87,7 @@
 
 TEST_P(HomeTest, EachModelKeepsEnginesByItsWork)
 {
-    std::vector<LoadCandidate> engines;
-    for (int number = 0; number < 12; ++number) {
-        engines.push_back(engine(("e" + std::to_string(number)).c_str(), 1));
-    }
+    const std::vector<LoadCandidate> engines = twelveEngines();
     std::map<std::string, ModelDemand> demand;
     for (const auto &[model, work] : GetParam().work) {
         demand[model].work = work;
@@ -105,10 +113,7 @@
 
 TEST(EngineHomesTest, ASmallDifferenceMovesNoEngine)
 {
-    std::vector<LoadCandidate> engines;
-    for (int number = 0; number < 12; ++number) {
-        engines.push_back(engine(("e" + std::to_string(number)).c_str(), 1));
-    }
+    const std::vector<LoadCandidate> engines = twelveEngines();
     EngineHomes homes;
     homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 10}}});
     const std::string before = homes.of("e0");
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -326,11 +326,11 @@
     }
     if (item != nullptr) {
         const BatchState *batch = findBatch(key.batch);
+        const std::uint32_t most = batch->route ? batch->route->maxAttempts : 1;
+        item->failures += end == RunEnd::Failed ? 1 : 0;
         if (end == RunEnd::Complete) {
             finishText(key, *item);
-        } else if (end == RunEnd::Impossible) {
-            giveUp(key, *item);
-        } else if (end == RunEnd::Failed && ++item->failures >= (batch->route ? batch->route->maxAttempts : 1)) {
+        } else if (end == RunEnd::Impossible || (end == RunEnd::Failed && item->failures >= most)) {
             giveUp(key, *item);
         }
     }
--- a/bergamot/net/http_client_test.cpp
+++ b/bergamot/net/http_client_test.cpp
@@ -14,6 +14,8 @@
 using boost::system::error_code;
 using namespace std::chrono_literals;
 
+constexpr std::size_t LongBody = std::size_t{32} * 1024 * 1024; // more than the buffers between two sockets hold
+
 /// Plays an endpoint whose every byte a test decides, on the loop of the client.
 class ScriptedPeer
 {
@@ -277,7 +279,7 @@
 {
     m_peer.replies = {"HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno"};
     Observed observed;
-    start(observed, {.method = "POST", .body = std::string(32 * 1024 * 1024, 'x')});
+    start(observed, {.method = "POST", .body = std::string(LongBody, 'x')});
     finish(observed);
     EXPECT_EQ(observed.status, 413);
     m_peer.replies = {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"};
@@ -292,15 +294,14 @@
 {
     m_peer.readNothing = true;
     Observed observed;
-    const std::shared_ptr<ClientCall> call =
-        start(observed, {.method = "POST", .body = std::string(32 * 1024 * 1024, 'x')});
+    const std::shared_ptr<ClientCall> call = start(observed, {.method = "POST", .body = std::string(LongBody, 'x')});
     runUntil([this] {
         return !m_peer.connections.empty();
     });
     m_loop.run_for(50ms);
     call->cancel();
     m_loop.run_for(50ms);
-    std::vector<char> bytes(64 * 1024 * 1024);
+    std::vector<char> bytes(2 * LongBody);
     error_code error;
     boost::asio::read(*m_peer.connections.front(), boost::asio::buffer(bytes), error);
     EXPECT_EQ(error, boost::asio::error::connection_reset);
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -367,8 +367,7 @@
 };
 
 HttpServer::HttpServer(asio::io_context &loop, Handler handler)
-    : m_loop(loop)
-    , m_handler(std::move(handler))
+    : m_handler(std::move(handler))
     , m_acceptor(loop)
     , m_retryAccept(loop)
     , m_timer(loop)
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -95,7 +95,6 @@
     void scheduleSweep();
     void sweep();
 
-    boost::asio::io_context &m_loop;
     Handler m_handler;
     ServerLimits m_limits;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -28,8 +28,7 @@
                    BatchLogOptions options,
                    EventLog &log,
                    std::uint64_t seed)
-    : m_loop(loop)
-    , m_store(store)
+    : m_store(store)
     , m_options(std::move(options))
     , m_log(log)
     , m_ownership(m_options.instance, m_options.ownership, seed)
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -105,7 +105,6 @@
     struct Fetch;
     void fetchNext(std::shared_ptr<Fetch> fetch);
 
-    boost::asio::io_context &m_loop;
     logstore::LogStore &m_store;
     BatchLogOptions m_options;
     EventLog &m_log;
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -24,8 +24,7 @@
 
 FleetView::FleetView(
     boost::asio::io_context &loop, logstore::LogStore &store, const PlatformCodec &codec, EventLog &log, Duration pace)
-    : m_loop(loop)
-    , m_store(store)
+    : m_store(store)
     , m_codec(codec)
     , m_log(log)
     , m_retryOperators(loop)
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -60,7 +60,6 @@
     void takeEndpointRecord(const logstore::KeyedRecord &record);
     std::optional<fleet::Endpoint> parseEndpoint(const logstore::KeyedRecord &record);
 
-    boost::asio::io_context &m_loop;
     logstore::LogStore &m_store;
     const PlatformCodec &m_codec;
     EventLog &m_log;
--- a/bergamot/routing/endpoint_pool_test.cpp
+++ b/bergamot/routing/endpoint_pool_test.cpp
@@ -32,6 +32,7 @@
     std::optional<std::size_t> slot;
     for (const std::vector<std::string> &list : GetParam().lists) {
         std::vector<RoutedEndpoint> endpoints;
+        endpoints.reserve(list.size());
         for (const std::string &id : list) {
             endpoints.push_back(endpoint(id));
         }
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -168,11 +168,12 @@
 
 void Router::onAlive(const EndpointId &endpoint, TimePoint aliveAt, TimePoint now)
 {
-    for (auto &[name, target] : m_targets) {
+    for (auto &entry : m_targets) {
+        TargetState &target = *entry.second;
         exonerateWhere(
-            *target,
-            [&](const ConnectionLoss &loss) {
-                return loss.at < aliveAt && target->pool.endpoint(loss.slot) == endpoint;
+            target,
+            [&target, &endpoint, aliveAt](const ConnectionLoss &loss) {
+                return loss.at < aliveAt && target.pool.endpoint(loss.slot) == endpoint;
             },
             now);
     }
