node: the setting of how long results are kept is used

Cause: found on reading the change again: results-kept-s was parsed and passed to the node, but the index of batches kept its default of 120 s; a deployment with a longer time would have lost ended batches. Ruled out: nothing. Change: the node hands it to the index; a comment without a deployment's name. Conclusion: the bound itself is covered by batch_index_test.

--- a/bergamot/load/measures.h
+++ b/bergamot/load/measures.h
@@ -2,7 +2,7 @@
 
 // What a run measures: latency by tenant and class, outcomes, the trainers' idle time and the samples' staleness.
 //
-//     measures.answered({"nyamirambo", "interactive"}, elapsed);
+//     measures.answered({"team-1", "interactive"}, elapsed);
 //     const Distribution latency = distributionOf(measures.latencies().at(key));
 
 #include <chrono>
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -31,6 +31,7 @@
     : m_store(store)
     , m_options(std::move(options))
     , m_log(log)
+    , m_index(m_options.index)
     , m_ownership(m_options.instance, m_options.ownership, seed)
     , m_tail(loop,
              store,
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -36,6 +36,7 @@
     Duration followerPace = std::chrono::milliseconds(200);
     Duration certainFor =
         std::chrono::milliseconds(1000); // an index not confirmed for longer cannot tell "no such batch"
+    batch::BatchIndexOptions index;
     duties::PoolOwnershipOptions ownership;
 };
 
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -52,6 +52,7 @@
     log.callBytes = options.callBytes;
     log.payloadPartitions = options.storePartitions;
     log.followerPace = options.followPace;
+    log.index.keepFor = options.resultsKept;
     log.ownership.orderLease = options.orderLease + OrderLeaseMargin;
     if (options.cpuShare < SmallCpuShare) {
         log.ownership.handicap = SmallHandicap;
