dispatch: runs go on under new weights, the longest awaited samples start first, a load is over when the engine says so

Cause: on the grown sites steps took 8-11 s where the longest sample takes 6. (1) An engine had to finish its runs before it took new weights, and heavy steps leave none idle, so engines were too old when the next step came. (2) Items started in the order of their groups, shortest group first, so the longest item of the awaited groups started last, after 2-4 s of waiting. (3) A load was taken as done after 0.92 s.

Ruled out: lack of slots (55% used), hand-over (1.9 s), slow engines (moved as before).

Change: orders say that runs go on, unless a route wants texts of a single version; labels come from the engine's events as before. Items of the awaited groups start longest first. Loads that are not confirmed count as loading, one run at a time asks such an engine, and any word of the new version (answer or event) ends the load.

GroupsThatCameAgain... now says how many groups the trainer waits for: the order it asks for is the same.

--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -133,8 +133,10 @@
             const ModelDemand &asked = found->second;
             const bool useless = version < asked.needed || version + 1 < asked.named;
             const bool idle = engine.runs == 0 && asked.waiting == 0;
+            // A load only keeps new runs away, and none can start where no slot is free or no sample waits.
+            const bool unharmed = asked.runsContinue && (asked.waiting == 0 || engine.runs >= engine.slots);
             const Rank rank{static_cast<std::int64_t>(version) - static_cast<std::int64_t>(asked.named), engine.runs};
-            if ((useless || idle) && (!best || rank < bestRank)) {
+            if ((useless || idle || unharmed) && (!best || rank < bestRank)) {
                 best = PlannedLoad{.engine = engine.engine, .model = model, .version = asked.named};
                 bestRank = rank;
             }
--- a/bergamot/dispatch/load_planner.h
+++ b/bergamot/dispatch/load_planner.h
@@ -6,7 +6,8 @@
 //
 // Load pattern: a version is named every few seconds, and the next step needs the version before it or a newer one.
 // Loads slow each other beyond a share of the engines. An engine too old for the open step does nothing useful, so it
-// loads first; one that still fits loads when it is idle and nothing waits, so that no sample waits for a load.
+// loads first; one that still fits loads when no sample waits for it: when it is idle or, if its runs may go on under
+// the new weights, when it has no free slot.
 
 #include <cstdint>
 #include <map>
@@ -22,6 +23,7 @@
     std::string engine;
     std::map<std::string, std::uint64_t> versions;
     std::uint32_t runs = 0;
+    std::uint32_t slots = 1;
     bool loading = false;
     bool usable = false;
     bool mayOrder = false; // no order of an earlier owner can cross
@@ -34,6 +36,7 @@
     std::uint64_t named = 0; // newest version that was named
     std::uint64_t needed = 0; // oldest version that open batches allow
     std::size_t waiting = 0; // samples without an engine
+    bool runsContinue = false; // its runs go on under new weights; otherwise an engine finishes them first
 };
 
 struct LoadPlannerOptions
--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -17,7 +17,7 @@
 
 LoadCandidate engine(const char *name, std::uint64_t version, std::uint32_t runs = 0)
 {
-    return {.engine = name, .versions = {{"m", version}}, .runs = runs, .usable = true, .mayOrder = true};
+    return {.engine = name, .versions = {{"m", version}}, .runs = runs, .slots = 4, .usable = true, .mayOrder = true};
 }
 
 LoadCandidate changed(LoadCandidate candidate, bool LoadCandidate::*field, bool value)
@@ -49,6 +49,15 @@
         PlanCase{"StillUsefulAndBusy", {engine("a", 4, 3)}, {.named = 5, .needed = 4}, ""},
         PlanCase{"StillUsefulAndAwaited", {engine("a", 4)}, {.named = 5, .needed = 4, .waiting = 9}, ""},
         PlanCase{"TooOldAndBusy", {engine("a", 3, 3)}, {.named = 5, .needed = 4, .waiting = 9}, "a"},
+        PlanCase{"RunsContinue", {engine("a", 4, 3)}, {.named = 5, .needed = 4, .runsContinue = true}, "a"},
+        PlanCase{"RunsContinueAndASlotIsAwaited",
+                 {engine("a", 4, 3)},
+                 {.named = 5, .needed = 4, .waiting = 9, .runsContinue = true},
+                 ""},
+        PlanCase{"RunsContinueAndNoSlotIsFree",
+                 {engine("a", 4, 4)},
+                 {.named = 5, .needed = 4, .waiting = 9, .runsContinue = true},
+                 "a"},
         PlanCase{"OldestFirst", {engine("a", 4), engine("b", 2, 5)}, {.named = 5, .needed = 4}, "b"},
         PlanCase{"LeastToFinish", {engine("a", 3, 5), engine("b", 3, 1)}, {.named = 5, .needed = 4}, "b"},
         PlanCase{"ShareIsLoading",
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -43,8 +43,10 @@
         for (const auto &[model, version] : facts.versions) {
             // The list lags behind what the engine itself said of a load.
             std::uint64_t &known = engine.versions[model];
-            if (version >= known || (engine.loading.empty() && !engine.assumed)) {
-                engine.assumed = engine.assumed && version < known;
+            if (version >= known || (engine.loading.empty() && engine.assumed != model)) {
+                if (engine.assumed == model) {
+                    engine.assumed.clear();
+                }
                 known = std::max(known, version);
             }
         }
@@ -79,6 +81,7 @@
     state.host = batch.host;
     state.model = batch.model;
     state.minVersion = batch.minVersion;
+    state.wantedGroups = batch.wantedGroups;
     state.route = std::move(route);
     state.addedAt = now;
     state.items.reserve(batch.items.size());
@@ -228,7 +231,7 @@
     closeIfDone(key.batch);
 }
 
-void SampleScheduler::runStarted(RunId run, std::uint64_t version)
+void SampleScheduler::runStarted(RunId run, std::uint64_t version, TimePoint now)
 {
     const auto found = m_runs.find(run);
     if (found == m_runs.end() || version == 0) {
@@ -237,8 +240,8 @@
     const BatchState *batch = findBatch(found->second.key.batch);
     const auto engine = m_engines.find(found->second.engine);
     if (batch != nullptr && engine != m_engines.end()) {
-        engine->second.versions[batch->model] = version;
-        engine->second.assumed = false;
+        versionSeen(engine->first, batch->model, version);
+        assign(now);
     }
 }
 
@@ -281,6 +284,9 @@
         pace = pace == 0 ? alone : pace + PaceSmoothing * (alone - pace);
     }
     engine->second.losses = 0;
+    if (version >= engine->second.versions[batch->model]) {
+        versionSeen(engine->first, batch->model, version); // it took new weights under the run
+    }
     ++found->second.events;
     found->second.lastEventAt = now;
     return true;
@@ -373,16 +379,21 @@
     }
     found->second.loading.clear();
     std::uint64_t &known = found->second.versions[model];
-    found->second.assumed = version > known || found->second.assumed;
-    known = std::max(known, version);
+    if (version > known) {
+        found->second.assumed = model;
+        known = version;
+    }
 }
 
 void SampleScheduler::versionSeen(const std::string &engine, const std::string &model, std::uint64_t version)
 {
     const auto found = m_engines.find(engine);
-    if (found != m_engines.end()) {
-        found->second.versions[model] = version;
-        found->second.assumed = false;
+    if (found == m_engines.end()) {
+        return;
+    }
+    found->second.versions[model] = version;
+    if (found->second.assumed == model) {
+        found->second.assumed.clear();
     }
 }
 
@@ -433,7 +444,8 @@
         engine.runs.clear();
         engine.tokens = 0;
         engine.loading.clear();
-        engine.assumed = false;
+        engine.assumed.clear();
+        engine.probe = 0;
     }
 }
 
@@ -446,6 +458,7 @@
                          .address = engine.facts.address,
                          .versions = engine.versions,
                          .runs = static_cast<std::uint32_t>(engine.runs.size()),
+                         .slots = engine.facts.slots,
                          .loading = !engine.loading.empty(),
                          .usable = !engine.facts.draining && now >= engine.notBefore});
     }
@@ -507,6 +520,14 @@
     return needed;
 }
 
+bool SampleScheduler::mayMixVersions(const std::string &model) const
+{
+    return std::none_of(m_batches.begin(), m_batches.end(), [&model](const auto &entry) {
+        const BatchState &batch = entry.second;
+        return batch.model == model && (!batch.route || batch.route->singleVersion);
+    });
+}
+
 bool SampleScheduler::hasBatch(const std::string &batch) const
 {
     return m_batches.contains(batch);
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -9,9 +9,9 @@
 //     for (const SchedulerAction &action : scheduler.takeActions()) { ... }
 //
 // Load pattern: a step's samples arrive at once and are more than the engines' slots; some samples are many times
-// longer than others; engines differ in speed, turn slow, crash, or load weights. Older batches go first and items in
-// the order of their groups, so that whole groups finish; a run that breaks off or crawls goes on at another engine
-// after the last event that arrived.
+// longer than others; engines differ in speed, turn slow, crash, or load weights. Older batches go first; of a batch
+// the groups that its trainer waits for, the longest items before the others; a run that breaks off or crawls goes on
+// at another engine after the last event that arrived.
 
 #include <cstdint>
 #include <functional>
@@ -72,6 +72,7 @@
     ItemKey key;
     std::string engine;
     Address address;
+    std::string model;
     std::optional<std::uint64_t> resumeAfter; // id of the last event that arrived
     std::optional<std::uint64_t> expectedVersion; // set while the engine's version is only assumed
 };
@@ -164,7 +165,7 @@
     void itemListed(const ItemKey &key);
 
     /// The engine answered with the version of its weights.
-    void runStarted(RunId run, std::uint64_t version);
+    void runStarted(RunId run, std::uint64_t version, TimePoint now);
     /// False if the event is out of order: the run has been cancelled and goes on elsewhere.
     bool runEvent(RunId run, std::uint64_t eventId, std::string_view data, std::uint64_t version, TimePoint now);
     void runEnded(RunId run, RunEnd end, TimePoint now);
@@ -172,7 +173,7 @@
 
     /// No new run of `model` starts at the engine while it takes new weights.
     void loadStarted(const std::string &engine, const std::string &model);
-    /// The engine is assumed to have `version`; runs say so to it until it confirms.
+    /// The engine is assumed to have `version`: one run at a time asks it for that version until one is accepted.
     void loadFinished(const std::string &engine, const std::string &model, std::uint64_t version);
     /// The engine itself said which version it has.
     void versionSeen(const std::string &engine, const std::string &model, std::uint64_t version);
@@ -190,6 +191,7 @@
         Address address;
         std::map<std::string, std::uint64_t> versions;
         std::uint32_t runs = 0;
+        std::uint32_t slots = 1;
         bool loading = false;
         bool usable = false;
     };
@@ -201,6 +203,8 @@
     std::size_t running() const;
     /// The oldest version that the newest open batch of `model` allows; 0 if none is open.
     std::uint64_t neededVersion(const std::string &model) const;
+    /// Whether every open batch of `model` takes texts that several versions made.
+    bool mayMixVersions(const std::string &model) const;
     bool hasBatch(const std::string &batch) const;
     /// Slots x seconds that a batch of `model` usually takes; 0 before the first one.
     double demand(const std::string &model) const;
@@ -240,6 +244,7 @@
         std::string host;
         std::string model;
         std::uint64_t minVersion = 0;
+        std::uint32_t wantedGroups = 0; // groups that the trainer waits for; 0: all
         std::optional<ItemRoute> route;
         bool routeGone = false;
         TimePoint addedAt{};
@@ -268,7 +273,8 @@
         TimePoint notBefore{};
         std::uint32_t losses = 0; // in a row
         std::string loading; // the model whose weights it takes; empty: none
-        bool assumed = false; // the version is not confirmed
+        std::string assumed; // the model whose version is not confirmed; empty: none
+        RunId probe = 0; // run that is to confirm it; no other run of that model starts meanwhile
         bool listed = true;
     };
 
@@ -286,7 +292,8 @@
     EngineState *bestEngine(const BatchState &batch, const ItemState &item, TimePoint now);
     /// Batches whose results can still be in time go before those that are late.
     std::vector<std::string> batchesByUrgency(TimePoint now) const;
-    /// Groups that came again first, then those with the least to do: the trainer does not wait for all groups.
+    /// The groups that the trainer will wait for first: those that came again, then those with the least to do. Among
+    /// them the longest items start first.
     void orderItems(BatchState &batch);
     void assign(TimePoint now);
     void start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now);
--- a/bergamot/dispatch/sample_scheduler_choice.cpp
+++ b/bergamot/dispatch/sample_scheduler_choice.cpp
@@ -37,6 +37,9 @@
     if (engine.runs.size() >= engine.facts.slots || versionOf(engine.versions, batch.model) < batch.minVersion) {
         return false;
     }
+    if (engine.assumed == batch.model && engine.probe != 0) {
+        return false;
+    }
     const auto room = static_cast<double>(engine.facts.memoryTokens) * m_options.memoryShare;
     const bool alone = engine.runs.empty();
     return engine.facts.memoryTokens == 0 || alone || static_cast<double>(engine.tokens + item.item.tokens) <= room;
@@ -143,14 +146,24 @@
         const Group &other = groups[right];
         return std::tuple(!one.begun, one.expected) < std::tuple(!other.begun, other.expected);
     });
-    for (const std::string &name : names) {
-        std::vector<std::uint32_t> &items = groups[name].items;
-        std::stable_sort(items.begin(), items.end(), [&batch](std::uint32_t left, std::uint32_t right) {
-            return batch.items[left].item.expectedOutput > batch.items[right].item.expectedOutput;
-        });
-        batch.startOrder.insert(batch.startOrder.end(), items.begin(), items.end());
-        m_seenGroups.insert(name);
-    }
+    const auto appendGroups = [&](std::size_t from, std::size_t to) {
+        const auto begun = static_cast<std::ptrdiff_t>(batch.startOrder.size());
+        for (std::size_t index = from; index < to; ++index) {
+            const std::vector<std::uint32_t> &items = groups[names[index]].items;
+            batch.startOrder.insert(batch.startOrder.end(), items.begin(), items.end());
+            m_seenGroups.insert(names[index]);
+        }
+        std::stable_sort(batch.startOrder.begin() + begun,
+                         batch.startOrder.end(),
+                         [&batch](std::uint32_t left, std::uint32_t right) {
+                             return batch.items[left].item.expectedOutput > batch.items[right].item.expectedOutput;
+                         });
+    };
+    // The step is whole when the longest item of the awaited groups is, so that one must not start last.
+    const std::size_t awaited = batch.wantedGroups == 0 ? names.size() : batch.wantedGroups;
+    const std::size_t first = std::min(awaited, names.size());
+    appendGroups(0, first);
+    appendGroups(first, names.size());
 }
 
 double SampleScheduler::demand(const std::string &model) const
@@ -168,11 +181,13 @@
     engine.runs.insert(run);
     engine.tokens += item.item.tokens;
     m_runs.emplace(run, Run{.key = key, .engine = engine.facts.id, .startedAt = now, .lastEventAt = now});
-    StartRun action{.run = run, .key = key, .engine = engine.facts.id, .address = engine.facts.address};
+    StartRun action{
+        .run = run, .key = key, .engine = engine.facts.id, .address = engine.facts.address, .model = batch.model};
     if (item.hasEvents) {
         action.resumeAfter = item.lastEvent;
     }
-    if (engine.assumed) {
+    if (engine.assumed == batch.model) {
+        engine.probe = run;
         action.expectedVersion = versionOf(engine.versions, batch.model);
     }
     m_actions.emplace_back(std::move(action));
@@ -203,6 +218,9 @@
     if (engine != m_engines.end() && engine->second.runs.erase(run) > 0 && item != nullptr) {
         engine->second.tokens -= std::min<std::uint64_t>(engine->second.tokens, item->item.tokens);
     }
+    if (engine != m_engines.end() && engine->second.probe == run) {
+        engine->second.probe = 0;
+    }
     if (item != nullptr && item->run == run) {
         item->run = 0;
     }
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -355,13 +355,80 @@
     addBatch("b", 1, 5);
     ASSERT_EQ(m_starts.size(), 1U);
     EXPECT_EQ(m_starts[0].expectedVersion, 5U);
-    m_scheduler.runStarted(m_starts[0].run, 5);
+    m_scheduler.runStarted(m_starts[0].run, 5, m_now);
     event(m_starts[0].run, 1);
     end(m_starts[0].run, RunEnd::Complete);
     addBatch("c", 1, 5);
     EXPECT_FALSE(m_starts.back().expectedVersion);
 }
 
+struct AssumedCase
+{
+    const char *name;
+    std::optional<RunEnd> refusal; // of the first run; none: the engine accepts it
+    Duration later; // after which the runs are counted
+    std::size_t runs;
+};
+
+class AssumedLoadTest : public SampleSchedulerTest, public testing::WithParamInterface<AssumedCase>
+{ };
+
+// Replays a load that takes longer than usual while many samples wait: the engine refuses everything meanwhile.
+TEST_P(AssumedLoadTest, OneRunAtATimeAsksAnEngineWhoseLoadIsNotConfirmed)
+{
+    setEngines({engine("e3", 4, 6)});
+    m_scheduler.loadStarted("e3", "m");
+    m_scheduler.loadFinished("e3", "m", 5);
+    addBatch("b", 20, 5);
+    ASSERT_EQ(m_starts.size(), 1U);
+    if (GetParam().refusal) {
+        end(m_starts[0].run, *GetParam().refusal);
+    } else {
+        m_scheduler.runStarted(m_starts[0].run, 5, m_now);
+    }
+    pass(GetParam().later);
+    EXPECT_EQ(m_starts.size(), GetParam().runs);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers,
+                         AssumedLoadTest,
+                         testing::Values(AssumedCase{"Accepted", std::nullopt, 0ms, 6},
+                                         AssumedCase{"Refused", RunEnd::NotExecuted, 10ms, 1},
+                                         AssumedCase{"RefusedAndAskedAgain", RunEnd::NotExecuted, 110ms, 2},
+                                         AssumedCase{"WrongVersion", RunEnd::WrongVersion, 160ms, 2}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST_F(SampleSchedulerTest, AnEventUnderNewWeightsConfirmsTheirLoad)
+{
+    setEngines({engine("e3", 4, 6)});
+    addBatch("a", 1);
+    event(m_starts[0].run, 1, 4);
+    m_scheduler.loadStarted("e3", "m");
+    m_scheduler.loadFinished("e3", "m", 5);
+    event(m_starts[0].run, 2, 5);
+    addBatch("b", 4, 5);
+    EXPECT_EQ(m_starts.size(), 5U);
+    event(m_starts[0].run, 3, 5);
+    end(m_starts[0].run, RunEnd::Complete);
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_EQ(m_results[0].versions, (std::vector<std::uint64_t>{4, 5}));
+}
+
+TEST_F(SampleSchedulerTest, VersionsMayMixOnlyWhereEveryOpenBatchAllowsIt)
+{
+    EXPECT_TRUE(m_scheduler.mayMixVersions("m"));
+    addBatch("a", 1);
+    EXPECT_TRUE(m_scheduler.mayMixVersions("m"));
+    m_route.singleVersion = true;
+    addBatch("b", 1);
+    EXPECT_FALSE(m_scheduler.mayMixVersions("m"));
+    EXPECT_TRUE(m_scheduler.mayMixVersions("other"));
+    m_scheduler.endBatch("b");
+    EXPECT_TRUE(m_scheduler.mayMixVersions("m"));
+}
+
 // Replays a step whose last runs sit on an engine that has turned several times slower than the other.
 TEST_F(SampleSchedulerTest, ARunThatCrawlsMovesToAFreeFastEngine)
 {
@@ -443,7 +510,7 @@
     m_scheduler.addBatch(first, {}, m_route, m_now);
     m_scheduler.endBatch("a");
     collect();
-    batch::Batch second{.id = "b", .host = "h", .model = "m", .minVersion = 4};
+    batch::Batch second{.id = "b", .host = "h", .model = "m", .minVersion = 4, .wantedGroups = 2, .items = {}};
     second.items.push_back({.id = "b0", .path = "/p", .group = "long", .expectedOutput = 500});
     second.items.push_back({.id = "b1", .path = "/p", .group = "short", .expectedOutput = 50});
     second.items.push_back({.id = "b2", .path = "/p", .group = "short", .expectedOutput = 80});
@@ -460,6 +527,91 @@
     EXPECT_EQ(order, (std::vector<std::uint32_t>{3, 2, 1, 0}));
 }
 
+struct StepCase
+{
+    const char *name;
+    std::uint32_t slots; // of each of two engines
+    std::uint32_t groups;
+    std::uint32_t wanted;
+    std::uint32_t longest; // tokens of the longest item of the awaited groups
+};
+
+class StepTimeTest : public SampleSchedulerTest, public testing::WithParamInterface<StepCase>
+{
+protected:
+    static constexpr std::uint32_t ItemsOfGroup = 8;
+    static constexpr std::uint32_t UsualTokens = 50;
+
+    /// Every group has one long item; those beyond the awaited ones have the longest.
+    batch::Batch step() const
+    {
+        batch::Batch batch{
+            .id = "s", .host = "h", .model = "m", .minVersion = 4, .wantedGroups = GetParam().wanted, .items = {}};
+        for (std::uint32_t group = 0; group < GetParam().groups; ++group) {
+            const std::uint32_t top = group < GetParam().wanted ? GetParam().longest * (group + 1) / GetParam().wanted
+                                                                : GetParam().longest * 2;
+            for (std::uint32_t item = 0; item < ItemsOfGroup; ++item) {
+                batch.items.push_back({.id = std::to_string(group) + "." + std::to_string(item),
+                                       .path = "/p",
+                                       .group = std::to_string(group),
+                                       .expectedOutput = item == 0 ? top : UsualTokens});
+            }
+        }
+        return batch;
+    }
+
+    /// Plays the step with runs of one tick a token, and returns the tick at which the awaited groups are whole.
+    std::uint32_t play(const batch::Batch &batch)
+    {
+        std::map<std::uint32_t, std::vector<StartRun>> ends; // by tick
+        std::set<std::uint32_t> missing; // items of the awaited groups
+        for (std::uint32_t item = 0; item < GetParam().wanted * ItemsOfGroup; ++item) {
+            missing.insert(item);
+        }
+        m_scheduler.addBatch(batch, {}, m_route, m_now);
+        collect();
+        std::size_t seen = 0;
+        for (std::uint32_t tick = 0;; ++tick) {
+            for (; seen < m_starts.size(); ++seen) {
+                ends[tick + batch.items[m_starts[seen].key.item].expectedOutput].push_back(m_starts[seen]);
+            }
+            for (const StartRun &run : ends[tick]) {
+                event(run.run, 1);
+                end(run.run, RunEnd::Complete);
+                missing.erase(run.key.item);
+            }
+            if (missing.empty()) {
+                return tick;
+            }
+        }
+    }
+};
+
+// Replays a step at full load with a few samples many times longer than the others. No order can end before the
+// longest item or before the slots have done all the work; starting the longest first ends within a third of that.
+TEST_P(StepTimeTest, AStepEndsSoonAfterItsLongestItemCould)
+{
+    setEngines({engine("e1", 5, GetParam().slots), engine("e2", 5, GetParam().slots)});
+    const batch::Batch batch = step();
+    std::uint32_t work = 0;
+    for (std::uint32_t item = 0; item < GetParam().wanted * ItemsOfGroup; ++item) {
+        work += batch.items[item].expectedOutput;
+    }
+    const std::uint32_t bound = std::max(GetParam().longest, work / (2 * GetParam().slots));
+    EXPECT_LE(play(batch), bound + bound / 3);
+}
+
+INSTANTIATE_TEST_SUITE_P(Steps,
+                         StepTimeTest,
+                         testing::Values(StepCase{"LongTail", 10, 9, 8, 400},
+                                         StepCase{"VeryLongTail", 10, 14, 12, 900},
+                                         StepCase{"ShortTail", 10, 14, 12, 100},
+                                         StepCase{"FewSlots", 4, 14, 12, 400},
+                                         StepCase{"AllAwaited", 10, 9, 9, 400}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 TEST_F(SampleSchedulerTest, ALateBatchYieldsToOneThatCanBeInTime)
 {
     m_route.resultDeadline = 5s;
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -148,6 +148,8 @@
     void confirmLoad(const std::string &engine);
     void sendOrder(const std::string &engine);
     void orderAnswered(const std::string &engine, int status, const net::CallEnd &end);
+    /// An engine's own word of its version ends the load that was to bring it.
+    void noteVersion(const ActiveRun &run);
     void pauseLoad(Load &load);
     void endLoad(const std::string &engine, std::string_view reason);
     /// The same, and the engine gets no order for a while.
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -19,7 +19,8 @@
         demand[model] = {.work = m_scheduler.demand(model),
                          .named = version,
                          .needed = m_scheduler.neededVersion(model),
-                         .waiting = m_scheduler.waiting(model)};
+                         .waiting = m_scheduler.waiting(model),
+                         .runsContinue = m_scheduler.mayMixVersions(model)};
     }
     while (true) {
         std::vector<dispatch::LoadCandidate> candidates;
@@ -28,7 +29,9 @@
                 {.engine = engine.id,
                  .versions = engine.versions,
                  .runs = engine.runs,
-                 .loading = engine.loading,
+                 .slots = engine.slots,
+                 // Also while the load is only assumed to have ended: more at once slow all of them.
+                 .loading = engine.loading || m_loads.contains(engine.id),
                  .usable = engine.usable && !m_loads.contains(engine.id) && now >= m_loadNotBefore[engine.id],
                  .mayOrder = m_log.ownership().mayOrder(engine.id, now)});
         }
@@ -193,7 +196,8 @@
                           .version = load.version,
                           .holder = m_options.holder,
                           .fencing = m_log.ownership().epoch(),
-                          .expectedOrders = m_orderCounts[engine]};
+                          .expectedOrders = m_orderCounts[engine],
+                          .runsContinue = m_scheduler.mayMixVersions(load.model)};
     m_eventLog.write(EventKind::State,
                      "load-ordered",
                      {{"engine", engine},
@@ -237,6 +241,14 @@
     failLoad(engine, "refused with status " + std::to_string(status));
 }
 
+void EnginePool::noteVersion(const ActiveRun &run)
+{
+    const auto load = m_loads.find(run.engine);
+    if (load != m_loads.end() && load->second.model == run.model && run.version >= load->second.version) {
+        endLoad(run.engine, "loaded");
+    }
+}
+
 void EnginePool::pauseLoad(Load &load)
 {
     load.phase = LoadPhase::Pausing;
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -116,6 +116,7 @@
     ActiveRun &run = m_runs[id];
     run.key = action.key;
     run.engine = action.engine;
+    run.model = action.model;
     run.expectsVersion = action.expectedVersion.has_value();
     run.call = m_client.start(std::move(request),
                               {.onHead =
@@ -143,11 +144,9 @@
     run.notExecuted = head.headers.has(m_codec.headers().notExecuted);
     if (head.status == Ok) {
         run.version = number(head.headers.find(m_codec.headers().weightVersions).value_or(""));
-        m_scheduler.runStarted(id, run.version);
-        const auto load = m_loads.find(run.engine);
-        if (load != m_loads.end() && load->second.assumed && run.expectsVersion) {
-            endLoad(run.engine, "loaded");
-        }
+        m_scheduler.runStarted(id, run.version, BootClock::now());
+        noteVersion(run);
+        perform();
     }
 }
 
@@ -163,6 +162,7 @@
         for (const auto &[name, value] : event.otherFields) {
             if (name == m_codec.headers().weightVersionField) {
                 run.version = number(value);
+                noteVersion(run);
             }
         }
         if (!event.id) {
--- a/bergamot/node/platform_codec.h
+++ b/bergamot/node/platform_codec.h
@@ -82,6 +82,7 @@
     std::string holder;
     std::uint64_t fencing = 0;
     std::uint64_t expectedOrders = 0; // that the engine has accepted since its start
+    bool runsContinue = false; // under the new weights; otherwise the engine lets its runs finish first
 };
 
 struct EngineReport
