--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -46,6 +46,23 @@
     return result;
 }
 
+/// Samples that wait for each model, for each of its engines that serves them or soon will.
+std::map<std::string, double> samplesPerEngine(const std::vector<LoadCandidate> &engines,
+                                               const std::map<std::string, ModelDemand> &demand,
+                                               const EngineHomes &homes)
+{
+    std::map<std::string, double> result;
+    for (const auto &[model, asked] : demand) {
+        const auto serving = std::count_if(engines.begin(), engines.end(), [&](const LoadCandidate &engine) {
+            const auto version = engine.versions.find(model);
+            const bool fresh = version != engine.versions.end() && version->second >= asked.needed;
+            return homes.of(engine.engine) == model && (fresh || engine.loading);
+        });
+        result[model] = static_cast<double>(asked.waiting) / static_cast<double>(serving + 1);
+    }
+    return result;
+}
+
 } // namespace
 
 void EngineHomes::update(const std::vector<LoadCandidate> &engines, const std::map<std::string, ModelDemand> &demand)
@@ -116,8 +133,10 @@
     if (loading >= most) {
         return std::nullopt;
     }
-    // The one that is furthest behind first, then the one with the least to finish.
-    using Rank = std::tuple<std::int64_t, std::uint32_t>;
+    const std::map<std::string, double> crowds = samplesPerEngine(engines, demand, homes);
+    // First for the model whose samples wait for it most, then the one that is furthest behind, then the one with the
+    // least to finish.
+    using Rank = std::tuple<double, std::int64_t, std::uint32_t>;
     std::optional<PlannedLoad> best;
     Rank bestRank{};
     for (const LoadCandidate &engine : engines) {
@@ -135,7 +154,9 @@
             const bool idle = engine.runs == 0 && asked.waiting == 0;
             // A load only keeps new runs away, and none can start where no slot is free or no sample waits.
             const bool unharmed = asked.runsContinue && (asked.waiting == 0 || engine.runs >= engine.slots);
-            const Rank rank{static_cast<std::int64_t>(version) - static_cast<std::int64_t>(asked.named), engine.runs};
+            const double crowd = version < asked.needed ? crowds.at(model) : 0;
+            const Rank rank{
+                -crowd, static_cast<std::int64_t>(version) - static_cast<std::int64_t>(asked.named), engine.runs};
             if ((useless || idle || unharmed) && (!best || rank < bestRank)) {
                 best = PlannedLoad{.engine = engine.engine, .model = model, .version = asked.named};
                 bestRank = rank;
