dispatch: placing a sample weighs free engines only; loads are planned in one pass

Each ending run weighed every engine for every batch, each tick weighed every engine for every run, and each planned load copied all engines.

Test: SizeTest counts how often an engine is weighed for 10, 100, 1,000 engines (exceeds its bound before). RushTest: loads go where the most samples wait for an engine.

--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -46,19 +46,54 @@
     return result;
 }
 
-/// Samples that wait for each model, for each of its engines that serves them or soon will.
-std::map<std::string, double> samplesPerEngine(const std::vector<LoadCandidate> &engines,
-                                               const std::map<std::string, ModelDemand> &demand,
-                                               const EngineHomes &homes)
+/// An engine that may be told to load the newest version of its home model.
+struct Possible
 {
-    std::map<std::string, double> result;
-    for (const auto &[model, asked] : demand) {
-        const auto serving = std::count_if(engines.begin(), engines.end(), [&](const LoadCandidate &engine) {
-            const auto version = engine.versions.find(model);
-            const bool fresh = version != engine.versions.end() && version->second >= asked.needed;
-            return homes.of(engine.engine) == model && (fresh || engine.loading);
-        });
-        result[model] = static_cast<double>(asked.waiting) / static_cast<double>(serving + 1);
+    const LoadCandidate *engine = nullptr;
+    const std::string *model = nullptr;
+    const ModelDemand *asked = nullptr;
+    std::int64_t behind = 0; // versions
+    bool tooOld = false; // for the open batches
+};
+
+std::optional<Possible>
+possibleLoad(const LoadCandidate &engine, const std::map<std::string, ModelDemand> &demand, const std::string &home)
+{
+    const auto version = engine.versions.find(home);
+    const auto asked = demand.find(home);
+    if (engine.loading || !engine.usable || !engine.mayOrder || version == engine.versions.end()
+        || asked == demand.end() || version->second >= asked->second.named) {
+        return std::nullopt;
+    }
+    const ModelDemand &wanted = asked->second;
+    const bool tooOld = version->second < wanted.needed;
+    const bool idle = engine.runs == 0 && wanted.waiting == 0;
+    // A load only keeps new runs away, and none can start where no slot is free or no sample waits.
+    const bool unharmed = wanted.runsContinue && (wanted.waiting == 0 || engine.runs >= engine.slots);
+    if (!tooOld && version->second + 1 >= wanted.named && !idle && !unharmed) {
+        return std::nullopt;
+    }
+    return Possible{.engine = &engine,
+                    .model = &asked->first,
+                    .asked = &wanted,
+                    .behind = static_cast<std::int64_t>(wanted.named - version->second),
+                    .tooOld = tooOld};
+}
+
+/// For each model, its engines that serve the open batches or soon will.
+std::map<std::string, std::size_t> servingEngines(const std::vector<LoadCandidate> &engines,
+                                                  const std::map<std::string, ModelDemand> &demand,
+                                                  const EngineHomes &homes)
+{
+    std::map<std::string, std::size_t> result;
+    for (const LoadCandidate &engine : engines) {
+        const std::string &home = homes.of(engine.engine);
+        const auto version = engine.versions.find(home);
+        const auto asked = demand.find(home);
+        const bool known = version != engine.versions.end() && asked != demand.end();
+        if (known && (engine.loading || version->second >= asked->second.needed)) {
+            ++result[home];
+        }
     }
     return result;
 }
@@ -115,55 +150,50 @@
     }
 }
 
-std::string EngineHomes::of(const std::string &engine) const
+const std::string &EngineHomes::of(const std::string &engine) const
 {
+    static const std::string None;
     const auto found = m_homes.find(engine);
-    return found == m_homes.end() ? std::string() : found->second;
+    return found == m_homes.end() ? None : found->second;
 }
 
-std::optional<PlannedLoad> nextLoad(const std::vector<LoadCandidate> &engines,
-                                    const std::map<std::string, ModelDemand> &demand,
-                                    const EngineHomes &homes,
-                                    const LoadPlannerOptions &options)
+std::vector<PlannedLoad> nextLoads(const std::vector<LoadCandidate> &engines,
+                                   const std::map<std::string, ModelDemand> &demand,
+                                   const EngineHomes &homes,
+                                   const LoadPlannerOptions &options)
 {
-    const auto loading = std::count_if(engines.begin(), engines.end(), [](const LoadCandidate &engine) {
+    auto loading = std::count_if(engines.begin(), engines.end(), [](const LoadCandidate &engine) {
         return engine.loading;
     });
     const auto most = std::max(1L, std::lround(static_cast<double>(engines.size()) * options.shareAtOnce));
     if (loading >= most) {
-        return std::nullopt;
+        return {};
     }
-    const std::map<std::string, double> crowds = samplesPerEngine(engines, demand, homes);
-    // First for the model whose samples wait for it most, then the one that is furthest behind, then the one with the
-    // least to finish.
-    using Rank = std::tuple<double, std::int64_t, std::uint32_t>;
-    std::optional<PlannedLoad> best;
-    Rank bestRank{};
+    std::vector<Possible> possible;
     for (const LoadCandidate &engine : engines) {
-        if (engine.loading || !engine.usable || !engine.mayOrder) {
-            continue;
-        }
-        for (const auto &[model, version] : engine.versions) {
-            const auto found = demand.find(model);
-            const bool elsewhere = homes.of(engine.engine) != model;
-            if (found == demand.end() || elsewhere || version >= found->second.named) {
-                continue;
-            }
-            const ModelDemand &asked = found->second;
-            const bool useless = version < asked.needed || version + 1 < asked.named;
-            const bool idle = engine.runs == 0 && asked.waiting == 0;
-            // A load only keeps new runs away, and none can start where no slot is free or no sample waits.
-            const bool unharmed = asked.runsContinue && (asked.waiting == 0 || engine.runs >= engine.slots);
-            const double crowd = version < asked.needed ? crowds.at(model) : 0;
-            const Rank rank{
-                -crowd, static_cast<std::int64_t>(version) - static_cast<std::int64_t>(asked.named), engine.runs};
-            if ((useless || idle || unharmed) && (!best || rank < bestRank)) {
-                best = PlannedLoad{.engine = engine.engine, .model = model, .version = asked.named};
-                bestRank = rank;
-            }
+        if (const std::optional<Possible> load = possibleLoad(engine, demand, homes.of(engine.engine))) {
+            possible.push_back(*load);
         }
     }
-    return best;
+    std::map<std::string, std::size_t> serving = servingEngines(engines, demand, homes);
+    std::vector<PlannedLoad> planned;
+    for (; loading < most && !possible.empty(); ++loading) {
+        // First for the model with the most waiting samples for each engine that serves them, then the engine that is
+        // furthest behind, then the one with the least to finish.
+        const auto rank = [&serving](const Possible &load) {
+            const double crowd =
+                static_cast<double>(load.asked->waiting) / static_cast<double>(serving[*load.model] + 1);
+            return std::tuple(load.tooOld ? -crowd : 0, -load.behind, load.engine->runs);
+        };
+        const auto best =
+            std::min_element(possible.begin(), possible.end(), [&rank](const Possible &left, const Possible &right) {
+                return rank(left) < rank(right);
+            });
+        planned.push_back({.engine = best->engine->engine, .model = *best->model, .version = best->asked->named});
+        ++serving[*best->model];
+        possible.erase(best);
+    }
+    return planned;
 }
 
 } // namespace bergamot::dispatch
--- a/bergamot/dispatch/load_planner.h
+++ b/bergamot/dispatch/load_planner.h
@@ -2,7 +2,7 @@
 
 // Decides which engine loads a newly named weight version, and when. Pure.
 //
-//     std::optional<PlannedLoad> load = nextLoad(engines, named, demand, options);
+//     for (const PlannedLoad &load : nextLoads(engines, demand, homes, options)) { ... }
 //
 // Load pattern: a version is named every few seconds, and the next step needs the version before it or a newer one.
 // Loads slow each other beyond a share of the engines. An engine too old for the open step does nothing useful, so it
@@ -62,16 +62,16 @@
 public:
     /// Keeps what is assigned as long as no model is short of more than one engine.
     void update(const std::vector<LoadCandidate> &engines, const std::map<std::string, ModelDemand> &demand);
-    std::string of(const std::string &engine) const;
+    const std::string &of(const std::string &engine) const;
 
 private:
     std::map<std::string, std::string> m_homes; // model by engine
 };
 
-/// The load to begin now, if any.
-std::optional<PlannedLoad> nextLoad(const std::vector<LoadCandidate> &engines,
-                                    const std::map<std::string, ModelDemand> &demand,
-                                    const EngineHomes &homes,
-                                    const LoadPlannerOptions &options);
+/// The loads to begin now, the most urgent first.
+std::vector<PlannedLoad> nextLoads(const std::vector<LoadCandidate> &engines,
+                                   const std::map<std::string, ModelDemand> &demand,
+                                   const EngineHomes &homes,
+                                   const LoadPlannerOptions &options);
 
 } // namespace bergamot::dispatch
--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -33,10 +33,11 @@
 {
     EngineHomes homes;
     homes.update(GetParam().engines, {{"m", GetParam().demand}});
-    const std::optional<PlannedLoad> load = nextLoad(GetParam().engines, {{"m", GetParam().demand}}, homes, {});
-    EXPECT_EQ(load ? load->engine : "", GetParam().engine);
-    if (load) {
-        EXPECT_EQ(load->version, GetParam().demand.named);
+    const std::vector<PlannedLoad> loads = nextLoads(GetParam().engines, {{"m", GetParam().demand}}, homes, {});
+    EXPECT_EQ(loads.empty() ? "" : loads[0].engine, GetParam().engine);
+    EXPECT_LE(loads.size(), 1U) << "more than a fifth of two engines at once";
+    for (const PlannedLoad &load : loads) {
+        EXPECT_EQ(load.version, GetParam().demand.named);
     }
 }
 
@@ -73,6 +74,49 @@
         return test.param.name;
     });
 
+// Replays three trainers that go on at the same moment after an outage: each model has a new version, and the loads
+// that may run at once are fewer than the engines.
+struct RushCase
+{
+    const char *name;
+    std::size_t waitingA; // samples whose engines are too old
+    std::size_t waitingB; // the same of another model
+    std::map<std::string, std::size_t> loads; // by model; c only has idle engines that still fit
+};
+
+class RushTest : public testing::TestWithParam<RushCase>
+{ };
+
+TEST_P(RushTest, LoadsGoWhereTheMostSamplesWaitForAnEngine)
+{
+    std::vector<LoadCandidate> engines;
+    for (int number = 0; number < 30; ++number) {
+        LoadCandidate candidate = engine(("e" + std::to_string(number)).c_str(), 1);
+        candidate.versions = {{"a", 1}, {"b", 1}, {"c", 2}};
+        engines.push_back(candidate);
+    }
+    const std::map<std::string, ModelDemand> demand{{"a", {.named = 3, .needed = 2, .waiting = GetParam().waitingA}},
+                                                    {"b", {.named = 3, .needed = 2, .waiting = GetParam().waitingB}},
+                                                    {"c", {.named = 3, .needed = 2}}};
+    EngineHomes homes;
+    homes.update(engines, demand);
+    std::map<std::string, std::size_t> loads;
+    for (const PlannedLoad &load : nextLoads(engines, demand, homes, {})) {
+        EXPECT_EQ(homes.of(load.engine), load.model);
+        ++loads[load.model];
+    }
+    EXPECT_EQ(loads, GetParam().loads);
+}
+
+INSTANTIATE_TEST_SUITE_P(Waiting,
+                         RushTest,
+                         testing::Values(RushCase{"One", 80, 0, {{"a", 6}}},
+                                         RushCase{"Both", 80, 80, {{"a", 3}, {"b", 3}}},
+                                         RushCase{"OneMore", 160, 80, {{"a", 4}, {"b", 2}}}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 std::vector<LoadCandidate> twelveEngines()
 {
     constexpr std::size_t Count = 12;
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "bergamot/dispatch/sample_scheduler.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace bergamot::dispatch
 {
@@ -34,10 +35,7 @@
         EngineState &engine = m_engines[facts.id];
         const bool restarted = engine.facts.incarnation != facts.incarnation || engine.facts.address != facts.address;
         if (restarted) {
-            const std::vector<RunId> runs(engine.runs.begin(), engine.runs.end());
-            for (const RunId run : runs) {
-                cancel(run);
-            }
+            dropRuns(engine);
             engine = {};
         }
         for (const auto &[model, version] : facts.versions) {
@@ -52,6 +50,7 @@
         }
         engine.facts = facts;
         engine.listed = true;
+        noteSlots(engine);
     }
     for (auto entry = m_engines.begin(); entry != m_engines.end();) {
         EngineState &engine = entry->second;
@@ -59,10 +58,7 @@
             ++entry;
             continue;
         }
-        const std::vector<RunId> runs(engine.runs.begin(), engine.runs.end());
-        for (const RunId run : runs) {
-            cancel(run);
-        }
+        dropRuns(engine);
         entry = m_engines.erase(entry);
     }
     assign(now);
@@ -77,6 +73,7 @@
         return;
     }
     BatchState &state = m_batches[batch.id];
+    state.id = batch.id;
     state.order = ++m_lastOrder;
     state.host = batch.host;
     state.model = batch.model;
@@ -91,10 +88,9 @@
     for (std::size_t index = 0; index < batch.items.size(); ++index) {
         ItemState item;
         state.groups.push_back(batch.items[index].group);
-        if (index < listed.size() && listed[index]) {
-            item.stage = Stage::Done;
-        } else {
+        if (index >= listed.size() || !listed[index]) {
             item.item = batch.items[index];
+            item.stage = Stage::Waiting;
             ++state.open;
         }
         state.items.push_back(std::move(item));
@@ -225,9 +221,12 @@
     if (item->stage == Stage::Scoring) {
         m_actions.emplace_back(CancelScoring{key});
     }
+    BatchState &batch = m_batches[key.batch];
+    const std::uint32_t place = item->place;
     *item = {};
-    item->stage = Stage::Done;
-    --m_batches[key.batch].open;
+    item->place = place;
+    setStage(batch, *item, Stage::Done);
+    --batch.open;
     closeIfDone(key.batch);
 }
 
@@ -240,8 +239,11 @@
     const BatchState *batch = findBatch(found->second.key.batch);
     const auto engine = m_engines.find(found->second.engine);
     if (batch != nullptr && engine != m_engines.end()) {
+        const bool confirms = engine->second.assumed == batch->model;
         versionSeen(engine->first, batch->model, version);
-        assign(now);
+        if (confirms) {
+            assignTo(engine->second, now);
+        }
     }
 }
 
@@ -308,7 +310,7 @@
         usual += DurationSmoothing * (seconds - usual);
     }
     if (item != nullptr) {
-        item->stage = Stage::Waiting;
+        setStage(*findBatch(key.batch), *item, Stage::Waiting);
     }
     if (engine != m_engines.end()) {
         switch (end) {
@@ -340,7 +342,11 @@
             giveUp(key, *item);
         }
     }
-    assign(now);
+    if (end == RunEnd::Complete && engine != m_engines.end()) {
+        assignTo(engine->second, now);
+    } else {
+        assign(now);
+    }
 }
 
 void SampleScheduler::scoringEnded(const ItemKey &key, ScoringEnd end, const std::string &score, TimePoint now)
@@ -349,7 +355,7 @@
     if (item == nullptr || item->stage != Stage::Scoring) {
         return;
     }
-    const BatchState &batch = m_batches[key.batch];
+    BatchState &batch = m_batches[key.batch];
     if (end == ScoringEnd::Scored) {
         list(key, *item, true);
         std::get<ListResult>(m_actions.back()).result.score = score;
@@ -359,7 +365,7 @@
         giveUp(key, *item);
         return;
     }
-    item->stage = Stage::AwaitingScore;
+    setStage(batch, *item, Stage::AwaitingScore);
     item->notBefore = now + m_options.scoringPause;
 }
 
@@ -411,7 +417,7 @@
         for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
             ItemState &item = batch.items[index];
             if (item.stage == Stage::AwaitingScore && now >= item.notBefore) {
-                item.stage = Stage::Scoring;
+                setStage(batch, item, Stage::Scoring);
                 m_actions.emplace_back(StartScoring{{id, index}});
             }
             const bool expired = batch.route && now - batch.addedAt > batch.route->retention;
@@ -423,9 +429,13 @@
             }
         }
     }
-    saveProgress(now);
-    moveStragglers(now);
+    if (now >= m_nextSave) {
+        m_nextSave = now + m_options.saveCheck;
+        saveProgress(now);
+    }
+    refreshUsualPace();
     assign(now);
+    moveStragglers(now);
 }
 
 std::vector<SchedulerAction> SampleScheduler::takeActions()
@@ -446,6 +456,7 @@
         engine.loading.clear();
         engine.assumed.clear();
         engine.probe = 0;
+        noteSlots(engine);
     }
 }
 
@@ -480,26 +491,16 @@
 
 std::size_t SampleScheduler::waiting() const
 {
-    std::size_t count = 0;
-    for (const auto &[id, batch] : m_batches) {
-        count +=
-            static_cast<std::size_t>(std::count_if(batch.items.begin(), batch.items.end(), [](const ItemState &item) {
-                return item.stage == Stage::Waiting;
-            }));
-    }
-    return count;
+    return std::accumulate(m_batches.begin(), m_batches.end(), std::size_t{0}, [](std::size_t sum, const auto &entry) {
+        return sum + entry.second.waiting.size();
+    });
 }
 
 std::size_t SampleScheduler::waiting(const std::string &model) const
 {
     std::size_t count = 0;
     for (const auto &[id, batch] : m_batches) {
-        if (batch.model == model) {
-            count += static_cast<std::size_t>(
-                std::count_if(batch.items.begin(), batch.items.end(), [](const ItemState &item) {
-                    return item.stage == Stage::Waiting;
-                }));
-        }
+        count += batch.model == model ? batch.waiting.size() : 0;
     }
     return count;
 }
@@ -535,7 +536,7 @@
 
 void SampleScheduler::list(const ItemKey &key, ItemState &item, bool completed)
 {
-    item.stage = Stage::Listing;
+    setStage(m_batches[key.batch], item, Stage::Listing);
     ListResult action{.result = {.batch = key.batch, .item = key.item, .id = item.item.id, .completed = completed}};
     if (completed) {
         action.result.text = item.text;
@@ -548,7 +549,7 @@
 {
     item.complete = true;
     if (item.item.scoring) {
-        item.stage = Stage::Scoring;
+        setStage(m_batches[key.batch], item, Stage::Scoring);
         m_actions.emplace_back(StartScoring{key});
         return;
     }
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -136,6 +136,7 @@
     Duration settleTime = std::chrono::milliseconds(300); // before a run that has just started moves again
     std::uint64_t leastEventsToMove = 3; // a run that is nearly done stays
     Duration saveEvery = std::chrono::milliseconds(1000); // progress of one run; a new owner repeats at most this much
+    Duration saveCheck = std::chrono::milliseconds(200); // between two looks at all runs for that
     double crowding = 0.02; // slowdown of each run by one more at the same engine
     double memoryShare = 0.95; // of an engine's memory that declared tokens may fill
 };
@@ -206,6 +207,11 @@
     /// Whether every open batch of `model` takes texts that several versions made.
     bool mayMixVersions(const std::string &model) const;
     bool hasBatch(const std::string &batch) const;
+    /// How often an engine was weighed for a sample since the start: the work that placing samples takes.
+    std::uint64_t enginesExamined() const
+    {
+        return m_examined;
+    }
     /// Slots x seconds that a batch of `model` usually takes; 0 before the first one.
     double demand(const std::string &model) const;
 
@@ -222,7 +228,8 @@
     struct ItemState
     {
         batch::Item item;
-        Stage stage = Stage::Waiting;
+        std::uint32_t place = 0; // in its batch's start order
+        Stage stage = Stage::Done;
         RunId run = 0;
         std::string text;
         std::uint64_t firstEvent = 0;
@@ -240,6 +247,7 @@
 
     struct BatchState
     {
+        std::string id;
         std::uint64_t order = 0; // of acceptance
         std::string host;
         std::string model;
@@ -251,6 +259,7 @@
         std::vector<ItemState> items;
         std::vector<std::string> groups; // of the items
         std::vector<std::uint32_t> startOrder; // of the items
+        std::set<std::uint32_t> waiting; // places in the start order
         std::size_t open = 0; // items without a result
     };
 
@@ -278,6 +287,14 @@
         bool listed = true;
     };
 
+    struct EngineIdLess
+    {
+        bool operator()(const EngineState *left, const EngineState *right) const
+        {
+            return left->facts.id < right->facts.id;
+        }
+    };
+
     /// How much work the batches of a model are.
     struct Demand
     {
@@ -285,17 +302,26 @@
         double secondsPerItem = 1; // at an engine
     };
 
-    bool fits(const EngineState &engine, const BatchState &batch, const ItemState &item, TimePoint now) const;
+    static void setStage(BatchState &batch, ItemState &item, Stage stage);
+    /// Whether the engine takes a further run of the batch, and whether its memory holds that item besides.
+    bool takes(const EngineState &engine, const BatchState &batch, TimePoint now);
+    bool hasRoom(const EngineState &engine, const ItemState &item) const;
     bool serves(const EngineState &engine, const BatchState &batch) const;
     double cost(const EngineState &engine) const;
-    double usualPace() const;
+    void refreshUsualPace();
     EngineState *bestEngine(const BatchState &batch, const ItemState &item, TimePoint now);
     /// Batches whose results can still be in time go before those that are late.
-    std::vector<std::string> batchesByUrgency(TimePoint now) const;
+    std::vector<BatchState *> batchesByUrgency(TimePoint now);
     /// The groups that the trainer will wait for first: those that came again, then those with the least to do. Among
     /// them the longest items start first.
     void orderItems(BatchState &batch);
+    /// Starts what can start, at any engine.
     void assign(TimePoint now);
+    /// The same for the free slots of one engine.
+    void assignTo(EngineState &engine, TimePoint now);
+    /// Keeps `m_free` true after a change of the engine's runs or facts.
+    void noteSlots(EngineState &engine);
+    void dropRuns(EngineState &engine);
     void start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now);
     void detach(RunId run);
     void cancel(RunId run);
@@ -313,6 +339,10 @@
 
     SampleSchedulerOptions m_options;
     std::map<std::string, EngineState> m_engines;
+    std::set<EngineState *, EngineIdLess> m_free; // engines with a slot
+    double m_usualPace = 1; // the middle one of the engines
+    std::uint64_t m_examined = 0;
+    TimePoint m_nextSave{};
     std::map<std::string, BatchState> m_batches;
     std::map<std::uint64_t, std::string> m_order; // batches by acceptance
     std::map<RunId, Run> m_runs;
--- a/bergamot/dispatch/sample_scheduler_choice.cpp
+++ b/bergamot/dispatch/sample_scheduler_choice.cpp
@@ -26,26 +26,45 @@
     return std::find(services.begin(), services.end(), engine.facts.service) != services.end();
 }
 
-bool SampleScheduler::fits(const EngineState &engine,
-                           const BatchState &batch,
-                           const ItemState &item,
-                           TimePoint now) const
+void SampleScheduler::setStage(BatchState &batch, ItemState &item, Stage stage)
 {
-    if (engine.facts.draining || engine.loading == batch.model || now < engine.notBefore || !serves(engine, batch)) {
-        return false;
+    item.stage = stage;
+    if (stage == Stage::Waiting) {
+        batch.waiting.insert(item.place);
+    } else {
+        batch.waiting.erase(item.place);
+    }
+}
+
+void SampleScheduler::noteSlots(EngineState &engine)
+{
+    if (engine.runs.size() < engine.facts.slots) {
+        m_free.insert(&engine);
+    } else {
+        m_free.erase(&engine);
     }
-    if (engine.runs.size() >= engine.facts.slots || versionOf(engine.versions, batch.model) < batch.minVersion) {
+}
+
+bool SampleScheduler::takes(const EngineState &engine, const BatchState &batch, TimePoint now)
+{
+    ++m_examined;
+    if (engine.runs.size() >= engine.facts.slots || engine.facts.draining || now < engine.notBefore) {
         return false;
     }
-    if (engine.assumed == batch.model && engine.probe != 0) {
+    if (engine.loading == batch.model || (engine.assumed == batch.model && engine.probe != 0)) {
         return false;
     }
+    return versionOf(engine.versions, batch.model) >= batch.minVersion && serves(engine, batch);
+}
+
+bool SampleScheduler::hasRoom(const EngineState &engine, const ItemState &item) const
+{
     const auto room = static_cast<double>(engine.facts.memoryTokens) * m_options.memoryShare;
     const bool alone = engine.runs.empty();
     return engine.facts.memoryTokens == 0 || alone || static_cast<double>(engine.tokens + item.item.tokens) <= room;
 }
 
-double SampleScheduler::usualPace() const
+void SampleScheduler::refreshUsualPace()
 {
     std::vector<double> paces;
     for (const auto &[id, engine] : m_engines) {
@@ -54,16 +73,16 @@
         }
     }
     if (paces.empty()) {
-        return 1;
+        return;
     }
     const auto middle = paces.begin() + static_cast<std::ptrdiff_t>(paces.size() / 2);
     std::nth_element(paces.begin(), middle, paces.end());
-    return *middle;
+    m_usualPace = *middle;
 }
 
 double SampleScheduler::cost(const EngineState &engine) const
 {
-    const double pace = engine.pace > 0 ? engine.pace : usualPace();
+    const double pace = engine.pace > 0 ? engine.pace : m_usualPace;
     return pace * (1 + m_options.crowding * static_cast<double>(engine.runs.size()));
 }
 
@@ -71,14 +90,11 @@
 {
     EngineState *best = nullptr;
     double least = std::numeric_limits<double>::max();
-    for (auto &[id, engine] : m_engines) {
-        if (!fits(engine, batch, item, now)) {
-            continue;
-        }
-        const double price = cost(engine);
-        if (price < least) {
+    for (EngineState *engine : m_free) {
+        const double price = cost(*engine);
+        if (price < least && takes(*engine, batch, now) && hasRoom(*engine, item)) {
             least = price;
-            best = &engine;
+            best = engine;
         }
     }
     return best;
@@ -86,36 +102,48 @@
 
 void SampleScheduler::assign(TimePoint now)
 {
-    if (m_startsHeld) {
+    if (m_startsHeld || m_free.empty()) {
         return;
     }
-    for (const std::string &id : batchesByUrgency(now)) {
-        BatchState &batch = m_batches[id];
-        if (!batch.route) {
-            continue;
-        }
-        for (const std::uint32_t index : batch.startOrder) {
-            ItemState &item = batch.items[index];
-            if (item.stage != Stage::Waiting || now < item.notBefore) {
-                continue;
-            }
-            EngineState *engine = bestEngine(batch, item, now);
+    for (BatchState *batch : batchesByUrgency(now)) {
+        while (!batch->waiting.empty()) {
+            const std::uint32_t index = batch->startOrder[*batch->waiting.begin()];
+            EngineState *engine = bestEngine(*batch, batch->items[index], now);
             if (engine == nullptr) {
                 break;
             }
-            start({id, index}, batch, item, *engine, now);
+            start({batch->id, index}, *batch, batch->items[index], *engine, now);
         }
     }
 }
 
-std::vector<std::string> SampleScheduler::batchesByUrgency(TimePoint now) const
+void SampleScheduler::assignTo(EngineState &engine, TimePoint now)
 {
-    std::vector<std::string> inTime;
-    std::vector<std::string> late;
+    if (m_startsHeld) {
+        return;
+    }
+    for (BatchState *batch : batchesByUrgency(now)) {
+        while (!batch->waiting.empty() && takes(engine, *batch, now)) {
+            const std::uint32_t index = batch->startOrder[*batch->waiting.begin()];
+            if (!hasRoom(engine, batch->items[index])) {
+                break;
+            }
+            start({batch->id, index}, *batch, batch->items[index], engine, now);
+        }
+    }
+}
+
+std::vector<SampleScheduler::BatchState *> SampleScheduler::batchesByUrgency(TimePoint now)
+{
+    std::vector<BatchState *> inTime;
+    std::vector<BatchState *> late;
     for (const auto &[order, id] : m_order) {
-        const BatchState &batch = m_batches.at(id);
-        const bool isLate = batch.route && now - batch.addedAt > batch.route->resultDeadline;
-        (isLate ? late : inTime).push_back(id);
+        BatchState &batch = m_batches.at(id);
+        if (batch.waiting.empty() || !batch.route) {
+            continue;
+        }
+        const bool isLate = now - batch.addedAt > batch.route->resultDeadline;
+        (isLate ? late : inTime).push_back(&batch);
     }
     inTime.insert(inTime.end(), late.begin(), late.end());
     return inTime;
@@ -164,6 +192,11 @@
     const std::size_t first = std::min(awaited, names.size());
     appendGroups(0, first);
     appendGroups(first, names.size());
+    for (std::uint32_t place = 0; place < batch.startOrder.size(); ++place) {
+        ItemState &item = batch.items[batch.startOrder[place]];
+        item.place = place;
+        setStage(batch, item, item.stage);
+    }
 }
 
 double SampleScheduler::demand(const std::string &model) const
@@ -176,10 +209,11 @@
 {
     restartIfMixed(batch, item, engine);
     const RunId run = ++m_lastRun;
-    item.stage = Stage::Running;
+    setStage(batch, item, Stage::Running);
     item.run = run;
     engine.runs.insert(run);
     engine.tokens += item.item.tokens;
+    noteSlots(engine);
     m_runs.emplace(run, Run{.key = key, .engine = engine.facts.id, .startedAt = now, .lastEventAt = now});
     StartRun action{
         .run = run, .key = key, .engine = engine.facts.id, .address = engine.facts.address, .model = batch.model};
@@ -215,8 +249,10 @@
     }
     ItemState *item = findItem(found->second.key);
     const auto engine = m_engines.find(found->second.engine);
-    if (engine != m_engines.end() && engine->second.runs.erase(run) > 0 && item != nullptr) {
-        engine->second.tokens -= std::min<std::uint64_t>(engine->second.tokens, item->item.tokens);
+    if (engine != m_engines.end() && engine->second.runs.erase(run) > 0) {
+        const std::uint64_t tokens = item == nullptr ? 0 : item->item.tokens;
+        engine->second.tokens -= std::min<std::uint64_t>(engine->second.tokens, tokens);
+        noteSlots(engine->second);
     }
     if (engine != m_engines.end() && engine->second.probe == run) {
         engine->second.probe = 0;
@@ -233,37 +269,49 @@
     if (found == m_runs.end()) {
         return;
     }
-    ItemState *item = findItem(found->second.key);
+    const ItemKey key = found->second.key;
     detach(run);
-    if (item != nullptr) {
-        item->stage = Stage::Waiting;
+    if (ItemState *item = findItem(key)) {
+        setStage(*findBatch(key.batch), *item, Stage::Waiting);
     }
     m_actions.emplace_back(CancelRun{run});
 }
 
+void SampleScheduler::dropRuns(EngineState &engine)
+{
+    const std::vector<RunId> runs(engine.runs.begin(), engine.runs.end());
+    for (const RunId run : runs) {
+        cancel(run);
+    }
+    m_free.erase(&engine);
+}
+
 void SampleScheduler::moveStragglers(TimePoint now)
 {
+    double cheapest = std::numeric_limits<double>::max();
+    for (const EngineState *engine : m_free) {
+        cheapest = std::min(cheapest, cost(*engine));
+    }
     std::vector<RunId> slow;
-    for (const auto &[run, facts] : m_runs) {
-        const auto engine = m_engines.find(facts.engine);
-        if (engine == m_engines.end() || engine->second.pace == 0) {
-            continue;
-        }
-        const BatchState *batch = findBatch(facts.key.batch);
-        const ItemState *item = findItem(facts.key);
-        if (batch == nullptr || item == nullptr || !batch->route || facts.events < m_options.leastEventsToMove) {
+    for (const auto &[id, engine] : m_engines) {
+        const double here = cost(engine) / (1 + m_options.crowding); // the run itself is counted there
+        if (engine.pace == 0 || here <= m_options.slowFactor * cheapest) {
             continue;
         }
-        const EngineState *other = bestEngine(*batch, *item, now);
-        const double here = cost(engine->second) / (1 + m_options.crowding); // the run itself is counted there
-        if (other != nullptr && now - facts.startedAt >= m_options.settleTime
-            && here > m_options.slowFactor * cost(*other)) {
-            slow.push_back(run);
+        for (const RunId run : engine.runs) {
+            const Run &facts = m_runs.at(run);
+            const BatchState *batch = findBatch(facts.key.batch);
+            const ItemState *item = findItem(facts.key);
+            const bool settled = now - facts.startedAt >= m_options.settleTime;
+            if (item == nullptr || !batch->route || !settled || facts.events < m_options.leastEventsToMove) {
+                continue;
+            }
+            const EngineState *other = bestEngine(*batch, *item, now);
+            if (other != nullptr && here > m_options.slowFactor * cost(*other)) {
+                slow.push_back(run);
+            }
         }
     }
-    if (waiting() > 0) {
-        return;
-    }
     for (const RunId run : slow) {
         cancel(run);
         assign(now);
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -612,6 +612,50 @@
                              return test.param.name;
                          });
 
+struct SizeCase
+{
+    const char *name;
+    std::size_t engines;
+};
+
+class SizeTest : public SampleSchedulerTest, public testing::WithParamInterface<SizeCase>
+{ };
+
+// Replays a thousand engines at full load: what one ending run costs must not grow with the number of engines or of
+// samples that run.
+TEST_P(SizeTest, AnEndingRunWeighsItsOwnEngineOnly)
+{
+    std::vector<EngineFacts> engines;
+    for (std::size_t number = 0; number < GetParam().engines; ++number) {
+        engines.push_back(engine("e" + std::to_string(number), 5));
+    }
+    setEngines(engines);
+    constexpr std::size_t Batches = 10;
+    for (std::size_t number = 0; number < Batches; ++number) {
+        addBatch("b" + std::to_string(number), GetParam().engines);
+    }
+    ASSERT_EQ(m_starts.size(), 2 * GetParam().engines);
+    pass(50ms);
+    const std::uint64_t before = m_scheduler.enginesExamined();
+    const std::size_t ends = GetParam().engines / 2;
+    for (std::size_t number = 0; number < ends; ++number) {
+        event(m_starts[number].run, 1);
+        end(m_starts[number].run, RunEnd::Complete);
+    }
+    EXPECT_EQ(m_starts.size(), 2 * GetParam().engines + ends);
+    EXPECT_LE(m_scheduler.enginesExamined() - before, ends * (Batches + 1));
+    const std::uint64_t beforeTick = m_scheduler.enginesExamined();
+    pass(50ms);
+    EXPECT_LE(m_scheduler.enginesExamined() - beforeTick, Batches) << "full engines are weighed";
+}
+
+INSTANTIATE_TEST_SUITE_P(Engines,
+                         SizeTest,
+                         testing::Values(SizeCase{"Ten", 10}, SizeCase{"Hundred", 100}, SizeCase{"Thousand", 1000}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 TEST_F(SampleSchedulerTest, ALateBatchYieldsToOneThatCanBeInTime)
 {
     m_route.resultDeadline = 5s;
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -31,7 +31,7 @@
     m_active = true;
     ++m_turn;
     m_eventLog.write(EventKind::State, "pool-begin", {{"epoch", std::to_string(m_log.ownership().epoch())}});
-    endpointsChanged();
+    takeEndpoints();
     for (const auto &[id, entry] : m_log.index().batches()) {
         if (!entry.ended && entry.results.size() < entry.totalItems) {
             loadBatch(id);
@@ -225,9 +225,12 @@
 
 void EnginePool::endpointsChanged()
 {
-    if (!m_active) {
-        return;
-    }
+    m_endpointsChanged = true; // with many engines the list changes all the time: taken in once a tick
+}
+
+void EnginePool::takeEndpoints()
+{
+    m_endpointsChanged = false;
     std::vector<dispatch::EngineFacts> engines;
     for (const auto &[id, endpoint] : m_view.endpoints()) {
         const auto service = m_view.configuration().services().find(endpoint.service);
@@ -274,7 +277,7 @@
     for (const auto &[batch, address] : m_addresses) {
         m_scheduler.setRoute(batch, routeOf(address));
     }
-    endpointsChanged();
+    takeEndpoints();
 }
 
 void EnginePool::tick(TimePoint now)
@@ -282,6 +285,9 @@
     if (!m_active) {
         return;
     }
+    if (m_endpointsChanged) {
+        takeEndpoints();
+    }
     checkRoutes(now);
     m_scheduler.tick(now);
     advanceLoads(now);
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -124,6 +124,7 @@
         bool asking = false; // for a report that confirms it
     };
 
+    void takeEndpoints();
     void loadBatch(const std::string &batch);
     /// Adds a batch that has been read, with what earlier owners saved of its texts.
     void restoreProgress(batch::Batch loaded);
@@ -180,6 +181,7 @@
     std::uint64_t m_turn = 0; // tells answers of an earlier ownership from the present one
     bool m_active = false;
     bool m_performing = false;
+    bool m_endpointsChanged = false; // since the last tick
 };
 
 } // namespace bergamot::node
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -22,25 +22,22 @@
                          .waiting = m_scheduler.waiting(model),
                          .runsContinue = m_scheduler.mayMixVersions(model)};
     }
-    while (true) {
-        std::vector<dispatch::LoadCandidate> candidates;
-        for (const dispatch::SampleScheduler::EngineLoad &engine : m_scheduler.engineLoads(now)) {
-            candidates.push_back(
-                {.engine = engine.id,
-                 .versions = engine.versions,
-                 .runs = engine.runs,
-                 .slots = engine.slots,
-                 // Also while the load is only assumed to have ended: more at once slow all of them.
-                 .loading = engine.loading || m_loads.contains(engine.id),
-                 .usable = engine.usable && !m_loads.contains(engine.id) && now >= m_loadNotBefore[engine.id],
-                 .mayOrder = m_log.ownership().mayOrder(engine.id, now)});
-        }
-        m_homes.update(candidates, demand);
-        const std::optional<dispatch::PlannedLoad> planned = nextLoad(candidates, demand, m_homes, m_options.loads);
-        if (!planned) {
-            return;
-        }
-        beginLoad(*planned);
+    std::vector<dispatch::LoadCandidate> candidates;
+    for (dispatch::SampleScheduler::EngineLoad &engine : m_scheduler.engineLoads(now)) {
+        const auto notBefore = m_loadNotBefore.find(engine.id);
+        const bool paused = notBefore != m_loadNotBefore.end() && now < notBefore->second;
+        candidates.push_back({.engine = engine.id,
+                              .versions = std::move(engine.versions),
+                              .runs = engine.runs,
+                              .slots = engine.slots,
+                              // Also while the load is only assumed to have ended: more at once slow all of them.
+                              .loading = engine.loading || m_loads.contains(engine.id),
+                              .usable = engine.usable && !paused,
+                              .mayOrder = m_log.ownership().mayOrder(engine.id, now)});
+    }
+    m_homes.update(candidates, demand);
+    for (const dispatch::PlannedLoad &planned : nextLoads(candidates, demand, m_homes, m_options.loads)) {
+        beginLoad(planned);
     }
 }
 
