--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -100,15 +100,22 @@
 
 } // namespace
 
-void EngineHomes::update(const std::vector<LoadCandidate> &engines, const std::map<std::string, ModelDemand> &demand)
+void EngineHomes::update(const std::vector<LoadCandidate> &engines,
+                         const std::map<std::string, ModelDemand> &demand,
+                         const LoadPlannerOptions &options)
 {
-    if (demand.empty()) {
+    if (demand.empty() || engines.empty()) {
         return;
     }
     std::map<std::string, std::vector<std::string>> settled; // engines by model
     std::vector<std::string> unsettled;
     std::map<std::string, std::string> kept;
+    std::uint64_t slots = 0;
     for (const LoadCandidate &engine : engines) {
+        slots += engine.slots;
+        if (engine.draining) {
+            continue;
+        }
         const auto home = m_homes.find(engine.engine);
         if (home != m_homes.end() && demand.contains(home->second)) {
             settled[home->second].push_back(engine.engine);
@@ -118,7 +125,14 @@
         }
     }
     m_homes = std::move(kept);
-    const std::map<std::string, std::size_t> wanted = shares(engines.size(), demand);
+    std::map<std::string, std::size_t> wanted = shares(engines.size(), demand);
+    const double usualSlots = static_cast<double>(slots) / static_cast<double>(engines.size());
+    for (auto &[model, count] : wanted) {
+        const double samples = demand.at(model).peakSamples;
+        if (samples > 0) {
+            count = std::min(count, static_cast<std::size_t>(std::ceil(samples * options.spare / usualSlots)));
+        }
+    }
     const auto shortage = [&](const std::string &model) {
         return static_cast<std::ptrdiff_t>(wanted.at(model)) - static_cast<std::ptrdiff_t>(settled[model].size());
     };
@@ -132,10 +146,21 @@
     };
     for (const std::string &engine : unsettled) {
         const std::string model = neediest();
+        if (shortage(model) <= 0) {
+            break;
+        }
         settled[model].push_back(engine);
         m_homes[engine] = model;
     }
     constexpr std::ptrdiff_t WorthMoving = 2; // a move costs a load
+    for (auto &[model, count] : wanted) {
+        const auto surplus = WorthMoving + static_cast<std::ptrdiff_t>(count / 4);
+        std::vector<std::string> &from = settled[model];
+        while (demand.at(model).peakSamples > 0 && -shortage(model) >= surplus) {
+            m_homes.erase(from.back());
+            from.pop_back();
+        }
+    }
     for (std::string needy = neediest(); shortage(needy) >= WorthMoving; needy = neediest()) {
         const auto rich = std::min_element(wanted.begin(), wanted.end(), [&](const auto &left, const auto &right) {
             return shortage(left.first) < shortage(right.first);
--- a/bergamot/dispatch/load_planner.h
+++ b/bergamot/dispatch/load_planner.h
@@ -27,12 +27,14 @@
     bool loading = false;
     bool usable = false;
     bool mayOrder = false; // no order of an earlier owner can cross
+    bool draining = false;
 };
 
 /// What is asked of one model.
 struct ModelDemand
 {
     double work = 0; // slots x seconds of a usual batch; 0: not known
+    double peakSamples = 0; // open at once, lately; 0: not known
     std::uint64_t named = 0; // newest version that was named
     std::uint64_t needed = 0; // oldest version that open batches allow
     std::size_t waiting = 0; // samples without an engine
@@ -42,6 +44,7 @@
 struct LoadPlannerOptions
 {
     double shareAtOnce = 0.2; // of the engines that may load at the same time without slowing each other
+    double spare = 1.5; // slots kept fresh for each sample: a third may be at engines that are lost, slow or loading
 };
 
 struct PlannedLoad
@@ -52,16 +55,19 @@
 };
 
 /// Which model each engine keeps fresh. Loads of several models on every engine would take more time than there is
-/// between two versions, so each model gets a share of the engines by its work.
+/// between two versions, so each model gets a share of the engines by its work, and no more than its samples fill:
+/// with many engines the others are left alone.
 ///
 ///     EngineHomes homes;
-///     homes.update(engines, demand);
+///     homes.update(engines, demand, options);
 ///     homes.of("engine-1"); // a model, or empty
 class EngineHomes
 {
 public:
-    /// Keeps what is assigned as long as no model is short of more than one engine.
-    void update(const std::vector<LoadCandidate> &engines, const std::map<std::string, ModelDemand> &demand);
+    /// Keeps what is assigned as long as no model is short of more than one engine or has a quarter too many.
+    void update(const std::vector<LoadCandidate> &engines,
+                const std::map<std::string, ModelDemand> &demand,
+                const LoadPlannerOptions &options);
     const std::string &of(const std::string &engine) const;
 
 private:
--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -1,5 +1,7 @@
 #include "bergamot/dispatch/load_planner.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace bergamot::dispatch
@@ -32,7 +34,7 @@
 TEST_P(PlanTest, UselessEnginesLoadFirstAndUsefulOnesOnlyWhenNothingWaits)
 {
     EngineHomes homes;
-    homes.update(GetParam().engines, {{"m", GetParam().demand}});
+    homes.update(GetParam().engines, {{"m", GetParam().demand}}, {});
     const std::vector<PlannedLoad> loads = nextLoads(GetParam().engines, {{"m", GetParam().demand}}, homes, {});
     EXPECT_EQ(loads.empty() ? "" : loads[0].engine, GetParam().engine);
     EXPECT_LE(loads.size(), 1U) << "more than a fifth of two engines at once";
@@ -99,7 +101,7 @@
                                                     {"b", {.named = 3, .needed = 2, .waiting = GetParam().waitingB}},
                                                     {"c", {.named = 3, .needed = 2}}};
     EngineHomes homes;
-    homes.update(engines, demand);
+    homes.update(engines, demand, {});
     std::map<std::string, std::size_t> loads;
     for (const PlannedLoad &load : nextLoads(engines, demand, homes, {})) {
         EXPECT_EQ(homes.of(load.engine), load.model);
@@ -146,7 +148,7 @@
         demand[model].work = work;
     }
     EngineHomes homes;
-    homes.update(engines, demand);
+    homes.update(engines, demand, {});
     std::map<std::string, std::size_t> counted;
     for (const LoadCandidate &candidate : engines) {
         ++counted[homes.of(candidate.engine)];
@@ -164,16 +166,69 @@
                              return test.param.name;
                          });
 
+struct NeedCase
+{
+    const char *name;
+    std::size_t engines;
+    double peakSamples;
+    std::size_t homes;
+};
+
+class NeedTest : public testing::TestWithParam<NeedCase>
+{ };
+
+// Replays a deployment with many more engines than its samples fill: each home costs a load for every version.
+TEST_P(NeedTest, OnlyAsManyEnginesAsTheSamplesFillKeepAModelFresh)
+{
+    std::vector<LoadCandidate> engines;
+    for (std::size_t number = 0; number < GetParam().engines; ++number) {
+        engines.push_back(engine(("e" + std::to_string(number)).c_str(), 1));
+    }
+    EngineHomes homes;
+    homes.update(engines, {{"m", {}}}, {});
+    homes.update(engines, {{"m", {.peakSamples = GetParam().peakSamples}}}, {});
+    const auto count = std::count_if(engines.begin(), engines.end(), [&](const LoadCandidate &candidate) {
+        return !homes.of(candidate.engine).empty();
+    });
+    EXPECT_EQ(static_cast<std::size_t>(count), GetParam().homes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Needs,
+                         NeedTest,
+                         testing::Values(NeedCase{"NotKnown", 1000, 0, 1000},
+                                         NeedCase{"Few", 1000, 128, 61}, // 48 filled, and a quarter and one to spare
+                                         NeedCase{"All", 40, 128, 40},
+                                         NeedCase{"One", 10, 1, 2}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST(EngineHomesTest, HomesThatDrainAreReplaced)
+{
+    std::vector<LoadCandidate> engines = twelveEngines();
+    EngineHomes homes;
+    const std::map<std::string, ModelDemand> demand{{"m", {.peakSamples = 16}}};
+    homes.update(engines, demand, {});
+    for (LoadCandidate &candidate : engines) {
+        candidate.draining = !homes.of(candidate.engine).empty();
+    }
+    homes.update(engines, demand, {});
+    const auto fresh = std::count_if(engines.begin(), engines.end(), [&](const LoadCandidate &candidate) {
+        return !candidate.draining && homes.of(candidate.engine) == "m";
+    });
+    EXPECT_EQ(fresh, 6);
+}
+
 TEST(EngineHomesTest, ASmallDifferenceMovesNoEngine)
 {
     const std::vector<LoadCandidate> engines = twelveEngines();
     EngineHomes homes;
-    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 10}}});
+    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 10}}}, {});
     const std::string before = homes.of("e0");
-    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 12}}});
+    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 12}}}, {});
     EXPECT_EQ(homes.of("e0"), before);
     std::size_t ofB = 0;
-    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 30}}});
+    homes.update(engines, {{"a", {.work = 10}}, {"b", {.work = 30}}}, {});
     for (const LoadCandidate &candidate : engines) {
         ofB += homes.of(candidate.engine) == "b" ? 1U : 0U;
     }
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -11,6 +11,7 @@
 
 constexpr double PaceSmoothing = 0.2; // weight of a new pace; about the last ten events count
 constexpr double DemandSmoothing = 0.3; // weight of a new batch's size
+constexpr double PeakMemory = 0.9; // of the peak of open items, kept at each new batch; ten batches forget two thirds
 constexpr double DurationSmoothing = 0.02; // weight of one run's time; about the last batch counts
 
 void addVersion(std::vector<std::uint64_t> &versions, std::uint64_t version)
@@ -96,6 +97,11 @@
         state.items.push_back(std::move(item));
     }
     m_order[state.order] = batch.id;
+    std::size_t open = 0;
+    for (const auto &[id, other] : m_batches) {
+        open += other.model == batch.model ? other.open : 0;
+    }
+    demand.peak = std::max(static_cast<double>(open), demand.peak * PeakMemory);
     orderItems(state);
     closeIfDone(batch.id);
     assign(now);
@@ -471,7 +477,8 @@
                          .runs = static_cast<std::uint32_t>(engine.runs.size()),
                          .slots = engine.facts.slots,
                          .loading = !engine.loading.empty(),
-                         .usable = !engine.facts.draining && now >= engine.notBefore});
+                         .usable = !engine.facts.draining && now >= engine.notBefore,
+                         .draining = engine.facts.draining});
     }
     return loads;
 }
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -195,6 +195,7 @@
         std::uint32_t slots = 1;
         bool loading = false;
         bool usable = false;
+        bool draining = false;
     };
     std::vector<EngineLoad> engineLoads(TimePoint now) const;
     const batch::Item *item(const ItemKey &key) const;
@@ -214,6 +215,8 @@
     }
     /// Slots x seconds that a batch of `model` usually takes; 0 before the first one.
     double demand(const std::string &model) const;
+    /// Samples of `model` that were open at once lately; 0 before the first batch.
+    double peakSamples(const std::string &model) const;
 
 private:
     enum class Stage {
@@ -300,6 +303,7 @@
     {
         double items = 0; // of a batch
         double secondsPerItem = 1; // at an engine
+        double peak = 0; // open items; forgotten slowly
     };
 
     static void setStage(BatchState &batch, ItemState &item, Stage stage);
--- a/bergamot/dispatch/sample_scheduler_choice.cpp
+++ b/bergamot/dispatch/sample_scheduler_choice.cpp
@@ -199,6 +199,12 @@
     }
 }
 
+double SampleScheduler::peakSamples(const std::string &model) const
+{
+    const auto found = m_demand.find(model);
+    return found == m_demand.end() ? 0 : found->second.peak;
+}
+
 double SampleScheduler::demand(const std::string &model) const
 {
     const auto found = m_demand.find(model);
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -17,6 +17,7 @@
     std::map<std::string, dispatch::ModelDemand> demand;
     for (const auto &[model, version] : m_view.namedVersions()) {
         demand[model] = {.work = m_scheduler.demand(model),
+                         .peakSamples = m_scheduler.peakSamples(model),
                          .named = version,
                          .needed = m_scheduler.neededVersion(model),
                          .waiting = m_scheduler.waiting(model),
@@ -33,9 +34,10 @@
                               // Also while the load is only assumed to have ended: more at once slow all of them.
                               .loading = engine.loading || m_loads.contains(engine.id),
                               .usable = engine.usable && !paused,
-                              .mayOrder = m_log.ownership().mayOrder(engine.id, now)});
+                              .mayOrder = m_log.ownership().mayOrder(engine.id, now),
+                              .draining = engine.draining});
     }
-    m_homes.update(candidates, demand);
+    m_homes.update(candidates, demand, m_options.loads);
     for (const dispatch::PlannedLoad &planned : nextLoads(candidates, demand, m_homes, m_options.loads)) {
         beginLoad(planned);
     }
