dispatch: half of the engines are ready for the next step, the others load when it comes

Cause: every engine loaded every version.

Ruled out: that the steps get slower. The engines that load at the start of a step do so beside its longest samples, which take three to six times as long as a load. Half of the samples are now made by the newest weights.

Change: early loads stop once half of a model's engines have the newest version (ReadyTest). Counting of homes in one place.

--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -80,20 +80,30 @@
                     .tooOld = tooOld};
 }
 
-/// For each model, its engines that serve the open batches or soon will.
-std::map<std::string, std::size_t> servingEngines(const std::vector<LoadCandidate> &engines,
-                                                  const std::map<std::string, ModelDemand> &demand,
-                                                  const EngineHomes &homes)
+/// The engines whose home one model is.
+struct HomeCount
 {
-    std::map<std::string, std::size_t> result;
+    std::size_t all = 0;
+    std::size_t serving = 0; // with weights that the open batches allow, or loading
+    std::size_t ready = 0; // with the newest weights, or loading
+};
+
+std::map<std::string, HomeCount> countHomes(const std::vector<LoadCandidate> &engines,
+                                            const std::map<std::string, ModelDemand> &demand,
+                                            const EngineHomes &homes)
+{
+    std::map<std::string, HomeCount> result;
     for (const LoadCandidate &engine : engines) {
         const std::string &home = homes.of(engine.engine);
         const auto version = engine.versions.find(home);
         const auto asked = demand.find(home);
-        const bool known = version != engine.versions.end() && asked != demand.end();
-        if (known && (engine.loading || version->second >= asked->second.needed)) {
-            ++result[home];
+        if (version == engine.versions.end() || asked == demand.end()) {
+            continue;
         }
+        HomeCount &count = result[home];
+        ++count.all;
+        count.serving += engine.loading || version->second >= asked->second.needed ? 1 : 0;
+        count.ready += engine.loading || version->second >= asked->second.named ? 1 : 0;
     }
     return result;
 }
@@ -200,22 +210,28 @@
             possible.push_back(*load);
         }
     }
-    std::map<std::string, std::size_t> serving = servingEngines(engines, demand, homes);
+    std::map<std::string, HomeCount> counts = countHomes(engines, demand, homes);
     std::vector<PlannedLoad> planned;
-    for (; loading < most && !possible.empty(); ++loading) {
+    while (loading < most && !possible.empty()) {
         // First for the model with the most waiting samples for each engine that serves them, then the engine that is
         // furthest behind, then the one with the least to finish.
-        const auto rank = [&serving](const Possible &load) {
+        const auto rank = [&counts](const Possible &load) {
             const double crowd =
-                static_cast<double>(load.asked->waiting) / static_cast<double>(serving[*load.model] + 1);
+                static_cast<double>(load.asked->waiting) / static_cast<double>(counts[*load.model].serving + 1);
             return std::tuple(load.tooOld ? -crowd : 0, -load.behind, load.engine->runs);
         };
         const auto best =
             std::min_element(possible.begin(), possible.end(), [&rank](const Possible &left, const Possible &right) {
                 return rank(left) < rank(right);
             });
-        planned.push_back({.engine = best->engine->engine, .model = *best->model, .version = best->asked->named});
-        ++serving[*best->model];
+        HomeCount &count = counts[*best->model];
+        const bool enough = static_cast<double>(count.ready) >= options.readyShare * static_cast<double>(count.all);
+        if (best->tooOld || !enough) {
+            planned.push_back({.engine = best->engine->engine, .model = *best->model, .version = best->asked->named});
+            ++count.serving;
+            ++count.ready;
+            ++loading;
+        }
         possible.erase(best);
     }
     return planned;
--- a/bergamot/dispatch/load_planner.h
+++ b/bergamot/dispatch/load_planner.h
@@ -6,8 +6,10 @@
 //
 // Load pattern: a version is named every few seconds, and the next step needs the version before it or a newer one.
 // Loads slow each other beyond a share of the engines. An engine too old for the open step does nothing useful, so it
-// loads first; one that still fits loads when no sample waits for it: when it is idle or, if its runs may go on under
-// the new weights, when it has no free slot.
+// loads first; one that still fits loads when no sample waits for it (it is idle or, if its runs may go on under the
+// new weights, has no free slot), but only until half of the engines are ready for the next step. The other half loads
+// when that step comes, beside its first samples: each engine then loads every second version, and half of the samples
+// are made by the newest one.
 
 #include <cstdint>
 #include <map>
@@ -44,6 +46,8 @@
 struct LoadPlannerOptions
 {
     double shareAtOnce = 0.2; // of the engines that may load at the same time without slowing each other
+    // Engines that are ready for the step after the open one; the others load when it comes, beside the first samples.
+    double readyShare = 0.5;
     double spare = 1.5; // slots kept fresh for each sample: a third may be at engines that are lost, slow or loading
 };
 
--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -76,6 +76,39 @@
         return test.param.name;
     });
 
+struct ReadyCase
+{
+    const char *name;
+    std::uint64_t oldest; // that the open step allows; 5 is the newest
+    std::size_t newest; // engines of ten that have it; the others have 4
+    std::size_t loads; // all may load at once
+};
+
+class ReadyTest : public testing::TestWithParam<ReadyCase>
+{ };
+
+TEST_P(ReadyTest, HalfOfTheEnginesAreReadyForTheNextStep)
+{
+    std::vector<LoadCandidate> engines;
+    for (std::size_t number = 0; number < 10; ++number) {
+        engines.push_back(engine(("e" + std::to_string(number)).c_str(), number < GetParam().newest ? 5 : 4));
+    }
+    const std::map<std::string, ModelDemand> demand{{"m", {.named = 5, .needed = GetParam().oldest}}};
+    EngineHomes homes;
+    homes.update(engines, demand, {});
+    EXPECT_EQ(nextLoads(engines, demand, homes, {.shareAtOnce = 1}).size(), GetParam().loads);
+}
+
+INSTANTIATE_TEST_SUITE_P(Steps,
+                         ReadyTest,
+                         testing::Values(ReadyCase{"NoneReady", 4, 0, 5},
+                                         ReadyCase{"SomeReady", 4, 3, 2},
+                                         ReadyCase{"HalfReady", 4, 5, 0},
+                                         ReadyCase{"HalfTooOld", 5, 5, 5}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 // Replays three trainers that go on at the same moment after an outage: each model has a new version, and the loads
 // that may run at once are fewer than the engines.
 struct RushCase
