--- /dev/null
+++ b/bergamot/dispatch/internal/scheduler_fixture.h
@@ -0,0 +1,100 @@
+#pragma once
+
+// A scheduler with two engines and everything that it asked for, for the tests of this package.
+
+#include <gtest/gtest.h>
+
+#include "bergamot/dispatch/sample_scheduler.h"
+
+namespace bergamot::dispatch
+{
+
+using namespace std::chrono_literals;
+
+class SampleSchedulerTest : public testing::Test
+{
+protected:
+    SampleSchedulerTest()
+    {
+        setEngines({engine("e1", 5), engine("e2", 5)});
+    }
+
+    static EngineFacts engine(const std::string &id, std::uint64_t version, std::uint32_t slots = 2)
+    {
+        return {.id = id,
+                .service = "llm",
+                .address = {"10.0.0.1", static_cast<std::uint16_t>(id.back())},
+                .slots = slots,
+                .versions = {{"m", version}}};
+    }
+
+    void setEngines(const std::vector<EngineFacts> &engines)
+    {
+        m_scheduler.setEngines(engines, m_now);
+        collect();
+    }
+
+    void addBatch(const std::string &id, std::size_t items, std::uint64_t minVersion = 4, bool scored = false)
+    {
+        batch::Batch batch{.id = id, .host = "h", .model = "m", .minVersion = minVersion};
+        for (std::size_t index = 0; index < items; ++index) {
+            batch.items.push_back({.id = id + std::to_string(index), .path = "/p", .tokens = 10});
+            if (scored) {
+                batch.items.back().scoring = batch::ScoringCall{.id = "s", .host = "sh", .path = "/s"};
+            }
+        }
+        m_scheduler.addBatch(batch, {}, m_route, m_now);
+        collect();
+    }
+
+    void pass(Duration duration)
+    {
+        m_now += duration;
+        m_scheduler.tick(m_now);
+        collect();
+    }
+
+    void event(RunId run, std::uint64_t id, std::uint64_t version = 5)
+    {
+        m_accepted = m_scheduler.runEvent(run, id, "d" + std::to_string(id), version, m_now);
+        collect();
+    }
+
+    void end(RunId run, RunEnd how)
+    {
+        m_scheduler.runEnded(run, how, m_now);
+        collect();
+    }
+
+    void collect()
+    {
+        for (const SchedulerAction &action : m_scheduler.takeActions()) {
+            if (const auto *start = std::get_if<StartRun>(&action)) {
+                m_starts.push_back(*start);
+            } else if (const auto *cancel = std::get_if<CancelRun>(&action)) {
+                m_cancelled.insert(cancel->run);
+            } else if (const auto *scoring = std::get_if<StartScoring>(&action)) {
+                m_scorings.push_back(scoring->key);
+            } else if (const auto *stop = std::get_if<CancelScoring>(&action)) {
+                m_stoppedScorings.push_back(stop->key);
+            } else if (const auto *list = std::get_if<ListResult>(&action)) {
+                m_results.push_back(list->result);
+            } else if (const auto *save = std::get_if<SaveProgress>(&action)) {
+                m_saved.push_back(save->progress);
+            }
+        }
+    }
+
+    SampleScheduler m_scheduler{{}};
+    ItemRoute m_route{.services = {"llm"}, .maxAttempts = 2, .maxScoringFailures = 2};
+    TimePoint m_now{1h};
+    std::vector<StartRun> m_starts;
+    std::set<RunId> m_cancelled;
+    std::vector<ItemKey> m_scorings;
+    std::vector<ItemKey> m_stoppedScorings;
+    std::vector<batch::ItemResult> m_results;
+    std::vector<batch::ItemProgress> m_saved;
+    bool m_accepted = true;
+};
+
+} // namespace bergamot::dispatch
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -1,7 +1,6 @@
 #include "bergamot/dispatch/sample_scheduler.h"
 
 #include <algorithm>
-#include <numeric>
 
 namespace bergamot::dispatch
 {
@@ -14,13 +13,6 @@
 constexpr double PeakMemory = 0.9; // of the peak of open items, kept at each new batch; ten batches forget two thirds
 constexpr double DurationSmoothing = 0.02; // weight of one run's time; about the last batch counts
 
-void addVersion(std::vector<std::uint64_t> &versions, std::uint64_t version)
-{
-    if (std::find(versions.begin(), versions.end(), version) == versions.end()) {
-        versions.push_back(version);
-    }
-}
-
 } // namespace
 
 SampleScheduler::SampleScheduler(SampleSchedulerOptions options)
@@ -107,28 +99,6 @@
     assign(now);
 }
 
-void SampleScheduler::restore(const batch::ItemProgress &progress)
-{
-    ItemState *item = findItem({progress.batch, progress.item});
-    if (item == nullptr || item->stage != Stage::Waiting || progress.text.empty()) {
-        return;
-    }
-    if (!item->hasEvents || progress.firstEvent != item->lastEvent + 1) {
-        // The first events, or those of a run that began anew.
-        item->text = progress.text;
-        item->versions = progress.versions;
-    } else {
-        item->text += '\n' + progress.text;
-        for (const std::uint64_t version : progress.versions) {
-            addVersion(item->versions, version);
-        }
-    }
-    item->hasEvents = true;
-    item->lastEvent = progress.lastEvent;
-    item->savedEvent = progress.lastEvent;
-    item->savedBytes = item->text.size();
-}
-
 void SampleScheduler::holdStarts()
 {
     m_startsHeld = true;
@@ -140,44 +110,6 @@
     assign(now);
 }
 
-void SampleScheduler::saveAll()
-{
-    for (const auto &[run, facts] : m_runs) {
-        if (ItemState *item = findItem(facts.key)) {
-            save(facts.key, *item);
-        }
-    }
-}
-
-void SampleScheduler::saveProgress(TimePoint now)
-{
-    for (const auto &[run, facts] : m_runs) {
-        ItemState *item = findItem(facts.key);
-        if (item == nullptr || now - std::max(facts.startedAt, item->savedAt) < m_options.saveEvery) {
-            continue;
-        }
-        item->savedAt = now;
-        save(facts.key, *item);
-    }
-}
-
-void SampleScheduler::save(const ItemKey &key, ItemState &item)
-{
-    if (!item.hasEvents || item.lastEvent == item.savedEvent) {
-        return;
-    }
-    const bool first = item.savedBytes == 0;
-    SaveProgress action{.progress = {.batch = key.batch,
-                                     .item = key.item,
-                                     .firstEvent = first ? item.firstEvent : item.savedEvent + 1,
-                                     .lastEvent = item.lastEvent,
-                                     .text = item.text.substr(first ? 0 : item.savedBytes + 1),
-                                     .versions = item.versions}};
-    item.savedEvent = item.lastEvent;
-    item.savedBytes = item.text.size();
-    m_actions.emplace_back(std::move(action));
-}
-
 void SampleScheduler::setRoute(const std::string &batch, std::optional<ItemRoute> route)
 {
     BatchState *state = findBatch(batch);
@@ -284,7 +216,7 @@
     item->text += data;
     item->lastEvent = eventId;
     item->hasEvents = true;
-    addVersion(item->versions, version);
+    addVersion(*item, version);
     if (found->second.events > 0) {
         const double seconds = std::chrono::duration<double>(now - found->second.lastEventAt).count();
         const double alone = seconds / (1 + m_options.crowding * static_cast<double>(engine->second.runs.size() - 1));
@@ -466,81 +398,6 @@
     }
 }
 
-std::vector<SampleScheduler::EngineLoad> SampleScheduler::engineLoads(TimePoint now) const
-{
-    std::vector<EngineLoad> loads;
-    for (const auto &[id, engine] : m_engines) {
-        loads.push_back({.id = id,
-                         .service = engine.facts.service,
-                         .address = engine.facts.address,
-                         .versions = engine.versions,
-                         .runs = static_cast<std::uint32_t>(engine.runs.size()),
-                         .slots = engine.facts.slots,
-                         .loading = !engine.loading.empty(),
-                         .usable = !engine.facts.draining && now >= engine.notBefore,
-                         .draining = engine.facts.draining});
-    }
-    return loads;
-}
-
-const batch::Item *SampleScheduler::item(const ItemKey &key) const
-{
-    const auto found = m_batches.find(key.batch);
-    return found == m_batches.end() || key.item >= found->second.items.size() ? nullptr
-                                                                              : &found->second.items[key.item].item;
-}
-
-const std::string *SampleScheduler::host(const std::string &batch) const
-{
-    const auto found = m_batches.find(batch);
-    return found == m_batches.end() ? nullptr : &found->second.host;
-}
-
-std::size_t SampleScheduler::waiting() const
-{
-    return std::accumulate(m_batches.begin(), m_batches.end(), std::size_t{0}, [](std::size_t sum, const auto &entry) {
-        return sum + entry.second.waiting.size();
-    });
-}
-
-std::size_t SampleScheduler::waiting(const std::string &model) const
-{
-    std::size_t count = 0;
-    for (const auto &[id, batch] : m_batches) {
-        count += batch.model == model ? batch.waiting.size() : 0;
-    }
-    return count;
-}
-
-std::size_t SampleScheduler::running() const
-{
-    return m_runs.size();
-}
-
-std::uint64_t SampleScheduler::neededVersion(const std::string &model) const
-{
-    std::uint64_t needed = 0;
-    for (const auto &[id, batch] : m_batches) {
-        if (batch.model == model) {
-            needed = std::max(needed, batch.minVersion);
-        }
-    }
-    return needed;
-}
-
-bool SampleScheduler::mayMixVersions(const std::string &model) const
-{
-    return std::none_of(m_batches.begin(), m_batches.end(), [&model](const auto &entry) {
-        const BatchState &batch = entry.second;
-        return batch.model == model && (!batch.route || batch.route->singleVersion);
-    });
-}
-
-bool SampleScheduler::hasBatch(const std::string &batch) const
-{
-    return m_batches.contains(batch);
-}
-
 void SampleScheduler::list(const ItemKey &key, ItemState &item, bool completed)
 {
     setStage(m_batches[key.batch], item, Stage::Listing);
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -306,6 +306,7 @@
         double peak = 0; // open items; forgotten slowly
     };
 
+    static void addVersion(ItemState &item, std::uint64_t version);
     static void setStage(BatchState &batch, ItemState &item, Stage stage);
     /// Whether the engine takes a further run of the batch, and whether its memory holds that item besides.
     bool takes(const EngineState &engine, const BatchState &batch, TimePoint now);
--- a/bergamot/dispatch/sample_scheduler_choice.cpp
+++ b/bergamot/dispatch/sample_scheduler_choice.cpp
@@ -199,18 +199,6 @@
     }
 }
 
-double SampleScheduler::peakSamples(const std::string &model) const
-{
-    const auto found = m_demand.find(model);
-    return found == m_demand.end() ? 0 : found->second.peak;
-}
-
-double SampleScheduler::demand(const std::string &model) const
-{
-    const auto found = m_demand.find(model);
-    return found == m_demand.end() ? 0 : found->second.items * found->second.secondsPerItem;
-}
-
 void SampleScheduler::start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now)
 {
     restartIfMixed(batch, item, engine);
--- /dev/null
+++ b/bergamot/dispatch/sample_scheduler_facts.cpp
@@ -0,0 +1,98 @@
+// What the scheduler tells of itself.
+
+#include <algorithm>
+#include <numeric>
+
+#include "bergamot/dispatch/sample_scheduler.h"
+
+namespace bergamot::dispatch
+{
+
+std::vector<SampleScheduler::EngineLoad> SampleScheduler::engineLoads(TimePoint now) const
+{
+    std::vector<EngineLoad> loads;
+    for (const auto &[id, engine] : m_engines) {
+        loads.push_back({.id = id,
+                         .service = engine.facts.service,
+                         .address = engine.facts.address,
+                         .versions = engine.versions,
+                         .runs = static_cast<std::uint32_t>(engine.runs.size()),
+                         .slots = engine.facts.slots,
+                         .loading = !engine.loading.empty(),
+                         .usable = !engine.facts.draining && now >= engine.notBefore,
+                         .draining = engine.facts.draining});
+    }
+    return loads;
+}
+
+const batch::Item *SampleScheduler::item(const ItemKey &key) const
+{
+    const auto found = m_batches.find(key.batch);
+    return found == m_batches.end() || key.item >= found->second.items.size() ? nullptr
+                                                                              : &found->second.items[key.item].item;
+}
+
+const std::string *SampleScheduler::host(const std::string &batch) const
+{
+    const auto found = m_batches.find(batch);
+    return found == m_batches.end() ? nullptr : &found->second.host;
+}
+
+std::size_t SampleScheduler::waiting() const
+{
+    return std::accumulate(m_batches.begin(), m_batches.end(), std::size_t{0}, [](std::size_t sum, const auto &entry) {
+        return sum + entry.second.waiting.size();
+    });
+}
+
+std::size_t SampleScheduler::waiting(const std::string &model) const
+{
+    std::size_t count = 0;
+    for (const auto &[id, batch] : m_batches) {
+        count += batch.model == model ? batch.waiting.size() : 0;
+    }
+    return count;
+}
+
+std::size_t SampleScheduler::running() const
+{
+    return m_runs.size();
+}
+
+std::uint64_t SampleScheduler::neededVersion(const std::string &model) const
+{
+    std::uint64_t needed = 0;
+    for (const auto &[id, batch] : m_batches) {
+        if (batch.model == model) {
+            needed = std::max(needed, batch.minVersion);
+        }
+    }
+    return needed;
+}
+
+bool SampleScheduler::mayMixVersions(const std::string &model) const
+{
+    return std::none_of(m_batches.begin(), m_batches.end(), [&model](const auto &entry) {
+        const BatchState &batch = entry.second;
+        return batch.model == model && (!batch.route || batch.route->singleVersion);
+    });
+}
+
+bool SampleScheduler::hasBatch(const std::string &batch) const
+{
+    return m_batches.contains(batch);
+}
+
+double SampleScheduler::peakSamples(const std::string &model) const
+{
+    const auto found = m_demand.find(model);
+    return found == m_demand.end() ? 0 : found->second.peak;
+}
+
+double SampleScheduler::demand(const std::string &model) const
+{
+    const auto found = m_demand.find(model);
+    return found == m_demand.end() ? 0 : found->second.items * found->second.secondsPerItem;
+}
+
+} // namespace bergamot::dispatch
--- /dev/null
+++ b/bergamot/dispatch/sample_scheduler_progress.cpp
@@ -0,0 +1,77 @@
+// What is saved of texts that are not complete, and how a new owner goes on from it.
+
+#include <algorithm>
+
+#include "bergamot/dispatch/sample_scheduler.h"
+
+namespace bergamot::dispatch
+{
+
+void SampleScheduler::addVersion(ItemState &item, std::uint64_t version)
+{
+    if (std::find(item.versions.begin(), item.versions.end(), version) == item.versions.end()) {
+        item.versions.push_back(version);
+    }
+}
+
+void SampleScheduler::restore(const batch::ItemProgress &progress)
+{
+    ItemState *item = findItem({progress.batch, progress.item});
+    if (item == nullptr || item->stage != Stage::Waiting || progress.text.empty()) {
+        return;
+    }
+    if (!item->hasEvents || progress.firstEvent != item->lastEvent + 1) {
+        // The first events, or those of a run that began anew.
+        item->text = progress.text;
+        item->versions = progress.versions;
+    } else {
+        item->text += '\n' + progress.text;
+        for (const std::uint64_t version : progress.versions) {
+            addVersion(*item, version);
+        }
+    }
+    item->hasEvents = true;
+    item->lastEvent = progress.lastEvent;
+    item->savedEvent = progress.lastEvent;
+    item->savedBytes = item->text.size();
+}
+
+void SampleScheduler::saveAll()
+{
+    for (const auto &[run, facts] : m_runs) {
+        if (ItemState *item = findItem(facts.key)) {
+            save(facts.key, *item);
+        }
+    }
+}
+
+void SampleScheduler::saveProgress(TimePoint now)
+{
+    for (const auto &[run, facts] : m_runs) {
+        ItemState *item = findItem(facts.key);
+        if (item == nullptr || now - std::max(facts.startedAt, item->savedAt) < m_options.saveEvery) {
+            continue;
+        }
+        item->savedAt = now;
+        save(facts.key, *item);
+    }
+}
+
+void SampleScheduler::save(const ItemKey &key, ItemState &item)
+{
+    if (!item.hasEvents || item.lastEvent == item.savedEvent) {
+        return;
+    }
+    const bool first = item.savedBytes == 0;
+    SaveProgress action{.progress = {.batch = key.batch,
+                                     .item = key.item,
+                                     .firstEvent = first ? item.firstEvent : item.savedEvent + 1,
+                                     .lastEvent = item.lastEvent,
+                                     .text = item.text.substr(first ? 0 : item.savedBytes + 1),
+                                     .versions = item.versions}};
+    item.savedEvent = item.lastEvent;
+    item.savedBytes = item.text.size();
+    m_actions.emplace_back(std::move(action));
+}
+
+} // namespace bergamot::dispatch
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -7,12 +7,14 @@
 
 #include "bergamot/net/internal/response_text.h"
 #include "bergamot/net/internal/socket_reader.h"
+#include "bergamot/net/status.h"
 
 namespace bergamot::net
 {
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
+using namespace status;
 using asio::ip::tcp;
 using boost::system::error_code;
 
@@ -22,9 +24,6 @@
 constexpr int ListenBacklog = 1024; // a burst of callers after a restart waits here instead of being dropped
 constexpr Duration SweepPeriod = std::chrono::milliseconds(500); // far below every limit of a connection
 constexpr Duration AcceptPause = std::chrono::milliseconds(50); // after running out of descriptors
-constexpr int BadRequest = 400;
-constexpr int PayloadTooLarge = 413;
-constexpr int HeaderFieldsTooLarge = 431;
 
 } // namespace
 
--- /dev/null
+++ b/bergamot/net/status.h
@@ -0,0 +1,28 @@
+#pragma once
+
+// The HTTP status codes that this project sends or tells apart.
+//
+//     response.status = net::status::Unavailable;
+
+namespace bergamot::net::status
+{
+
+inline constexpr int Ok = 200;
+inline constexpr int Accepted = 202;
+inline constexpr int BadRequest = 400;
+inline constexpr int NotFound = 404;
+inline constexpr int MethodNotAllowed = 405;
+inline constexpr int Conflict = 409;
+inline constexpr int Gone = 410;
+inline constexpr int PreconditionFailed = 412;
+inline constexpr int PayloadTooLarge = 413;
+inline constexpr int Misdirected = 421;
+inline constexpr int Unprocessable = 422;
+inline constexpr int TooManyRequests = 429;
+inline constexpr int HeaderFieldsTooLarge = 431;
+inline constexpr int ServerError = 500;
+inline constexpr int Unavailable = 503;
+inline constexpr int GatewayTimeout = 504;
+inline constexpr int OutOfSpace = 507;
+
+} // namespace bergamot::net::status
--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -2,19 +2,16 @@
 
 #include <cstdio>
 
+#include "bergamot/net/status.h"
+
 namespace bergamot::node
 {
 
+using namespace net::status;
+
 namespace
 {
 
-constexpr int Ok = 200;
-constexpr int Accepted = 202;
-constexpr int BadRequest = 400;
-constexpr int NotFound = 404;
-constexpr int PayloadTooLarge = 413;
-constexpr int Unavailable = 503;
-constexpr int GatewayTimeout = 504;
 constexpr std::string_view Json = "application/json";
 
 std::string seconds(Duration duration)
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -2,15 +2,12 @@
 
 #include "bergamot/node/engine_pool.h"
 
-namespace bergamot::node
-{
+#include "bergamot/net/status.h"
 
-namespace
+namespace bergamot::node
 {
 
-constexpr int Ok = 200;
-
-} // namespace
+using namespace net::status;
 
 void EnginePool::planLoads(TimePoint now)
 {
@@ -213,8 +210,6 @@
 
 void EnginePool::orderAnswered(const std::string &engine, int status, const net::CallEnd &end)
 {
-    constexpr int Accepted = 202;
-    constexpr int Conflict = 409;
     Load &load = m_loads[engine];
     m_eventLog.write(EventKind::State,
                      "load-answered",
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -4,19 +4,17 @@
 
 #include <boost/asio/post.hpp>
 
+#include "bergamot/net/status.h"
 #include "bergamot/node/service_choice.h"
 
 namespace bergamot::node
 {
 
+using namespace net::status;
+
 namespace
 {
 
-constexpr int Ok = 200;
-constexpr int Misdirected = 421;
-constexpr int Unprocessable = 422;
-constexpr int ServerError = 500;
-
 std::uint64_t number(std::string_view text)
 {
     std::uint64_t value = 0;
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -3,20 +3,17 @@
 #include <charconv>
 #include <cstdio>
 
+#include "bergamot/net/status.h"
 #include "bergamot/node/service_choice.h"
 
 namespace bergamot::node
 {
 
+using namespace net::status;
+
 namespace
 {
 
-constexpr int Ok = 200;
-constexpr int BadRequest = 400;
-constexpr int NotFound = 404;
-constexpr int MethodNotAllowed = 405;
-constexpr int Unavailable = 503;
-
 constexpr Duration OwnerTick = std::chrono::milliseconds(50); // runs and loads are looked at this often
 constexpr Duration FollowerTick = std::chrono::milliseconds(100); // claims, waiting readers
 constexpr Duration DrainTick = std::chrono::milliseconds(50);
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -2,17 +2,19 @@
 
 #include <boost/asio/post.hpp>
 
+#include "bergamot/net/status.h"
 #include "bergamot/routing/crash_quarantine.h"
 
 namespace bergamot::node
 {
 
+using namespace net::status;
+
 namespace
 {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10); // granularity of the router's timers
 constexpr Duration HeartbeatLag = std::chrono::milliseconds(1500); // from being written until it is read here
-constexpr int MisdirectedRequest = 421;
 
 std::string milliseconds(Duration duration)
 {
@@ -234,7 +236,7 @@
     const auto pending = m_pending.find(attempt.request);
     if (end.failure == net::CallFailure::None) {
         const bool notRun =
-            attempt.response.headers.has(m_headers.notExecuted) || attempt.response.status == MisdirectedRequest;
+            attempt.response.headers.has(m_headers.notExecuted) || attempt.response.status == Misdirected;
         if (notRun && pending != m_pending.end()) {
             m_log.write(EventKind::Request,
                         "attempt-not-executed",
