--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -187,9 +187,9 @@
 
 const std::string &EngineHomes::of(const std::string &engine) const
 {
-    static const std::string None;
+    static const std::string none;
     const auto found = m_homes.find(engine);
-    return found == m_homes.end() ? None : found->second;
+    return found == m_homes.end() ? none : found->second;
 }
 
 std::vector<PlannedLoad> nextLoads(const std::vector<LoadCandidate> &engines,
