--- a/bergamot/batch/batch_index.h
+++ b/bergamot/batch/batch_index.h
@@ -73,6 +73,11 @@
     {
         return m_batches;
     }
+    /// Replaces the state by that of a snapshot.
+    void restore(std::map<std::string, BatchEntry> batches)
+    {
+        m_batches = std::move(batches);
+    }
     /// Drops batches whose results need not be readable any longer.
     void expire(TimePoint now);
 
--- /dev/null
+++ b/bergamot/batch/snapshot.cpp
@@ -0,0 +1,204 @@
+#include "bergamot/batch/snapshot.h"
+
+#include "bergamot/base/hash.h"
+#include "bergamot/batch/generated/snapshot_generated.h"
+
+namespace bergamot::batch
+{
+
+namespace
+{
+
+constexpr std::uint32_t Format = 1; // increases with each change that older programs would misread
+
+log::SnapshotBatchT toRecord(const std::string &id, const BatchEntry &entry, TimePoint now)
+{
+    log::SnapshotBatchT record;
+    record.batch = id;
+    record.host = entry.host;
+    record.step = entry.step;
+    record.model = entry.model;
+    record.min_version = entry.minVersion;
+    record.wanted_groups = entry.wantedGroups;
+    record.total_items = entry.totalItems;
+    record.partition = entry.partition;
+    record.parts = entry.parts;
+    for (const ResultLocation &result : entry.results) {
+        record.result_items.push_back(result.item);
+        record.result_payloads.push_back(result.payload);
+    }
+    for (const auto &[item, payloads] : entry.savedProgress) {
+        auto saved = std::make_unique<log::SavedProgressT>();
+        saved->item = item;
+        saved->payloads = payloads;
+        record.saved.push_back(std::move(saved));
+    }
+    record.ended = entry.ended;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.acceptedAt);
+    record.age_ms = static_cast<std::uint64_t>(std::max<std::int64_t>(0, age.count()));
+    return record;
+}
+
+/// Returns nothing if the fields of the record contradict each other.
+std::optional<BatchEntry> toEntry(const log::SnapshotBatch &record, TimePoint now)
+{
+    BatchEntry entry{.host = stringOrEmpty(record.host()),
+                     .step = record.step(),
+                     .model = stringOrEmpty(record.model()),
+                     .minVersion = record.min_version(),
+                     .wantedGroups = record.wanted_groups(),
+                     .totalItems = record.total_items(),
+                     .partition = record.partition(),
+                     .ended = record.ended(),
+                     .acceptedAt = now - std::chrono::milliseconds(record.age_ms())};
+    if (record.parts() != nullptr) {
+        entry.parts.assign(record.parts()->begin(), record.parts()->end());
+    }
+    entry.committed.resize(entry.totalItems);
+    const flatbuffers::uoffset_t results = record.result_items() == nullptr ? 0 : record.result_items()->size();
+    if (results != (record.result_payloads() == nullptr ? 0 : record.result_payloads()->size())) {
+        return std::nullopt;
+    }
+    for (flatbuffers::uoffset_t index = 0; index < results; ++index) {
+        const std::uint32_t item = record.result_items()->Get(index);
+        if (item >= entry.totalItems || entry.committed[item]) {
+            return std::nullopt;
+        }
+        entry.committed[item] = true;
+        entry.results.push_back({.item = item, .payload = record.result_payloads()->Get(index)});
+    }
+    if (record.saved() == nullptr) {
+        return entry;
+    }
+    for (const log::SavedProgress *saved : *record.saved()) {
+        if (saved->item() >= entry.totalItems || saved->payloads() == nullptr) {
+            return std::nullopt;
+        }
+        entry.savedProgress[saved->item()].assign(saved->payloads()->begin(), saved->payloads()->end());
+    }
+    return entry;
+}
+
+std::string serializePart(log::SnapshotPartT part)
+{
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(log::SnapshotPart::Pack(builder, &part));
+    return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
+}
+
+const log::SnapshotPart *parsePart(const std::string &bytes)
+{
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
+    return log::VerifySnapshotPartBuffer(verifier) ? log::GetSnapshotPart(bytes.data()) : nullptr;
+}
+
+tl::unexpected<Error> unusable(std::string reason)
+{
+    return failure(ErrorCode::InvalidArgument, std::move(reason));
+}
+
+/// Joins the bytes of the parts of one snapshot.
+Result<std::string> joinParts(const std::vector<std::string> &parts)
+{
+    const log::SnapshotPart *first = parts.empty() ? nullptr : parsePart(parts.front());
+    if (first == nullptr) {
+        return unusable("the first part is missing or malformed");
+    }
+    if (first->format() != Format) {
+        return unusable("unknown format " + std::to_string(first->format()));
+    }
+    if (first->count() == 0 || first->count() > parts.size()) {
+        return unusable("parts are missing");
+    }
+    std::string bytes;
+    for (std::uint32_t index = 0; index < first->count(); ++index) {
+        const log::SnapshotPart *part = parsePart(parts[index]);
+        if (part == nullptr || part->bytes() == nullptr) {
+            return unusable("part " + std::to_string(index) + " is malformed");
+        }
+        if (part->id() != first->id() || part->index() != index || part->checksum() != first->checksum()) {
+            return unusable("part " + std::to_string(index) + " belongs to another snapshot");
+        }
+        bytes.append(reinterpret_cast<const char *>(part->bytes()->data()), part->bytes()->size());
+    }
+    if (stableHash(bytes) != first->checksum()) {
+        return unusable("the checksum does not match");
+    }
+    return bytes;
+}
+
+} // namespace
+
+std::vector<std::string> snapshotParts(const SnapshotHeader &header,
+                                       const std::map<std::string, BatchEntry> &batches,
+                                       const SnapshotOptions &options,
+                                       TimePoint now)
+{
+    log::SnapshotT snapshot;
+    snapshot.next_offset = header.nextOffset;
+    snapshot.epoch = header.epoch;
+    snapshot.owner = header.owner;
+    for (const auto &[engine, epoch] : header.recentOrders) {
+        auto order = std::make_unique<log::RecentOrderT>();
+        order->engine = engine;
+        order->epoch = epoch;
+        snapshot.orders.push_back(std::move(order));
+    }
+    for (const auto &[id, entry] : batches) {
+        snapshot.batches.push_back(std::make_unique<log::SnapshotBatchT>(toRecord(id, entry, now)));
+    }
+    flatbuffers::FlatBufferBuilder builder;
+    builder.Finish(log::Snapshot::Pack(builder, &snapshot));
+    const std::string_view bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
+    const std::size_t partBytes = std::max<std::size_t>(1, options.maxPartBytes);
+    const auto count = static_cast<std::uint32_t>((bytes.size() + partBytes - 1) / partBytes);
+    const std::uint64_t checksum = stableHash(bytes);
+    std::vector<std::string> parts;
+    for (std::uint32_t index = 0; index < count; ++index) {
+        const std::string_view piece = bytes.substr(index * partBytes, partBytes);
+        log::SnapshotPartT part;
+        part.format = Format;
+        part.id = header.nextOffset;
+        part.index = index;
+        part.count = count;
+        part.checksum = checksum;
+        part.bytes.assign(piece.begin(), piece.end());
+        parts.push_back(serializePart(std::move(part)));
+    }
+    return parts;
+}
+
+Result<LogSnapshot> parseSnapshot(const std::vector<std::string> &parts, TimePoint now)
+{
+    const Result<std::string> bytes = joinParts(parts);
+    if (!bytes) {
+        return tl::unexpected(bytes.error());
+    }
+    flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes->data()), bytes->size());
+    if (!verifier.VerifyBuffer<log::Snapshot>(nullptr)) {
+        return unusable("the content is malformed");
+    }
+    const auto &record = *flatbuffers::GetRoot<log::Snapshot>(bytes->data());
+    LogSnapshot snapshot{.header = {.nextOffset = record.next_offset(),
+                                    .epoch = record.epoch(),
+                                    .owner = stringOrEmpty(record.owner()),
+                                    .recentOrders = {}},
+                         .batches = {}};
+    if (record.orders() != nullptr) {
+        for (const log::RecentOrder *order : *record.orders()) {
+            snapshot.header.recentOrders[stringOrEmpty(order->engine())] = order->epoch();
+        }
+    }
+    if (record.batches() != nullptr) {
+        for (const log::SnapshotBatch *batch : *record.batches()) {
+            std::optional<BatchEntry> entry = toEntry(*batch, now);
+            if (!entry) {
+                return unusable("batch " + stringOrEmpty(batch->batch()) + " is inconsistent");
+            }
+            snapshot.batches.emplace(stringOrEmpty(batch->batch()), std::move(*entry));
+        }
+    }
+    return snapshot;
+}
+
+} // namespace bergamot::batch
--- a/bergamot/duties/pool_ownership.cpp
+++ b/bergamot/duties/pool_ownership.cpp
@@ -3,18 +3,49 @@
 namespace bergamot::duties
 {
 
+namespace
+{
+
+constexpr std::string_view UnknownOwner = "?"; // its claim has expired from the log
+
+} // namespace
+
 PoolOwnership::PoolOwnership(std::string instance, PoolOwnershipOptions options, std::uint64_t seed)
     : m_instance(std::move(instance))
     , m_options(options)
     , m_random(seed)
 { }
 
+PoolOwnershipState PoolOwnership::state(TimePoint now) const
+{
+    PoolOwnershipState state{.epoch = m_epoch, .owner = m_owner, .recentOrders = {}};
+    for (const auto &[engine, order] : m_latestOrders) {
+        if (now - order.at < m_options.orderLease) {
+            state.recentOrders[engine] = order.epoch;
+        }
+    }
+    return state;
+}
+
+void PoolOwnership::restore(const PoolOwnershipState &state, TimePoint now)
+{
+    m_epoch = state.epoch;
+    m_owner = state.owner;
+    m_epochStep = 1;
+    m_fenced = false;
+    m_latestOrders.clear();
+    for (const auto &[engine, epoch] : state.recentOrders) {
+        m_latestOrders[engine] = {.epoch = epoch, .at = now};
+    }
+}
+
 void PoolOwnership::applyClaim(const std::string &instance, std::uint64_t epoch, TimePoint now)
 {
     if (epoch <= m_epoch) {
         return;
     }
     m_epoch = epoch;
+    m_epochStep = 1;
     m_owner = instance;
     m_fenced = false;
     scheduleClaim(now, m_options.expiresAfter);
@@ -22,6 +53,10 @@
 
 void PoolOwnership::applyRenewal(std::uint64_t epoch, TimePoint now)
 {
+    if (epoch > m_epoch) {
+        applyClaim(std::string(UnknownOwner), epoch, now);
+        return;
+    }
     if (epoch == m_epoch && !m_owner.empty()) {
         scheduleClaim(now, m_options.expiresAfter);
     }
@@ -51,6 +86,11 @@
     m_fenced = true;
 }
 
+void PoolOwnership::onClaimFenced()
+{
+    m_epochStep *= 2;
+}
+
 void PoolOwnership::stopClaiming()
 {
     m_claimingStopped = true;
@@ -66,6 +106,11 @@
     return m_epoch;
 }
 
+std::uint64_t PoolOwnership::nextEpoch() const
+{
+    return m_epoch + m_epochStep;
+}
+
 const std::string &PoolOwnership::owner() const
 {
     return m_owner;
--- a/bergamot/duties/pool_ownership.h
+++ b/bergamot/duties/pool_ownership.h
@@ -33,27 +33,46 @@
     Duration orderLease = std::chrono::milliseconds(3300); // minimum time between orders of two owners to one engine
 };
 
+/// What a snapshot keeps of the ownership.
+struct PoolOwnershipState
+{
+    std::uint64_t epoch = 0;
+    std::string owner;
+    std::map<std::string, std::uint64_t> recentOrders; // epoch of the newest load order, by engine
+};
+
 /// Not thread-safe. Times are those at which this instance reads the records.
 class PoolOwnership
 {
 public:
     PoolOwnership(std::string instance, PoolOwnershipOptions options, std::uint64_t seed);
 
+    /// The state to keep in a snapshot; of the load orders, those that still delay another owner.
+    PoolOwnershipState state(TimePoint now) const;
+    /// Continues from a snapshot. The recent orders count as sent at `now`, so none is taken for older than it is.
+    void restore(const PoolOwnershipState &state, TimePoint now);
+
     // Records of the log; call these in the order of the log.
     void applyClaim(const std::string &instance, std::uint64_t epoch, TimePoint now);
-    void applyRenewal(std::uint64_t epoch, TimePoint now); // for any record that only the owner writes
+    /// For any record that only the owner writes. An epoch higher than any known claim means that the claim has expired
+    /// from the log: somebody else owns the pool.
+    void applyRenewal(std::uint64_t epoch, TimePoint now);
     void applyRelease(std::uint64_t epoch, TimePoint now);
     void applyLoadIntent(std::uint64_t epoch, const std::string &engine, TimePoint now);
     /// The log is available again after an outage. The silence of the owner during the outage does not count.
     void logRecovered(TimePoint now);
     /// The store refused an append because another writer has a higher epoch.
     void onFenced();
+    /// The store refused a claim with `nextEpoch` because of a higher epoch that is not in the log any longer.
+    void onClaimFenced();
     /// From now on this instance makes no claims.
     void stopClaiming();
 
     bool isOwner() const;
     /// The highest epoch in the log.
     std::uint64_t epoch() const;
+    /// Epoch of this instance's next claim.
+    std::uint64_t nextEpoch() const;
     /// The instance with the newest claim; empty if there is no claim or the owner has released the ownership.
     const std::string &owner() const;
     /// Whether to claim now. Call it only when the log has been read to its end.
@@ -78,6 +97,7 @@
     std::mt19937_64 m_random;
     std::string m_owner; // empty: no owner
     std::uint64_t m_epoch = 0; // highest epoch in the log
+    std::uint64_t m_epochStep = 1; // from the highest known epoch to that of the next claim
     TimePoint m_claimAt{}; // earliest time of the next claim; zero: not set
     std::map<std::string, LatestOrder> m_latestOrders; // newest load order by engine
     bool m_fenced = false;
--- a/bergamot/duties/pool_ownership_test.cpp
+++ b/bergamot/duties/pool_ownership_test.cpp
@@ -113,5 +113,60 @@
                              return test.param.name;
                          });
 
+struct RestoredOrderCase
+{
+    const char *name;
+    Duration orderAge; // when the snapshot was taken
+    Duration after; // time after the snapshot was restored
+    bool allowed;
+};
+
+class RestoredOrderTest : public PoolOwnershipTest, public testing::WithParamInterface<RestoredOrderCase>
+{ };
+
+TEST_P(RestoredOrderTest, ARestoredOrderCountsAsSentAtTheRestore)
+{
+    m_ownership.applyClaim("other", 7, m_start);
+    m_ownership.applyLoadIntent(7, "e", m_start - GetParam().orderAge);
+    PoolOwnership restored("me", {}, 2);
+    restored.restore(m_ownership.state(m_start), m_start);
+    EXPECT_EQ(restored.epoch(), 7U);
+    EXPECT_EQ(restored.owner(), "other");
+    restored.applyClaim("me", 8, m_start);
+    EXPECT_EQ(restored.mayOrderLoad("e", m_start + GetParam().after), GetParam().allowed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ages,
+                         RestoredOrderTest,
+                         testing::Values(RestoredOrderCase{"Recent", 1s, 3s, false},
+                                         RestoredOrderCase{"RecentAndLeaseOver", 1s, 3400ms, true},
+                                         RestoredOrderCase{"Old", 4s, 0s, true}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+// The store deletes old records. An instance that starts then sees renewals of an epoch whose claim is gone.
+TEST_F(PoolOwnershipTest, ARenewalOfAnUnknownClaimTellsTheEpoch)
+{
+    m_ownership.logRecovered(m_start);
+    m_ownership.applyRenewal(9, m_start);
+    EXPECT_EQ(m_ownership.epoch(), 9U);
+    EXPECT_FALSE(m_ownership.isOwner());
+    EXPECT_FALSE(m_ownership.shouldClaim(m_start + 1s)) << "the unknown owner is alive";
+    EXPECT_TRUE(m_ownership.shouldClaim(m_start + 2s));
+    EXPECT_EQ(m_ownership.nextEpoch(), 10U);
+}
+
+TEST_F(PoolOwnershipTest, AClaimBelowAnUnknownEpochIsRaisedUntilItIsHighEnough)
+{
+    int claims = 0;
+    for (constexpr std::uint64_t EpochAtTheStore = 1000; m_ownership.nextEpoch() <= EpochAtTheStore; ++claims) {
+        m_ownership.onClaimFenced();
+    }
+    EXPECT_LE(claims, 10);
+    m_ownership.applyClaim("other", 1200, m_start);
+    EXPECT_EQ(m_ownership.nextEpoch(), 1201U);
+}
+
 } // namespace
 } // namespace bergamot::duties
--- a/bergamot/logstore/fake_log_store.h
+++ b/bergamot/logstore/fake_log_store.h
@@ -65,12 +65,15 @@
             });
     }
 
-    void readNewest(const std::string &topic, std::function<void(ReadNewestOutcome)> done) override
+    void readNewest(ReadNewest read, std::function<void(ReadNewestOutcome)> done) override
     {
-        boost::asio::post(
-            m_loop, [done = std::move(done), outcome = faults.down ? ReadNewestOutcome() : m_log.readNewest(topic)] {
-                done(outcome);
-            });
+        ReadNewestOutcome outcome;
+        if (!faults.down) {
+            outcome = m_log.readNewest(read.topic, read.after);
+        }
+        boost::asio::post(m_loop, [done = std::move(done), outcome = std::move(outcome)] {
+            done(outcome);
+        });
     }
 
     StoreFaults faults;
--- a/bergamot/logstore/log_store.cpp
+++ b/bergamot/logstore/log_store.cpp
@@ -3,6 +3,11 @@
 namespace bergamot::logstore
 {
 
+std::string keyedRecord(const std::string &key, const std::string &value)
+{
+    return std::string(1, static_cast<char>(key.size())) + key + value;
+}
+
 std::optional<KeyedRecord> splitKeyed(const std::string &record, std::uint64_t offset)
 {
     if (record.empty()) {
--- a/bergamot/logstore/log_store.h
+++ b/bergamot/logstore/log_store.h
@@ -63,6 +63,8 @@
     std::uint64_t from = 0;
     std::uint32_t maxKilobytes = 256;
     Duration wait{}; // how long the store waits for a record (long poll)
+    Duration timeout = std::chrono::milliseconds(2000); // for the response, on top of `wait`
+    bool newConnection = false; // bypass a kept connection, which may have gone silent
 };
 
 enum class ReadStatus {
@@ -76,10 +78,19 @@
     ReadStatus status = ReadStatus::Failed;
     std::uint64_t end = 0;
     std::uint64_t first = 0;
-    std::vector<std::string> records; // consecutive records, the first one at `from`
+    std::vector<std::string> records; // consecutive records, the first one at `from`; those of a response that broke
+                                      // off are complete, but fewer
     std::string detail;
 };
 
+/// Reads one page of the newest records of a keyed topic.
+struct ReadNewest
+{
+    std::string topic;
+    std::string after; // the last key of the previous page; empty for the first page
+    Duration timeout = std::chrono::milliseconds(1500);
+};
+
 struct KeyedRecord
 {
     std::string key;
@@ -91,7 +102,8 @@
 {
     ReadStatus status = ReadStatus::Failed;
     std::vector<KeyedRecord> records;
-    std::uint64_t end = 0; // end offset of the partition when the first page was read
+    std::uint64_t end = 0; // end offset of the partition when the page was read
+    bool hasMore = false; // further pages follow
     std::string detail;
 };
 
@@ -103,10 +115,12 @@
 
     virtual void append(Append append, std::function<void(const AppendOutcome &)> done) = 0;
     virtual void read(Read read, std::function<void(ReadOutcome)> done) = 0;
-    /// Reads the newest record of each key of a keyed topic, all pages of it.
-    virtual void readNewest(const std::string &topic, std::function<void(ReadNewestOutcome)> done) = 0;
+    virtual void readNewest(ReadNewest read, std::function<void(ReadNewestOutcome)> done) = 0;
 };
 
+/// Serializes a record of a keyed topic; an empty value deletes the key. `key` has at most 255 bytes.
+std::string keyedRecord(const std::string &key, const std::string &value);
+
 /// Splits a record of a keyed topic into its key and value. Returns `nullopt` if the record is too short.
 std::optional<KeyedRecord> splitKeyed(const std::string &record, std::uint64_t offset);
 
--- a/bergamot/logstore/memory_log.cpp
+++ b/bergamot/logstore/memory_log.cpp
@@ -98,17 +98,22 @@
     return outcome;
 }
 
-ReadNewestOutcome MemoryLog::readNewest(const std::string &topic) const
+ReadNewestOutcome MemoryLog::readNewest(const std::string &topic, const std::string &after) const
 {
     ReadNewestOutcome outcome{.status = ReadStatus::Done, .end = end(topic, 0)};
     const auto found = m_newest.find(topic);
     if (found == m_newest.end()) {
         return outcome;
     }
-    for (const auto &[key, record] : found->second) {
-        if (!record.value.empty()) {
-            outcome.records.push_back(record);
+    for (auto entry = found->second.upper_bound(after); entry != found->second.end(); ++entry) {
+        if (entry->second.value.empty()) {
+            continue;
         }
+        if (outcome.records.size() == m_options.maxPageRecords) {
+            outcome.hasMore = true;
+            break;
+        }
+        outcome.records.push_back(entry->second);
     }
     return outcome;
 }
@@ -133,7 +138,7 @@
 
 void MemoryLog::put(const std::string &topic, const std::string &key, const std::string &value)
 {
-    append({.topic = topic, .records = {std::string(1, static_cast<char>(key.size())) + key + value}});
+    append({.topic = topic, .records = {keyedRecord(key, value)}});
 }
 
 std::uint64_t MemoryLog::endOf(const Partition &partition)
--- a/bergamot/logstore/memory_log.h
+++ b/bergamot/logstore/memory_log.h
@@ -23,6 +23,7 @@
     std::size_t maxRecordBytes = 256 * 1024;
     std::size_t maxCallBytes = 2 * 1024 * 1024;
     std::size_t maxRecentAppends = 5; // outcomes kept per producer; a repeat gets the kept outcome
+    std::size_t maxPageRecords = 50; // records in one page of the newest records
 };
 
 /// Implements the operations of `LogStore` synchronously. Not thread-safe.
@@ -35,7 +36,8 @@
 
     AppendOutcome append(const Append &append);
     ReadOutcome read(const std::string &topic, std::uint32_t partition, std::uint64_t from, std::size_t maxBytes) const;
-    ReadNewestOutcome readNewest(const std::string &topic) const;
+    /// One page of the newest records, those with keys behind `after`.
+    ReadNewestOutcome readNewest(const std::string &topic, const std::string &after = {}) const;
     /// Deletes the records with offsets below `before`.
     void trim(const std::string &topic, std::uint32_t partition, std::uint64_t before);
     /// End offset of the partition: the offset of the next record.
--- a/bergamot/logstore/topic_tail.cpp
+++ b/bergamot/logstore/topic_tail.cpp
@@ -5,118 +5,152 @@
 
 struct TopicTail::State : std::enable_shared_from_this<TopicTail::State>
 {
-    State(boost::asio::io_context &loop, LogStore &logStore, TopicTailOptions tailOptions, TopicTailEvents tailEvents)
+    State(boost::asio::io_context &loop,
+          LogStore &logStore,
+          TopicTailOptions tailOptions,
+          TopicTailEvents tailEvents,
+          std::uint64_t seed)
         : store(logStore)
         , options(std::move(tailOptions))
         , events(std::move(tailEvents))
+        , schedule(options.reads, seed)
         , timer(loop)
     { }
 
-    void readNext()
+    /// Sends the reads that are due and waits for the next one.
+    void proceed()
+    {
+        const TimePoint now = BootClock::now();
+        while (const std::optional<PlannedRead> read = schedule.next(now)) {
+            send(*read);
+        }
+        reportOutage(now);
+        const TimePoint wakeAt = schedule.wakeAt();
+        if (wakeAt == TimePoint::max()) {
+            timer.cancel();
+            return;
+        }
+        timer.expires_after(wakeAt - now);
+        timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+            const std::shared_ptr<State> state = weak.lock();
+            if (!error && state != nullptr) {
+                state->proceed();
+            }
+        });
+    }
+
+    void send(const PlannedRead &read)
     {
         store.read({.topic = options.topic,
                     .partition = options.partition,
-                    .from = nextOffset,
-                    .maxKilobytes = options.maxKilobytes,
-                    .wait = caughtUp ? options.wait : Duration::zero()},
-                   [weak = weak_from_this()](const ReadOutcome &outcome) {
+                    .from = read.from,
+                    .maxKilobytes = read.kilobytes,
+                    .wait = read.wait,
+                    .timeout = options.reads.responseTimeout,
+                    .newConnection = read.hedge},
+                   [weak = weak_from_this(), id = read.id, from = read.from](const ReadOutcome &outcome) {
                        if (const std::shared_ptr<State> state = weak.lock()) {
-                           state->handleRead(outcome);
+                           state->handleRead(id, from, outcome);
                        }
                    });
     }
 
-    void readAfter(Duration pause)
+    void handleRead(std::uint64_t id, std::uint64_t from, const ReadOutcome &outcome)
     {
-        timer.expires_after(pause);
-        timer.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-            const std::shared_ptr<State> state = weak.lock();
-            if (!error && state != nullptr) {
-                state->readNext();
+        const TimePoint now = BootClock::now();
+        switch (outcome.status) {
+        case ReadStatus::Failed:
+            lastError = outcome.detail;
+            schedule.onFailed(id, now);
+            break;
+        case ReadStatus::Trimmed: {
+            const bool skipped = schedule.onTrimmed(id, outcome.first, now);
+            reportRecovery(now);
+            if (skipped && events.onGap) {
+                events.onGap(schedule.nextOffset());
             }
-        });
+            break;
+        }
+        case ReadStatus::Done: {
+            const NewRecords added = schedule.onRecords(id, from, outcome.records.size(), outcome.end, now);
+            reportRecovery(now);
+            deliver(from, added, outcome.records);
+            break;
+        }
+        }
+        proceed();
     }
 
-    void handleRead(const ReadOutcome &outcome)
+    void deliver(std::uint64_t from, const NewRecords &added, const std::vector<std::string> &records)
     {
-        const TimePoint now = BootClock::now();
-        if (outcome.status == ReadStatus::Failed) {
-            if (!unavailable && now - lastResponseAt > options.unavailableAfter) {
-                unavailable = true;
-                notify(events.onUnavailable);
+        for (std::size_t index = added.first; index < added.first + added.count; ++index) {
+            if (events.onRecord) {
+                events.onRecord(from + index, records[index]);
             }
-            readAfter(options.retryPause);
-            return;
         }
-        const Duration outage = now - lastResponseAt;
-        lastResponseAt = now;
-        if (unavailable) {
-            unavailable = false;
-            if (events.onRecovered) {
-                events.onRecovered(outage);
-            }
+        if (events.onReadEnd) {
+            events.onReadEnd();
         }
-        if (outcome.status == ReadStatus::Trimmed) {
-            nextOffset = std::max(outcome.first, nextOffset);
-            caughtUp = false;
-            if (events.onGap) {
-                events.onGap(nextOffset);
-            }
-            readAfter(options.retryPause);
+    }
+
+    void reportOutage(TimePoint now)
+    {
+        if (unavailable || !schedule.unavailable(now)) {
             return;
         }
-        for (const std::string &record : outcome.records) {
-            if (events.onRecord) {
-                events.onRecord(nextOffset, record);
-            }
-            ++nextOffset;
-        }
-        caughtUp = nextOffset >= outcome.end;
-        notify(events.onReadEnd);
-        if (outcome.records.empty() || !caughtUp) {
-            readNext();
-        } else {
-            readAfter(options.readPause);
+        unavailable = true;
+        unavailableSince = schedule.lastResponseAt();
+        if (events.onUnavailable) {
+            const FollowProgress &progress = schedule.progress();
+            events.onUnavailable({.nextOffset = progress.nextOffset,
+                                  .records = progress.records,
+                                  .tries = progress.failuresInRow,
+                                  .lastError = lastError});
         }
     }
 
-    static void notify(const std::function<void()> &event)
+    void reportRecovery(TimePoint now)
     {
-        if (event) {
-            event();
+        lastError.clear();
+        if (std::exchange(unavailable, false) && events.onRecovered) {
+            events.onRecovered(now - unavailableSince);
         }
     }
 
     LogStore &store;
     TopicTailOptions options;
     TopicTailEvents events;
+    ReadSchedule schedule;
     boost::asio::steady_timer timer;
-    std::uint64_t nextOffset = 0;
-    bool caughtUp = false;
+    std::string lastError;
+    TimePoint unavailableSince{};
     bool unavailable = false;
-    TimePoint lastResponseAt = BootClock::now();
 };
 
-TopicTail::TopicTail(boost::asio::io_context &loop, LogStore &store, TopicTailOptions options, TopicTailEvents events)
-    : m_state(std::make_shared<State>(loop, store, std::move(options), std::move(events)))
+TopicTail::TopicTail(boost::asio::io_context &loop,
+                     LogStore &store,
+                     TopicTailOptions options,
+                     TopicTailEvents events,
+                     std::uint64_t seed)
+    : m_state(std::make_shared<State>(loop, store, std::move(options), std::move(events), seed))
 { }
 
 TopicTail::~TopicTail() = default;
 
 void TopicTail::start(std::uint64_t from)
 {
-    m_state->nextOffset = from;
-    m_state->readNext();
+    m_state->schedule.start(from, BootClock::now());
+    m_state->proceed();
 }
 
 void TopicTail::setReadPause(Duration readPause)
 {
-    m_state->options.readPause = readPause;
+    m_state->schedule.setReadPause(readPause);
 }
 
 bool TopicTail::caughtUp() const
 {
-    return m_state->caughtUp;
+    return m_state->schedule.caughtUp();
 }
 
 bool TopicTail::unavailable() const
@@ -126,12 +160,22 @@
 
 Duration TopicTail::timeSinceResponse(TimePoint now) const
 {
-    return now - m_state->lastResponseAt;
+    return now - m_state->schedule.lastResponseAt();
 }
 
 std::uint64_t TopicTail::nextOffset() const
 {
-    return m_state->nextOffset;
+    return m_state->schedule.nextOffset();
+}
+
+const FollowProgress &TopicTail::progress() const
+{
+    return m_state->schedule.progress();
+}
+
+std::optional<Duration> TopicTail::timeToCatchUp(TimePoint now) const
+{
+    return m_state->schedule.timeToCatchUp(now);
 }
 
 } // namespace bergamot::logstore
--- a/bergamot/logstore/topic_tail.h
+++ b/bergamot/logstore/topic_tail.h
@@ -1,9 +1,9 @@
 #pragma once
 
 // Follows one partition of the store with long polls. Records are delivered in order; `onGap` reports records that were
-// deleted before they were read.
+// deleted before they were read. `ReadSchedule` decides when and how much is read.
 //
-//     TopicTail tail(loop, store, {.topic = "batches"}, {.onRecord = ..., .onGap = ...});
+//     TopicTail tail(loop, store, {.topic = "batches"}, {.onRecord = ..., .onGap = ...}, seed);
 //     tail.start(0);
 //
 // Load pattern: hundreds of instances follow one topic that changes many times a second. After a read that returned
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "bergamot/logstore/log_store.h"
+#include "bergamot/logstore/read_schedule.h"
 
 namespace bergamot::logstore
 {
@@ -25,12 +26,16 @@
 {
     std::string topic;
     std::uint32_t partition = 0;
-    Duration wait = std::chrono::milliseconds(
-        700); // longest wait of a long poll; also limits how long a dead connection stays undetected
-    Duration readPause = std::chrono::milliseconds(200); // delay after a read that returned records
-    Duration retryPause = std::chrono::milliseconds(150); // delay after a failed read
-    std::uint32_t maxKilobytes = 256; // size limit of one read
-    Duration unavailableAfter = std::chrono::milliseconds(1000); // time without a response until `onUnavailable`
+    ReadScheduleOptions reads;
+};
+
+/// Why the store counts as unavailable.
+struct TailOutage
+{
+    std::uint64_t nextOffset = 0; // offset of the reads that failed
+    std::uint64_t records = 0; // records read since the start
+    std::uint32_t tries = 0; // reads without a response since the last response
+    std::string lastError; // of the last failed read; empty if reads are only late
 };
 
 struct TopicTailEvents
@@ -38,7 +43,7 @@
     std::function<void(std::uint64_t offset, const std::string &record)> onRecord;
     std::function<void()> onReadEnd; // all records of one read have been delivered
     std::function<void(std::uint64_t first)> onGap; // records were deleted unread; reading continues at `first`
-    std::function<void()> onUnavailable; // the store has not responded for `unavailableAfter`
+    std::function<void(const TailOutage &)> onUnavailable; // the store has not responded for `unavailableAfter`
     std::function<void(Duration)> onRecovered; // the store responds again; time since the last response
 };
 
@@ -46,12 +51,16 @@
 class TopicTail
 {
 public:
-    TopicTail(boost::asio::io_context &loop, LogStore &store, TopicTailOptions options, TopicTailEvents events);
+    TopicTail(boost::asio::io_context &loop,
+              LogStore &store,
+              TopicTailOptions options,
+              TopicTailEvents events,
+              std::uint64_t seed);
     ~TopicTail();
     TopicTail(const TopicTail &) = delete;
     TopicTail &operator=(const TopicTail &) = delete;
 
-    /// Starts following at offset `from`.
+    /// Starts following at offset `from`, or continues there.
     void start(std::uint64_t from);
     /// Changes the delay after a read that returned records, from the next such read on.
     void setReadPause(Duration readPause);
@@ -63,6 +72,10 @@
     Duration timeSinceResponse(TimePoint now) const;
     /// Offset of the next record to read.
     std::uint64_t nextOffset() const;
+    /// Counts since `start`.
+    const FollowProgress &progress() const;
+    /// Estimated time until the partition is read to its end; nothing if unknown.
+    std::optional<Duration> timeToCatchUp(TimePoint now) const;
 
 private:
     struct State;
--- a/bergamot/logstore/topic_tail_test.cpp
+++ b/bergamot/logstore/topic_tail_test.cpp
@@ -34,8 +34,9 @@
                         m_gaps.push_back(first);
                     },
                 .onUnavailable =
-                    [this] {
+                    [this](const TailOutage &outage) {
                         ++m_outages;
+                        m_lastOutage = outage;
                     },
                 .onRecovered =
                     [this](Duration) {
@@ -47,9 +48,15 @@
     MemoryLog m_log;
     FakeLogStore m_store{m_loop, m_log};
     TopicTail m_tail{
-        m_loop, m_store, {.topic = "t", .readPause = 1ms, .retryPause = 5ms, .unavailableAfter = 30ms}, events()};
+        m_loop,
+        m_store,
+        {.topic = "t",
+         .reads = {.readPause = 1ms, .unavailableAfter = 30ms, .backoff = {.initial = 5ms, .maximum = 5ms}}},
+        events(),
+        1};
     std::vector<std::pair<std::uint64_t, std::string>> m_records;
     std::vector<std::uint64_t> m_gaps;
+    TailOutage m_lastOutage;
     int m_outages = 0;
     int m_recoveries = 0;
 };
@@ -77,6 +84,8 @@
         return m_outages == 1;
     });
     EXPECT_TRUE(m_tail.unavailable());
+    EXPECT_EQ(m_lastOutage.nextOffset, 0U);
+    EXPECT_GT(m_lastOutage.tries, 0U);
     m_log.append({.topic = "t", .records = {"a"}});
     m_store.faults.down = false;
     runUntil([this] {
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -1,7 +1,8 @@
 #pragma once
 
 // This instance's access to the batch log: follows it, builds the index of batches and the state of the engine pool's
-// ownership from its records, claims and renews the ownership, and reads payloads on demand.
+// ownership from its records, claims and renews the ownership, and reads payloads on demand. It starts from the newest
+// snapshot, which the owner of the pool writes whenever the records since the last one outweigh it.
 //
 //     BatchLog log(loop, store, {.instance = "node-1"}, eventLog, seed);
 //     log.onOwnership([&](bool owns) { ... });
@@ -16,9 +17,11 @@
 
 #include "bergamot/base/event_log.h"
 #include "bergamot/batch/batch_index.h"
+#include "bergamot/batch/snapshot.h"
 #include "bergamot/duties/pool_ownership.h"
 #include "bergamot/logstore/bulk_writer.h"
 #include "bergamot/logstore/fenced_writer.h"
+#include "bergamot/logstore/keyed_reader.h"
 #include "bergamot/logstore/topic_tail.h"
 
 namespace bergamot::node
@@ -29,11 +32,14 @@
     std::string instance;
     std::string topic = "batches";
     std::string payloadTopic = "payloads";
+    std::string snapshotTopic = "keyed.batch-index";
     std::uint32_t payloadPartitions = 12; // partitions of the payload topic
     std::size_t maxRecordBytes = 256 * 1024; // limit of the store for a record
     std::size_t maxCallBytes = 2 * 1024 * 1024; // limit of the store for the records of one call
     Duration ownerReadPause = std::chrono::milliseconds(20); // owner's delay after a read that returned records
     Duration followerReadPause = std::chrono::milliseconds(200); // the same for other instances
+    std::size_t minSnapshotBytes = 64 * 1024; // records that are always read instead of a new snapshot
+    Duration minSnapshotInterval = std::chrono::seconds(1);
     Duration maxConfirmationAge =
         std::chrono::milliseconds(1000); // with an older index, a batch that is not in it may still exist
     batch::BatchIndexOptions index;
@@ -47,7 +53,7 @@
     std::string bytes;
 };
 
-/// Follows the log from its first record. Not thread-safe.
+/// Follows the log from the newest snapshot, or from its first record if there is none. Not thread-safe.
 class BatchLog
 {
 public:
@@ -66,6 +72,8 @@
     bool upToDate(TimePoint now) const;
     /// Whether the log has been read to its end once.
     bool started() const;
+    /// When a caller whose batch is unknown here should return: after the catch-up, as far as its progress tells.
+    Duration retryAfter(TimePoint now) const;
     const batch::BatchIndex &index() const;
     const duties::PoolOwnership &ownership() const;
     logstore::FencedWriter &writer();
@@ -104,6 +112,17 @@
     const BatchLogOptions &options() const;
 
 private:
+    void loadSnapshot();
+    void handleSnapshot(const logstore::KeyedContent &content);
+    /// Continues from the snapshot. Returns false if it does not reach the records that are missing here.
+    bool restore(batch::LogSnapshot snapshot);
+    void follow(std::uint64_t from, std::string_view source);
+    void handleReadEnd();
+    void handleGap(std::uint64_t first);
+    void logCatchUpProgress(TimePoint now);
+    bool snapshotDue(TimePoint now) const;
+    void writeSnapshot(TimePoint now);
+    void appendSnapshot(std::vector<std::string> records, std::size_t bytes);
     void applyRecord(std::uint64_t offset, const std::string &bytes);
     void claim();
     void updateOwnership();
@@ -115,12 +134,21 @@
     EventLog &m_log;
     batch::BatchIndex m_index;
     duties::PoolOwnership m_ownership;
+    logstore::KeyedReader m_snapshotReader;
     logstore::TopicTail m_tail;
     logstore::FencedWriter m_writer;
     logstore::BulkWriter m_payloadWriter;
     std::function<void(batch::BatchChange, const batch::log::Record &)> m_batchChangeHandler;
     std::function<void()> m_recordsAppliedHandler;
     std::function<void(bool)> m_ownershipHandler;
+    TimePoint m_startedAt{};
+    TimePoint m_progressLoggedAt{};
+    TimePoint m_snapshotWrittenAt{};
+    std::size_t m_snapshotBytes = 0; // size of the newest snapshot that this instance has read or written
+    std::size_t m_bytesSinceSnapshot = 0; // bytes of the records applied since then
+    std::optional<std::uint64_t> m_gapEnd; // records before this offset were deleted unread
+    bool m_following = false;
+    bool m_snapshotPending = false;
     bool m_started = false;
     bool m_owned = false;
     bool m_claimPending = false;
--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -388,7 +388,7 @@
         response.headers.add("Content-Type", type);
     }
     if (status == Unavailable) {
-        response.headers.add("Retry-After", seconds(m_options.retryAfter));
+        response.headers.add("Retry-After", seconds(m_log.retryAfter(BootClock::now())));
     }
     exchange.respond(std::move(response));
 }
--- a/bergamot/node/batch_service.h
+++ b/bergamot/node/batch_service.h
@@ -28,7 +28,6 @@
     Duration retryPause = std::chrono::milliseconds(100);
     Duration maxWait = std::chrono::milliseconds(1000); // upper bound of how long a read waits for a result
     std::size_t maxResultBytes = 512 * 1024; // a response is complete once its texts reach this size
-    Duration retryAfter = std::chrono::milliseconds(300); // Retry-After of a 503: another instance may respond at once
 };
 
 /// Responds to each exchange unless its caller has disconnected. Not thread-safe.
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -1,18 +1,13 @@
 #include "bergamot/node/fleet_view.h"
 
+#include "bergamot/node/store_events.h"
+
 namespace bergamot::node
 {
 
 namespace
 {
 
-constexpr Duration ReadRetryPause = std::chrono::milliseconds(200); // before a failed full read is repeated
-
-std::string milliseconds(Duration duration)
-{
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 void notify(const std::function<void()> &handler)
 {
     if (handler) {
@@ -26,12 +21,12 @@
                      logstore::LogStore &store,
                      const PlatformCodec &codec,
                      EventLog &log,
-                     Duration topicReadPause)
-    : m_store(store)
-    , m_codec(codec)
+                     Duration topicReadPause,
+                     std::uint64_t seed)
+    : m_codec(codec)
     , m_log(log)
-    , m_operatorRetryTimer(loop)
-    , m_endpointRetryTimer(loop)
+    , m_operatorReader(loop, store, {.topic = codec.operatorTopic()}, seed)
+    , m_endpointReader(loop, store, {.topic = codec.endpointTopic()}, seed + 1)
 {
     logstore::TopicTailEvents operators;
     operators.onRecord = [this](std::uint64_t offset, const std::string &bytes) {
@@ -42,18 +37,18 @@
     operators.onGap = [this](std::uint64_t) {
         readOperatorTopic();
     };
-    operators.onUnavailable = [this] {
-        m_log.write(EventKind::State, "store-lost", {{"view", "configuration"}});
+    operators.onUnavailable = [this](const logstore::TailOutage &outage) {
+        writeStoreLost(m_log, "configuration", outage);
     };
     operators.onRecovered = [this](Duration outage) {
-        m_log.write(
-            EventKind::State, "store-returned", {{"view", "configuration"}, {"after_ms", milliseconds(outage)}});
+        writeStoreReturned(m_log, "configuration", outage);
     };
     m_operatorTail = std::make_unique<logstore::TopicTail>(
         loop,
         store,
-        logstore::TopicTailOptions{.topic = codec.operatorTopic(), .readPause = topicReadPause},
-        std::move(operators));
+        logstore::TopicTailOptions{.topic = codec.operatorTopic(), .reads = {.readPause = topicReadPause}},
+        std::move(operators),
+        seed + 2);
 
     logstore::TopicTailEvents endpoints;
     endpoints.onRecord = [this](std::uint64_t offset, const std::string &bytes) {
@@ -69,18 +64,19 @@
     endpoints.onGap = [this](std::uint64_t) {
         readEndpointTopic();
     };
-    endpoints.onUnavailable = [this] {
-        m_log.write(EventKind::State, "store-lost", {{"view", "endpoints"}});
+    endpoints.onUnavailable = [this](const logstore::TailOutage &outage) {
+        writeStoreLost(m_log, "endpoints", outage);
     };
     endpoints.onRecovered = [this](Duration outage) {
-        m_log.write(EventKind::State, "store-returned", {{"view", "endpoints"}, {"after_ms", milliseconds(outage)}});
+        writeStoreReturned(m_log, "endpoints", outage);
         m_directory.storeRecovered(BootClock::now());
     };
     m_endpointTail = std::make_unique<logstore::TopicTail>(
         loop,
         store,
-        logstore::TopicTailOptions{.topic = codec.endpointTopic(), .readPause = topicReadPause},
-        std::move(endpoints));
+        logstore::TopicTailOptions{.topic = codec.endpointTopic(), .reads = {.readPause = topicReadPause}},
+        std::move(endpoints),
+        seed + 3);
 }
 
 FleetView::~FleetView() = default;
@@ -152,51 +148,45 @@
 
 void FleetView::readOperatorTopic()
 {
-    m_store.readNewest(m_codec.operatorTopic(), [this](const logstore::ReadNewestOutcome &outcome) {
-        if (outcome.status != logstore::ReadStatus::Done) {
-            m_operatorRetryTimer.expires_after(ReadRetryPause);
-            m_operatorRetryTimer.async_wait([this](const boost::system::error_code &error) {
-                if (!error) {
-                    readOperatorTopic();
-                }
-            });
-            return;
-        }
-        for (const logstore::KeyedRecord &record : outcome.records) {
+    m_operatorReader.read([this, startedAt = BootClock::now()](const logstore::KeyedContent &content) {
+        writeTopicRead("configuration", content, startedAt);
+        for (const logstore::KeyedRecord &record : content.records) {
             applyOperatorRecord(record);
         }
         if (!std::exchange(m_operatorsRead, true)) {
-            m_operatorTail->start(outcome.end);
+            m_operatorTail->start(content.end);
         }
     });
 }
 
 void FleetView::readEndpointTopic()
 {
-    m_store.readNewest(m_codec.endpointTopic(), [this](const logstore::ReadNewestOutcome &outcome) {
-        if (outcome.status != logstore::ReadStatus::Done) {
-            m_endpointRetryTimer.expires_after(ReadRetryPause);
-            m_endpointRetryTimer.async_wait([this](const boost::system::error_code &error) {
-                if (!error) {
-                    readEndpointTopic();
-                }
-            });
-            return;
-        }
+    m_endpointReader.read([this, startedAt = BootClock::now()](const logstore::KeyedContent &content) {
+        writeTopicRead("endpoints", content, startedAt);
         std::map<std::string, fleet::Endpoint> registered;
-        for (const logstore::KeyedRecord &record : outcome.records) {
+        for (const logstore::KeyedRecord &record : content.records) {
             if (std::optional<fleet::Endpoint> endpoint = parseEndpoint(record)) {
                 registered.emplace(record.key, std::move(*endpoint));
             }
         }
         m_directory.replace(std::move(registered), BootClock::now());
         if (!std::exchange(m_endpointsRead, true)) {
-            m_endpointTail->start(outcome.end);
+            m_endpointTail->start(content.end);
         }
         notify(m_endpointsHandler);
     });
 }
 
+void FleetView::writeTopicRead(std::string_view view, const logstore::KeyedContent &content, TimePoint startedAt)
+{
+    m_log.write(EventKind::State,
+                "topic-read",
+                {{"view", std::string(view)},
+                 {"records", std::to_string(content.records.size())},
+                 {"failures", std::to_string(content.failures)},
+                 {"took_ms", milliseconds(BootClock::now() - startedAt)}});
+}
+
 void FleetView::applyOperatorRecord(const logstore::KeyedRecord &record)
 {
     if (record.value.empty()) {
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -3,7 +3,7 @@
 // This instance's view of the configuration, the named weight versions and the registered endpoints, followed from the
 // platform's store. The version of the configuration never decreases.
 //
-//     FleetView view(loop, store, codec, log, topicReadPause);
+//     FleetView view(loop, store, codec, log, topicReadPause, seed);
 //     view.onEndpoints([&] { forwarder.updateEndpoints(...); });
 //     view.start();
 
@@ -13,11 +13,11 @@
 #include <string>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "bergamot/base/event_log.h"
 #include "bergamot/fleet/configuration.h"
 #include "bergamot/fleet/endpoint_directory.h"
+#include "bergamot/logstore/keyed_reader.h"
 #include "bergamot/logstore/topic_tail.h"
 #include "bergamot/node/platform_codec.h"
 
@@ -32,7 +32,8 @@
               logstore::LogStore &store,
               const PlatformCodec &codec,
               EventLog &log,
-              Duration topicReadPause);
+              Duration topicReadPause,
+              std::uint64_t seed);
     ~FleetView();
 
     /// Starts reading; the handlers must be set before.
@@ -57,15 +58,15 @@
 private:
     void readOperatorTopic();
     void readEndpointTopic();
+    void writeTopicRead(std::string_view view, const logstore::KeyedContent &content, TimePoint startedAt);
     void applyOperatorRecord(const logstore::KeyedRecord &record);
     void applyEndpointRecord(const logstore::KeyedRecord &record);
     std::optional<fleet::Endpoint> parseEndpoint(const logstore::KeyedRecord &record);
 
-    logstore::LogStore &m_store;
     const PlatformCodec &m_codec;
     EventLog &m_log;
-    boost::asio::steady_timer m_operatorRetryTimer;
-    boost::asio::steady_timer m_endpointRetryTimer;
+    logstore::KeyedReader m_operatorReader;
+    logstore::KeyedReader m_endpointReader;
     std::unique_ptr<logstore::TopicTail> m_operatorTail;
     std::unique_ptr<logstore::TopicTail> m_endpointTail;
     fleet::Configuration m_configuration;
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -140,7 +140,7 @@
     , m_options(std::move(options))
     , m_random(m_options.seed)
     , m_client(loop, clientOptions())
-    , m_view(loop, store, codec, log, m_options.followInterval)
+    , m_view(loop, store, codec, log, m_options.followInterval, m_random())
     , m_forwarder(loop, m_client, codec.headers(), log, routerOptions(m_options), m_random())
     , m_batchLog(loop, store, batchLogOptions(m_options), log, m_random())
     , m_batchService(loop, m_batchLog, codec, log, {}, m_random())
