node: an owner whose process has ended is succeeded at once; an intent is as old as its call

Cause: after a restart of everything all instances had caught up within 0.8 s, but no owner began for another 1.8 s: each waited for the ownership of a process to expire that no longer existed. Second, one of the faults that operators report: an acknowledged load intent counted from the moment at which its acknowledgement was handled, so an owner that had been paused in between held a permission that had lapsed.

Ruled out: a shorter expiry (a store that answers in 240 ms delays renewals past it); a flag in the log (a killed process writes none).

After half a second without a record of the owner, or after the start, the instances that may succeed it ask there after a random delay, and claim at once if another process answers or the connection is refused; the store fences the earlier owner as before. An intent's validity counts from the call that the store acknowledged.

Failed try: a test of the paused owner with whole nodes passed with and without the change, because the node reads the successor's claim in the same turn of its loop; it was left out.

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -153,11 +153,12 @@
     return serializeRecord(std::move(record));
 }
 
-std::string claimRecord(const std::string &instance, std::uint64_t epoch)
+std::string claimRecord(const std::string &instance, std::uint64_t epoch, const std::string &address)
 {
     log::ClaimT record;
     record.instance = instance;
     record.epoch = epoch;
+    record.address = address;
     return serializeRecord(std::move(record));
 }
 
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -99,7 +99,7 @@
 std::string resultCommittedRecord(const std::string &batch, std::uint32_t item, std::uint64_t payload);
 std::string progressSavedRecord(const std::string &batch, std::uint32_t item, std::uint64_t payload);
 std::string batchEndRecord(const std::string &batch);
-std::string claimRecord(const std::string &instance, std::uint64_t epoch);
+std::string claimRecord(const std::string &instance, std::uint64_t epoch, const std::string &address = {});
 std::string renewalRecord(std::uint64_t epoch);
 std::string releaseRecord(std::uint64_t epoch);
 std::string
--- a/bergamot/batch/snapshot.cpp
+++ b/bergamot/batch/snapshot.cpp
@@ -138,6 +138,7 @@
     snapshot.next_offset = header.nextOffset;
     snapshot.epoch = header.epoch;
     snapshot.owner = header.owner;
+    snapshot.owner_address = header.ownerAddress;
     for (const auto &[engine, epoch] : header.recentOrders) {
         auto order = std::make_unique<log::RecentOrderT>();
         order->engine = engine;
@@ -182,6 +183,7 @@
     LogSnapshot snapshot{.header = {.nextOffset = record.next_offset(),
                                     .epoch = record.epoch(),
                                     .owner = stringOrEmpty(record.owner()),
+                                    .ownerAddress = stringOrEmpty(record.owner_address()),
                                     .recentOrders = {}},
                          .batches = {}};
     if (record.orders() != nullptr) {
--- a/bergamot/batch/snapshot.h
+++ b/bergamot/batch/snapshot.h
@@ -27,6 +27,7 @@
     std::uint64_t nextOffset = 0; // the snapshot contains the records of the log before this offset
     std::uint64_t epoch = 0; // highest epoch of a claim
     std::string owner; // empty: the pool had no owner
+    std::string ownerAddress; // from its claim; may be empty
     std::map<std::string, std::uint64_t> recentOrders; // epoch of the newest load order, by engine
 };
 
--- a/bergamot/batch/snapshot_test.cpp
+++ b/bergamot/batch/snapshot_test.cpp
@@ -44,7 +44,11 @@
 
     std::vector<std::string> parts(std::size_t maxPartBytes = 1024) const
     {
-        return snapshotParts({.nextOffset = 900, .epoch = 7, .owner = "node-1", .recentOrders = {{"e1", 6}}},
+        return snapshotParts({.nextOffset = 900,
+                              .epoch = 7,
+                              .owner = "node-1",
+                              .ownerAddress = "10.0.0.1:7720",
+                              .recentOrders = {{"e1", 6}}},
                              m_index.batches(),
                              {.maxPartBytes = maxPartBytes},
                              Now);
@@ -60,6 +64,7 @@
     EXPECT_EQ(snapshot->header.nextOffset, 900U);
     EXPECT_EQ(snapshot->header.epoch, 7U);
     EXPECT_EQ(snapshot->header.owner, "node-1");
+    EXPECT_EQ(snapshot->header.ownerAddress, "10.0.0.1:7720");
     EXPECT_EQ(snapshot->header.recentOrders, (std::map<std::string, std::uint64_t>{{"e1", 6}}));
     ASSERT_EQ(snapshot->batches.size(), 2U);
     for (const auto &[id, expected] : m_index.batches()) {
--- a/bergamot/duties/pool_ownership.cpp
+++ b/bergamot/duties/pool_ownership.cpp
@@ -79,6 +79,7 @@
 void PoolOwnership::logRecovered(TimePoint now)
 {
     scheduleClaim(now, m_owner.empty() ? m_options.startDelay : m_options.expiresAfter);
+    scheduleProbe(now, Duration::zero());
 }
 
 void PoolOwnership::onFenced()
@@ -86,6 +87,19 @@
     m_fenced = true;
 }
 
+void PoolOwnership::onOwnerGone(const std::string &instance, TimePoint now)
+{
+    if (instance == m_owner && instance != m_instance) {
+        m_owner.clear();
+        scheduleClaim(now, Duration::zero());
+    }
+}
+
+void PoolOwnership::onOwnerProbed(TimePoint now)
+{
+    scheduleProbe(now, m_options.probeAfter);
+}
+
 void PoolOwnership::onClaimFenced()
 {
     m_epochStep *= 2;
@@ -121,6 +135,11 @@
     return !m_claimingStopped && !isOwner() && m_claimAt != TimePoint{} && now >= m_claimAt;
 }
 
+bool PoolOwnership::shouldProbeOwner(TimePoint now) const
+{
+    return !m_claimingStopped && !isOwner() && !m_owner.empty() && m_probeAt != TimePoint{} && now >= m_probeAt;
+}
+
 bool PoolOwnership::shouldRenew(TimePoint lastWrite, TimePoint now) const
 {
     return isOwner() && now - lastWrite >= m_options.renewalInterval;
@@ -137,9 +156,20 @@
 }
 
 void PoolOwnership::scheduleClaim(TimePoint now, Duration wait)
+{
+    m_claimAt = now + wait + m_options.extraClaimDelay + randomDelay();
+    scheduleProbe(now, m_options.probeAfter);
+}
+
+void PoolOwnership::scheduleProbe(TimePoint now, Duration wait)
+{
+    m_probeAt = now + wait + m_options.extraClaimDelay + randomDelay();
+}
+
+Duration PoolOwnership::randomDelay()
 {
     std::uniform_int_distribution<Duration::rep> jitter(0, m_options.claimJitter.count());
-    m_claimAt = now + wait + m_options.extraClaimDelay + Duration(jitter(m_random));
+    return Duration(jitter(m_random));
 }
 
 } // namespace bergamot::duties
--- a/bergamot/duties/pool_ownership.h
+++ b/bergamot/duties/pool_ownership.h
@@ -10,7 +10,8 @@
 //
 // Load pattern: the owner is killed, paused, cut off from the store or replaced while a step is in progress. Every
 // instance follows the log, so all of them detect the silence of the owner at the same time; a random delay and the
-// conditional append make sure that only one of them succeeds it.
+// conditional append make sure that only one of them succeeds it. A silent owner is asked directly whether it still
+// runs: if its process is gone, nobody waits for the ownership to expire.
 
 #include <cstdint>
 #include <map>
@@ -29,6 +30,7 @@
         std::chrono::milliseconds(1600); // time without a record of the owner: four renewal intervals
     Duration claimJitter = std::chrono::milliseconds(300); // longest random delay that keeps claims apart
     Duration startDelay = std::chrono::milliseconds(150); // before a claim: others need time to start and read the log
+    Duration probeAfter = std::chrono::milliseconds(500); // time without a record of the owner until it is probed
     Duration extraClaimDelay{}; // extra claim delay of an instance that is less suited to own the pool
     Duration orderLease = std::chrono::milliseconds(3300); // minimum time between orders of two owners to one engine
 };
@@ -63,6 +65,10 @@
     void logRecovered(TimePoint now);
     /// The store refused an append because another writer has a higher epoch.
     void onFenced();
+    /// The process of `instance` has ended, according to a probe of its address.
+    void onOwnerGone(const std::string &instance, TimePoint now);
+    /// The owner was probed; it is probed again after `probeAfter`.
+    void onOwnerProbed(TimePoint now);
     /// The store refused a claim with `nextEpoch` because of a higher epoch that is not in the log any longer.
     void onClaimFenced();
     /// From now on this instance makes no claims.
@@ -77,6 +83,8 @@
     const std::string &owner() const;
     /// Whether to claim now. Call it only when the log has been read to its end.
     bool shouldClaim(TimePoint now) const;
+    /// Whether to ask the owner's process whether it still runs. Call it only when the log has been read to its end.
+    bool shouldProbeOwner(TimePoint now) const;
     /// Whether this instance is the owner and has to append a renewal; `lastWrite` is the time of its last append.
     bool shouldRenew(TimePoint lastWrite, TimePoint now) const;
     /// Whether this instance may order `engine` to load weights: no order of an earlier owner can still reach it.
@@ -91,6 +99,9 @@
 
     /// Sets the earliest time of a claim: `now` plus `wait`, `extraClaimDelay` and a random delay.
     void scheduleClaim(TimePoint now, Duration wait);
+    /// Sets the earliest time of a probe in the same way.
+    void scheduleProbe(TimePoint now, Duration wait);
+    Duration randomDelay();
 
     std::string m_instance;
     PoolOwnershipOptions m_options;
@@ -99,6 +110,7 @@
     std::uint64_t m_epoch = 0; // highest epoch in the log
     std::uint64_t m_epochStep = 1; // from the highest known epoch to that of the next claim
     TimePoint m_claimAt{}; // earliest time of the next claim; zero: not set
+    TimePoint m_probeAt{}; // earliest time of the next probe of the owner; zero: not set
     std::map<std::string, LatestOrder> m_latestOrders; // newest load order by engine
     bool m_fenced = false;
     bool m_claimingStopped = false;
--- a/bergamot/duties/pool_ownership_test.cpp
+++ b/bergamot/duties/pool_ownership_test.cpp
@@ -113,6 +113,58 @@
                              return test.param.name;
                          });
 
+struct ProbeCase
+{
+    const char *name;
+    Duration renewedAt; // time after the claim; zero: no renewal
+    Duration recoveredAt; // time after the claim at which the log becomes readable again; zero: no outage
+    Duration after; // time after the claim
+    bool probes;
+};
+
+class ProbeTest : public PoolOwnershipTest, public testing::WithParamInterface<ProbeCase>
+{ };
+
+TEST_P(ProbeTest, ASilentOwnerIsProbed)
+{
+    m_ownership.applyClaim("other", 1, m_start);
+    if (GetParam().renewedAt > 0s) {
+        m_ownership.applyRenewal(1, m_start + GetParam().renewedAt);
+    }
+    if (GetParam().recoveredAt > 0s) {
+        m_ownership.logRecovered(m_start + GetParam().recoveredAt);
+    }
+    EXPECT_EQ(m_ownership.shouldProbeOwner(m_start + GetParam().after), GetParam().probes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Silences,
+                         ProbeTest,
+                         testing::Values(ProbeCase{"Short", 0s, 0s, 400ms, false},
+                                         ProbeCase{"Long", 0s, 0s, 900ms, true},
+                                         ProbeCase{"Renewed", 500ms, 0s, 900ms, false},
+                                         ProbeCase{"AfterAnOutageOrAStart", 0s, 100ms, 450ms, true}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST_F(PoolOwnershipTest, AnOwnerThatIsGoneIsSucceededAtOnce)
+{
+    m_ownership.applyClaim("other", 1, m_start);
+    m_ownership.onOwnerGone("another", m_start + 100ms);
+    EXPECT_FALSE(m_ownership.shouldClaim(m_start + 500ms)) << "a probe of an earlier owner";
+    m_ownership.onOwnerGone("other", m_start + 600ms);
+    EXPECT_TRUE(m_ownership.shouldClaim(m_start + 900ms));
+    EXPECT_FALSE(m_ownership.shouldProbeOwner(m_start + 1h));
+}
+
+TEST_F(PoolOwnershipTest, AnInstanceNeverProbesOrSucceedsItself)
+{
+    m_ownership.applyClaim("me", 1, m_start);
+    EXPECT_FALSE(m_ownership.shouldProbeOwner(m_start + 1h));
+    m_ownership.onOwnerGone("me", m_start);
+    EXPECT_TRUE(m_ownership.isOwner());
+}
+
 struct RestoredOrderCase
 {
     const char *name;
--- a/bergamot/logstore/fenced_writer.cpp
+++ b/bergamot/logstore/fenced_writer.cpp
@@ -37,6 +37,7 @@
     void send()
     {
         inFlight = true;
+        sentAt = BootClock::now();
         Append append{.topic = options.topic,
                       .partition = options.partition,
                       .producer = Producer{.name = options.producer, .epoch = epoch, .sequence = sequence},
@@ -62,6 +63,7 @@
             ++sequence;
             outcomeUnknown = false;
             lastWrittenAt = BootClock::now();
+            acknowledgedCallSentAt = sentAt;
             completeCall(true);
             sendNextCall();
             return;
@@ -137,6 +139,8 @@
     bool inFlight = false;
     bool retryScheduled = false; // the timer for repeating the call is running
     bool outcomeUnknown = false; // an earlier call with this sequence number got no response
+    TimePoint sentAt{}; // of the call in flight
+    TimePoint acknowledgedCallSentAt{};
     TimePoint lastWrittenAt{};
 };
 
@@ -182,6 +186,11 @@
     return m_state->lastWrittenAt;
 }
 
+TimePoint FencedWriter::acknowledgedCallSentAt() const
+{
+    return m_state->acknowledgedCallSentAt;
+}
+
 std::size_t FencedWriter::pendingRecords() const
 {
     return m_state->queue.size() + m_state->currentCall.size();
--- a/bergamot/logstore/fenced_writer.h
+++ b/bergamot/logstore/fenced_writer.h
@@ -58,6 +58,9 @@
     void onFenced(std::function<void()> handler);
     /// Time of the last append that the store acknowledged.
     TimePoint lastWrittenAt() const;
+    /// When the call was sent that the store acknowledged last. No other writer had a higher epoch then, whenever the
+    /// acknowledgement is handled.
+    TimePoint acknowledgedCallSentAt() const;
     /// Records that are queued or in flight.
     std::size_t pendingRecords() const;
 
--- a/bergamot/logstore/fenced_writer_test.cpp
+++ b/bergamot/logstore/fenced_writer_test.cpp
@@ -91,5 +91,18 @@
     EXPECT_EQ(m_log.end("t", 0), 2U);
 }
 
+// A process that was paused handles an old acknowledgement as if it were new. What it permits counts from the call.
+TEST_F(FencedWriterTest, AnAcknowledgementIsAsOldAsItsCall)
+{
+    m_writer.begin(3, 1);
+    write("a"); // the call is sent here
+    const TimePoint sent = BootClock::now();
+    runUntil([this] {
+        return m_outcomes.size() == 1;
+    });
+    EXPECT_LE(m_writer.acknowledgedCallSentAt(), sent);
+    EXPECT_GT(m_writer.acknowledgedCallSentAt(), TimePoint{});
+}
+
 } // namespace
 } // namespace bergamot::logstore
--- a/bergamot/logstore/restart_load_test.cpp
+++ b/bergamot/logstore/restart_load_test.cpp
@@ -114,7 +114,8 @@
     void send(std::size_t instance, const PlannedRead &read)
     {
         const std::uint64_t available = m_records - std::min(m_records, read.from);
-        const std::uint64_t count = std::min<std::uint64_t>(available, read.kilobytes * 1024 / RecordBytes);
+        const std::uint64_t count =
+            std::min<std::uint64_t>(available, std::uint64_t{read.kilobytes} * 1024 / RecordBytes);
         const double bytes = static_cast<double>(count * RecordBytes);
         m_bytes += bytes;
         m_busyUntil = std::max(m_busyUntil, m_now)
--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -161,7 +161,9 @@
             return;
         }
         if (error) {
-            end({.failure = CallFailure::NotConnected, .detail = error.message()});
+            end({.failure = CallFailure::NotConnected,
+                 .refused = error == asio::error::connection_refused,
+                 .detail = error.message()});
             return;
         }
         error_code ignored; // without this option small packets may be delayed, nothing else
--- a/bergamot/net/http_client.h
+++ b/bergamot/net/http_client.h
@@ -53,6 +53,7 @@
     CallFailure failure = CallFailure::None;
     bool reused = false; // the connection had carried an earlier request
     bool delimitedByClose = false; // the response had no length: its body ended with the connection
+    bool refused = false; // nobody listens at the address
     std::string detail;
 };
 
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -131,6 +131,7 @@
                          .owner = snapshot.header.owner,
                          .recentOrders = std::move(snapshot.header.recentOrders)},
                         BootClock::now());
+    m_ownerAddress = std::move(snapshot.header.ownerAddress);
     m_index.restore(std::move(snapshot.batches));
     follow(next, "snapshot");
     return true;
@@ -222,6 +223,7 @@
         batch::snapshotParts({.nextOffset = m_tail.nextOffset(),
                               .epoch = ownership.epoch,
                               .owner = std::move(ownership.owner),
+                              .ownerAddress = m_ownerAddress,
                               .recentOrders = std::move(ownership.recentOrders)},
                              m_index.batches(),
                              {.maxPartBytes = m_options.maxRecordBytes - PartOverhead},
@@ -401,10 +403,13 @@
     if (snapshotDue(now)) {
         writeSnapshot(now);
     }
-    if (m_claimsAllowed && m_started && m_tail.caughtUp() && !m_tail.unavailable() && m_ownership.shouldClaim(now)
-        && !m_claimPending) {
+    if (mayClaim() && !m_claimPending && m_ownership.shouldClaim(now)) {
         claim();
     }
+    if (mayClaim() && m_probeHandler && !m_ownerAddress.empty() && m_ownership.shouldProbeOwner(now)) {
+        m_ownership.onOwnerProbed(now);
+        m_probeHandler(m_ownership.owner(), m_ownerAddress);
+    }
     if (m_owned && m_releasePending && m_payloadWriter.pendingRecords() == 0) {
         // The saved progress precedes this record, so the next owner finds it in the log.
         m_releasePending = false;
@@ -419,6 +424,29 @@
     }
 }
 
+bool BatchLog::mayClaim() const
+{
+    return m_claimsAllowed && m_started && m_tail.caughtUp() && !m_tail.unavailable();
+}
+
+void BatchLog::setPeerAddress(std::string address)
+{
+    m_peerAddress = std::move(address);
+}
+
+void BatchLog::onProbeOwner(std::function<void(const std::string &, const std::string &)> handler)
+{
+    m_probeHandler = std::move(handler);
+}
+
+void BatchLog::ownerGone(const std::string &instance)
+{
+    m_log.write(EventKind::State,
+                "pool-owner-gone",
+                {{"instance", instance}, {"address", m_ownerAddress}, {"epoch", std::to_string(m_ownership.epoch())}});
+    m_ownership.onOwnerGone(instance, BootClock::now());
+}
+
 void BatchLog::allowClaims(bool allowed)
 {
     m_claimsAllowed = allowed;
@@ -443,6 +471,7 @@
     case batch::log::Payload::Claim: {
         const batch::log::Claim &claimed = *record->payload_as_Claim();
         m_ownership.applyClaim(batch::stringOrEmpty(claimed.instance()), claimed.epoch(), now);
+        m_ownerAddress = batch::stringOrEmpty(claimed.address());
         m_log.write(EventKind::State,
                     "pool-claimed",
                     {{"instance", batch::stringOrEmpty(claimed.instance())},
@@ -479,7 +508,7 @@
     m_claimPending = true;
     const std::uint64_t epoch = m_ownership.nextEpoch();
     m_store.append({.topic = m_options.topic,
-                    .records = {batch::claimRecord(m_options.instance, epoch)},
+                    .records = {batch::claimRecord(m_options.instance, epoch, m_peerAddress)},
                     .expectedEnd = m_tail.nextOffset(),
                     .producer = logstore::Producer{.name = std::string(ProducerName), .epoch = epoch, .sequence = 0},
                     .timeout = ClaimTimeout},
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -104,6 +104,12 @@
     /// `handler` runs after all records of one read have been applied to the index.
     void onRecordsApplied(std::function<void()> handler);
     void onOwnership(std::function<void(bool owns)> handler);
+    /// Address at which other instances probe this one; part of its claims.
+    void setPeerAddress(std::string address);
+    /// `handler` asks the process `instance` at `address` whether it still runs, and calls `ownerGone` if it does not.
+    void onProbeOwner(std::function<void(const std::string &instance, const std::string &address)> handler);
+    /// The process of the owner `instance` has ended.
+    void ownerGone(const std::string &instance);
     void tick(TimePoint now);
     /// Allows this instance to claim the ownership; it must have a complete view of the fleet.
     void allowClaims(bool allowed);
@@ -120,6 +126,8 @@
     void handleReadEnd();
     void handleGap(std::uint64_t first);
     void logCatchUpProgress(TimePoint now);
+    /// Whether this instance sees the end of the log and may succeed the owner.
+    bool mayClaim() const;
     bool snapshotDue(TimePoint now) const;
     void writeSnapshot(TimePoint now);
     void appendSnapshot(std::vector<std::string> records, std::size_t bytes);
@@ -141,6 +149,9 @@
     std::function<void(batch::BatchChange, const batch::log::Record &)> m_batchChangeHandler;
     std::function<void()> m_recordsAppliedHandler;
     std::function<void(bool)> m_ownershipHandler;
+    std::function<void(const std::string &, const std::string &)> m_probeHandler;
+    std::string m_peerAddress; // of this instance; empty: it cannot be probed
+    std::string m_ownerAddress; // of the newest claim; empty: not known
     TimePoint m_startedAt{};
     TimePoint m_progressLoggedAt{};
     TimePoint m_snapshotWrittenAt{};
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -40,7 +40,7 @@
     Duration orderTimeout = std::chrono::milliseconds(700);
     Duration retryPause = std::chrono::milliseconds(250); // before a report request or a read of a batch is repeated
     Duration loadFailurePause = std::chrono::milliseconds(600); // before the next order to an engine whose load failed
-    Duration intentValidFor = std::chrono::milliseconds(500); // from writing an intent to sending the order
+    Duration intentValidFor = std::chrono::milliseconds(500); // from sending an intent to sending the order
     Duration routeRemovedAfter =
         std::chrono::seconds(5); // the configuration with the route of a batch may arrive after the batch
     Duration maxConfigurationAge =
@@ -124,7 +124,7 @@
         std::uint64_t version = 0;
         LoadPhase phase = LoadPhase::WritingIntent;
         TimePoint phaseStart{};
-        TimePoint intentAt{}; // start of writing the intent; once written, the time of that
+        TimePoint intentAt{}; // start of writing the intent; once written, when the acknowledged call was sent
         bool assumedLoaded = false; // expected to be done; waits for confirmation by a report
         TimePoint nextConfirmAt{};
         bool confirming = false; // a report request for the confirmation is in flight
@@ -157,6 +157,8 @@
     void handleOrderResponse(const std::string &engine, int status, const net::CallEnd &end);
     /// Ends the load of an engine when the response to a run carries the loaded version or a newer one.
     void endLoadIfVersionReached(const ActiveRun &run);
+    /// Whether another owner may order the engine by now, as the intent was written too long ago.
+    bool intentExpired(const Load &load) const;
     void pauseLoad(Load &load);
     void endLoad(const std::string &engine, std::string_view reason);
     /// Ends a load that failed; the engine gets no order for `loadFailurePause`.
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -61,9 +61,12 @@
             if (generation != m_generation || found == m_loads.end()) {
                 return;
             }
-            found->second.intentAt = BootClock::now();
+            found->second.intentAt = m_log.writer().acknowledgedCallSentAt();
             if (!written) {
                 failLoad(engine, "the intent was not written");
+            } else if (intentExpired(found->second)) {
+                // The process was paused, or the store answered late.
+                endLoad(engine, "the intent has expired");
             } else if (m_acceptedOrders.contains(engine)) {
                 sendOrder(engine);
             } else {
@@ -154,7 +157,7 @@
         pauseLoad(load);
         return;
     }
-    if (BootClock::now() - load.intentAt > m_options.intentValidFor) {
+    if (intentExpired(load)) {
         endLoad(engine, "the intent has expired");
         return;
     }
@@ -247,6 +250,11 @@
     }
 }
 
+bool EnginePool::intentExpired(const Load &load) const
+{
+    return BootClock::now() - load.intentAt > m_options.intentValidFor;
+}
+
 void EnginePool::pauseLoad(Load &load)
 {
     load.phase = LoadPhase::WaitingToRetry;
@@ -280,7 +288,7 @@
         Load &load = found->second;
         const Duration phaseAge = now - load.phaseStart;
         if (load.phase == LoadPhase::WaitingToRetry && phaseAge >= m_options.retryPause) {
-            if (now - load.intentAt > m_options.intentValidFor) {
+            if (intentExpired(load)) {
                 // The intent has expired: a new one is written before the next order.
                 beginLoad({.engine = engine, .model = load.model, .version = load.version});
             } else {
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "bergamot/net/status.h"
+#include "bergamot/node/owner_probe.h"
 #include "bergamot/node/service_choice.h"
 
 namespace bergamot::node
@@ -51,6 +52,7 @@
     log.payloadPartitions = options.storePartitions;
     log.followerReadPause = options.followInterval;
     log.index.resultRetention = options.resultsKept;
+    log.ownership.expiresAfter = options.poolExpiry;
     log.ownership.orderLease = options.orderLease + OrderLeaseMargin;
     if (options.cpuShare < SmallCpuShare) {
         log.ownership.extraClaimDelay = SmallInstanceClaimDelay;
@@ -158,6 +160,10 @@
                           m_metrics.updatePool(m_pool.active(), m_pool.runningSamples(), m_pool.waitingSamples());
                           exchange->respond({.body = m_metrics.exposition()});
                       })
+    , m_peerServer(loop,
+                   [this](std::shared_ptr<net::Exchange> exchange) {
+                       exchange->respond(probeResponse(m_options.instance));
+                   })
     , m_tickTimer(loop)
     , m_drainTimer(loop)
 { }
@@ -177,6 +183,15 @@
             m_log.write(EventKind::State, "no-metrics", {{"reason", listening.error().message}});
         }
     }
+    if (m_options.peerAddress) {
+        if (Result<void> listening = m_peerServer.listen(*m_options.peerAddress); !listening) {
+            return listening;
+        }
+        m_batchLog.setPeerAddress(toString({m_options.peerAddress->ip, m_peerServer.port()}));
+        m_batchLog.onProbeOwner([this](const std::string &owner, const std::string &address) {
+            probePoolOwner(owner, address);
+        });
+    }
     m_view.onConfiguration([this] {
         applyLimits();
         updateRoutingTable();
@@ -260,6 +275,22 @@
     });
 }
 
+void Node::probePoolOwner(const std::string &owner, const std::string &address)
+{
+    const Result<Address> parsed = parseAddress(address);
+    if (!parsed) {
+        m_log.write(EventKind::State,
+                    "pool-owner-not-probed",
+                    {{"instance", owner}, {"address", address}, {"reason", parsed.error().message}});
+        return;
+    }
+    probeOwner(m_client, *parsed, owner, [this, owner](ProbeOutcome outcome) {
+        if (outcome == ProbeOutcome::Gone) {
+            m_batchLog.ownerGone(owner);
+        }
+    });
+}
+
 void Node::handleCall(std::shared_ptr<net::Exchange> exchange)
 {
     const ServiceCall call = m_codec.parseServiceCall(exchange->request());
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -36,12 +36,14 @@
     Address callerAddress; // listen address for callers
     Address readinessAddress; // listen address for the readiness checks of the platform
     std::optional<Address> metricsAddress; // listen address for metrics
+    std::optional<Address> peerAddress; // listen address for other instances
     std::size_t maxRecordBytes = 256 * 1024; // limit of the store for a record
     std::size_t maxCallBytes = 2 * 1024 * 1024; // limit of the store for the records of one call
     std::uint32_t storePartitions = 12; // partitions per topic
     double cpuShare = 1.0; // share of a core; a small instance owns the engines only if no other instance does
     Duration gracePeriod = std::chrono::seconds(8); // from the stop request until the process is killed
     Duration resultsKept = std::chrono::seconds(120); // from a batch's submission until its results are dropped
+    Duration poolExpiry = std::chrono::milliseconds(1600); // silence of the pool's owner after which it is succeeded
     Duration orderLease = std::chrono::seconds(3); // minimum time between orders of two holders to one engine
     Duration followInterval = std::chrono::milliseconds(200); // delay after a read of a topic that returned records
     std::uint64_t seed = 0;
@@ -85,6 +87,7 @@
     void scheduleTick();
     void tick();
     void continueDrain();
+    void probePoolOwner(const std::string &owner, const std::string &address);
 
     boost::asio::io_context &m_loop;
     const PlatformCodec &m_codec;
@@ -101,6 +104,7 @@
     net::HttpServer m_callerServer;
     net::HttpServer m_readinessServer;
     net::HttpServer m_metricsServer;
+    net::HttpServer m_peerServer;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_drainTimer;
     std::function<void()> m_stoppedHandler;
