node: results are read in the size that they take and seen sooner where a trainer waits

Ruled out: waits for slots (the longest samples start at once), the scoring calls and the commit (below 0.2 s).

Change: while a caller waits for a result, the instance reads the log 50 ms after the last records instead of 200 ms; payloads are read in the size that their span takes by the records read before (SpanReadSize), at least 32 KB.

Tests: span_read_size_test, read_schedule_test ARecordLargerThanTheReadRaisesItsSize.

--- a/bergamot/logstore/read_schedule.cpp
+++ b/bergamot/logstore/read_schedule.cpp
@@ -86,7 +86,9 @@
         m_progress.records += added.count;
     }
     m_caughtUp = m_progress.nextOffset >= m_progress.end;
-    if (answered) {
+    if (count == 0 && from == m_progress.nextOffset && !m_caughtUp) {
+        raiseSize();
+    } else if (answered) {
         adaptSize(*answered, now);
     }
     m_readAt = m_caughtUp && added.count > 0 ? now + m_options.readPause : now;
@@ -183,6 +185,14 @@
     m_backoff.reset();
 }
 
+void ReadSchedule::raiseSize()
+{
+    const std::uint32_t raised = std::min(2 * m_options.minKilobytes, m_options.largestRecordKilobytes);
+    m_options.minKilobytes = raised;
+    m_options.maxKilobytes = std::max(m_options.maxKilobytes, raised);
+    m_kilobytes = std::max(m_kilobytes, raised);
+}
+
 void ReadSchedule::adaptSize(const InFlight &answered, TimePoint now)
 {
     if (answered.read.wait > Duration::zero() || answered.read.hedge) {
--- a/bergamot/logstore/read_schedule.h
+++ b/bergamot/logstore/read_schedule.h
@@ -37,6 +37,7 @@
     std::uint32_t minKilobytes = 16;
     std::uint32_t initialKilobytes = 64;
     std::uint32_t maxKilobytes = 256;
+    std::uint32_t largestRecordKilobytes = 512; // bound of a read whose first record is larger than its size
     std::size_t maxInFlight = 8;
     BackoffOptions backoff;
 };
@@ -110,6 +111,8 @@
     std::optional<InFlight> take(std::uint64_t id);
     void recordResponse(TimePoint now);
     void adaptSize(const InFlight &answered, TimePoint now);
+    /// The next record did not fit into a read: from now on reads are larger than that.
+    void raiseSize();
 
     ReadScheduleOptions m_options;
     Backoff m_backoff;
--- a/bergamot/logstore/read_schedule_test.cpp
+++ b/bergamot/logstore/read_schedule_test.cpp
@@ -125,6 +125,18 @@
     EXPECT_GT(longest, 200ms) << "the delay does not grow";
 }
 
+TEST_F(ReadScheduleTest, ARecordLargerThanTheReadRaisesItsSize)
+{
+    std::uint32_t kilobytes = 0;
+    for (int read = 0; read < 8 && kilobytes < 300; ++read) {
+        const PlannedRead planned = nextAfter(0ms);
+        kilobytes = planned.kilobytes;
+        answer(planned, kilobytes < 300 ? 0 : 1, 11);
+    }
+    EXPECT_GE(kilobytes, 300U);
+    EXPECT_TRUE(m_schedule.caughtUp());
+}
+
 TEST_F(ReadScheduleTest, RestartIgnoresEarlierReads)
 {
     const PlannedRead old = nextAfter(0ms);
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -11,7 +11,8 @@
 
 constexpr std::string_view ProducerName = "pool";
 constexpr Duration ClaimTimeout = std::chrono::milliseconds(700);
-constexpr std::uint32_t MaxReadKilobytes = 256; // size limit of one read; bounds the memory used per reader
+constexpr Duration PayloadReadTimeout = std::chrono::milliseconds(1000);
+constexpr std::uint32_t LargestRecordKilobytes = 512; // read size that holds any record
 
 /// Keys sort in the order of the parts.
 std::string snapshotPartKey(std::size_t index)
@@ -28,6 +29,7 @@
     std::uint32_t partition = 0;
     std::vector<std::uint64_t> offsets;
     std::size_t nextIndex = 0;
+    bool recordTooLarge = false; // the next record did not fit into the last read
     std::vector<LogRecord> records;
     ReadCallback callback;
 };
@@ -363,16 +365,30 @@
     m_store.read({.topic = m_options.payloadTopic,
                   .partition = payloadRead->partition,
                   .from = from,
-                  .maxKilobytes = MaxReadKilobytes},
+                  .maxKilobytes = payloadRead->recordTooLarge
+                      ? LargestRecordKilobytes
+                      : m_payloadReadSize.kilobytes(payloadRead->offsets.back() - from + 1),
+                  .timeout = PayloadReadTimeout},
                  [this, payloadRead, from](logstore::ReadOutcome outcome) {
                      const std::size_t before = payloadRead->nextIndex;
                      if (outcome.status == logstore::ReadStatus::Done) {
+                         std::size_t bytes = 0;
+                         for (const std::string &record : outcome.records) {
+                             bytes += record.size();
+                         }
+                         m_payloadReadSize.observe(outcome.records.size(), bytes);
                          while (payloadRead->nextIndex < payloadRead->offsets.size()
                                 && payloadRead->offsets[payloadRead->nextIndex] - from < outcome.records.size()) {
                              const std::uint64_t offset = payloadRead->offsets[payloadRead->nextIndex++];
                              payloadRead->records.push_back({offset, std::move(outcome.records[offset - from])});
                          }
                      }
+                     const bool nothingFit = outcome.status == logstore::ReadStatus::Done && outcome.records.empty();
+                     if (nothingFit && !std::exchange(payloadRead->recordTooLarge, true)) {
+                         readNextPayloads(payloadRead);
+                         return;
+                     }
+                     payloadRead->recordTooLarge = false;
                      if (payloadRead->nextIndex == before) {
                          payloadRead->callback(false, std::move(payloadRead->records));
                          return;
@@ -525,6 +541,22 @@
                    });
 }
 
+void BatchLog::setResultAwaited(bool awaited)
+{
+    if (std::exchange(m_resultAwaited, awaited) != awaited) {
+        updateReadPause();
+    }
+}
+
+void BatchLog::updateReadPause()
+{
+    if (m_owned) {
+        m_tail.setReadPause(m_options.ownerReadPause);
+    } else {
+        m_tail.setReadPause(m_resultAwaited ? m_options.awaitedReadPause : m_options.followerReadPause);
+    }
+}
+
 void BatchLog::updateOwnership()
 {
     const bool owns = m_ownership.isOwner() && m_tail.caughtUp();
@@ -535,7 +567,7 @@
         return; // it is the owner but has unread records: `m_owned` changes once the tail has caught up
     }
     m_owned = owns;
-    m_tail.setReadPause(owns ? m_options.ownerReadPause : m_options.followerReadPause);
+    updateReadPause();
     if (owns) {
         m_writer.begin(m_ownership.epoch(), 1);
     } else {
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -22,6 +22,7 @@
 #include "bergamot/logstore/bulk_writer.h"
 #include "bergamot/logstore/fenced_writer.h"
 #include "bergamot/logstore/keyed_reader.h"
+#include "bergamot/logstore/span_read_size.h"
 #include "bergamot/logstore/topic_tail.h"
 
 namespace bergamot::node
@@ -38,6 +39,7 @@
     std::size_t maxCallBytes = 2 * 1024 * 1024; // limit of the store for the records of one call
     Duration ownerReadPause = std::chrono::milliseconds(20); // owner's delay after a read that returned records
     Duration followerReadPause = std::chrono::milliseconds(200); // the same for other instances
+    Duration awaitedReadPause = std::chrono::milliseconds(50); // the same while a caller waits for a result here
     std::size_t minSnapshotBytes = 64 * 1024; // records that are always read instead of a new snapshot
     Duration minSnapshotInterval = std::chrono::seconds(1);
     Duration maxConfirmationAge =
@@ -110,6 +112,8 @@
     void onProbeOwner(std::function<void(const std::string &instance, const std::string &address)> handler);
     /// The process of the owner `instance` has ended.
     void ownerGone(const std::string &instance);
+    /// Whether a caller waits for a result at this instance: new records are then read sooner.
+    void setResultAwaited(bool awaited);
     void tick(TimePoint now);
     /// Allows this instance to claim the ownership; it must have a complete view of the fleet.
     void allowClaims(bool allowed);
@@ -135,6 +139,7 @@
     void claim();
     void updateOwnership();
     struct PayloadRead;
+    void updateReadPause();
     void readNextPayloads(std::shared_ptr<PayloadRead> payloadRead);
 
     logstore::LogStore &m_store;
@@ -150,6 +155,7 @@
     std::function<void()> m_recordsAppliedHandler;
     std::function<void(bool)> m_ownershipHandler;
     std::function<void(const std::string &, const std::string &)> m_probeHandler;
+    logstore::SpanReadSize m_payloadReadSize;
     std::string m_peerAddress; // of this instance; empty: it cannot be probed
     std::string m_ownerAddress; // of the newest claim; empty: not known
     TimePoint m_startedAt{};
@@ -162,6 +168,7 @@
     bool m_snapshotPending = false;
     bool m_started = false;
     bool m_owned = false;
+    bool m_resultAwaited = false;
     bool m_claimPending = false;
     bool m_claimsAllowed = false;
     bool m_releasePending = false; // releases the ownership once all payloads are written
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -436,6 +436,7 @@
     const TimePoint now = BootClock::now();
     m_view.tick(now);
     m_batchLog.allowClaims(m_view.complete());
+    m_batchLog.setResultAwaited(m_batchService.waitingReaders() > 0);
     m_batchLog.tick(now);
     m_batchService.tick(now);
     m_pool.tick(now);
