--- a/bergamot/routing/attempt_policy.cpp
+++ b/bergamot/routing/attempt_policy.cpp
@@ -30,9 +30,14 @@
         return facts.deadlineLeft;
     }
     const auto usual = std::chrono::duration_cast<Duration>(facts.usualLatency * options.latencyFactor);
-    const Duration withoutHistory = facts.deadlineLeft / 2;
-    const Duration timeout = facts.usualLatency == Duration::zero() ? withoutHistory : usual;
-    return std::min(std::max(timeout, options.leastProgress), facts.deadlineLeft);
+    const Duration half = facts.deadlineLeft / 2;
+    const Duration timeout = facts.usualLatency == Duration::zero() ? half : usual;
+    if (!facts.mayRetry) {
+        return std::min(std::max({timeout, half, options.leastProgress}), facts.deadlineLeft);
+    }
+    constexpr std::uint32_t MaxDoublings = 8;
+    const auto factor = 1U << std::min(facts.retries, MaxDoublings);
+    return std::min(std::max(timeout, options.leastProgress) * factor, facts.deadlineLeft);
 }
 
 } // namespace bergamot
--- a/bergamot/routing/attempt_policy.h
+++ b/bergamot/routing/attempt_policy.h
@@ -44,12 +44,18 @@
 {
     bool repeatable = false;
     bool streaming = false;
+    bool mayRetry = true; // a further attempt is allowed, and the retry budget has room for it
+    std::uint32_t retries = 0; // earlier retries of the request; each doubles the timeout
     Duration deadlineLeft{};
     Duration usualLatency{}; // of a request of this size; zero until the first answer
 };
 
 /// The timeout of one attempt. A repeatable attempt ends early enough for a retry before the deadline; an attempt that
-/// must not be repeated gets all the time that is left.
+/// must not be repeated gets all the time that is left. If no retry can follow, the attempt gets at least half of that
+/// time, and the caller may use the rest for a retry of its own.
+///
+/// Load pattern: all endpoints of a service become many times slower at once. Short timeouts would end every attempt,
+/// use up the retry budget, and leave the callers without the answers that were about to come.
 Duration attemptTimeout(const AttemptTimeoutOptions &options, const AttemptTimeoutFacts &facts);
 
 } // namespace bergamot
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -106,6 +106,7 @@
         std::size_t slot = 0;
         TimePoint dispatchedAt{};
         Duration timeout{};
+        bool endsEarly = false; // the timeout is short because a retry may follow
         Connection connection = Connection::Pooled;
         bool mayReuse = false; // the connection may have been used before
         RunMode mode = RunMode::Shared;
@@ -148,6 +149,8 @@
     // router_dispatch.cpp: dispatch, quarantine and timers
     bool tryDispatch(Pending &pending, TimePoint now);
     void dispatch(Pending &pending, std::size_t slot, Connection connection, RunMode mode, TimePoint now);
+    /// Whether an attempt of the request that times out can be followed by a retry.
+    bool mayRetryAfterTimeout(const Pending &pending) const;
     void dispatchQueued(TargetState &target, TimePoint now);
     void dispatchQuarantined(TargetState &target, TimePoint now);
     void quarantine(Pending &pending, TimePoint now);
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -28,9 +28,12 @@
 {
     TargetState &target = *pending.target;
     const Duration left = pending.request.deadline - m_options.deadlineMargin - now;
+    const bool mayRetry = mayRetryAfterTimeout(pending);
     const Duration timeout = attemptTimeout(m_options.timeouts,
                                             {.repeatable = pending.request.repeatable,
                                              .streaming = pending.request.streaming,
+                                             .mayRetry = mayRetry,
+                                             .retries = pending.retries,
                                              .deadlineLeft = left,
                                              .usualLatency = target.usualLatency(pending.request.work)});
     const AttemptId id = ++m_lastAttempt;
@@ -45,6 +48,7 @@
                                .slot = slot,
                                .dispatchedAt = now,
                                .timeout = timeout,
+                               .endsEarly = mayRetry && pending.request.repeatable,
                                .connection = connection,
                                .mayReuse = connection == Connection::Pooled && target.pool.mayHaveIdleConnection(slot),
                                .mode = mode});
@@ -63,6 +67,16 @@
     }
 }
 
+bool Router::mayRetryAfterTimeout(const Pending &pending) const
+{
+    const auto endEarly = std::count_if(m_attempts.begin(), m_attempts.end(), [&pending](const auto &entry) {
+        return entry.second.target == pending.target && entry.second.endsEarly;
+    });
+    // Each of these attempts may need a retry from the same budget.
+    return pending.retries < m_options.maxRetries && pending.dispatches + 1 < pending.request.mostAttempts
+        && pending.target->retries.available() >= 1.0 + static_cast<double>(endEarly);
+}
+
 void Router::dispatchQueued(TargetState &target, TimePoint now)
 {
     dispatchQuarantined(target, now);
