--- /dev/null
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -0,0 +1,204 @@
+// Snapshots of the batch log: loading the newest one at the start, catching up behind it, and writing the next one.
+
+#include "bergamot/node/batch_log.h"
+
+#include "bergamot/node/store_events.h"
+
+namespace bergamot::node
+{
+
+namespace
+{
+
+/// Keys sort in the order of the parts.
+std::string snapshotPartKey(std::size_t index)
+{
+    constexpr std::size_t Digits = 4;
+    const std::string number = std::to_string(index);
+    return "part-" + std::string(Digits - std::min(Digits, number.size()), '0') + number;
+}
+
+} // namespace
+
+void BatchLog::loadSnapshot()
+{
+    m_snapshotReader.read([this](const logstore::KeyedContent &content) {
+        handleSnapshot(content);
+    });
+}
+
+void BatchLog::handleSnapshot(const logstore::KeyedContent &content)
+{
+    std::vector<std::string> parts;
+    std::size_t bytes = 0;
+    for (const logstore::KeyedRecord &record : content.records) {
+        bytes += record.value.size();
+        parts.push_back(record.value);
+    }
+    if (!parts.empty()) {
+        Result<batch::LogSnapshot> snapshot = batch::parseSnapshot(parts, BootClock::now());
+        if (!snapshot) {
+            m_log.write(EventKind::State,
+                        "snapshot-unusable",
+                        {{"reason", snapshot.error().message}, {"parts", std::to_string(parts.size())}});
+        } else if (restore(std::move(*snapshot))) {
+            m_snapshotBytes = bytes;
+            m_bytesSinceSnapshot = 0;
+            return;
+        }
+    }
+    if (!m_following) {
+        follow(0, "log");
+    }
+}
+
+bool BatchLog::restore(batch::LogSnapshot snapshot)
+{
+    const std::uint64_t next = snapshot.header.nextOffset;
+    if (m_owned || (m_following && next < m_gapEnd.value_or(0))) {
+        return false;
+    }
+    m_ownership.restore({.epoch = snapshot.header.epoch,
+                         .owner = snapshot.header.owner,
+                         .recentOrders = std::move(snapshot.header.recentOrders)},
+                        BootClock::now());
+    m_ownerAddress = std::move(snapshot.header.ownerAddress);
+    m_index.restore(std::move(snapshot.batches));
+    follow(next, "snapshot");
+    return true;
+}
+
+void BatchLog::follow(std::uint64_t from, std::string_view source)
+{
+    m_log.write(EventKind::State,
+                "catch-up-begin",
+                {{"from", std::to_string(from)},
+                 {"source", std::string(source)},
+                 {"batches", std::to_string(m_index.batches().size())},
+                 {"epoch", std::to_string(m_ownership.epoch())},
+                 {"last_error", m_snapshotReader.lastError()}});
+    m_following = true;
+    m_gapEnd.reset();
+    m_tail.start(from);
+}
+
+void BatchLog::handleReadEnd()
+{
+    const TimePoint now = BootClock::now();
+    if (!m_started && m_tail.caughtUp()) {
+        m_started = true;
+        m_ownership.logRecovered(now);
+        m_log.write(EventKind::State,
+                    "catch-up-end",
+                    {{"offset", std::to_string(m_tail.nextOffset())},
+                     {"records", std::to_string(m_tail.progress().records)},
+                     {"bytes", std::to_string(m_bytesSinceSnapshot)},
+                     {"snapshot_bytes", std::to_string(m_snapshotBytes)},
+                     {"took_ms", milliseconds(now - m_startedAt)}});
+    }
+    updateOwnership();
+    if (m_recordsAppliedHandler) {
+        m_recordsAppliedHandler();
+    }
+}
+
+void BatchLog::handleGap(std::uint64_t first)
+{
+    m_log.write(EventKind::State, "batch-log-gap", {{"first", std::to_string(first)}});
+    m_gapEnd = first;
+    if (!m_owned) {
+        loadSnapshot();
+    }
+}
+
+void BatchLog::logCatchUpProgress(TimePoint now)
+{
+    constexpr Duration LogInterval = std::chrono::seconds(1);
+    if (m_started || now - std::max(m_startedAt, m_progressLoggedAt) < LogInterval) {
+        return;
+    }
+    m_progressLoggedAt = now;
+    m_log.write(EventKind::State,
+                "catch-up-progress",
+                {{"reading", m_following ? "log" : "snapshot"},
+                 {"offset", std::to_string(m_tail.nextOffset())},
+                 {"end", std::to_string(m_tail.progress().end)},
+                 {"records", std::to_string(m_tail.progress().records)},
+                 {"last_error", m_snapshotReader.lastError()},
+                 {"elapsed_ms", milliseconds(now - m_startedAt)}});
+}
+
+Duration BatchLog::retryAfter(TimePoint now) const
+{
+    constexpr Duration OtherInstance = std::chrono::milliseconds(300); // another instance may respond at once
+    constexpr Duration UnknownProgress = std::chrono::seconds(1);
+    constexpr Duration Longest = std::chrono::seconds(5); // the estimate is rough
+    if (m_started) {
+        return OtherInstance;
+    }
+    return std::clamp(m_tail.timeToCatchUp(now).value_or(UnknownProgress), OtherInstance, Longest);
+}
+
+bool BatchLog::snapshotDue(TimePoint now) const
+{
+    constexpr std::size_t Weight = 2; // records since the last snapshot, as a multiple of its size
+    return m_owned && !m_snapshotPending && upToDate(now) && now - m_snapshotWrittenAt >= m_options.minSnapshotInterval
+        && m_bytesSinceSnapshot >= std::max(m_options.minSnapshotBytes, Weight * m_snapshotBytes);
+}
+
+void BatchLog::writeSnapshot(TimePoint now)
+{
+    constexpr std::size_t PartOverhead = 1024; // bound on the key and the fields around the bytes of a part
+    duties::PoolOwnershipState ownership = m_ownership.state(now);
+    const std::vector<std::string> parts =
+        batch::snapshotParts({.nextOffset = m_tail.nextOffset(),
+                              .epoch = ownership.epoch,
+                              .owner = std::move(ownership.owner),
+                              .ownerAddress = m_ownerAddress,
+                              .recentOrders = std::move(ownership.recentOrders)},
+                             m_index.batches(),
+                             {.maxPartBytes = m_options.maxRecordBytes - PartOverhead},
+                             now);
+    std::vector<std::string> records;
+    std::size_t bytes = 0;
+    for (std::size_t index = 0; index < parts.size(); ++index) {
+        bytes += parts[index].size();
+        records.push_back(logstore::keyedRecord(snapshotPartKey(index), parts[index]));
+    }
+    m_snapshotPending = true;
+    m_snapshotWrittenAt = now;
+    m_bytesSinceSnapshot = 0;
+    appendSnapshot(std::move(records), bytes);
+}
+
+void BatchLog::appendSnapshot(std::vector<std::string> records, std::size_t bytes)
+{
+    logstore::Append append{.topic = m_options.snapshotTopic};
+    std::size_t callBytes = 0;
+    std::size_t count = 0;
+    while (count < records.size() && (count == 0 || callBytes + records[count].size() <= m_options.maxCallBytes)) {
+        callBytes += records[count++].size();
+    }
+    append.records.assign(std::make_move_iterator(records.begin()),
+                          std::make_move_iterator(records.begin() + static_cast<std::ptrdiff_t>(count)));
+    records.erase(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count));
+    m_store.append(std::move(append),
+                   [this, records = std::move(records), bytes](const logstore::AppendOutcome &outcome) mutable {
+                       const bool written = outcome.status == logstore::AppendStatus::Appended;
+                       if (written && !records.empty()) {
+                           appendSnapshot(std::move(records), bytes);
+                           return;
+                       }
+                       m_snapshotPending = false;
+                       if (written) {
+                           m_snapshotBytes = bytes;
+                       }
+                       m_log.write(EventKind::State,
+                                   written ? "snapshot-written" : "snapshot-not-written",
+                                   {{"bytes", std::to_string(bytes)},
+                                    {"batches", std::to_string(m_index.batches().size())},
+                                    {"detail", outcome.detail}});
+                   });
+}
+
+} // namespace bergamot::node
