--- a/bergamot/batch/snapshot_test.cpp
+++ b/bergamot/batch/snapshot_test.cpp
@@ -124,11 +124,12 @@
     void (*damage)(std::vector<std::string> &parts);
 };
 
-std::string changedFormat(const std::string &part)
+/// The part with one field changed; the other fields, the checksum among them, stay.
+std::string changedPart(const std::string &part, const std::function<void(log::SnapshotPartT &)> &change)
 {
     log::SnapshotPartT fields;
     log::GetSnapshotPart(part.data())->UnPackTo(&fields);
-    fields.format = 2;
+    change(fields);
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(log::SnapshotPart::Pack(builder, &fields));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
@@ -178,12 +179,27 @@
                                                     }},
                                          DamageCase{"NewerFormat",
                                                     [](auto &parts) {
-                                                        parts[0] = changedFormat(parts[0]);
+                                                        parts[0] = changedPart(parts[0], [](log::SnapshotPartT &part) {
+                                                            part.format = 2;
+                                                        });
                                                     }}),
                          [](const auto &test) {
                              return test.param.name;
                          });
 
+TEST_F(SnapshotTest, EveryChangedByteIsRefused)
+{
+    const std::vector<std::string> whole = parts();
+    constexpr std::size_t PartBytes = 1024; // of each part but the last
+    for (std::size_t index = 0; index < PartBytes; ++index) {
+        std::vector<std::string> damaged = whole;
+        damaged[0] = changedPart(whole[0], [index](log::SnapshotPartT &part) {
+            part.bytes[index] ^= 1;
+        });
+        EXPECT_FALSE(parseSnapshot(damaged, Now)) << "byte " << index;
+    }
+}
+
 TEST_F(SnapshotTest, PartsLeftOverFromALargerSnapshotAreIgnored)
 {
     std::vector<std::string> all = snapshotParts({.nextOffset = 5}, {}, {}, Now);
