node: nothing is denied from an old view of the batch log

Cause: BatchLog::upToDate took a view as certain for 1 s after the store's last response. That has two faults. The acceptance may be younger than the view, and the second counts from the arrival of the response: behind 105 transfers of a configuration of 0.8 MB (80 MB/s for all readers) responses arrive more than a second after the state that they show. Class of fault: a negative answer from a view whose age is not known.

Ruled out: a gap in the log (no batch-log-gap), expiry (the batches were 0.1 to 1.3 s old), a lost append (other instances serve them).

Change: an instance says "no such batch", "no such item" for an unknown batch, and "no results yet" only after a read of the log's end that it sent after the call has been applied. ReadBarrier decides this; questions share reads, so a flood of unknown ids costs one small read at a time. What cannot be confirmed within a second, or while the store is lost, is answered 503. The lines batch-not-found and batch-view-stale carry the offset and the age of the last response.

Conclusion: what other instances had acknowledged before a call can no longer be denied by it, however late the store's responses arrive.

--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -12,6 +12,8 @@
 constexpr std::string_view ProducerName = "pool";
 constexpr Duration ClaimTimeout = std::chrono::milliseconds(700);
 constexpr Duration PayloadReadTimeout = std::chrono::milliseconds(1000);
+constexpr Duration EndReadTimeout = std::chrono::milliseconds(1000);
+constexpr std::uint32_t EndReadKilobytes = 1; // only the end of the partition is used
 constexpr std::uint32_t LargestRecordKilobytes = 512; // read size that holds any record
 
 } // namespace
@@ -67,6 +69,7 @@
           store,
           {.topic = m_options.topic, .producer = std::string(ProducerName), .maxCallBytes = m_options.maxCallBytes})
     , m_payloadWriter(loop, store, {.topic = m_options.payloadTopic, .maxCallBytes = m_options.maxCallBytes})
+    , m_confirmation(m_options.confirmation)
 {
     m_writer.onFenced([this] {
         m_log.write(EventKind::State, "pool-fenced", {{"epoch", std::to_string(m_ownership.epoch())}});
@@ -83,14 +86,59 @@
     loadSnapshot();
 }
 
-bool BatchLog::upToDate(TimePoint now) const
+bool BatchLog::started() const
 {
-    return m_started && m_tail.caughtUp() && m_tail.timeSinceResponse(now) <= m_options.maxConfirmationAge;
+    return m_started;
 }
 
-bool BatchLog::started() const
+void BatchLog::confirmIndex(std::function<void(bool)> done)
 {
-    return m_started;
+    m_confirmationHandlers.emplace(m_confirmation.ask(BootClock::now()), std::move(done));
+    readEnd();
+}
+
+bool BatchLog::mayConfirm() const
+{
+    return m_started && !m_tail.unavailable();
+}
+
+std::uint64_t BatchLog::nextOffset() const
+{
+    return m_tail.nextOffset();
+}
+
+Duration BatchLog::timeSinceResponse(TimePoint now) const
+{
+    return m_tail.timeSinceResponse(now);
+}
+
+void BatchLog::readEnd()
+{
+    if (!m_confirmation.beginRead()) {
+        return;
+    }
+    m_store.read({.topic = m_options.topic,
+                  .from = m_tail.nextOffset(),
+                  .maxKilobytes = EndReadKilobytes,
+                  .timeout = EndReadTimeout},
+                 [this](const logstore::ReadOutcome &outcome) {
+                     if (outcome.status == logstore::ReadStatus::Done) {
+                         m_confirmation.onEnd(outcome.end);
+                     } else {
+                         m_log.write(EventKind::State, "log-end-unknown", {{"reason", outcome.detail}});
+                         m_confirmation.onReadFailed();
+                     }
+                     reportConfirmations();
+                     readEnd();
+                 });
+}
+
+void BatchLog::reportConfirmations()
+{
+    for (const logstore::BarrierOutcome &outcome : m_confirmation.takeOutcomes(m_tail.nextOffset(), BootClock::now())) {
+        const auto handler = m_confirmationHandlers.extract(outcome.ticket);
+        handler.mapped()(outcome.confirmed);
+    }
 }
 
 const batch::BatchIndex &BatchLog::index() const
@@ -226,6 +274,7 @@
 void BatchLog::tick(TimePoint now)
 {
     m_index.expire(now);
+    reportConfirmations();
     logCatchUpProgress(now);
     if (snapshotDue(now)) {
         writeSnapshot(now);
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -9,6 +9,7 @@
 //     log.start();
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,6 +23,7 @@
 #include "bergamot/logstore/bulk_writer.h"
 #include "bergamot/logstore/fenced_writer.h"
 #include "bergamot/logstore/keyed_reader.h"
+#include "bergamot/logstore/read_barrier.h"
 #include "bergamot/logstore/span_read_size.h"
 #include "bergamot/logstore/topic_tail.h"
 
@@ -42,8 +44,7 @@
     Duration awaitedReadPause = std::chrono::milliseconds(50); // the same while a caller waits for a result here
     std::size_t minSnapshotBytes = 64 * 1024; // records that are always read instead of a new snapshot
     Duration minSnapshotInterval = std::chrono::seconds(1);
-    Duration maxConfirmationAge =
-        std::chrono::milliseconds(1000); // with an older index, a batch that is not in it may still exist
+    logstore::ReadBarrierOptions confirmation;
     batch::BatchIndexOptions index;
     duties::PoolOwnershipOptions ownership;
 };
@@ -70,10 +71,17 @@
     ~BatchLog();
 
     void start();
-    /// Whether the index contains all records that were in the log `maxConfirmationAge` before `now`.
-    bool upToDate(TimePoint now) const;
     /// Whether the log has been read to its end once.
     bool started() const;
+    /// Calls `done` with true once the index contains all records that were in the log at the time of this call; with
+    /// false if that is not known in time. Never calls `done` from within.
+    void confirmIndex(std::function<void(bool confirmed)> done);
+    /// Whether `confirmIndex` may succeed: the log has been read to its end, and the store responds.
+    bool mayConfirm() const;
+    /// Offset of the next record to apply to the index.
+    std::uint64_t nextOffset() const;
+    /// Time since the last response of the store to a read of the log.
+    Duration timeSinceResponse(TimePoint now) const;
     /// When a caller whose batch is unknown here should return: after the catch-up, as far as its progress tells.
     Duration retryAfter(TimePoint now) const;
     const batch::BatchIndex &index() const;
@@ -136,6 +144,8 @@
     void writeSnapshot(TimePoint now);
     void appendSnapshot(std::vector<std::string> records, std::size_t bytes);
     void applyRecord(std::uint64_t offset, const std::string &bytes);
+    void readEnd();
+    void reportConfirmations();
     void claim();
     void updateOwnership();
     struct PayloadRead;
@@ -156,6 +166,8 @@
     std::function<void(bool)> m_ownershipHandler;
     std::function<void(const std::string &, const std::string &)> m_probeHandler;
     logstore::SpanReadSize m_payloadReadSize;
+    logstore::ReadBarrier m_confirmation;
+    std::map<logstore::ReadBarrier::Ticket, std::function<void(bool)>> m_confirmationHandlers;
     std::string m_peerAddress; // of this instance; empty: it cannot be probed
     std::string m_ownerAddress; // of the newest claim; empty: not known
     TimePoint m_startedAt{};
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -100,6 +100,7 @@
     if (m_recordsAppliedHandler) {
         m_recordsAppliedHandler();
     }
+    reportConfirmations();
 }
 
 void BatchLog::handleGap(std::uint64_t first)
@@ -142,7 +143,8 @@
 bool BatchLog::snapshotDue(TimePoint now) const
 {
     constexpr std::size_t Weight = 2; // records since the last snapshot, as a multiple of its size
-    return m_owned && !m_snapshotPending && upToDate(now) && now - m_snapshotWrittenAt >= m_options.minSnapshotInterval
+    return m_owned && !m_snapshotPending && m_tail.caughtUp()
+        && now - m_snapshotWrittenAt >= m_options.minSnapshotInterval
         && m_bytesSinceSnapshot >= std::max(m_options.minSnapshotBytes, Weight * m_snapshotBytes);
 }
 
--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -21,6 +21,11 @@
     return text.data();
 }
 
+bool mayGrow(const batch::BatchEntry &entry)
+{
+    return entry.results.size() < entry.totalItems && !entry.ended;
+}
+
 } // namespace
 
 BatchService::BatchService(boost::asio::io_context &loop,
@@ -85,12 +90,18 @@
 
 void BatchService::end(const EndBatchCall &call, std::shared_ptr<net::Exchange> exchange)
 {
-    const batch::BatchEntry *entry = m_log.index().find(call.batch);
-    if (entry == nullptr) {
-        respondUnknownBatch(*exchange, call.batch, "end");
+    if (m_log.index().find(call.batch) == nullptr) {
+        confirmBatch(call.batch, "end", exchange, [this, call, exchange] {
+            endKnownBatch(call, exchange);
+        });
         return;
     }
-    if (entry->ended) {
+    endKnownBatch(call, std::move(exchange));
+}
+
+void BatchService::endKnownBatch(const EndBatchCall &call, std::shared_ptr<net::Exchange> exchange)
+{
+    if (m_log.index().find(call.batch)->ended) {
         respond(*exchange, Ok);
         return;
     }
@@ -190,23 +201,75 @@
 
 void BatchService::readResults(const ReadResultsCall &call, std::shared_ptr<net::Exchange> exchange)
 {
-    const batch::BatchEntry *entry = m_log.index().find(call.batch);
-    const bool hasResults = entry != nullptr && entry->results.size() > call.after;
-    const bool mayGrow = entry != nullptr && entry->results.size() < entry->totalItems && !entry->ended;
     const Duration wait = std::min(call.wait, m_options.maxWait);
-    if (hasResults || !mayGrow || wait <= Duration::zero()) {
-        answerResults(call, exchange);
-        return;
+    continueRead({.call = call, .exchange = std::move(exchange), .deadline = BootClock::now() + wait});
+}
+
+void BatchService::continueRead(Reader reader)
+{
+    const batch::BatchEntry *entry = m_log.index().find(reader.call.batch);
+    if (entry != nullptr && entry->results.size() > reader.call.after) {
+        collectResults(reader.call, reader.exchange, {});
+    } else if (entry != nullptr && mayGrow(*entry) && BootClock::now() < reader.deadline) {
+        waitForResults(std::move(reader));
+    } else {
+        confirmNoResults(reader);
     }
-    m_readers.push_back({.call = call, .exchange = std::move(exchange), .deadline = BootClock::now() + wait});
-    const auto reader = std::prev(m_readers.end());
-    reader->exchange->onCallerDisconnected([this, disconnected = reader->exchange.get()] {
-        m_readers.remove_if([disconnected](const Reader &other) {
-            return other.exchange.get() == disconnected;
+}
+
+void BatchService::waitForResults(Reader reader)
+{
+    m_readers.push_back(std::move(reader));
+    net::Exchange *exchange = m_readers.back().exchange.get();
+    exchange->onCallerDisconnected([this, exchange] {
+        m_readers.remove_if([exchange](const Reader &other) {
+            return other.exchange.get() == exchange;
         });
     });
 }
 
+void BatchService::confirmNoResults(const Reader &reader)
+{
+    if (!m_log.mayConfirm()) {
+        respondUnconfirmed(*reader.exchange, reader.call.batch, "read");
+        return;
+    }
+    m_log.confirmIndex([this, reader](bool confirmed) {
+        const batch::BatchEntry *entry = m_log.index().find(reader.call.batch);
+        if (entry != nullptr && entry->results.size() > reader.call.after) {
+            collectResults(reader.call, reader.exchange, {});
+        } else if (!confirmed) {
+            respondUnconfirmed(*reader.exchange, reader.call.batch, "read");
+        } else if (entry == nullptr) {
+            respondNotFound(*reader.exchange, reader.call.batch, "read");
+        } else if (mayGrow(*entry) && BootClock::now() < reader.deadline) {
+            waitForResults(reader);
+        } else {
+            respondResults(*reader.exchange, reader.call, *entry, {});
+        }
+    });
+}
+
+void BatchService::confirmBatch(const std::string &batch,
+                                std::string_view call,
+                                const std::shared_ptr<net::Exchange> &exchange,
+                                std::function<void()> known)
+{
+    if (!m_log.mayConfirm()) {
+        respondUnconfirmed(*exchange, batch, call);
+        return;
+    }
+    m_log.confirmIndex([this, batch, call, exchange, known = std::move(known)](bool confirmed) {
+        if (m_log.index().find(batch) != nullptr) {
+            known();
+        } else if (confirmed) {
+            respondNotFound(*exchange, batch, call);
+        } else {
+            respondUnconfirmed(*exchange, batch, call);
+        }
+    });
+}
+
 void BatchService::answerReadyReaders()
 {
     for (auto reader = m_readers.begin(); reader != m_readers.end();) {
@@ -215,9 +278,9 @@
             ++reader;
             continue;
         }
-        const Reader ready = *reader;
+        Reader ready = std::move(*reader);
         reader = m_readers.erase(reader);
-        answerResults(ready.call, ready.exchange);
+        continueRead(std::move(ready));
     }
 }
 
@@ -228,9 +291,9 @@
             ++reader;
             continue;
         }
-        const Reader ready = *reader;
+        Reader ready = std::move(*reader);
         reader = m_readers.erase(reader);
-        answerResults(ready.call, ready.exchange);
+        continueRead(std::move(ready));
     }
 }
 
@@ -239,31 +302,13 @@
     return m_readers.size();
 }
 
-void BatchService::answerResults(const ReadResultsCall &call, const std::shared_ptr<net::Exchange> &exchange)
-{
-    const batch::BatchEntry *entry = m_log.index().find(call.batch);
-    if (entry == nullptr) {
-        respondUnknownBatch(*exchange, call.batch, "read");
-        return;
-    }
-    if (entry->results.size() > call.after) {
-        collectResults(call, exchange, {});
-        return;
-    }
-    if (!m_log.upToDate(BootClock::now())) {
-        respondUnknownBatch(*exchange, call.batch, "read");
-        return;
-    }
-    respondResults(*exchange, call, *entry, {});
-}
-
 void BatchService::collectResults(ReadResultsCall call,
                                   std::shared_ptr<net::Exchange> exchange,
                                   std::vector<batch::ItemResult> collected)
 {
     const batch::BatchEntry *entry = m_log.index().find(call.batch);
     if (entry == nullptr) {
-        respondUnknownBatch(*exchange, call.batch, "read");
+        respondUnconfirmed(*exchange, call.batch, "read");
         return;
     }
     std::size_t bytes = 0;
@@ -337,11 +382,18 @@
 
 void BatchService::readItem(const ReadItemCall &call, std::shared_ptr<net::Exchange> exchange)
 {
-    const batch::BatchEntry *entry = m_log.index().find(call.batch);
-    if (entry == nullptr) {
-        respondUnknownBatch(*exchange, call.batch, "item");
+    if (m_log.index().find(call.batch) == nullptr) {
+        confirmBatch(call.batch, "item", exchange, [this, call, exchange] {
+            readKnownItem(call, exchange);
+        });
         return;
     }
+    readKnownItem(call, exchange);
+}
+
+void BatchService::readKnownItem(const ReadItemCall &call, const std::shared_ptr<net::Exchange> &exchange)
+{
+    const batch::BatchEntry *entry = m_log.index().find(call.batch);
     if (entry->ended) {
         respond(*exchange, NotFound);
         return;
@@ -372,13 +424,29 @@
         });
 }
 
-void BatchService::respondUnknownBatch(net::Exchange &exchange, const std::string &batch, std::string_view call)
+void BatchService::respondNotFound(net::Exchange &exchange, const std::string &batch, std::string_view call)
+{
+    writeView("batch-not-found", batch, call);
+    respond(exchange, NotFound);
+}
+
+void BatchService::respondUnconfirmed(net::Exchange &exchange, const std::string &batch, std::string_view call)
+{
+    writeView("batch-view-stale", batch, call);
+    respond(exchange, Unavailable);
+}
+
+void BatchService::writeView(std::string_view event, const std::string &batch, std::string_view call)
 {
-    const bool certain = m_log.upToDate(BootClock::now());
+    const auto responseAge =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_log.timeSinceResponse(BootClock::now()));
     m_eventLog.write(EventKind::Request,
-                     certain ? "batch-not-found" : "batch-view-stale",
-                     {{"batch", batch}, {"call", std::string(call)}});
-    respond(exchange, certain ? NotFound : Unavailable);
+                     event,
+                     {{"batch", batch},
+                      {"call", std::string(call)},
+                      {"offset", std::to_string(m_log.nextOffset())},
+                      {"response_age_ms", std::to_string(responseAge.count())},
+                      {"may_confirm", m_log.mayConfirm() ? "yes" : "no"}});
 }
 
 void BatchService::respond(net::Exchange &exchange, int status, std::string body, std::string_view type)
--- a/bergamot/node/batch_service.h
+++ b/bergamot/node/batch_service.h
@@ -85,7 +85,17 @@
     void retryOrRespond(std::shared_ptr<PendingAppend> pending, const logstore::AppendOutcome &outcome);
     void respondOutcome(const PendingAppend &pending, int status, std::string_view reason);
     bool isInLog(const PendingAppend &pending) const;
-    void answerResults(const ReadResultsCall &call, const std::shared_ptr<net::Exchange> &exchange);
+    /// Responds with results, or waits for them, or makes sure that there are none.
+    void continueRead(Reader reader);
+    void waitForResults(Reader reader);
+    void confirmNoResults(const Reader &reader);
+    /// Runs `known` if the batch was accepted before this call; otherwise responds.
+    void confirmBatch(const std::string &batch,
+                      std::string_view call,
+                      const std::shared_ptr<net::Exchange> &exchange,
+                      std::function<void()> known);
+    void endKnownBatch(const EndBatchCall &call, std::shared_ptr<net::Exchange> exchange);
+    void readKnownItem(const ReadItemCall &call, const std::shared_ptr<net::Exchange> &exchange);
     void collectResults(ReadResultsCall call,
                         std::shared_ptr<net::Exchange> exchange,
                         std::vector<batch::ItemResult> collected);
@@ -94,7 +104,10 @@
                         const batch::BatchEntry &entry,
                         const std::vector<batch::ItemResult> &results);
     void respond(net::Exchange &exchange, int status, std::string body = {}, std::string_view type = {});
-    void respondUnknownBatch(net::Exchange &exchange, const std::string &batch, std::string_view call);
+    void respondNotFound(net::Exchange &exchange, const std::string &batch, std::string_view call);
+    /// Responds that this instance does not know whether the batch exists or has more results.
+    void respondUnconfirmed(net::Exchange &exchange, const std::string &batch, std::string_view call);
+    void writeView(std::string_view event, const std::string &batch, std::string_view call);
 
     boost::asio::io_context &m_loop;
     BatchLog &m_log;
