node: a route is denied only by a configuration that is known to be recent

Callers would see 404 for a route that had been in force for seconds.

Cause: the age of the configuration counted from the arrival of the store's last response. A response that is produced just before a new configuration and arrives 2.5 s later made the old configuration count as new for 1.5 s more.

Change: the age counts from the sending of the newest read that found all records read (ReadSchedule::confirmedAt). Readiness still asks how long the store has been silent, as it did. Where the view is older than 1.5 s, an unknown route is answered 503, as before. With 700 ms long polls the new age reaches 1.4 s on an idle topic, so a route that does not exist may get a 503 more often than before on a slow instance.

--- a/bergamot/logstore/read_schedule.cpp
+++ b/bergamot/logstore/read_schedule.cpp
@@ -17,6 +17,7 @@
     m_firstValidId = m_nextId;
     m_readAt = now;
     m_lastResponseAt = now;
+    m_confirmedAt = {};
     m_caughtUp = false;
     m_started = true;
 }
@@ -86,6 +87,9 @@
         m_progress.records += added.count;
     }
     m_caughtUp = m_progress.nextOffset >= m_progress.end;
+    if (m_caughtUp && answered) {
+        m_confirmedAt = std::max(m_confirmedAt, answered->sentAt);
+    }
     if (count == 0 && from == m_progress.nextOffset && !m_caughtUp) {
         raiseSize();
     } else if (answered) {
@@ -145,6 +149,11 @@
     return m_lastResponseAt;
 }
 
+TimePoint ReadSchedule::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
 const FollowProgress &ReadSchedule::progress() const
 {
     return m_progress;
--- a/bergamot/logstore/read_schedule.h
+++ b/bergamot/logstore/read_schedule.h
@@ -95,6 +95,9 @@
     /// Whether reads fail or are late, and there was no response for `unavailableAfter`.
     bool unavailable(TimePoint now) const;
     TimePoint lastResponseAt() const;
+    /// When the newest read was sent whose response showed that all records have been read: whatever was in the
+    /// partition at that time has been read.
+    TimePoint confirmedAt() const;
     const FollowProgress &progress() const;
     /// Estimated time until the partition is read to its end, from the rate since `start`. Nothing if unknown.
     std::optional<Duration> timeToCatchUp(TimePoint now) const;
@@ -125,6 +128,7 @@
     TimePoint m_readAt{};
     TimePoint m_hedgeAt{};
     TimePoint m_lastResponseAt{};
+    TimePoint m_confirmedAt{};
     bool m_caughtUp = false;
     bool m_started = false;
 };
--- a/bergamot/logstore/read_schedule_test.cpp
+++ b/bergamot/logstore/read_schedule_test.cpp
@@ -66,6 +66,24 @@
                              return test.param.name;
                          });
 
+// A large record is read by all instances at once: a response arrives long after the state that it shows.
+TEST_F(ReadScheduleTest, TheViewIsAsOldAsTheReadThatConfirmedIt)
+{
+    const PlannedRead first = nextAfter(0ms);
+    const TimePoint firstSentAt = m_now;
+    m_now += 2000ms;
+    answer(first, 5, 15);
+    EXPECT_EQ(m_schedule.confirmedAt(), firstSentAt);
+    const PlannedRead second = nextAfter(200ms);
+    const TimePoint secondSentAt = m_now;
+    m_now += 100ms;
+    answer(second, 5, 30);
+    EXPECT_EQ(m_schedule.confirmedAt(), firstSentAt) << "records are missing";
+    const PlannedRead third = nextAfter(0ms);
+    answer(third, 10, 30);
+    EXPECT_EQ(m_schedule.confirmedAt(), secondSentAt + 100ms);
+}
+
 TEST_F(ReadScheduleTest, ALateReadIsHedgedWithASmallOneAndNotGivenUp)
 {
     const PlannedRead first = nextAfter(0ms);
--- a/bergamot/logstore/topic_tail.cpp
+++ b/bergamot/logstore/topic_tail.cpp
@@ -163,6 +163,11 @@
     return now - m_state->schedule.lastResponseAt();
 }
 
+Duration TopicTail::confirmedAge(TimePoint now) const
+{
+    return now - m_state->schedule.confirmedAt();
+}
+
 std::uint64_t TopicTail::nextOffset() const
 {
     return m_state->schedule.nextOffset();
--- a/bergamot/logstore/topic_tail.h
+++ b/bergamot/logstore/topic_tail.h
@@ -70,6 +70,8 @@
     bool unavailable() const;
     /// Time since the last successful response of the store.
     Duration timeSinceResponse(TimePoint now) const;
+    /// Upper bound of the age of the view: whatever was in the partition that long ago has been read.
+    Duration confirmedAge(TimePoint now) const;
     /// Offset of the next record to read.
     std::uint64_t nextOffset() const;
     /// Counts since `start`.
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -93,6 +93,11 @@
 }
 
 Duration FleetView::configurationAge(TimePoint now) const
+{
+    return m_operatorTail->confirmedAge(now);
+}
+
+Duration FleetView::timeSinceResponse(TimePoint now) const
 {
     return m_operatorTail->timeSinceResponse(now);
 }
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -40,8 +40,10 @@
     void start();
     /// Whether a configuration and the endpoints have been read.
     bool complete() const;
-    /// Time since the last response of the store to a read of the configuration's topic.
+    /// Upper bound of the age of the configuration: it contains whatever was in the store that long ago.
     Duration configurationAge(TimePoint now) const;
+    /// Time since the last response of the store to a read of the configuration's topic.
+    Duration timeSinceResponse(TimePoint now) const;
     const fleet::Configuration &configuration() const;
     const std::map<std::string, std::uint64_t> &namedVersions() const;
     const std::map<std::string, fleet::Endpoint> &endpoints() const;
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -18,7 +18,9 @@
 constexpr Duration OwnerTick = std::chrono::milliseconds(50); // period at the owner: runs and loads
 constexpr Duration FollowerTick = std::chrono::milliseconds(100); // period elsewhere: claims and waiting readers
 constexpr Duration DrainTick = std::chrono::milliseconds(50);
-constexpr Duration MaxConfigurationAge = std::chrono::milliseconds(1500); // two long polls without a response
+constexpr Duration MaxConfigurationAge =
+    std::chrono::milliseconds(1500); // with an older configuration, a route that is not in it may still exist
+constexpr Duration MaxStoreSilence = std::chrono::milliseconds(1500); // two long polls without a response
 constexpr Duration MinDrainTime =
     std::chrono::milliseconds(2600); // the platform reacts to two failed readiness checks, a second apart
 constexpr Duration GraceMargin = std::chrono::milliseconds(700); // left before the process is killed
@@ -367,8 +369,7 @@
 bool Node::ready() const
 {
     const TimePoint now = BootClock::now();
-    return !m_stopping && m_view.complete() && m_batchLog.started()
-        && m_view.configurationAge(now) <= MaxConfigurationAge;
+    return !m_stopping && m_view.complete() && m_batchLog.started() && m_view.timeSinceResponse(now) <= MaxStoreSilence;
 }
 
 void Node::refuse(net::Exchange &exchange, int status, std::string_view reason)
