--- a/bergamot/logstore/topic_tail.cpp
+++ b/bergamot/logstore/topic_tail.cpp
@@ -58,6 +58,7 @@
     void handleRead(std::uint64_t id, std::uint64_t from, const ReadOutcome &outcome)
     {
         const TimePoint now = BootClock::now();
+        firstRetained = std::max(firstRetained, outcome.first);
         switch (outcome.status) {
         case ReadStatus::Failed:
             lastError = outcome.detail;
@@ -124,6 +125,7 @@
     boost::asio::steady_timer timer;
     std::string lastError;
     TimePoint unavailableSince{};
+    std::uint64_t firstRetained = 0;
     bool unavailable = false;
 };
 
@@ -168,6 +170,11 @@
     return now - m_state->schedule.confirmedAt();
 }
 
+std::uint64_t TopicTail::firstRetained() const
+{
+    return m_state->firstRetained;
+}
+
 std::uint64_t TopicTail::nextOffset() const
 {
     return m_state->schedule.nextOffset();
--- a/bergamot/logstore/topic_tail.h
+++ b/bergamot/logstore/topic_tail.h
@@ -72,6 +72,8 @@
     Duration timeSinceResponse(TimePoint now) const;
     /// Upper bound of the age of the view: whatever was in the partition that long ago has been read.
     Duration confirmedAge(TimePoint now) const;
+    /// Offset of the first record that the store retained at the last response; older records were deleted.
+    std::uint64_t firstRetained() const;
     /// Offset of the next record to read.
     std::uint64_t nextOffset() const;
     /// Counts since `start`.
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -99,7 +99,7 @@
 
 bool BatchLog::mayConfirm() const
 {
-    return m_started && !m_tail.unavailable();
+    return m_started && !m_gapEnd && !m_tail.unavailable();
 }
 
 std::uint64_t BatchLog::nextOffset() const
@@ -137,7 +137,7 @@
 {
     for (const logstore::BarrierOutcome &outcome : m_confirmation.takeOutcomes(m_tail.nextOffset(), BootClock::now())) {
         const auto handler = m_confirmationHandlers.extract(outcome.ticket);
-        handler.mapped()(outcome.confirmed);
+        handler.mapped()(outcome.confirmed && !m_gapEnd);
     }
 }
 
@@ -276,13 +276,16 @@
     m_index.expire(now);
     reportConfirmations();
     logCatchUpProgress(now);
+    if (m_gapEnd && !m_snapshotReading && now - m_snapshotReadAt >= m_options.gapReloadInterval) {
+        loadSnapshot();
+    }
     if (snapshotDue(now)) {
         writeSnapshot(now);
     }
-    if (mayClaim() && !m_claimPending && m_ownership.shouldClaim(now)) {
+    if (mayClaim(now) && !m_claimPending && m_ownership.shouldClaim(now)) {
         claim();
     }
-    if (mayClaim() && m_probeHandler && !m_ownerAddress.empty() && m_ownership.shouldProbeOwner(now)) {
+    if (mayClaim(now) && m_probeHandler && !m_ownerAddress.empty() && m_ownership.shouldProbeOwner(now)) {
         m_ownership.onOwnerProbed(now);
         m_probeHandler(m_ownership.owner(), m_ownerAddress);
     }
@@ -300,9 +303,10 @@
     }
 }
 
-bool BatchLog::mayClaim() const
+bool BatchLog::mayClaim(TimePoint now) const
 {
-    return m_claimsAllowed && m_started && m_tail.caughtUp() && !m_tail.unavailable();
+    const bool complete = !m_gapEnd || now - m_gapAt >= m_options.gapClaimDelay;
+    return m_claimsAllowed && m_started && complete && m_tail.caughtUp() && !m_tail.unavailable();
 }
 
 void BatchLog::setPeerAddress(std::string address)
@@ -429,6 +433,11 @@
     m_owned = owns;
     updateReadPause();
     if (owns) {
+        if (m_gapEnd) {
+            // No instance has written a snapshot that contains the missing records.
+            m_log.write(EventKind::State, "batch-log-gap-accepted", {{"first", std::to_string(*m_gapEnd)}});
+            m_gapEnd.reset();
+        }
         m_writer.begin(m_ownership.epoch(), 1);
     } else {
         m_writer.end();
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -44,6 +44,8 @@
     Duration awaitedReadPause = std::chrono::milliseconds(50); // the same while a caller waits for a result here
     std::size_t minSnapshotBytes = 64 * 1024; // records that are always read instead of a new snapshot
     Duration minSnapshotInterval = std::chrono::seconds(1);
+    Duration gapReloadInterval = std::chrono::seconds(1); // between reads of the snapshot while records are missing
+    Duration gapClaimDelay = std::chrono::seconds(5); // after which an instance that lacks records may own the pool
     logstore::ReadBarrierOptions confirmation;
     batch::BatchIndexOptions index;
     duties::PoolOwnershipOptions ownership;
@@ -76,7 +78,7 @@
     /// Calls `done` with true once the index contains all records that were in the log at the time of this call; with
     /// false if that is not known in time. Never calls `done` from within.
     void confirmIndex(std::function<void(bool confirmed)> done);
-    /// Whether `confirmIndex` may succeed: the log has been read to its end, and the store responds.
+    /// Whether `confirmIndex` may succeed: the log has been read to its end without a gap, and the store responds.
     bool mayConfirm() const;
     /// Offset of the next record to apply to the index.
     std::uint64_t nextOffset() const;
@@ -139,10 +141,10 @@
     void handleGap(std::uint64_t first);
     void logCatchUpProgress(TimePoint now);
     /// Whether this instance sees the end of the log and may succeed the owner.
-    bool mayClaim() const;
+    bool mayClaim(TimePoint now) const;
     bool snapshotDue(TimePoint now) const;
     void writeSnapshot(TimePoint now);
-    void appendSnapshot(std::vector<std::string> records, std::size_t bytes);
+    void appendSnapshot(std::vector<std::string> records, std::size_t bytes, std::uint64_t nextOffset);
     void applyRecord(std::uint64_t offset, const std::string &bytes);
     void readEnd();
     void reportConfirmations();
@@ -175,7 +177,11 @@
     TimePoint m_snapshotWrittenAt{};
     std::size_t m_snapshotBytes = 0; // size of the newest snapshot that this instance has read or written
     std::size_t m_bytesSinceSnapshot = 0; // bytes of the records applied since then
+    std::uint64_t m_snapshotNextOffset = 0; // offset of the first record that it does not contain
     std::optional<std::uint64_t> m_gapEnd; // records before this offset were deleted unread
+    TimePoint m_gapAt{};
+    TimePoint m_snapshotReadAt{};
+    bool m_snapshotReading = false;
     bool m_following = false;
     bool m_snapshotPending = false;
     bool m_started = false;
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -22,7 +22,10 @@
 
 void BatchLog::loadSnapshot()
 {
+    m_snapshotReading = true;
+    m_snapshotReadAt = BootClock::now();
     m_snapshotReader.read([this](const logstore::KeyedContent &content) {
+        m_snapshotReading = false;
         handleSnapshot(content);
     });
 }
@@ -63,6 +66,7 @@
                          .recentOrders = std::move(snapshot.header.recentOrders)},
                         BootClock::now());
     m_ownerAddress = std::move(snapshot.header.ownerAddress);
+    m_snapshotNextOffset = next;
     m_index.restore(std::move(snapshot.batches));
     follow(next, "snapshot");
     return true;
@@ -107,7 +111,13 @@
 {
     m_log.write(EventKind::State, "batch-log-gap", {{"first", std::to_string(first)}});
     m_gapEnd = first;
-    if (!m_owned) {
+    m_gapAt = BootClock::now();
+    if (m_owned) {
+        // Batches may be missing here that another instance knows.
+        m_ownership.onFenced();
+        updateOwnership();
+    }
+    if (!m_snapshotReading) {
         loadSnapshot();
     }
 }
@@ -143,9 +153,10 @@
 bool BatchLog::snapshotDue(TimePoint now) const
 {
     constexpr std::size_t Weight = 2; // records since the last snapshot, as a multiple of its size
+    const bool outweighed = m_bytesSinceSnapshot >= std::max(m_options.minSnapshotBytes, Weight * m_snapshotBytes);
+    const bool recordsDeleted = m_tail.firstRetained() > m_snapshotNextOffset; // neither in the log nor in a snapshot
     return m_owned && !m_snapshotPending && m_tail.caughtUp()
-        && now - m_snapshotWrittenAt >= m_options.minSnapshotInterval
-        && m_bytesSinceSnapshot >= std::max(m_options.minSnapshotBytes, Weight * m_snapshotBytes);
+        && now - m_snapshotWrittenAt >= m_options.minSnapshotInterval && (outweighed || recordsDeleted);
 }
 
 void BatchLog::writeSnapshot(TimePoint now)
@@ -170,10 +181,10 @@
     m_snapshotPending = true;
     m_snapshotWrittenAt = now;
     m_bytesSinceSnapshot = 0;
-    appendSnapshot(std::move(records), bytes);
+    appendSnapshot(std::move(records), bytes, m_tail.nextOffset());
 }
 
-void BatchLog::appendSnapshot(std::vector<std::string> records, std::size_t bytes)
+void BatchLog::appendSnapshot(std::vector<std::string> records, std::size_t bytes, std::uint64_t nextOffset)
 {
     logstore::Append append{.topic = m_options.snapshotTopic};
     std::size_t callBytes = 0;
@@ -184,23 +195,25 @@
     append.records.assign(std::make_move_iterator(records.begin()),
                           std::make_move_iterator(records.begin() + static_cast<std::ptrdiff_t>(count)));
     records.erase(records.begin(), records.begin() + static_cast<std::ptrdiff_t>(count));
-    m_store.append(std::move(append),
-                   [this, records = std::move(records), bytes](const logstore::AppendOutcome &outcome) mutable {
-                       const bool written = outcome.status == logstore::AppendStatus::Appended;
-                       if (written && !records.empty()) {
-                           appendSnapshot(std::move(records), bytes);
-                           return;
-                       }
-                       m_snapshotPending = false;
-                       if (written) {
-                           m_snapshotBytes = bytes;
-                       }
-                       m_log.write(EventKind::State,
-                                   written ? "snapshot-written" : "snapshot-not-written",
-                                   {{"bytes", std::to_string(bytes)},
-                                    {"batches", std::to_string(m_index.batches().size())},
-                                    {"detail", outcome.detail}});
-                   });
+    m_store.append(
+        std::move(append),
+        [this, records = std::move(records), bytes, nextOffset](const logstore::AppendOutcome &outcome) mutable {
+            const bool written = outcome.status == logstore::AppendStatus::Appended;
+            if (written && !records.empty()) {
+                appendSnapshot(std::move(records), bytes, nextOffset);
+                return;
+            }
+            m_snapshotPending = false;
+            if (written) {
+                m_snapshotBytes = bytes;
+                m_snapshotNextOffset = std::max(m_snapshotNextOffset, nextOffset);
+            }
+            m_log.write(EventKind::State,
+                        written ? "snapshot-written" : "snapshot-not-written",
+                        {{"bytes", std::to_string(bytes)},
+                         {"batches", std::to_string(m_index.batches().size())},
+                         {"detail", outcome.detail}});
+        });
 }
 
 } // namespace bergamot::node
