--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -276,7 +276,7 @@
     m_index.expire(now);
     reportConfirmations();
     logCatchUpProgress(now);
-    if (m_gapEnd && !m_snapshotReading && now - m_snapshotReadAt >= m_options.gapReloadInterval) {
+    if (m_gapEnd && !m_snapshotReader.reading() && now - m_snapshotReadAt >= m_options.gapReloadInterval) {
         loadSnapshot();
     }
     if (snapshotDue(now)) {
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -181,7 +181,6 @@
     std::optional<std::uint64_t> m_gapEnd; // records before this offset were deleted unread
     TimePoint m_gapAt{};
     TimePoint m_snapshotReadAt{};
-    bool m_snapshotReading = false;
     bool m_following = false;
     bool m_snapshotPending = false;
     bool m_started = false;
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -22,10 +22,8 @@
 
 void BatchLog::loadSnapshot()
 {
-    m_snapshotReading = true;
     m_snapshotReadAt = BootClock::now();
     m_snapshotReader.read([this](const logstore::KeyedContent &content) {
-        m_snapshotReading = false;
         handleSnapshot(content);
     });
 }
@@ -117,7 +115,7 @@
         m_ownership.onFenced();
         updateOwnership();
     }
-    if (!m_snapshotReading) {
+    if (!m_snapshotReader.reading()) {
         loadSnapshot();
     }
 }
