node: no route is denied while records of the configuration are missing

Callers would see 404 for a new route at an instance whose read of the configuration's topic found the records deleted.

Cause: after such a read the follower goes on behind the deleted records at once, while the newest record of each key is still being read; in between the old configuration counted as recent.

Change: the age of the configuration is unknown, so that unknown routes get 503, until that read has finished. A view that has not reached the end since it was started has no age either; before, its age was the time since boot.

--- a/bergamot/logstore/topic_tail.cpp
+++ b/bergamot/logstore/topic_tail.cpp
@@ -167,7 +167,8 @@
 
 Duration TopicTail::confirmedAge(TimePoint now) const
 {
-    return now - m_state->schedule.confirmedAt();
+    const TimePoint confirmedAt = m_state->schedule.confirmedAt();
+    return confirmedAt == TimePoint() ? Duration::max() : now - confirmedAt;
 }
 
 std::uint64_t TopicTail::firstRetained() const
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -94,7 +94,7 @@
 
 Duration FleetView::configurationAge(TimePoint now) const
 {
-    return m_operatorTail->confirmedAge(now);
+    return m_operatorReader.reading() ? Duration::max() : m_operatorTail->confirmedAge(now);
 }
 
 Duration FleetView::timeSinceResponse(TimePoint now) const
