node: a read of all endpoint entries does not undo newer records

Callers would see requests sent to an endpoint that had left: an entry that was removed, or reported draining, while all entries were being read again (after the store had deleted records unread) came back from that read, a removed one for good, because its removal had been consumed.

Change: entries that the follower changed since the request for all entries keep the follower's state.

--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -166,6 +166,7 @@
 
 void FleetView::readEndpointTopic()
 {
+    m_followedEndpoints.clear();
     m_endpointReader.read([this, startedAt = BootClock::now()](const logstore::KeyedContent &content) {
         writeTopicRead("endpoints", content, startedAt);
         std::map<std::string, fleet::Endpoint> registered;
@@ -174,6 +175,13 @@
                 registered.emplace(record.key, std::move(*endpoint));
             }
         }
+        for (const std::string &id : m_followedEndpoints) {
+            // The follower has read a newer record than the one that was read here, or will read it.
+            registered.erase(id);
+            if (const auto current = endpoints().find(id); current != endpoints().end()) {
+                registered.emplace(id, current->second);
+            }
+        }
         m_directory.replace(std::move(registered), BootClock::now());
         if (!std::exchange(m_endpointsRead, true)) {
             m_endpointTail->start(content.end);
@@ -243,6 +251,7 @@
 void FleetView::applyEndpointRecord(const logstore::KeyedRecord &record)
 {
     std::optional<fleet::Endpoint> endpoint = parseEndpoint(record);
+    m_followedEndpoints.insert(record.key);
     const auto before = m_directory.endpoints().find(record.key);
     const bool wasDraining = before != m_directory.endpoints().end() && before->second.draining;
     const bool isDraining = endpoint && endpoint->draining;
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -75,6 +76,7 @@
     fleet::Configuration m_configuration;
     std::map<std::string, std::uint64_t> m_namedVersions;
     fleet::EndpointDirectory m_directory;
+    std::set<std::string> m_followedEndpoints; // changed by the follower since all entries were last requested
     bool m_operatorsRead = false;
     bool m_endpointsRead = false;
     bool m_endpointsChanged = false;
