node: an item whose payload cannot be read is not denied

Callers would get 404 for the body of an item that is owed, when a payload of its batch is unreadable or the batch was dropped from the index between the call and the end of the read.

Change: such a call is answered 503, with a line item-unreadable that gives the reason; 404 stays for items that are not in the batch, that have a result, or whose batch has ended.

Before: node_batches_test AnItemWhosePayloadCannotBeReadIsNotDenied gets 404 three times; after: 503. A text of 404 for a missing item of a readable batch is checked by BodiesAreServedUntilTheResultIsCommitted as before.

--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -21,6 +21,33 @@
     return text.data();
 }
 
+struct FoundItem
+{
+    std::uint32_t index = 0; // in the batch
+    std::string body;
+};
+
+/// Finds an item in the payloads of its batch, which are in order. Fails if one of them is unreadable.
+Result<std::optional<FoundItem>> findItem(const std::vector<LogRecord> &payloads, const std::string &id)
+{
+    std::uint32_t index = 0;
+    for (const LogRecord &payload : payloads) {
+        const batch::log::Record *record = batch::parseRecord(payload.bytes);
+        const batch::log::BatchPart *part = record == nullptr ? nullptr : record->payload_as_BatchPart();
+        if (part == nullptr || part->items() == nullptr) {
+            return failure(ErrorCode::Internal,
+                           "the payload at offset " + std::to_string(payload.offset) + " is unreadable");
+        }
+        for (const batch::log::Item *item : *part->items()) {
+            if (batch::stringOrEmpty(item->id()) == id) {
+                return FoundItem{.index = index, .body = batch::stringOrEmpty(item->body())};
+            }
+            ++index;
+        }
+    }
+    return std::nullopt;
+}
+
 bool mayGrow(const batch::BatchEntry &entry)
 {
     return entry.results.size() < entry.totalItems && !entry.ended;
@@ -401,26 +428,21 @@
     m_log.readPayloads(
         entry->partition, entry->parts, [this, call, exchange](bool complete, const std::vector<LogRecord> &records) {
             const batch::BatchEntry *currentEntry = m_log.index().find(call.batch);
-            std::uint32_t index = 0;
-            for (const LogRecord &payloadRecord : records) {
-                const batch::log::Record *record = batch::parseRecord(payloadRecord.bytes);
-                const batch::log::BatchPart *part = record == nullptr ? nullptr : record->payload_as_BatchPart();
-                if (part == nullptr || part->items() == nullptr || currentEntry == nullptr) {
-                    break;
-                }
-                for (const batch::log::Item *item : *part->items()) {
-                    if (batch::stringOrEmpty(item->id()) == call.item && index < currentEntry->committed.size()) {
-                        const bool committed = currentEntry->committed[index];
-                        respond(*exchange,
-                                committed ? NotFound : Ok,
-                                committed ? std::string() : batch::stringOrEmpty(item->body()),
-                                committed ? std::string_view() : "application/octet-stream");
-                        return;
-                    }
-                    ++index;
-                }
+            const Result<std::optional<FoundItem>> found = findItem(records, call.item);
+            const bool unreadable = !found || (!*found && !complete);
+            const std::size_t items = currentEntry == nullptr ? 0 : currentEntry->committed.size();
+            if (unreadable || (*found && (*found)->index >= items)) {
+                m_eventLog.write(EventKind::Request,
+                                 "item-unreadable",
+                                 {{"batch", call.batch},
+                                  {"item", call.item},
+                                  {"reason", found ? "not all payloads are known" : found.error().message}});
+                respond(*exchange, Unavailable);
+            } else if (!*found || currentEntry->committed[(*found)->index]) {
+                respond(*exchange, NotFound);
+            } else {
+                respond(*exchange, Ok, (*found)->body, "application/octet-stream");
             }
-            respond(*exchange, complete ? NotFound : Unavailable);
         });
 }
 
