node: a text whose stream broke off after its last event is complete

Trainers saw items that were never listed: an engine had sent all events, the stream broke off before its end, and each run that went on after the last event was answered with a stream that has no event and ends properly. It was taken for one that ended early, at one engine after the other, until the batch ended.

Change: a run that goes on after an event and whose stream ends properly is complete without an event of its own. A body that is ended by closing the connection is not: a crash before the first event looks the same.

--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -96,6 +96,7 @@
         bool notExecuted = false;
         bool expectsVersion = false;
         std::uint64_t version = 0;
+        bool resumed = false; // it goes on after an event of an earlier run
         bool hasEvents = false;
     };
 
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -116,6 +116,7 @@
     run.engine = action.engine;
     run.model = action.model;
     run.expectsVersion = action.expectedVersion.has_value();
+    run.resumed = action.resumeAfter.has_value();
     run.call = m_client.start(std::move(request),
                               {.onHead =
                                    [this, id](const net::ResponseHead &head) {
@@ -198,7 +199,10 @@
         return;
     }
     if (run.status == Ok) {
-        const bool complete = !run.reader.hasPartialEvent() && run.hasEvents;
+        // If the earlier run broke off behind the last event, nothing is left to send, and only the end is missing. An
+        // end by close cannot be told from a crash before the first event.
+        const bool onlyEndLeft = run.resumed && !end.delimitedByClose;
+        const bool complete = !run.reader.hasPartialEvent() && (run.hasEvents || onlyEndLeft);
         endRun(id,
                complete ? dispatch::RunOutcome::Complete : dispatch::RunOutcome::StreamInterrupted,
                complete ? "complete" : "the stream ended early");
