node: only confirmed time counts towards the removal of a route

Items of a route that an operator has removed are given up after 5 s. The engine pool started that time anew whenever the configuration was older than 1.5 s. The other way round an old view could give items up although the route was back.

Change: RouteAbsence, a pure class, counts from the first view without the route to the time at which the store is known to have been without it.

--- a/bergamot/logstore/topic_tail.cpp
+++ b/bergamot/logstore/topic_tail.cpp
@@ -165,10 +165,9 @@
     return now - m_state->schedule.lastResponseAt();
 }
 
-Duration TopicTail::confirmedAge(TimePoint now) const
+TimePoint TopicTail::confirmedAt() const
 {
-    const TimePoint confirmedAt = m_state->schedule.confirmedAt();
-    return confirmedAt == TimePoint() ? Duration::max() : now - confirmedAt;
+    return m_state->schedule.confirmedAt();
 }
 
 std::uint64_t TopicTail::firstRetained() const
--- a/bergamot/logstore/topic_tail.h
+++ b/bergamot/logstore/topic_tail.h
@@ -70,9 +70,9 @@
     bool unavailable() const;
     /// Time since the last successful response of the store.
     Duration timeSinceResponse(TimePoint now) const;
-    /// Upper bound of the age of the view: whatever was in the partition that long ago has been read. The maximum if
-    /// the end has not been reached since `start`.
-    Duration confirmedAge(TimePoint now) const;
+    /// Whatever was in the partition at this time has been read. `TimePoint()` if the end has not been reached since
+    /// `start`.
+    TimePoint confirmedAt() const;
     /// Offset of the first record that the store retained at the last response; older records were deleted.
     std::uint64_t firstRetained() const;
     /// Offset of the next record to read.
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -151,7 +151,9 @@
                            if (loaded.items.empty()) {
                                return;
                            }
-                           BatchRouteKey routeKey{.host = loaded.host, .itemPath = loaded.items.front().path};
+                           BatchRouteKey routeKey{.host = loaded.host,
+                                                  .itemPath = loaded.items.front().path,
+                                                  .absence = fleet::RouteAbsence(m_options.routeAbsence)};
                            if (loaded.items.front().scoring) {
                                routeKey.scoringHost = loaded.items.front().scoring->host;
                                routeKey.scoringPath = loaded.items.front().scoring->path;
@@ -333,17 +335,12 @@
 
 void EnginePool::checkRoutes(TimePoint now)
 {
-    const bool fresh =
-        m_view.configuration().version() > 0 && m_view.configurationAge(now) <= m_options.maxConfigurationAge;
+    if (m_view.configuration().version() == 0) {
+        return;
+    }
     for (auto &[batch, routeKey] : m_routeKeys) {
-        if (!fresh || m_view.configuration().findRoute(routeKey.host, routeKey.itemPath) != nullptr) {
-            routeKey.withoutRouteSince.reset();
-            continue;
-        }
-        if (!routeKey.withoutRouteSince) {
-            routeKey.withoutRouteSince = now;
-        }
-        if (now - *routeKey.withoutRouteSince >= m_options.routeRemovedAfter) {
+        const bool present = m_view.configuration().findRoute(routeKey.host, routeKey.itemPath) != nullptr;
+        if (routeKey.absence.removed(present, now, m_view.configurationConfirmedAt())) {
             m_scheduler.routeRemoved(batch);
         }
     }
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -18,6 +18,7 @@
 #include "bergamot/dispatch/event_stream.h"
 #include "bergamot/dispatch/load_planner.h"
 #include "bergamot/dispatch/sample_scheduler.h"
+#include "bergamot/fleet/route_absence.h"
 #include "bergamot/net/http_client.h"
 #include "bergamot/node/batch_log.h"
 #include "bergamot/node/fleet_view.h"
@@ -41,10 +42,7 @@
     Duration retryPause = std::chrono::milliseconds(250); // before a report request or a read of a batch is repeated
     Duration loadFailurePause = std::chrono::milliseconds(600); // before the next order to an engine whose load failed
     Duration intentValidFor = std::chrono::milliseconds(500); // from sending an intent to sending the order
-    Duration routeRemovedAfter =
-        std::chrono::seconds(5); // the configuration with the route of a batch may arrive after the batch
-    Duration maxConfigurationAge =
-        std::chrono::milliseconds(1500); // two long polls; with an older view no route counts as removed
+    fleet::RouteAbsenceOptions routeAbsence;
     int sampleUrgency = 7; // 0 (first) to 9; samples yield to callers' requests
 };
 
@@ -107,7 +105,7 @@
         std::string itemPath;
         std::string scoringHost;
         std::string scoringPath;
-        std::optional<TimePoint> withoutRouteSince;
+        fleet::RouteAbsence absence;
     };
 
     enum class LoadPhase {
@@ -146,7 +144,7 @@
     void handleScoringEnd(const dispatch::ItemKey &key, int status, const net::Response *response);
     void commitResult(const batch::ItemResult &result);
     void saveProgress(const batch::ItemProgress &progress);
-    /// Reports batches whose route has been missing for `routeRemovedAfter` to the scheduler.
+    /// Reports batches whose route counts as removed to the scheduler.
     void checkRoutes(TimePoint now);
     void planLoads(TimePoint now);
     void beginLoad(const dispatch::PlannedLoad &planned);
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -92,9 +92,15 @@
     return m_configuration.version() > 0 && m_endpointsRead;
 }
 
+TimePoint FleetView::configurationConfirmedAt() const
+{
+    return m_operatorReader.reading() ? TimePoint() : m_operatorTail->confirmedAt();
+}
+
 Duration FleetView::configurationAge(TimePoint now) const
 {
-    return m_operatorReader.reading() ? Duration::max() : m_operatorTail->confirmedAge(now);
+    const TimePoint confirmedAt = configurationConfirmedAt();
+    return confirmedAt == TimePoint() ? Duration::max() : now - confirmedAt;
 }
 
 Duration FleetView::timeSinceResponse(TimePoint now) const
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -41,8 +41,9 @@
     void start();
     /// Whether a configuration and the endpoints have been read.
     bool complete() const;
-    /// Upper bound of the age of the configuration: it contains whatever was in the store that long ago. The maximum
-    /// while records are missing.
+    /// The configuration contains whatever was in the store at this time. `TimePoint()` while records are missing.
+    TimePoint configurationConfirmedAt() const;
+    /// Upper bound of the age of the configuration; the maximum while records are missing.
     Duration configurationAge(TimePoint now) const;
     /// Time since the last response of the store to a read of the configuration's topic.
     Duration timeSinceResponse(TimePoint now) const;
