node: endpoints are not dropped by a view that may lack their new entry

Callers would see running samples cancelled and requests refused after an outage of the store: entries that had expired count as gone 2.3 s after the store's return, although their new entries were in the store and only the responses were late.

Change: the time to register again is compared with the time up to which the view is known to be complete, not with the clock.

Before: the new case of fleet_view_test loses the endpoint; after: it stays.

--- a/bergamot/fleet/endpoint_directory.cpp
+++ b/bergamot/fleet/endpoint_directory.cpp
@@ -53,11 +53,11 @@
     m_keepMissingUntil = now + m_options.reregistrationTime;
 }
 
-bool EndpointDirectory::expire(TimePoint now)
+bool EndpointDirectory::expire(TimePoint confirmedAt)
 {
     bool changed = false;
     for (auto missing = m_missingUntil.begin(); missing != m_missingUntil.end();) {
-        if (missing->second > now) {
+        if (missing->second > confirmedAt) {
             ++missing;
             continue;
         }
--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -6,7 +6,7 @@
 //     EndpointDirectory directory;
 //     directory.put(endpoint);
 //     directory.remove("i-1", now);
-//     directory.expire(now); // true if the set of endpoints changed
+//     directory.expire(confirmedAt); // true if the set of endpoints changed
 //
 // Load pattern: the store recovers from an outage during which every entry expired. Running endpoints register again
 // within two seconds, so an endpoint whose entry disappears right after an outage stays in use for that time;
@@ -72,8 +72,9 @@
     bool replace(std::map<std::string, Endpoint> endpoints, TimePoint now);
     /// The store is available again after an outage.
     void storeRecovered(TimePoint now);
-    /// Drops endpoints that did not register again in time after an outage.
-    bool expire(TimePoint now);
+    /// Drops endpoints that did not register again in time after an outage. The entries that were put and removed so far
+    /// are those that were in the store at `confirmedAt`.
+    bool expire(TimePoint confirmedAt);
 
     const std::map<std::string, Endpoint> &endpoints() const
     {
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -145,7 +145,9 @@
 
 void FleetView::tick(TimePoint now)
 {
-    if (m_directory.expire(now)) {
+    // An endpoint may have registered again in records that have not arrived.
+    const TimePoint confirmedAt = m_endpointReader.reading() ? TimePoint() : m_endpointTail->confirmedAt();
+    if (m_directory.expire(std::min(now, confirmedAt))) {
         m_log.write(EventKind::State, "endpoints-not-back", {{"listed", std::to_string(endpoints().size())}});
         notify(m_endpointsHandler);
     }
