node: an instance that was frozen does not stop the owner

Trainers would see all samples pause for more than a second after a machine that has nothing to do with them was frozen and woke up.

Cause: the first tick after a pause of 5 s ran before any read. The owner seemed to have been silent all that time, so the instance claimed the ownership at the end of the log that it knew. The store refused the claim, but the producer's epoch was raised (the stand-in does that; whether the users' store does is not known), and the owner was fenced.

Change: PoolOwnership::tick notices a pause of the process; after one, nothing is claimed and nobody is probed until a read that was sent after it has been applied.

--- a/bergamot/duties/pool_ownership.cpp
+++ b/bergamot/duties/pool_ownership.cpp
@@ -130,14 +130,24 @@
     return m_owner;
 }
 
+void PoolOwnership::tick(TimePoint now, TimePoint confirmedAt)
+{
+    if (m_tickedAt != TimePoint() && now - m_tickedAt > m_options.pausedAfter) {
+        m_resumedAt = now;
+    }
+    m_tickedAt = now;
+    m_viewBehindPause = confirmedAt < m_resumedAt;
+}
+
 bool PoolOwnership::shouldClaim(TimePoint now) const
 {
-    return !m_claimingStopped && !isOwner() && m_claimAt != TimePoint{} && now >= m_claimAt;
+    return !m_claimingStopped && !m_viewBehindPause && !isOwner() && m_claimAt != TimePoint{} && now >= m_claimAt;
 }
 
 bool PoolOwnership::shouldProbeOwner(TimePoint now) const
 {
-    return !m_claimingStopped && !isOwner() && !m_owner.empty() && m_probeAt != TimePoint{} && now >= m_probeAt;
+    return !m_claimingStopped && !m_viewBehindPause && !isOwner() && !m_owner.empty() && m_probeAt != TimePoint{}
+    && now >= m_probeAt;
 }
 
 bool PoolOwnership::shouldRenew(TimePoint lastWrite, TimePoint now) const
--- a/bergamot/duties/pool_ownership.h
+++ b/bergamot/duties/pool_ownership.h
@@ -31,6 +31,7 @@
     Duration claimJitter = std::chrono::milliseconds(300); // longest random delay that keeps claims apart
     Duration startDelay = std::chrono::milliseconds(150); // before a claim: others need time to start and read the log
     Duration probeAfter = std::chrono::milliseconds(500); // time without a record of the owner until it is probed
+    Duration pausedAfter = std::chrono::milliseconds(500); // a longer time between two ticks means a pause
     Duration extraClaimDelay{}; // extra claim delay of an instance that is less suited to own the pool
     Duration orderLease = std::chrono::milliseconds(3300); // minimum time between orders of two owners to one engine
 };
@@ -71,6 +72,9 @@
     void onOwnerProbed(TimePoint now);
     /// The store refused a claim with `nextEpoch` because of a higher epoch that is not in the log any longer.
     void onClaimFenced();
+    /// Call it before each decision. The records that were in the log at `confirmedAt` have been applied. After a pause
+    /// of this process nothing is known of the owner until that time is behind the pause.
+    void tick(TimePoint now, TimePoint confirmedAt);
     /// From now on this instance makes no claims.
     void stopClaiming();
 
@@ -112,6 +116,9 @@
     TimePoint m_claimAt{}; // earliest time of the next claim; zero: not set
     TimePoint m_probeAt{}; // earliest time of the next probe of the owner; zero: not set
     std::map<std::string, LatestOrder> m_latestOrders; // newest load order by engine
+    TimePoint m_tickedAt{};
+    TimePoint m_resumedAt{}; // end of the last pause of this process
+    bool m_viewBehindPause = false; // nothing was read since then
     bool m_fenced = false;
     bool m_claimingStopped = false;
 };
--- a/bergamot/duties/pool_ownership_test.cpp
+++ b/bergamot/duties/pool_ownership_test.cpp
@@ -56,6 +56,36 @@
                              return test.param.name;
                          });
 
+struct PauseCase
+{
+    const char *name;
+    Duration between; // two ticks
+    Duration confirmedAt; // time after the first tick
+    bool decides;
+};
+
+class PauseTest : public PoolOwnershipTest, public testing::WithParamInterface<PauseCase>
+{ };
+
+// A process that was frozen has an old view: the owner seems silent although it has renewed all the time.
+TEST_P(PauseTest, AClaimFollowsAPauseOnlyAfterARead)
+{
+    m_ownership.applyClaim("other", 1, m_start - 1h);
+    m_ownership.tick(m_start, m_start);
+    m_ownership.tick(m_start + GetParam().between, m_start + GetParam().confirmedAt);
+    EXPECT_EQ(m_ownership.shouldClaim(m_start + GetParam().between), GetParam().decides);
+    EXPECT_EQ(m_ownership.shouldProbeOwner(m_start + GetParam().between), GetParam().decides);
+}
+
+INSTANTIATE_TEST_SUITE_P(Pauses,
+                         PauseTest,
+                         testing::Values(PauseCase{"None", 100ms, 0s, true},
+                                         PauseCase{"NothingReadSince", 5s, 1s, false},
+                                         PauseCase{"ReadSince", 5s, 5s, true}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 TEST_F(PoolOwnershipTest, TheFirstClaimOfAnEpochCounts)
 {
     m_ownership.applyClaim("other", 4, m_start);
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -274,6 +274,7 @@
 void BatchLog::tick(TimePoint now)
 {
     m_index.expire(now);
+    m_ownership.tick(now, m_tail.confirmedAt());
     reportConfirmations();
     logCatchUpProgress(now);
     if (m_gapEnd && !m_snapshotReader.reading() && now - m_snapshotReadAt >= m_options.gapReloadInterval) {
