node: no batch records are applied behind a gap in the log

Before: node_stale_view_test PositionsAreTheSameWhereRecordsWereDeletedUnread finds other results; after: the same ones.

--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -283,10 +283,10 @@
     if (snapshotDue(now)) {
         writeSnapshot(now);
     }
-    if (mayClaim(now) && !m_claimPending && m_ownership.shouldClaim(now)) {
+    if (mayClaim() && !m_claimPending && m_ownership.shouldClaim(now)) {
         claim();
     }
-    if (mayClaim(now) && m_probeHandler && !m_ownerAddress.empty() && m_ownership.shouldProbeOwner(now)) {
+    if (mayClaim() && m_probeHandler && !m_ownerAddress.empty() && m_ownership.shouldProbeOwner(now)) {
         m_ownership.onOwnerProbed(now);
         m_probeHandler(m_ownership.owner(), m_ownerAddress);
     }
@@ -304,10 +304,9 @@
     }
 }
 
-bool BatchLog::mayClaim(TimePoint now) const
+bool BatchLog::mayClaim() const
 {
-    const bool complete = !m_gapEnd || now - m_gapAt >= m_options.gapClaimDelay;
-    return m_claimsAllowed && m_started && complete && m_tail.caughtUp() && !m_tail.unavailable();
+    return m_claimsAllowed && m_started && !m_gapEnd && m_tail.caughtUp() && !m_tail.unavailable();
 }
 
 void BatchLog::setPeerAddress(std::string address)
@@ -378,6 +377,9 @@
     default:
         break;
     }
+    if (m_gapEnd) {
+        return; // without the deleted records, results would get other positions; these records are read again
+    }
     const batch::BatchChange change = m_index.apply(*record, now);
     if (change != batch::BatchChange::Nothing && m_batchChangeHandler) {
         m_batchChangeHandler(change, *record);
@@ -434,11 +436,6 @@
     m_owned = owns;
     updateReadPause();
     if (owns) {
-        if (m_gapEnd) {
-            // No instance has written a snapshot that contains the missing records.
-            m_log.write(EventKind::State, "batch-log-gap-accepted", {{"first", std::to_string(*m_gapEnd)}});
-            m_gapEnd.reset();
-        }
         m_writer.begin(m_ownership.epoch(), 1);
     } else {
         m_writer.end();
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -45,7 +45,7 @@
     std::size_t minSnapshotBytes = 64 * 1024; // records that are always read instead of a new snapshot
     Duration minSnapshotInterval = std::chrono::seconds(1);
     Duration gapReloadInterval = std::chrono::seconds(1); // between reads of the snapshot while records are missing
-    Duration gapClaimDelay = std::chrono::seconds(5); // after which an instance that lacks records may own the pool
+    Duration gapAcceptDelay = std::chrono::seconds(5); // after which an instance without an owner goes on behind a gap
     logstore::ReadBarrierOptions confirmation;
     batch::BatchIndexOptions index;
     duties::PoolOwnershipOptions ownership;
@@ -141,7 +141,9 @@
     void handleGap(std::uint64_t first);
     void logCatchUpProgress(TimePoint now);
     /// Whether this instance sees the end of the log and may succeed the owner.
-    bool mayClaim(TimePoint now) const;
+    bool mayClaim() const;
+    /// Goes on behind the deleted records if nobody who may know them owns the pool.
+    void acceptGap(TimePoint now);
     bool snapshotDue(TimePoint now) const;
     void writeSnapshot(TimePoint now);
     void appendSnapshot(std::vector<std::string> records, std::size_t bytes, std::uint64_t nextOffset);
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -50,6 +50,8 @@
     }
     if (!m_following) {
         follow(0, "log");
+    } else {
+        acceptGap(BootClock::now());
     }
 }
 
@@ -120,6 +122,15 @@
     }
 }
 
+void BatchLog::acceptGap(TimePoint now)
+{
+    if (!m_gapEnd || now - m_gapAt < m_options.gapAcceptDelay || !m_ownership.shouldClaim(now)) {
+        return;
+    }
+    m_log.write(EventKind::State, "batch-log-gap-accepted", {{"first", std::to_string(*m_gapEnd)}});
+    follow(*m_gapEnd, "log behind a gap");
+}
+
 void BatchLog::logCatchUpProgress(TimePoint now)
 {
     constexpr Duration LogInterval = std::chrono::seconds(1);
