--- a/bergamot/logstore/read_barrier.cpp
+++ b/bergamot/logstore/read_barrier.cpp
@@ -1,5 +1,7 @@
 #include "bergamot/logstore/read_barrier.h"
 
+#include <algorithm>
+
 namespace bergamot::logstore
 {
 
@@ -9,36 +11,39 @@
     return m_lastTicket;
 }
 
-bool ReadBarrier::beginRead()
+std::optional<ReadBarrier::ReadId> ReadBarrier::beginRead(TimePoint now)
 {
-    if (m_readInFlight) {
-        return false;
+    const bool waiting = std::any_of(m_questions.begin(), m_questions.end(), [](const Question &question) {
+        return question.stage == Stage::Waiting;
+    });
+    if (!waiting || (m_lastRead != 0 && now - m_lastReadAt < m_options.minReadInterval)) {
+        return std::nullopt;
     }
+    ++m_lastRead;
+    m_lastReadAt = now;
     for (Question &question : m_questions) {
         if (question.stage == Stage::Waiting) {
             question.stage = Stage::Reading;
-            m_readInFlight = true;
+            question.read = m_lastRead;
         }
     }
-    return m_readInFlight;
+    return m_lastRead;
 }
 
-void ReadBarrier::onEnd(std::uint64_t end)
+void ReadBarrier::onEnd(ReadId read, std::uint64_t end)
 {
-    m_readInFlight = false;
     for (Question &question : m_questions) {
-        if (question.stage == Stage::Reading) {
+        if (question.stage == Stage::Reading && question.read == read) {
             question.stage = Stage::EndKnown;
             question.end = end;
         }
     }
 }
 
-void ReadBarrier::onReadFailed()
+void ReadBarrier::onReadFailed(ReadId read)
 {
-    m_readInFlight = false;
     for (Question &question : m_questions) {
-        if (question.stage == Stage::Reading) {
+        if (question.stage == Stage::Reading && question.read == read) {
             question.stage = Stage::Failed;
         }
     }
--- a/bergamot/logstore/read_barrier.h
+++ b/bergamot/logstore/read_barrier.h
@@ -5,14 +5,14 @@
 //
 //     ReadBarrier barrier;
 //     const ReadBarrier::Ticket ticket = barrier.ask(now);
-//     if (barrier.beginRead()) { ... read the end of the partition, then call `onEnd` or `onReadFailed` ... }
+//     if (const auto read = barrier.beginRead(now)) { ... read the end, then call `onEnd` or `onReadFailed` ... }
 //     for (const BarrierOutcome &outcome : barrier.takeOutcomes(tail.nextOffset(), now)) { ... }
 //
 // Load pattern: all instances read a large record at once, so the store's responses queue for more than a second, while
 // callers ask every instance for a batch that was accepted a moment ago. The age of the last response then says little
 // about the age of the state that it shows. A read that was sent after the question names an end that includes
-// everything acknowledged before the question. Questions that arrive while a read is in flight share the next one, so a
-// flood of them costs one small read at a time.
+// everything acknowledged before the question. Questions share reads, which are sent at a bounded rate, so a flood of
+// them costs few small reads; a late read does not hold up the questions that come after it.
 
 #include <cstdint>
 #include <optional>
@@ -26,6 +26,7 @@
 struct ReadBarrierOptions
 {
     Duration timeout = std::chrono::milliseconds(1000); // after which a question has failed
+    Duration minReadInterval = std::chrono::milliseconds(50); // between the starts of two reads
 };
 
 struct BarrierOutcome
@@ -39,17 +40,19 @@
 {
 public:
     using Ticket = std::uint64_t;
+    using ReadId = std::uint64_t;
 
     explicit ReadBarrier(ReadBarrierOptions options = {})
         : m_options(options)
     { }
 
     Ticket ask(TimePoint now);
-    /// Whether a read of the partition's end must be sent now; if so, it counts as sent.
-    bool beginRead();
-    /// The read in flight named `end` as the end of the partition.
-    void onEnd(std::uint64_t end);
-    void onReadFailed();
+    /// The read of the partition's end that must be sent now, which counts as sent. Call it after each question and
+    /// every 100 ms.
+    std::optional<ReadId> beginRead(TimePoint now);
+    /// The read named `end` as the end of the partition.
+    void onEnd(ReadId read, std::uint64_t end);
+    void onReadFailed(ReadId read);
     /// Removes and returns the questions that are decided for a view that contains all records before `nextOffset`.
     std::vector<BarrierOutcome> takeOutcomes(std::uint64_t nextOffset, TimePoint now);
 
@@ -66,13 +69,15 @@
         Ticket ticket = 0;
         TimePoint deadline{};
         Stage stage = Stage::Waiting;
+        ReadId read = 0; // from stage `Reading` on
         std::uint64_t end = 0;
     };
 
     ReadBarrierOptions m_options;
     std::vector<Question> m_questions;
     Ticket m_lastTicket = 0;
-    bool m_readInFlight = false;
+    ReadId m_lastRead = 0;
+    TimePoint m_lastReadAt{};
 };
 
 } // namespace bergamot::logstore
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -114,22 +114,22 @@
 
 void BatchLog::readEnd()
 {
-    if (!m_confirmation.beginRead()) {
+    const std::optional<logstore::ReadBarrier::ReadId> read = m_confirmation.beginRead(BootClock::now());
+    if (!read) {
         return;
     }
     m_store.read({.topic = m_options.topic,
                   .from = m_tail.nextOffset(),
                   .maxKilobytes = EndReadKilobytes,
                   .timeout = EndReadTimeout},
-                 [this](const logstore::ReadOutcome &outcome) {
+                 [this, id = *read](const logstore::ReadOutcome &outcome) {
                      if (outcome.status == logstore::ReadStatus::Done) {
-                         m_confirmation.onEnd(outcome.end);
+                         m_confirmation.onEnd(id, outcome.end);
                      } else {
                          m_log.write(EventKind::State, "log-end-unknown", {{"reason", outcome.detail}});
-                         m_confirmation.onReadFailed();
+                         m_confirmation.onReadFailed(id);
                      }
                      reportConfirmations();
-                     readEnd();
                  });
 }
 
@@ -275,6 +275,7 @@
 {
     m_index.expire(now);
     m_ownership.tick(now, m_tail.confirmedAt());
+    readEnd();
     reportConfirmations();
     logCatchUpProgress(now);
     if (m_gapEnd && !m_snapshotReader.reading() && now - m_snapshotReadAt >= m_options.gapReloadInterval) {
