--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -72,8 +72,8 @@
     bool replace(std::map<std::string, Endpoint> endpoints, TimePoint now);
     /// The store is available again after an outage.
     void storeRecovered(TimePoint now);
-    /// Drops endpoints that did not register again in time after an outage. The entries that were put and removed so far
-    /// are those that were in the store at `confirmedAt`.
+    /// Drops endpoints that did not register again in time after an outage. The entries that were put and removed so
+    /// far are those that were in the store at `confirmedAt`.
     bool expire(TimePoint confirmedAt);
 
     const std::map<std::string, Endpoint> &endpoints() const
