routing: an endpoint's word that it leaves holds for its incarnation

Seen by callers: an endpoint that had said in an answer that it is leaving got requests again ten seconds later while the view still listed it; after a restart within the ten seconds the new process got none.

Cause: `EndpointPool` held the word for ten seconds, in the hope that the view says the same by then. It did not know to which start of the endpoint an answer belongs, so an answer of the former process also took the next one out.

Ruled out: a longer hold. The view may stay as it is for as long as the store is unreachable.

Change: `RoutedEndpoint`, `DispatchAction` and the router's attempts carry the incarnation. The word holds until the view has another incarnation. The hold of ten seconds remains only where the incarnation is not known (the operators' programs, whose inner protocol has none).

Test: `routing_router_test`, LeavingWord (table, simulated time up to an hour, view updates).

Conclusion: mended in routing; the node does not read the word yet.

--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -13,7 +13,7 @@
 constexpr std::uint32_t MinAnswersToCompare = 5;
 constexpr std::size_t MinEndpointsToCompare = 3;
 constexpr double ReservableShare = 1.0 / 3.0;
-// The view reports an endpoint as leaving within this time after the endpoint's own answer did.
+// The view reports an endpoint without a known incarnation as leaving within this time after its own answer did.
 constexpr Duration LeavingHoldTime = std::chrono::seconds(10);
 
 /// Derives the rounding from a hash of the instance's name: constant per instance and uniform over all instances.
@@ -146,9 +146,13 @@
     return m_states[slot].mayHaveIdleConnection;
 }
 
-void EndpointPool::markLeaving(std::size_t slot, TimePoint now)
+void EndpointPool::markLeaving(std::size_t slot, std::uint64_t incarnation, TimePoint now)
 {
-    m_states[slot].leavingUntil = now + LeavingHoldTime;
+    State &state = m_states[slot];
+    if (incarnation == state.routed.incarnation) {
+        state.leavingIncarnation = incarnation;
+        state.leavingUntil = now + LeavingHoldTime;
+    }
 }
 
 void EndpointPool::review(TimePoint now, std::mt19937_64 &random)
@@ -206,6 +210,11 @@
     return m_states[slot].routed.address;
 }
 
+std::uint64_t EndpointPool::incarnation(std::size_t slot) const
+{
+    return m_states[slot].routed.incarnation;
+}
+
 std::uint32_t EndpointPool::inFlight(std::size_t slot) const
 {
     return m_states[slot].load.inFlight();
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -83,9 +83,9 @@
     void connectionsDropped(std::size_t slot);
     /// Whether a previously used connection may be open: the endpoint has answered since its connections were closed.
     bool mayHaveIdleConnection(std::size_t slot) const;
-    /// The endpoint's answer reports that it is leaving. It gets no new requests for ten seconds; by then the view has
-    /// the same state.
-    void markLeaving(std::size_t slot, TimePoint now);
+    /// The answer of this incarnation of the endpoint reports that it is leaving. It gets no new requests until the
+    /// view has another incarnation of it, or for ten seconds if the incarnation is not known.
+    void markLeaving(std::size_t slot, std::uint64_t incarnation, TimePoint now);
     /// Ejects endpoints that have become several times slower than the others. To be called about twice a second.
     void review(TimePoint now, std::mt19937_64 &random);
 
@@ -101,6 +101,7 @@
 
     const EndpointId &endpoint(std::size_t slot) const;
     const Address &address(std::size_t slot) const;
+    std::uint64_t incarnation(std::size_t slot) const;
     std::uint32_t inFlight(std::size_t slot) const;
     std::uint32_t inFlight() const;
     /// The number of endpoints in use: present, not leaving, and in this instance's subset.
@@ -120,7 +121,8 @@
         bool mayHaveIdleConnection = false;
         std::uint32_t answers = 0; // since the endpoint was added or reinstated
         double unitSeconds = 0; // smoothed latency of one unit of work
-        TimePoint leavingUntil{};
+        std::uint64_t leavingIncarnation = 0; // the one whose answer said that it is leaving; 0: none
+        TimePoint leavingUntil{}; // the same for an endpoint without a known incarnation
         LoadEstimate load;
         ConcurrencyLimit limit;
         EndpointHealth health;
@@ -149,6 +151,7 @@
     void rebuildGroups(TimePoint now);
     void countInFlight();
     void applyReport(State &state, const RoutedEndpoint &endpoint, TimePoint now) const;
+    static bool saidLeaving(const State &state, TimePoint now);
     bool usable(const State &state, TimePoint now) const;
     bool hasRoom(const State &state, double share, TimePoint now) const;
     /// Whether one more request of the class fits into `share` of the group's limits.
--- a/bergamot/routing/endpoint_pool_choice.cpp
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -117,9 +117,15 @@
     return std::nullopt;
 }
 
+bool EndpointPool::saidLeaving(const State &state, TimePoint now)
+{
+    const std::uint64_t incarnation = state.routed.incarnation;
+    return incarnation == 0 ? now < state.leavingUntil : incarnation == state.leavingIncarnation;
+}
+
 bool EndpointPool::usable(const State &state, TimePoint now) const
 {
-    return state.present && !state.routed.leaving && now >= state.leavingUntil;
+    return state.present && !state.routed.leaving && !saidLeaving(state, now);
 }
 
 bool EndpointPool::hasRoom(const State &state, double share, TimePoint now) const
--- a/bergamot/routing/request.h
+++ b/bergamot/routing/request.h
@@ -89,6 +89,7 @@
     RequestId request = 0;
     AttemptId attempt = 0;
     EndpointId endpoint;
+    std::uint64_t incarnation = 0; // of the endpoint; 0: not known
     Address address;
     Connection connection = Connection::Pooled;
     Duration timeout{}; // of the whole attempt, or between two chunks of a stream
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -104,6 +104,7 @@
         RequestId request = 0;
         TargetState *target = nullptr;
         std::size_t slot = 0;
+        std::uint64_t incarnation = 0; // of the endpoint
         TimePoint dispatchedAt{};
         Duration timeout{};
         bool endsEarly = false; // the timeout is short because a retry may follow
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -39,7 +39,7 @@
     TargetState &target = *attempt->target;
     Pending *pending = find(attempt->request);
     if (answer.leaving) {
-        target.pool.markLeaving(attempt->slot, now);
+        target.pool.markLeaving(attempt->slot, attempt->incarnation, now);
     }
     const Duration latency = now - attempt->dispatchedAt;
     const double work = pending == nullptr ? 1.0 : std::max(1.0, pending->request.work);
--- a/bergamot/routing/router_test.cpp
+++ b/bergamot/routing/router_test.cpp
@@ -171,6 +171,93 @@
     }
 }
 
+/// What happens between the answer that says that its endpoint is leaving and the requests after it.
+struct LeavingCase
+{
+    const char *name;
+    std::uint64_t incarnation; // of the endpoint that answers; 0: not known
+    std::vector<std::uint64_t> shownLater; // incarnations in the views after the answer, all of them not leaving
+    Duration pause; // before each of these views and at the end
+    bool getsWork;
+};
+
+class LeavingWordTest : public RouterTest
+{
+protected:
+    void showIncarnation(std::uint64_t incarnation)
+    {
+        showEndpoints(3, [incarnation](RoutedEndpoint &endpoint) {
+            endpoint.incarnation = incarnation;
+        });
+    }
+};
+
+class LeavingWord : public LeavingWordTest, public testing::WithParamInterface<LeavingCase>
+{ };
+
+TEST_P(LeavingWord, HoldsForTheIncarnationThatSaidIt)
+{
+    showIncarnation(GetParam().incarnation);
+    send();
+    const EndpointId leaving = m_dispatches[0].endpoint;
+    answer(m_dispatches[0].attempt, {.leaving = true});
+    for (const std::uint64_t incarnation : GetParam().shownLater) {
+        pass(GetParam().pause);
+        showIncarnation(incarnation);
+    }
+    pass(GetParam().pause);
+    const std::size_t before = m_dispatches.size();
+    for (int count = 0; count < 20; ++count) {
+        send();
+    }
+    const bool gotWork = std::any_of(
+        m_dispatches.begin() + static_cast<std::ptrdiff_t>(before), m_dispatches.end(), [&](const auto &each) {
+            return each.endpoint == leaving;
+        });
+    EXPECT_EQ(gotWork, GetParam().getsWork);
+}
+
+INSTANTIATE_TEST_SUITE_P(Table,
+                         LeavingWord,
+                         testing::Values(LeavingCase{"AtOnce", 5, {}, 0s, false},
+                                         LeavingCase{"NoNewViewForAnHour", 5, {}, 1h, false},
+                                         LeavingCase{"SameIncarnationInViews", 5, {5, 5, 5}, 30s, false},
+                                         LeavingCase{"AnotherIncarnation", 5, {6}, 1s, true},
+                                         LeavingCase{"UnknownIncarnationAtOnce", 0, {0}, 2s, false},
+                                         LeavingCase{"UnknownIncarnationAfterAMinute", 0, {0}, 30s, true}),
+                         [](const auto &testCase) {
+                             return testCase.param.name;
+                         });
+
+TEST_F(LeavingWordTest, OfAnEarlierIncarnationDoesNotConcernTheNextOne)
+{
+    showIncarnation(5);
+    send();
+    const EndpointId restarted = m_dispatches[0].endpoint;
+    showIncarnation(6);
+    answer(m_dispatches[0].attempt, {.leaving = true});
+    for (int count = 0; count < 20; ++count) {
+        send();
+    }
+    EXPECT_TRUE(std::any_of(m_dispatches.begin() + 1, m_dispatches.end(), [&](const auto &each) {
+        return each.endpoint == restarted;
+    }));
+}
+
+TEST_F(LeavingWordTest, OfTheOnlyEndpointRefusesWaitingRequestsAsNotRun)
+{
+    showEndpoints(1);
+    std::vector<RequestId> requests;
+    while (m_router.queued() == 0) {
+        requests.push_back(send());
+    }
+    answer(m_dispatches[0].attempt, {.leaving = true});
+    EXPECT_EQ(m_router.queued(), 0U);
+    EXPECT_EQ(m_refusals[requests.back()].outcome, RequestOutcome::RefusedNotRun);
+    EXPECT_EQ(m_refusals[requests.back()].status, 503);
+    EXPECT_EQ(m_refusals[send()].status, 503);
+}
+
 TEST_F(RouterTest, DisconnectedCallersAttemptsAreCancelled)
 {
     const RequestId id = send([](CallerRequest &request) {
--- a/bergamot/routing/routing_table.h
+++ b/bergamot/routing/routing_table.h
@@ -30,6 +30,7 @@
     std::uint32_t load = 0; // requests running and waiting, as reported
     std::uint32_t slots = 0; // requests that the endpoint runs at once; 0: unknown
     Duration loadAge{}; // age of `load`
+    std::uint64_t incarnation = 0; // changes with each start of the endpoint; 0: not known
 
     /// Whether the endpoint reports its load and the report is recent enough to use.
     bool reportsLoad() const;
