routing: the retry on a fresh connection is not sent to a leaving endpoint

Seen by callers: nothing directly. A request reached an endpoint after the instance knew that it is leaving.

Cause: an attempt that times out on a reused connection is repeated at the same endpoint on a fresh connection. This path names the endpoint itself and did not ask whether it still takes requests.

Ruled out: hedges, retries elsewhere, the queue and reserved endpoints: all of them ask `usable`.

Change: a leaving endpoint, by the view or by its own word, gets no such retry; the request goes to another one.

Test: `routing_router_test` LeavingWordTest.EndsTheRetryOnAFreshConnection failed before: both dispatches of the request were at the leaving endpoint.

--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -155,6 +155,11 @@
     }
 }
 
+bool EndpointPool::takesRequests(std::size_t slot, TimePoint now) const
+{
+    return usable(m_states[slot], now);
+}
+
 void EndpointPool::review(TimePoint now, std::mt19937_64 &random)
 {
     sumLimits();
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -86,6 +86,8 @@
     /// The answer of this incarnation of the endpoint reports that it is leaving. It gets no new requests until the
     /// view has another incarnation of it, or for ten seconds if the incarnation is not known.
     void markLeaving(std::size_t slot, std::uint64_t incarnation, TimePoint now);
+    /// Whether the endpoint is present and not leaving, so that requests may be sent to it if it works.
+    bool takesRequests(std::size_t slot, TimePoint now) const;
     /// Ejects endpoints that have become several times slower than the others. To be called about twice a second.
     void review(TimePoint now, std::mt19937_64 &random);
 
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -170,7 +170,7 @@
     }
     ++m_retries;
     ++pending.retries;
-    if (step == FailureStep::RetryFresh
+    if (step == FailureStep::RetryFresh && attempt.target->pool.takesRequests(attempt.slot, now)
         && m_quarantine.statusOf(pending.request.fingerprint, now) == QuarantineStatus::Clear) {
         dispatch(pending, attempt.slot, Connection::Fresh, RunMode::Shared, now);
         return;
--- a/bergamot/routing/router_test.cpp
+++ b/bergamot/routing/router_test.cpp
@@ -244,6 +244,24 @@
     }));
 }
 
+TEST_F(LeavingWordTest, EndsTheRetryOnAFreshConnection)
+{
+    const auto repeatable = [](CallerRequest &request) {
+        request.repeatable = true;
+    };
+    showEndpoints(1);
+    send(repeatable);
+    answer(m_dispatches[0].attempt);
+    const RequestId id = send(repeatable);
+    send(repeatable);
+    answer(m_dispatches[2].attempt, {.leaving = true});
+    showEndpoints(2);
+    m_now += 600ms;
+    fail(m_dispatches[1].attempt, NoAnswer);
+    ASSERT_EQ(dispatchesOf(id), 2U);
+    EXPECT_NE(m_dispatches.back().endpoint, m_dispatches[1].endpoint);
+}
+
 TEST_F(LeavingWordTest, OfTheOnlyEndpointRefusesWaitingRequestsAsNotRun)
 {
     showEndpoints(1);
