node: an endpoint that says in an answer that it leaves gets no request any more

Seen by callers: requests went on to endpoints that had said `Server-Leaving: 1` in their answers, for as long as their entries stayed ready, and with them samples, orders and reports. New rule of the platform: nothing may reach such an endpoint later than the drain time after the answer, in touch or not.

Cause: nothing in the node read the header. The request forwarder did not fill `AttemptAnswer::leaving`, the engine pool and its load orders looked at the entry alone, and the routing table had no incarnation.

Ruled out: passing the word to the router only (samples and orders do not go through it); waiting for the end of the answer (a stream lasts minutes, and may break); relying on the entry (it stays ready while the store is down).

Change: `EndpointDirectory` keeps, per endpoint and incarnation, that an answer said so. This is the only copy: the routing table and the engine pool read `Endpoint::leaving()` from it. The head of any answer counts, whatever its status: to a request, a scoring call, a sample, an order, a report. The word takes effect at once in the whole instance. No entry, heartbeat or complete read of the same incarnation takes it back; another incarnation does. If an incarnation is not known, the end of the entry does. A leaving engine's load ends at once, also one whose entry says draining; it gets no further report request for it. Its running samples go on. Log event `endpoint-leaving`.

A dispatch that the router decided in the very turn of the event loop in which the answer is read still goes out.

--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -60,6 +60,45 @@
     return test.param.name;
 });
 
+TEST_F(SampleSchedulerTest, ALeavingEngineFinishesItsRunsAndGetsNoOtherUntilItStartsAgain)
+{
+    m_itemPolicy.retention = 24h;
+    addBatch("b", 6); // two of them wait
+    EngineDescription leaving = engine("e1", 5);
+    leaving.draining = true;
+    setEngines({leaving, engine("e2", 5)});
+    std::vector<RunId> runsAtLeaving;
+    for (const StartRun &start : std::vector<StartRun>(m_starts)) {
+        receiveEvent(start.run, 1);
+        if (start.engine == "e1") {
+            runsAtLeaving.push_back(start.run);
+        } else {
+            endRun(start.run, RunOutcome::StreamInterrupted);
+        }
+    }
+    ASSERT_EQ(runsAtLeaving.size(), 2U);
+    const std::size_t before = m_starts.size();
+    const auto startedAt = [&](const char *engine) {
+        return std::count_if(
+            m_starts.begin() + static_cast<std::ptrdiff_t>(before), m_starts.end(), [&](const auto &start) {
+                return start.engine == engine;
+            });
+    };
+    endRun(runsAtLeaving[0], RunOutcome::Complete);
+    advance(1h);
+    EXPECT_EQ(startedAt("e1"), 0);
+    EXPECT_EQ(startedAt("e2"), 2);
+    EXPECT_FALSE(m_cancelled.contains(runsAtLeaving[1]));
+    receiveEvent(runsAtLeaving[1], 2);
+    EXPECT_TRUE(m_lastEventAccepted);
+    endRun(runsAtLeaving[1], RunOutcome::Complete);
+
+    leaving.draining = false;
+    ++leaving.incarnation;
+    setEngines({leaving, engine("e2", 5)});
+    EXPECT_EQ(startedAt("e1"), 2);
+}
+
 struct RunEndCase
 {
     const char *name;
--- a/bergamot/fleet/endpoint_directory.cpp
+++ b/bergamot/fleet/endpoint_directory.cpp
@@ -1,11 +1,25 @@
 #include "bergamot/fleet/endpoint_directory.h"
 
+#include <algorithm>
+
 namespace bergamot::fleet
 {
 
+namespace
+{
+
+/// An entry without an incarnation does not show that the endpoint has started again.
+bool mayBeSame(std::uint64_t left, std::uint64_t right)
+{
+    return left == 0 || right == 0 || left == right;
+}
+
+} // namespace
+
 bool EndpointDirectory::put(Endpoint endpoint)
 {
     m_missingUntil.erase(endpoint.id);
+    endpoint.saidLeaving = saidLeaving(endpoint.id, endpoint.incarnation);
     const auto found = m_endpoints.find(endpoint.id);
     if (found != m_endpoints.end() && found->second == endpoint) {
         return false;
@@ -27,6 +41,7 @@
     }
     m_missingUntil.erase(id);
     m_endpoints.erase(found);
+    entryGone(id, now);
     return true;
 }
 
@@ -48,6 +63,55 @@
     return changed;
 }
 
+bool EndpointDirectory::markLeaving(const std::string &id, std::uint64_t incarnation, TimePoint now)
+{
+    const auto registered = m_endpoints.find(id);
+    const bool isRegistered = registered != m_endpoints.end();
+    if (isRegistered ? !mayBeSame(registered->second.incarnation, incarnation) : incarnation == 0) {
+        return false;
+    }
+    const auto known = m_leaving.find(id);
+    if (known != m_leaving.end() && mayBeSame(known->second.incarnation, incarnation)) {
+        return false;
+    }
+    LeavingMark mark{.incarnation = incarnation, .unregisteredSince = std::nullopt};
+    if (isRegistered) {
+        registered->second.saidLeaving = true;
+    } else {
+        mark.unregisteredSince = now;
+    }
+    m_leaving.insert_or_assign(id, mark);
+    return true;
+}
+
+bool EndpointDirectory::saidLeaving(const std::string &id, std::uint64_t incarnation)
+{
+    const auto known = m_leaving.find(id);
+    if (known == m_leaving.end()) {
+        return false;
+    }
+    if (!mayBeSame(known->second.incarnation, incarnation)) {
+        m_leaving.erase(known);
+        return false;
+    }
+    known->second.incarnation = std::max(known->second.incarnation, incarnation);
+    known->second.unregisteredSince.reset();
+    return true;
+}
+
+void EndpointDirectory::entryGone(const std::string &id, TimePoint now)
+{
+    const auto known = m_leaving.find(id);
+    if (known == m_leaving.end()) {
+        return;
+    }
+    if (known->second.incarnation == 0) {
+        m_leaving.erase(known); // the next entry under the id cannot be told from this one
+    } else {
+        known->second.unregisteredSince = now;
+    }
+}
+
 void EndpointDirectory::storeRecovered(TimePoint now)
 {
     m_keepMissingUntil = now + m_options.reregistrationTime;
@@ -62,8 +126,13 @@
             continue;
         }
         changed = m_endpoints.erase(missing->first) > 0 || changed;
+        entryGone(missing->first, now);
         missing = m_missingUntil.erase(missing);
     }
+    std::erase_if(m_leaving, [this, now](const auto &known) {
+        const std::optional<TimePoint> &since = known.second.unregisteredSince;
+        return since && now - *since > m_options.leavingMemory;
+    });
     return changed;
 }
 
--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -5,15 +5,21 @@
 //
 //     EndpointDirectory directory;
 //     directory.put(endpoint);
+//     directory.markLeaving("i-1", incarnation, now); // an answer of the endpoint said so
 //     directory.remove("i-1", now);
 //     directory.expire(now); // true if the set of endpoints changed
 //
 // Load pattern: the store recovers from an outage during which every entry expired. Running endpoints register again
 // within two seconds, so an endpoint whose entry disappears right after an outage stays in use for that time;
 // otherwise the whole fleet would be lost at once.
+//
+// Load pattern: an endpoint says in an answer that it is leaving while its entry is ready and keeps being written, or
+// while the store is unreachable and the entry stays as it is. Nothing that the store says of this incarnation brings
+// it back.
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +50,13 @@
     Duration coldStartRemaining{}; // time until its cold start ends
     std::uint64_t incarnation = 0; // changes with each start, also if the id stays the same
     std::vector<ModelVersion> models; // for engines only
+    bool saidLeaving = false; // an answer of this incarnation said so
+
+    /// Whether the endpoint takes no new requests.
+    bool leaving() const
+    {
+        return draining || saidLeaving;
+    }
 
     bool operator==(const Endpoint &) const = default;
 };
@@ -52,6 +65,9 @@
 {
     // Endpoints register again within about 2 s of the recovery of the store.
     Duration reregistrationTime = std::chrono::milliseconds(2300);
+    // How long the word of an endpoint that is leaving is kept after its entry disappeared. A leaving endpoint serves
+    // for seconds; its entry may reappear after an outage of the store.
+    Duration leavingMemory = std::chrono::minutes(30);
 };
 
 /// Not thread-safe.
@@ -70,6 +86,10 @@
     bool remove(const std::string &id, TimePoint now);
     /// Replaces all endpoints by those of a complete read of the store.
     bool replace(std::map<std::string, Endpoint> endpoints, TimePoint now);
+    /// An answer of this incarnation of the endpoint said that it is leaving; 0: not known. This holds until another
+    /// incarnation registers, whatever the entries of this one say. Returns false if nothing changes: it is known
+    /// already, another incarnation is registered by now, or neither entry nor incarnation is known.
+    bool markLeaving(const std::string &id, std::uint64_t incarnation, TimePoint now);
     /// The store is available again after an outage.
     void storeRecovered(TimePoint now);
     /// Drops endpoints that did not register again in time after an outage.
@@ -81,9 +101,20 @@
     }
 
 private:
+    struct LeavingMark
+    {
+        std::uint64_t incarnation = 0; // 0: not known
+        std::optional<TimePoint> unregisteredSince;
+    };
+
+    /// Whether the incarnation said that it is leaving; drops the mark of another one.
+    bool saidLeaving(const std::string &id, std::uint64_t incarnation);
+    void entryGone(const std::string &id, TimePoint now);
+
     EndpointDirectoryOptions m_options;
     std::map<std::string, Endpoint> m_endpoints;
     std::map<std::string, TimePoint> m_missingUntil; // when to drop endpoints whose entry disappeared
+    std::map<std::string, LeavingMark> m_leaving;
     TimePoint m_keepMissingUntil{}; // end of the time to register again after an outage
 };
 
--- a/bergamot/fleet/endpoint_directory_test.cpp
+++ b/bergamot/fleet/endpoint_directory_test.cpp
@@ -51,5 +51,128 @@
         return test.param.name;
     });
 
+/// What happens to the entry of endpoint "i-1" after an answer of it said that it is leaving.
+struct LeavingCase
+{
+    const char *name;
+    std::uint64_t incarnation; // of the endpoint that said so; 0: not known
+    std::function<void(EndpointDirectory &directory, TimePoint now)> then;
+    bool leaving; // whether the endpoint that is registered in the end is leaving
+};
+
+Endpoint entryOf(std::uint64_t incarnation)
+{
+    return {.id = "i-1", .service = "desk", .incarnation = incarnation};
+}
+
+class LeavingEndpointTest : public testing::TestWithParam<LeavingCase>
+{ };
+
+TEST_P(LeavingEndpointTest, TheWordHoldsUntilAnotherIncarnationIsKnown)
+{
+    EndpointDirectory directory;
+    const TimePoint start{std::chrono::hours(1)};
+    directory.put(entryOf(GetParam().incarnation));
+    ASSERT_TRUE(directory.markLeaving("i-1", GetParam().incarnation, start));
+    EXPECT_FALSE(directory.markLeaving("i-1", GetParam().incarnation, start)) << "said again";
+    EXPECT_TRUE(directory.endpoints().at("i-1").leaving());
+    const TimePoint later = start + std::chrono::minutes(2);
+    GetParam().then(directory, later);
+    directory.expire(later + milliseconds(1));
+    EXPECT_EQ(directory.endpoints().at("i-1").leaving(), GetParam().leaving);
+}
+
+INSTANTIATE_TEST_SUITE_P(Entries,
+                         LeavingEndpointTest,
+                         testing::Values(LeavingCase{"NoNewEntry", 5, [](EndpointDirectory &, TimePoint) {}, true},
+                                         LeavingCase{"Heartbeat",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint) {
+                                                         EXPECT_FALSE(directory.put(entryOf(5)));
+                                                     },
+                                                     true},
+                                         LeavingCase{"CompleteRead",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint now) {
+                                                         directory.replace({{"i-1", entryOf(5)}}, now);
+                                                     },
+                                                     true},
+                                         LeavingCase{"MissingAfterAnOutageAndRegisteredAgain",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint now) {
+                                                         directory.storeRecovered(now);
+                                                         directory.remove("i-1", now);
+                                                         directory.put(entryOf(5));
+                                                     },
+                                                     true},
+                                         LeavingCase{"EntryGoneAndSameIncarnation",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint now) {
+                                                         directory.remove("i-1", now);
+                                                         directory.expire(now + std::chrono::minutes(1));
+                                                         directory.put(entryOf(5));
+                                                     },
+                                                     true},
+                                         LeavingCase{"EntryGoneForAnHour",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint now) {
+                                                         directory.remove("i-1", now - std::chrono::hours(1));
+                                                         directory.expire(now);
+                                                         directory.put(entryOf(5));
+                                                     },
+                                                     false},
+                                         LeavingCase{"EntryWithoutIncarnation",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint) {
+                                                         directory.put(entryOf(0));
+                                                     },
+                                                     true},
+                                         LeavingCase{"AnotherIncarnation",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint) {
+                                                         EXPECT_TRUE(directory.put(entryOf(6)));
+                                                     },
+                                                     false},
+                                         LeavingCase{"EntryGoneAndAnotherIncarnation",
+                                                     5,
+                                                     [](EndpointDirectory &directory, TimePoint now) {
+                                                         directory.remove("i-1", now);
+                                                         directory.put(entryOf(6));
+                                                     },
+                                                     false},
+                                         LeavingCase{"UnknownIncarnationHeartbeat",
+                                                     0,
+                                                     [](EndpointDirectory &directory, TimePoint) {
+                                                         directory.put(entryOf(0));
+                                                     },
+                                                     true},
+                                         LeavingCase{"UnknownIncarnationEntryGone",
+                                                     0,
+                                                     [](EndpointDirectory &directory, TimePoint now) {
+                                                         directory.remove("i-1", now);
+                                                         directory.put(entryOf(0));
+                                                     },
+                                                     false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+TEST(LeavingEndpoint, AnAnswerOfAnEarlierIncarnationDoesNotConcernTheRegisteredOne)
+{
+    EndpointDirectory directory;
+    directory.put(entryOf(6));
+    EXPECT_FALSE(directory.markLeaving("i-1", 5, TimePoint(std::chrono::hours(1))));
+    EXPECT_FALSE(directory.endpoints().at("i-1").leaving());
+}
+
+TEST(LeavingEndpoint, AnAnswerAfterTheEntryHasDisappearedCounts)
+{
+    EndpointDirectory directory;
+    const TimePoint start{std::chrono::hours(1)};
+    EXPECT_TRUE(directory.markLeaving("i-1", 5, start));
+    directory.put(entryOf(5));
+    EXPECT_TRUE(directory.endpoints().at("i-1").leaving());
+}
+
 } // namespace
 } // namespace bergamot::fleet
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -228,6 +228,13 @@
     m_endpointsChanged = true; // with many engines the list changes constantly: it is applied once per tick
 }
 
+void EnginePool::endpointLeaving()
+{
+    if (m_active) {
+        applyEndpoints();
+    }
+}
+
 void EnginePool::applyEndpoints()
 {
     m_endpointsChanged = false;
@@ -245,7 +252,7 @@
                                                 .slots =
                                                     std::max(1U, endpoint.slots > 0 ? endpoint.slots : traits.slots),
                                                 .memoryTokens = traits.memoryTokens,
-                                                .draining = endpoint.draining,
+                                                .draining = endpoint.leaving(),
                                                 .incarnation = endpoint.incarnation};
         for (const fleet::ModelVersion &model : endpoint.models) {
             description.versions[model.model] = model.version;
@@ -258,6 +265,9 @@
                 endLoad(id, "the engine has restarted");
             }
         }
+        if (endpoint.leaving() && m_loads.contains(id)) {
+            endLoad(id, "the engine is leaving");
+        }
         const auto load = m_loads.find(id);
         if (load != m_loads.end() && load->second.phase == LoadPhase::Loading
             && description.versions[load->second.model] >= load->second.version) {
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -73,6 +73,8 @@
     /// A record that changed a batch has been applied to the index.
     void batchChanged(batch::BatchChange change, const batch::log::Record &record);
     void endpointsChanged();
+    /// An endpoint said that it is leaving. An engine gets no run, order or report request from now on.
+    void endpointLeaving();
     void configurationChanged();
     /// Applies endpoint changes, expires timeouts and plans loads. Call it some twenty times a second.
     void tick(TimePoint now);
@@ -89,6 +91,7 @@
     {
         dispatch::ItemKey key;
         std::string engine;
+        std::uint64_t incarnation = 0; // of the engine
         std::string model;
         std::shared_ptr<net::ClientCall> call;
         dispatch::EventStreamReader reader;
@@ -164,7 +167,9 @@
     /// Ends a load that failed; the engine gets no order for `loadFailurePause`.
     void failLoad(const std::string &engine, std::string_view reason);
     void advanceLoads(TimePoint now);
+    /// Calls an engine about its load; `kind` names the call in logs. Fails the load of an engine that is leaving.
     void callEngine(const std::string &engine,
+                    std::string_view kind,
                     const net::Request &request,
                     std::function<void(int status, const std::string &body, const net::CallEnd &end)> done);
 
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -76,6 +76,7 @@
 }
 
 void EnginePool::callEngine(const std::string &engine,
+                            std::string_view kind,
                             const net::Request &request,
                             std::function<void(int status, const std::string &body, const net::CallEnd &end)> done)
 {
@@ -84,6 +85,10 @@
         failLoad(engine, "the engine is no longer registered");
         return;
     }
+    if (endpoint->second.leaving()) {
+        failLoad(engine, "the engine is leaving");
+        return;
+    }
     net::ClientRequest outgoing{.to = endpoint->second.address,
                                 .method = request.method,
                                 .target = request.target,
@@ -100,22 +105,26 @@
         std::string body;
     };
     auto answer = std::make_shared<Answer>();
-    m_client.start(std::move(outgoing),
-                   {.onHead =
-                        [answer](const net::ResponseHead &head) {
-                            answer->status = head.status;
-                        },
-                    .onData =
-                        [answer](std::string_view data) {
-                            answer->body += data;
-                        },
-                    .onEnd =
-                        [this, answer, generation = m_generation, done = std::move(done)](const net::CallEnd &end) {
-                            if (generation == m_generation) {
-                                done(answer->status, answer->body, end);
-                                performActions();
-                            }
-                        }});
+    m_client.start(
+        std::move(outgoing),
+        {.onHead =
+             [this, answer, engine, incarnation = endpoint->second.incarnation, kind](const net::ResponseHead &head) {
+                 answer->status = head.status;
+                 if (saysLeaving(m_codec.headers(), head.headers)) {
+                     m_view.endpointLeaving(engine, incarnation, kind);
+                 }
+             },
+         .onData =
+             [answer](std::string_view data) {
+                 answer->body += data;
+             },
+         .onEnd =
+             [this, answer, generation = m_generation, done = std::move(done)](const net::CallEnd &end) {
+                 if (generation == m_generation) {
+                     done(answer->status, answer->body, end);
+                     performActions();
+                 }
+             }});
 }
 
 void EnginePool::requestReport(const std::string &engine)
@@ -123,24 +132,27 @@
     Load &load = m_loads[engine];
     load.phase = LoadPhase::RequestingReport;
     load.phaseStart = BootClock::now();
-    callEngine(
-        engine, m_codec.reportRequest(), [this, engine](int status, const std::string &body, const net::CallEnd &end) {
-            const auto found = m_loads.find(engine);
-            if (found == m_loads.end()) {
-                return;
-            }
-            if (end.failure != net::CallFailure::None || status != Ok) {
-                failLoad(engine,
-                         "the report request failed: " + (end.detail.empty() ? std::to_string(status) : end.detail));
-                return;
-            }
-            const Result<EngineReport> report = m_codec.report(body);
-            if (!report) {
-                failLoad(engine, report.error().message);
-                return;
-            }
-            applyReport(engine, *report);
-        });
+    callEngine(engine,
+               "report",
+               m_codec.reportRequest(),
+               [this, engine](int status, const std::string &body, const net::CallEnd &end) {
+                   const auto found = m_loads.find(engine);
+                   if (found == m_loads.end()) {
+                       return;
+                   }
+                   if (end.failure != net::CallFailure::None || status != Ok) {
+                       failLoad(engine,
+                                "the report request failed: "
+                                    + (end.detail.empty() ? std::to_string(status) : end.detail));
+                       return;
+                   }
+                   const Result<EngineReport> report = m_codec.report(body);
+                   if (!report) {
+                       failLoad(engine, report.error().message);
+                       return;
+                   }
+                   applyReport(engine, *report);
+               });
 }
 
 void EnginePool::applyReport(const std::string &engine, const EngineReport &report)
@@ -168,25 +180,27 @@
 {
     Load &load = m_loads[engine];
     load.confirming = true;
-    callEngine(
-        engine, m_codec.reportRequest(), [this, engine](int status, const std::string &body, const net::CallEnd &) {
-            const auto found = m_loads.find(engine);
-            if (found == m_loads.end()) {
-                return;
-            }
-            Load &current = found->second;
-            current.confirming = false;
-            current.nextConfirmAt = BootClock::now() + m_options.confirmInterval;
-            const Result<EngineReport> report = m_codec.report(body);
-            if (status != Ok || !report) {
-                return; // requested again until `loadTimeout`
-            }
-            const auto version = report->versions.find(current.model);
-            if (version != report->versions.end() && version->second >= current.version) {
-                m_scheduler.recordReportedVersion(engine, current.model, version->second);
-                endLoad(engine, "loaded");
-            }
-        });
+    callEngine(engine,
+               "report",
+               m_codec.reportRequest(),
+               [this, engine](int status, const std::string &body, const net::CallEnd &) {
+                   const auto found = m_loads.find(engine);
+                   if (found == m_loads.end()) {
+                       return;
+                   }
+                   Load &current = found->second;
+                   current.confirming = false;
+                   current.nextConfirmAt = BootClock::now() + m_options.confirmInterval;
+                   const Result<EngineReport> report = m_codec.report(body);
+                   if (status != Ok || !report) {
+                       return; // requested again until `loadTimeout`
+                   }
+                   const auto version = report->versions.find(current.model);
+                   if (version != report->versions.end() && version->second >= current.version) {
+                       m_scheduler.recordReportedVersion(engine, current.model, version->second);
+                       endLoad(engine, "loaded");
+                   }
+               });
 }
 
 void EnginePool::sendOrder(const std::string &engine)
@@ -207,6 +221,7 @@
                       {"fencing", std::to_string(order.fencingToken)},
                       {"expected_orders", std::to_string(order.expectedOrderCount)}});
     callEngine(engine,
+               "order",
                m_codec.loadOrderRequest(order),
                [this, engine](int status, const std::string &, const net::CallEnd &end) {
                    if (m_loads.contains(engine)) {
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -114,6 +114,8 @@
     ActiveRun &run = m_runs[id];
     run.key = action.key;
     run.engine = action.engine;
+    const auto endpoint = m_view.endpoints().find(action.engine);
+    run.incarnation = endpoint == m_view.endpoints().end() ? 0 : endpoint->second.incarnation;
     run.model = action.model;
     run.expectsVersion = action.expectedVersion.has_value();
     run.call = m_client.start(std::move(request),
@@ -133,6 +135,11 @@
 
 void EnginePool::handleRunHead(dispatch::RunId id, const net::ResponseHead &head)
 {
+    const auto answered = m_runs.find(id);
+    if (answered != m_runs.end() && saysLeaving(m_codec.headers(), head.headers)) {
+        const std::string engine = answered->second.engine; // the run may be cancelled meanwhile
+        m_view.endpointLeaving(engine, answered->second.incarnation, "sample");
+    }
     const auto found = m_runs.find(id);
     if (found == m_runs.end()) {
         return;
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -127,6 +127,23 @@
     m_endpointsHandler = std::move(handler);
 }
 
+void FleetView::onEndpointLeaving(std::function<void()> handler)
+{
+    m_endpointLeavingHandler = std::move(handler);
+}
+
+void FleetView::endpointLeaving(const std::string &endpoint, std::uint64_t incarnation, std::string_view source)
+{
+    if (!m_directory.markLeaving(endpoint, incarnation, BootClock::now())) {
+        return;
+    }
+    m_log.write(
+        EventKind::State,
+        "endpoint-leaving",
+        {{"endpoint", endpoint}, {"incarnation", std::to_string(incarnation)}, {"source", std::string(source)}});
+    notify(m_endpointLeavingHandler);
+}
+
 void FleetView::onNamedVersion(std::function<void()> handler)
 {
     m_namedVersionHandler = std::move(handler);
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -49,6 +49,10 @@
     const std::map<std::string, fleet::Endpoint> &endpoints() const;
     void onConfiguration(std::function<void()> handler);
     void onEndpoints(std::function<void()> handler);
+    /// `handler` runs when an endpoint takes no new requests any more because one of its answers said so.
+    void onEndpointLeaving(std::function<void()> handler);
+    /// An answer of this incarnation of the endpoint said that it is leaving. `source` names the kind of the answer.
+    void endpointLeaving(const std::string &endpoint, std::uint64_t incarnation, std::string_view source);
     void onNamedVersion(std::function<void()> handler);
     /// `handler` runs when a registered endpoint has written its entry again without a restart.
     void onHeartbeat(std::function<void(const std::string &endpoint)> handler);
@@ -79,6 +83,7 @@
     bool m_endpointsChanged = false;
     std::function<void()> m_configurationHandler;
     std::function<void()> m_endpointsHandler;
+    std::function<void()> m_endpointLeavingHandler;
     std::function<void()> m_namedVersionHandler;
     std::function<void(const std::string &)> m_heartbeatHandler;
 };
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -203,6 +203,13 @@
         updateRoutingTable();
         m_pool.endpointsChanged();
     });
+    m_view.onEndpointLeaving([this] {
+        updateRoutingTable();
+        m_pool.endpointLeaving();
+    });
+    m_forwarder.onLeaving([this](const std::string &endpoint, std::uint64_t incarnation) {
+        m_view.endpointLeaving(endpoint, incarnation, "request");
+    });
     m_view.onHeartbeat([this](const std::string &endpoint) {
         m_forwarder.recordHeartbeat(endpoint);
     });
@@ -404,9 +411,10 @@
         target->second.endpoints.push_back({.id = EndpointId(id),
                                             .domain = FailureDomainId(endpoint.zone),
                                             .address = endpoint.address,
-                                            .leaving = endpoint.draining,
+                                            .leaving = endpoint.leaving(),
                                             .slots = endpoint.slots,
-                                            .loadAge = std::chrono::hours(1)});
+                                            .loadAge = std::chrono::hours(1),
+                                            .incarnation = endpoint.incarnation});
     }
     m_forwarder.updateEndpoints(table);
 }
--- a/bergamot/node/platform_codec.h
+++ b/bergamot/node/platform_codec.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -26,6 +27,7 @@
     std::string deadline; // milliseconds for which the caller still waits
     std::string expectedEndpoint; // id of the intended endpoint; any other one refuses the request
     std::string notExecuted; // in a response: the request was not executed
+    std::string leaving; // in any response, with the value `LeavingValue`: the endpoint is leaving
     std::string signature; // signature of an endpoint's response
     std::string weightVersions; // in an engine's response: its weight version
     std::string weightVersionField; // field of the event at which the weight version changes
@@ -33,6 +35,9 @@
     std::string urgency; // 0 (first) to 9
 };
 
+/// The only value of `HeaderNames::leaving` that says so.
+constexpr std::string_view LeavingValue = "1";
+
 struct ReadinessCall
 { };
 
@@ -93,6 +98,12 @@
     std::map<std::string, std::uint64_t> versions; // weight version by model
 };
 
+/// Whether the response says that its endpoint is leaving.
+inline bool saysLeaving(const HeaderNames &names, const net::HeaderFields &headers)
+{
+    return headers.find(names.leaving) == LeavingValue;
+}
+
 /// Converts the platform's messages to types of this project and back. Parsers return an error for malformed input.
 class PlatformCodec
 {
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -45,6 +45,11 @@
 
 RequestForwarder::~RequestForwarder() = default;
 
+void RequestForwarder::onLeaving(std::function<void(const std::string &, std::uint64_t)> handler)
+{
+    m_leavingHandler = std::move(handler);
+}
+
 void RequestForwarder::updateEndpoints(const RoutingTable &table)
 {
     m_router.onView(table, BootClock::now());
@@ -176,6 +181,7 @@
     Attempt &attempt = m_attempts[id];
     attempt.request = action.request;
     attempt.endpoint = action.endpoint.value();
+    attempt.incarnation = action.incarnation;
     attempt.call = m_client.start(std::move(outgoing),
                                   {.onHead =
                                        [this, id](const net::ResponseHead &head) {
@@ -193,6 +199,12 @@
 
 void RequestForwarder::handleAttemptHead(AttemptId id, const net::ResponseHead &head)
 {
+    // The body of a stream may take minutes, so the head counts.
+    const auto answered = m_attempts.find(id);
+    if (answered != m_attempts.end() && m_leavingHandler && saysLeaving(m_headers, head.headers)) {
+        const std::string endpoint = answered->second.endpoint; // the attempt may be cancelled meanwhile
+        m_leavingHandler(endpoint, answered->second.incarnation);
+    }
     const auto found = m_attempts.find(id);
     if (found == m_attempts.end()) {
         return;
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -61,6 +61,9 @@
                      std::uint64_t seed);
     ~RequestForwarder();
 
+    /// `handler` runs when an answer says that its endpoint is leaving. It has to take the endpoint out by
+    /// `updateEndpoints` before it returns.
+    void onLeaving(std::function<void(const std::string &endpoint, std::uint64_t incarnation)> handler);
     /// Replaces the endpoints that requests may go to.
     void updateEndpoints(const RoutingTable &table);
     /// Records that a heartbeat of the endpoint was read from the store.
@@ -84,6 +87,7 @@
     {
         RequestId request = 0;
         std::string endpoint;
+        std::uint64_t incarnation = 0; // of the endpoint
         std::shared_ptr<net::ClientCall> call;
         net::Response response;
         bool streaming = false;
@@ -104,6 +108,7 @@
     EventLog &m_log;
     Router m_router;
     boost::asio::steady_timer m_timer;
+    std::function<void(const std::string &, std::uint64_t)> m_leavingHandler;
     std::map<RequestId, Pending> m_pending;
     std::map<AttemptId, Attempt> m_attempts;
     RequestId m_lastRequest = 0;
