--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -39,7 +39,7 @@
     TargetState &target = *attempt->target;
     Pending *pending = find(attempt->request);
     if (answer.leaving) {
-        target.pool.markLeaving(attempt->slot, now);
+        target.pool.markLeaving(attempt->slot, attempt->incarnation, now);
     }
     const Duration latency = now - attempt->dispatchedAt;
     const double work = pending == nullptr ? 1.0 : std::max(1.0, pending->request.work);
@@ -170,7 +170,7 @@
     }
     ++m_retries;
     ++pending.retries;
-    if (step == FailureStep::RetryFresh
+    if (step == FailureStep::RetryFresh && attempt.target->pool.takesRequests(attempt.slot, now)
         && m_quarantine.statusOf(pending.request.fingerprint, now) == QuarantineStatus::Clear) {
         dispatch(pending, attempt.slot, Connection::Fresh, RunMode::Shared, now);
         return;
