routing: scoring calls are never quarantined because endpoints crashed under them

Callers would see: an item whose text is complete is never listed, and its step runs out of time, though all is calm.

Cause: the scoring call of an item goes through the router as any request does. During a burst of crashes it counts as one that crashes endpoints: after two endpoints, the second of which it had to itself, it is refused as crash-suspect for 10 minutes. The pool sends it again every 150 ms, and it is refused each time. Before that it waits for an endpoint of its own. Only a heartbeat of the same id retracts a crash, so endpoints that come back under new ids leave it refused.

Change: CallerRequest and ForwardRequest have `owed`: the request is sent again until it is answered, its losses are not recorded against it, and its fingerprint is not looked up. Only the pool's scoring calls set it. Callers' requests are quarantined as before.

The stand-in of an endpoint can come back under another id.

Conclusion: a crash is evidence against a caller's request, but no reason to withhold a call that is owed.

--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -257,7 +257,8 @@
                            .route = *route,
                            .service = chooseService(*route, m_random),
                            .receivedAt = BootClock::now(),
-                           .callerTimeout = route->timeout};
+                           .callerTimeout = route->timeout,
+                           .owed = true};
     request.request.headers.add("Host", call.host);
     request.request.headers.add(m_codec.headers().requestId, call.id);
     m_scoringRequests[key] =
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -72,7 +72,8 @@
                          .streaming = streaming,
                          .fingerprint = requestFingerprint(
                              request.service, request.request.method, request.request.target, request.request.body),
-                         .mostAttempts = std::max(1U, route.maxAttempts)};
+                         .mostAttempts = std::max(1U, route.maxAttempts),
+                         .owed = request.owed};
     m_pending.emplace(id, Pending{.request = std::move(request), .sink = std::move(sink)});
     m_router.onRequest(std::move(caller), BootClock::now());
     boost::asio::post(m_loop, [this] {
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -47,6 +47,7 @@
     std::string service; // chosen among the services of the route
     TimePoint receivedAt{};
     Duration callerTimeout{}; // time from `receivedAt` for which the caller waits
+    bool owed = false; // sent again until it is answered; never held or refused because endpoints crashed under it
 };
 
 /// Repeats failed attempts as the router decides. Not thread-safe.
--- a/bergamot/routing/request.h
+++ b/bergamot/routing/request.h
@@ -34,6 +34,7 @@
     std::uint64_t prefix = 0; // hash of the prompt's prefix; 0: no affinity
     double work = 1; // expected size, in units of the target's smallest request
     std::uint32_t mostAttempts = std::numeric_limits<std::uint32_t>::max(); // maximum number of dispatches
+    bool owed = false; // sent again until it is answered; never held or refused because endpoints crashed under it
 };
 
 /// Why a request was refused; its name is a label in metrics and logs.
--- a/bergamot/routing/router.cpp
+++ b/bergamot/routing/router.cpp
@@ -175,7 +175,7 @@
 
 void Router::admit(Pending &pending, TimePoint now)
 {
-    switch (m_quarantine.statusOf(pending.request.fingerprint, now)) {
+    switch (quarantineStatus(pending.request, now)) {
     case QuarantineStatus::Refused:
         refuse(pending,
                {RefusalReason::CrashSuspect,
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -154,6 +154,7 @@
     void dispatchQueued(TargetState &target, TimePoint now);
     void dispatchQuarantined(TargetState &target, TimePoint now);
     void quarantine(Pending &pending, TimePoint now);
+    QuarantineStatus quarantineStatus(const CallerRequest &request, TimePoint now) const;
     void retractLosses(const Attempt &answered, TimePoint now);
     void
     retractLossesWhere(TargetState &target, const std::function<bool(const ConnectionLoss &)> &survived, TimePoint now);
@@ -166,7 +167,8 @@
     void cancelAttempts(Pending &pending, TimePoint now);
     void retryOrGiveUp(Pending &pending, FailureStep step, const Attempt &attempt, TimePoint now);
     void giveUp(Pending &pending, RefusalReason reason);
-    void recordFailure(const Attempt &attempt, const AttemptFailure &failure, std::uint64_t fingerprint, TimePoint now);
+    void
+    recordFailure(const Attempt &attempt, const AttemptFailure &failure, const CallerRequest &request, TimePoint now);
     void recordKey(const Pending &pending, RequestOutcome outcome, AttemptId attempt);
 
     RouterOptions m_options;
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -123,6 +123,11 @@
     dispatchQuarantined(target, now);
 }
 
+QuarantineStatus Router::quarantineStatus(const CallerRequest &request, TimePoint now) const
+{
+    return request.owed ? QuarantineStatus::Clear : m_quarantine.statusOf(request.fingerprint, now);
+}
+
 void Router::dispatchQuarantined(TargetState &target, TimePoint now)
 {
     while (!target.suspects.empty() && target.reservations.size() < target.pool.maxReserved()) {
@@ -211,7 +216,7 @@
         if (pending == nullptr) {
             continue;
         }
-        if (m_quarantine.statusOf(pending->request.fingerprint, now) == QuarantineStatus::Suspect) {
+        if (quarantineStatus(pending->request, now) == QuarantineStatus::Suspect) {
             target.suspects.push_back(id);
         } else {
             admit(*pending, now);
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -92,7 +92,7 @@
         return;
     }
     const DeliveryProof proof = attempt->connection == Connection::Pooled ? DeliveryProof::MaybeRan : failure.proof;
-    recordFailure(*attempt, {.proof = proof, .timedOut = failure.timedOut}, pending->request.fingerprint, now);
+    recordFailure(*attempt, {.proof = proof, .timedOut = failure.timedOut}, pending->request, now);
     std::erase(pending->attempts, id);
     pending->outcome = afterFailure(pending->outcome, proof);
     pending->timedOut = failure.timedOut;
@@ -156,7 +156,7 @@
         giveUp(pending, RefusalReason::AttemptFailed);
         return;
     }
-    if (m_quarantine.statusOf(pending.request.fingerprint, now) == QuarantineStatus::Refused) {
+    if (quarantineStatus(pending.request, now) == QuarantineStatus::Refused) {
         giveUp(pending, RefusalReason::CrashSuspect);
         return;
     }
@@ -170,8 +170,7 @@
     }
     ++m_retries;
     ++pending.retries;
-    if (step == FailureStep::RetryFresh
-        && m_quarantine.statusOf(pending.request.fingerprint, now) == QuarantineStatus::Clear) {
+    if (step == FailureStep::RetryFresh && quarantineStatus(pending.request, now) == QuarantineStatus::Clear) {
         dispatch(pending, attempt.slot, Connection::Fresh, RunMode::Shared, now);
         return;
     }
@@ -195,7 +194,7 @@
 
 void Router::recordFailure(const Attempt &attempt,
                            const AttemptFailure &failure,
-                           std::uint64_t fingerprint,
+                           const CallerRequest &request,
                            TimePoint now)
 {
     EndpointPool &pool = attempt.target->pool;
@@ -204,11 +203,13 @@
         return;
     }
     if (!failure.timedOut) {
-        m_quarantine.recordEndpointLoss(fingerprint, pool.endpoint(attempt.slot), attempt.mode, now);
-        std::deque<ConnectionLoss> &losses = attempt.target->losses;
-        losses.push_back({.slot = attempt.slot, .fingerprint = fingerprint, .at = now});
-        if (losses.size() > MaxLosses) {
-            losses.pop_front();
+        if (!request.owed) {
+            m_quarantine.recordEndpointLoss(request.fingerprint, pool.endpoint(attempt.slot), attempt.mode, now);
+            std::deque<ConnectionLoss> &losses = attempt.target->losses;
+            losses.push_back({.slot = attempt.slot, .fingerprint = request.fingerprint, .at = now});
+            if (losses.size() > MaxLosses) {
+                losses.pop_front();
+            }
         }
         pool.failed(attempt.slot, EndpointFailure::Lost, now, m_random);
         return;
--- a/bergamot/routing/router_trouble_test.cpp
+++ b/bergamot/routing/router_trouble_test.cpp
@@ -124,6 +124,104 @@
     EXPECT_EQ(dispatchesOf(again), 1U);
 }
 
+/// A burst of crashes: waves in short succession, the burst again after a while, then calm.
+struct CrashBurst
+{
+    const char *name;
+    bool newIds; // the endpoints come back under new ids
+};
+
+class CrashBurstTest : public RouterTest, public testing::WithParamInterface<CrashBurst>
+{
+protected:
+    static constexpr int Endpoints = 4;
+    static constexpr Duration BackAfter = 400ms; // from a crash to the new start
+    static constexpr Duration RepeatAfter = 150ms; // from a refusal to the next request
+
+    void showRunningEndpoints()
+    {
+        showEndpoints(Endpoints, [this](RoutedEndpoint &endpoint) {
+            endpoint.id = EndpointId(endpoint.id.value() + "-" + std::to_string(m_starts[endpoint.id.value()]));
+        });
+    }
+
+    /// Crashes the endpoints that run the newest request. They are back when this returns.
+    void crashWave()
+    {
+        const std::vector<DispatchAction> dispatched = m_dispatches;
+        for (const DispatchAction &dispatch : dispatched) {
+            if (dispatch.request != m_newest || m_ends.contains(m_newest) || !m_ended.insert(dispatch.attempt).second) {
+                continue;
+            }
+            ++m_crashes;
+            if (GetParam().newIds) {
+                const std::string id = dispatch.endpoint.value();
+                ++m_starts[id.substr(0, id.rfind('-'))];
+            }
+            fail(dispatch.attempt, ConnectionLost);
+        }
+        showRunningEndpoints();
+        for (Duration waited{}; waited < BackAfter; waited += 50ms) {
+            pass(50ms);
+            sendIfEnded();
+        }
+    }
+
+    void sendIfEnded()
+    {
+        if (m_newest == 0 || (m_ends.contains(m_newest) && m_now >= m_nextAt)) {
+            m_nextAt = m_now + RepeatAfter;
+            m_newest = send([](CallerRequest &request) {
+                request.fingerprint = 666;
+                request.repeatable = true;
+                request.owed = true;
+                request.mostAttempts = 3;
+            });
+        }
+    }
+
+    std::map<std::string, int> m_starts;
+    std::set<AttemptId> m_ended;
+    RequestId m_newest = 0;
+    TimePoint m_nextAt{};
+    int m_crashes = 0;
+};
+
+TEST_P(CrashBurstTest, AnOwedRequestIsAnsweredSoonAfterTheBurst)
+{
+    showRunningEndpoints();
+    sendIfEnded();
+    for (int burst = 0; burst < 3; ++burst) {
+        for (int wave = 0; wave < 5; ++wave) {
+            crashWave();
+        }
+        pass(6s - 5 * BackAfter);
+        sendIfEnded();
+    }
+    EXPECT_GE(m_crashes, 6);
+    constexpr Duration WithinAfterCalm = 1s;
+    const TimePoint calmAt = m_now;
+    while (m_now - calmAt < WithinAfterCalm && !m_forwarded.contains(m_newest)) {
+        sendIfEnded();
+        if (!m_ends.contains(m_newest) && dispatchesOf(m_newest) > 0) {
+            answer(m_dispatches.back().attempt);
+        }
+        pass(50ms);
+    }
+    EXPECT_TRUE(m_forwarded.contains(m_newest)) << refusalReasonName(m_refusals[m_newest].reason);
+    for (const auto &[id, refusal] : m_refusals) {
+        EXPECT_NE(refusal.reason, RefusalReason::CrashSuspect) << id;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Endpoints,
+                         CrashBurstTest,
+                         testing::Values(CrashBurst{"ComeBackUnderNewIds", true},
+                                         CrashBurst{"ComeBackUnderTheirIds", false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 TEST_F(RouterTest, FailuresOfAllEndpointsEjectOnlySome)
 {
     showEndpoints(9);
