dispatch: an item whose stream lost only its end is completed again

Callers would see: an item of a batch is never listed after a burst of crashes, though all is calm and the engines have room; other items of the step are late as well.

Cause: an engine crashes (or its connection breaks) after the last event of a text and before the end of the stream. Every further run resumes after the last event, and the engine ends it without an event. The pool took that for a stream that ended early: it asked the next engine, which answered the same, and so on until the retention. Each answer also kept the sound engine free of runs for up to 4 s, so a few such items stopped the others.

Ruled out by the replay in dispatch (it passes on the unchanged code): the scheduler does not count lost runs against an item, and places it within 50 ms after engines have restarted, within 4 s (the longest back-off) if only connections broke.

Change: RunOutcome::NothingToResume for a run that resumed, was answered 200, and ended whole without an event. The text is dropped, the item starts from the beginning at once, and the engine is not held off. The text is not listed on the strength of an empty answer: only a run that ends after events proves that it is whole.

Conclusion: what no engine can continue has to start again. The price is one run, and only where the end was lost.

--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -254,6 +254,11 @@
     }
     if (item != nullptr) {
         setStage(*findBatch(key.batch), *item, Stage::Waiting);
+        if (outcome == RunOutcome::NothingToResume) {
+            // The text may be whole, if an engine crashed between its last event and the end of the stream. An empty
+            // stream doesn't prove it; a run that ends after its events does.
+            discardText(*item);
+        }
     }
     if (engine != m_engines.end()) {
         switch (outcome) {
@@ -268,6 +273,7 @@
         case RunOutcome::TimedOut:
             backOff(engine->second, now);
             break;
+        case RunOutcome::NothingToResume:
         case RunOutcome::StaleConnection:
         case RunOutcome::Complete:
         case RunOutcome::Failed:
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -119,6 +119,7 @@
     Failed, // the engine executed the request and reported a failure
     Rejected, // the request is rejected as one that no engine can execute
     StreamInterrupted, // the stream ended before its last event
+    NothingToResume, // the run was to resume after the last event of the text; it ended without an event
     StaleConnection, // a reused connection closed without an answer; not a sign of a failed engine
     TimedOut, // no connection, or no event within the timeout
 };
@@ -356,6 +357,8 @@
     void removeRun(RunId run);
     /// Removes the run, orders its cancellation and makes its item wait again.
     void cancel(RunId run);
+    /// The next run of the item starts from the beginning.
+    static void discardText(ItemState &item);
     /// If the policy requires a single version, the text restarts from the beginning at an engine with another version.
     void discardTextOfOtherVersion(const BatchState &batch, ItemState &item, const EngineState &engine);
     /// Moves runs to free engines that would be much faster.
--- a/bergamot/dispatch/sample_scheduler_assignment.cpp
+++ b/bergamot/dispatch/sample_scheduler_assignment.cpp
@@ -234,15 +234,20 @@
     const bool hasOtherVersion =
         batch.policy->singleVersion && !item.versions.empty() && item.versions.back() != version;
     if (hasOtherVersion) {
-        item.text.clear();
-        item.versions.clear();
-        item.hasEvents = false;
-        item.lastEvent = 0;
-        item.savedEvent = 0;
-        item.savedBytes = 0;
+        discardText(item);
     }
 }
 
+void SampleScheduler::discardText(ItemState &item)
+{
+    item.text.clear();
+    item.versions.clear();
+    item.hasEvents = false;
+    item.lastEvent = 0;
+    item.savedEvent = 0;
+    item.savedBytes = 0;
+}
+
 void SampleScheduler::removeRun(RunId run)
 {
     const auto found = m_runs.find(run);
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -429,5 +429,109 @@
     EXPECT_EQ(m_results.size(), 1U);
 }
 
+// An engine may crash between the last event and the end of its stream: no run can then end after an event.
+TEST_F(SampleSchedulerTest, ATextThatNoEngineCanResumeStartsFromTheBeginning)
+{
+    setEngines({engine("e1", 5)});
+    addBatch("b", 1);
+    receiveEvent(m_starts[0].run, 1);
+    receiveEvent(m_starts[0].run, 2);
+    endRun(m_starts[0].run, RunOutcome::StaleConnection);
+    ASSERT_EQ(m_starts.back().resumeAfter, 2U);
+    endRun(m_starts.back().run, RunOutcome::NothingToResume);
+    ASSERT_EQ(m_starts.size(), 3U) << "the engine is sound: it gets the next run at once";
+    EXPECT_FALSE(m_starts.back().resumeAfter);
+    receiveEvent(m_starts.back().run, 1);
+    receiveEvent(m_starts.back().run, 2);
+    endRun(m_starts.back().run, RunOutcome::Complete);
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_TRUE(m_results[0].completed);
+    EXPECT_EQ(m_results[0].text, "d1\nd2");
+}
+
+struct CrashBurst
+{
+    const char *name;
+    bool restarts; // the engines restart; otherwise only their connections break
+    bool newIds; // they come back under new ids
+    Duration placedWithin; // after the burst
+};
+
+class CrashBurstTest : public SampleSchedulerTest, public testing::WithParamInterface<CrashBurst>
+{
+protected:
+    static constexpr std::size_t Engines = 4;
+    static constexpr Duration BackAfter = 400ms; // from a crash to the new start
+
+    void showEngines()
+    {
+        std::vector<EngineDescription> engines;
+        for (std::size_t index = 0; index < Engines; ++index) {
+            EngineDescription description = engine("e" + std::to_string(index), 5);
+            description.incarnation = m_incarnations[index];
+            if (GetParam().newIds) {
+                description.id += "-" + std::to_string(m_incarnations[index]);
+            }
+            engines.push_back(std::move(description));
+        }
+        setEngines(engines);
+    }
+
+    /// Crashes the engine that runs the item; the item goes to another one, which crashes as well, and so on.
+    void crashWave(std::size_t crashes)
+    {
+        for (std::size_t count = 0; count < crashes && m_scheduler.runsInFlight() > 0; ++count) {
+            const StartRun crashed = m_starts.back();
+            endRun(crashed.run, RunOutcome::StreamInterrupted);
+            ++m_crashes;
+            if (GetParam().restarts) {
+                ++m_incarnations[crashed.engine[1] - '0'];
+            }
+        }
+        for (Duration waited{}; waited < BackAfter; waited += 50ms) {
+            advance(50ms);
+        }
+        showEngines();
+    }
+
+    std::array<std::uint64_t, Engines> m_incarnations{};
+    std::size_t m_crashes = 0;
+};
+
+TEST_P(CrashBurstTest, AnItemUnderWhichEnginesCrashedIsPlacedAgainAndCompleted)
+{
+    showEngines();
+    addBatch("b", 1);
+    for (int burst = 0; burst < 3; ++burst) {
+        for (int wave = 0; wave < 5; ++wave) {
+            crashWave(3);
+        }
+        if (burst < 2) {
+            for (Duration waited{}; waited < 6s - 5 * BackAfter; waited += 50ms) {
+                advance(50ms);
+            }
+        }
+    }
+    EXPECT_GE(m_crashes, 9U);
+    for (Duration waited{}; waited < GetParam().placedWithin && m_scheduler.runsInFlight() == 0; waited += 50ms) {
+        advance(50ms);
+    }
+    ASSERT_EQ(m_scheduler.runsInFlight(), 1U);
+    EXPECT_TRUE(m_results.empty()) << "a crash is no reason to give an item up";
+    receiveEvent(m_starts.back().run, 1);
+    endRun(m_starts.back().run, RunOutcome::Complete);
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_TRUE(m_results[0].completed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Engines,
+                         CrashBurstTest,
+                         testing::Values(CrashBurst{"RestartUnderTheirIds", true, false, 50ms},
+                                         CrashBurst{"RestartUnderNewIds", true, true, 50ms},
+                                         CrashBurst{"OnlyLoseTheirConnections", false, false, 4s}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 } // namespace
 } // namespace bergamot::dispatch
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -95,6 +95,7 @@
         int status = 0;
         bool notExecuted = false;
         bool expectsVersion = false;
+        bool resumes = false;
         std::uint64_t version = 0;
         bool hasEvents = false;
     };
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -116,6 +116,7 @@
     run.engine = action.engine;
     run.model = action.model;
     run.expectsVersion = action.expectedVersion.has_value();
+    run.resumes = action.resumeAfter.has_value();
     run.call = m_client.start(std::move(request),
                               {.onHead =
                                    [this, id](const net::ResponseHead &head) {
@@ -198,10 +199,13 @@
         return;
     }
     if (run.status == Ok) {
-        const bool complete = !run.reader.hasPartialEvent() && run.hasEvents;
-        endRun(id,
-               complete ? dispatch::RunOutcome::Complete : dispatch::RunOutcome::StreamInterrupted,
-               complete ? "complete" : "the stream ended early");
+        if (run.reader.hasPartialEvent() || (!run.hasEvents && !run.resumes)) {
+            endRun(id, dispatch::RunOutcome::StreamInterrupted, "the stream ended early");
+        } else if (!run.hasEvents) {
+            endRun(id, dispatch::RunOutcome::NothingToResume, "no event after the last one; the text starts anew");
+        } else {
+            endRun(id, dispatch::RunOutcome::Complete, "complete");
+        }
     } else if (run.status == MisdirectedRequest) {
         endRun(id,
                run.expectsVersion ? dispatch::RunOutcome::WrongVersion : dispatch::RunOutcome::WrongEndpoint,
