samples: crashes in a burst are no evidence against a prompt

Trainers of the operators' programs would see: sound groups of a step in `failed` ("the prompt crashed e1 e2") after a burst of crashes.

Cause: CrashRule gives a suspect up when two engines have crashed under it, the second while it was probed. In a burst every group becomes a suspect with the first wave, and the next wave takes the engine that probes it.

Ruled out: never giving a prompt up because of crashes.

Change: a crash counts only if no engine that ran no sample of the prompt and probed no suspect crashed within 2 s before or after it. A suspect at its limit is held for 3 s and then given up (takeGivenUp), so that crashes which follow can still excuse it.

Two crashes under one prompt that no other crash accompanies look the same whether the prompt is guilty or not; a rule that must give up the guilty one cannot spare every sound one.

--- a/bergamot/samples/crash_rule.cpp
+++ b/bergamot/samples/crash_rule.cpp
@@ -1,5 +1,7 @@
 #include "bergamot/samples/crash_rule.h"
 
+#include <algorithm>
+
 namespace bergamot
 {
 
@@ -11,13 +13,17 @@
 
 } // namespace
 
+CrashRule::CrashRule(CrashRuleOptions options)
+    : m_options(options)
+{ }
+
 bool CrashRule::mayStart(const GroupKey &group, const EndpointId &engine) const
 {
     const auto suspect = m_suspects.find(group);
     if (suspect == m_suspects.end()) {
         return true;
     }
-    return suspect->second.probeEngine.empty() && !m_probes.contains(engine);
+    return suspect->second.probeEngine.empty() && !suspect->second.verdictAt && !m_probes.contains(engine);
 }
 
 bool CrashRule::isProbed(const GroupKey &group) const
@@ -55,22 +61,62 @@
     return suspectState.engines.size() >= MinCrashedEngines || suspectState.deaths >= MaxDeaths;
 }
 
-std::vector<GroupKey> CrashRule::recordEngineDeath(const EndpointId &engine, const std::set<GroupKey> &inFlight)
+bool CrashRule::otherEngineCrashed(const GroupKey &group, TimePoint now) const
+{
+    return std::any_of(m_unprobedDeaths.begin(), m_unprobedDeaths.end(), [&](const UnprobedDeath &death) {
+        return now - death.at <= m_options.burstWindow && !death.inFlight.contains(group);
+    });
+}
+
+void CrashRule::recordUnprobedDeath(const std::set<GroupKey> &inFlight, TimePoint now)
+{
+    std::erase_if(m_unprobedDeaths, [&](const UnprobedDeath &death) {
+        return now - death.at > m_options.burstWindow;
+    });
+    m_unprobedDeaths.push_back({.at = now, .inFlight = inFlight});
+    for (auto &[group, suspectState] : m_suspects) {
+        if (!inFlight.contains(group) && now - suspectState.lastDeathAt <= m_options.burstWindow) {
+            suspectState.engines.clear();
+            suspectState.deaths = 0;
+        }
+    }
+}
+
+void CrashRule::recordEngineDeath(const EndpointId &engine, const std::set<GroupKey> &inFlight, TimePoint now)
 {
     const auto probe = m_probes.find(engine);
     std::set<GroupKey> suspects = inFlight;
     if (probe != m_probes.end()) {
         suspects = {probe->second};
         m_probes.erase(probe);
+    } else {
+        recordUnprobedDeath(inFlight, now);
     }
-    std::vector<GroupKey> result;
     for (const GroupKey &group : suspects) {
         SuspectState &suspectState = m_suspects[group];
         const bool wasProbe = suspectState.probeEngine == engine;
+        suspectState.probeEngine = wasProbe ? EndpointId() : suspectState.probeEngine;
+        if (otherEngineCrashed(group, now)) {
+            continue;
+        }
         suspectState.engines.insert(engine);
         ++suspectState.deaths;
-        suspectState.probeEngine = wasProbe ? EndpointId() : suspectState.probeEngine;
+        suspectState.lastDeathAt = now;
         if (wasProbe && exceedsCrashLimit(suspectState)) {
+            suspectState.verdictAt = now + m_options.verdictDelay;
+        }
+    }
+}
+
+std::vector<GroupKey> CrashRule::takeGivenUp(TimePoint now)
+{
+    std::vector<GroupKey> result;
+    for (auto &[group, suspectState] : m_suspects) {
+        if (!suspectState.verdictAt || now < *suspectState.verdictAt) {
+            continue;
+        }
+        suspectState.verdictAt.reset();
+        if (exceedsCrashLimit(suspectState)) {
             result.push_back(group);
         }
     }
--- a/bergamot/samples/sample_scheduler.cpp
+++ b/bergamot/samples/sample_scheduler.cpp
@@ -174,6 +174,7 @@
 void SampleScheduler::tick(TimePoint now)
 {
     removeTooOld();
+    giveUpCrashingGroups(now);
     startScorings(now);
     answerDraws(now);
     dispatch(now);
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -203,7 +203,8 @@
     void recordEngineDeath(const Attempt &attempt, TimePoint now);
     void giveUpGroup(const GroupKey &group);
     void applySuspects(const std::vector<SuspectGroup> &suspects);
-    void reportCrash(const EndpointId &engine, const std::set<GroupKey> &inFlight, const std::set<GroupKey> &givenUp);
+    void giveUpCrashingGroups(TimePoint now);
+    void reportCrash(const EndpointId &engine, const std::set<GroupKey> &inFlight);
     void requeueSample(const SampleRef &sample, std::string handle, Resumption resumption);
     void acceptGeneration(const std::string &requestId, const Attempt &attempt, Generation generation, TimePoint now);
     void discardUnproven(const std::string &requestId,
--- a/bergamot/samples/sample_scheduler_losses.cpp
+++ b/bergamot/samples/sample_scheduler_losses.cpp
@@ -33,21 +33,25 @@
         }
     }
     recordEvidence("engine-died", attempt.sample, {{"engine", attempt.engine.value()}});
-    const std::vector<GroupKey> givenUp = m_crashes.recordEngineDeath(attempt.engine, inFlight);
-    reportCrash(attempt.engine, inFlight, {givenUp.begin(), givenUp.end()});
-    for (const GroupKey &group : givenUp) {
+    m_crashes.recordEngineDeath(attempt.engine, inFlight, now);
+    reportCrash(attempt.engine, inFlight);
+}
+
+void SampleScheduler::giveUpCrashingGroups(TimePoint now)
+{
+    for (const GroupKey &group : m_crashes.takeGivenUp(now)) {
+        const std::vector<EndpointId> engines = m_crashes.crashedEngines(group);
+        m_suspectPrompts.recordCrash(group, {engines.begin(), engines.end()}, true);
         giveUpGroup(group);
     }
 }
 
-void SampleScheduler::reportCrash(const EndpointId &engine,
-                                  const std::set<GroupKey> &inFlight,
-                                  const std::set<GroupKey> &givenUp)
+void SampleScheduler::reportCrash(const EndpointId &engine, const std::set<GroupKey> &inFlight)
 {
     for (const GroupKey &group : inFlight) {
         const std::vector<EndpointId> engines = m_crashes.crashedEngines(group);
         if (std::find(engines.begin(), engines.end(), engine) != engines.end()) {
-            m_suspectPrompts.recordCrash(group, {engines.begin(), engines.end()}, givenUp.contains(group));
+            m_suspectPrompts.recordCrash(group, {engines.begin(), engines.end()}, false);
         }
     }
 }
