dispatch: a text of one version is not continued under another one

Trainers would see: a result with two versions on a route that requires one. Not in a log of ours; found by reading, while looking at what a resumed run after a crash may meet.

Cause: before a run resumes, the scheduler compares the text's version with the one that it knows of the engine, which lags (an engine that has just started, an order that took effect late). Events under another version were then appended to the text.

Ruled out: runs that expect a version (they get 421); loads ordered while a run is in flight (such routes have their runs finished first).

Change: an event whose version differs from that of the text ends the run, the text starts from the beginning, and the engine's version is recorded. The engine is not held off. A refused event is now logged (sample-run-ended with its reason); before, such a run ended without a line.

Before: the new test of sample_scheduler_test accepts the event; a trial that went on to the result listed two versions. After: one version, whole text. dispatch_sample_scheduler_test 46, dispatch_sample_order_test 11, platform_node_batches_test 22, platform_node_requests_test 12 pass.

Conclusion: the version is checked where it is certain, at the event.

--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -211,6 +211,14 @@
         backOff(engine->second, now);
         return false;
     }
+    const bool otherVersion =
+        batch->policy && batch->policy->singleVersion && !item->versions.empty() && item->versions.back() != version;
+    if (otherVersion) {
+        cancel(run);
+        discardText(*item);
+        engine->second.versions[batch->model] = version;
+        return false;
+    }
     if (item->hasEvents) {
         item->text += '\n';
     } else {
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -180,7 +180,7 @@
     /// The engine accepted the run and reported its weight version; 0: not reported.
     void runAccepted(RunId run, std::uint64_t version, TimePoint now);
     /// False if the event is not accepted: the run is unknown, or the event was out of order or of a weight version
-    /// that the batch does not allow, and the run has been cancelled to resume at another engine.
+    /// that the batch or the text does not allow, and the run has been cancelled. Its item runs again.
     bool runEvent(RunId run, std::uint64_t eventId, std::string_view data, std::uint64_t version, TimePoint now);
     void runEnded(RunId run, RunOutcome outcome, TimePoint now);
     void scoringEnded(const ItemKey &key, ScoringOutcome outcome, const std::string &score, TimePoint now);
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -449,6 +449,31 @@
     EXPECT_EQ(m_results[0].text, "d1\nd2");
 }
 
+// The list of engines lags behind their weights, so a text may be resumed at an engine that has other ones.
+TEST_F(SampleSchedulerTest, ATextOfOneVersionStartsAgainIfItWasResumedUnderAnotherOne)
+{
+    m_itemPolicy.singleVersion = true;
+    setEngines({engine("e1", 5)});
+    addBatch("b", 1);
+    receiveEvent(m_starts[0].run, 1);
+    endRun(m_starts[0].run, RunOutcome::StaleConnection);
+    ASSERT_EQ(m_starts.back().resumeAfter, 1U);
+    const RunId mixed = m_starts.back().run;
+    m_scheduler.runAccepted(mixed, 6, m_now);
+    receiveEvent(mixed, 2, 6);
+    EXPECT_FALSE(m_lastEventAccepted);
+    EXPECT_TRUE(m_cancelled.contains(mixed));
+    advance(50ms);
+    ASSERT_EQ(m_starts.size(), 3U);
+    EXPECT_FALSE(m_starts.back().resumeAfter);
+    receiveEvent(m_starts.back().run, 1, 6);
+    receiveEvent(m_starts.back().run, 2, 6);
+    endRun(m_starts.back().run, RunOutcome::Complete);
+    ASSERT_EQ(m_results.size(), 1U);
+    EXPECT_EQ(m_results[0].text, "d1\nd2");
+    EXPECT_EQ(m_results[0].versions, std::vector<std::uint64_t>{6});
+}
+
 struct CrashBurst
 {
     const char *name;
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -142,6 +142,8 @@
     void handleRunData(dispatch::RunId id, std::string_view data);
     void handleRunEnd(dispatch::RunId id, const net::CallEnd &end);
     void endRun(dispatch::RunId id, dispatch::RunOutcome outcome, std::string_view reason);
+    /// Logs why a run ended without a whole text.
+    void writeRunEnd(const ActiveRun &run, std::string_view reason);
     void startScoring(const dispatch::ItemKey &key);
     void handleScoringEnd(const dispatch::ItemKey &key, int status, const net::Response *response);
     void commitResult(const batch::ItemResult &result);
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -169,6 +169,7 @@
         }
         run.hasEvents = true;
         if (!m_scheduler.runEvent(id, *event.id, event.data, run.version, now)) {
+            writeRunEnd(run, "an event out of order or of a version that does not fit");
             break;
         }
     }
@@ -225,19 +226,24 @@
 {
     const auto found = m_runs.find(id);
     if (outcome != dispatch::RunOutcome::Complete) {
-        const batch::Item *item = m_scheduler.item(found->second.key);
-        m_eventLog.write(EventKind::Request,
-                         "sample-run-ended",
-                         {{"item", item == nullptr ? std::string() : item->id},
-                          {"engine", found->second.engine},
-                          {"status", std::to_string(found->second.status)},
-                          {"reason", std::string(reason)}});
+        writeRunEnd(found->second, reason);
     }
     m_runs.erase(found);
     m_scheduler.runEnded(id, outcome, BootClock::now());
     performActions();
 }
 
+void EnginePool::writeRunEnd(const ActiveRun &run, std::string_view reason)
+{
+    const batch::Item *item = m_scheduler.item(run.key);
+    m_eventLog.write(EventKind::Request,
+                     "sample-run-ended",
+                     {{"item", item == nullptr ? std::string() : item->id},
+                      {"engine", run.engine},
+                      {"status", std::to_string(run.status)},
+                      {"reason", std::string(reason)}});
+}
+
 void EnginePool::startScoring(const dispatch::ItemKey &key)
 {
     const batch::Item *item = m_scheduler.item(key);
