net: every answer ends at a bound of bytes and of time

Callers would see a process that ends: one answer with a huge Content-Length threw std::bad_alloc out of the event loop (the parser reserved the announced length). Answers without end held their call for ever: a body, a chunk extension and trailers grew without a bound, a dripping body restarted its time-out with each byte, one fast sender held the event loop for 5.9 MB in one turn. A 1xx response counted as the answer.

Cause: the client bounded the head only (8 KiB, by the parser's default) and the time between two pieces of a body.

Ruled out: endless status lines, header lines and headers ended before, by the parser's bound and headTimeout; bytes after a complete answer too.

Change: ClientRequest has maxHeadBytes (all heads of an answer, a chunk header, trailers), maxBodyBytes, maxEventBytes (an event stream is bounded by the size of one event, not in total), answerTimeout and streamTimeout (from the start of the call). A larger answer is Malformed with its reason. The gap of an event stream is measured between events. Interim responses are skipped; 101 is Malformed. A body is no longer reserved by its announced length.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include "bergamot/net/internal/event_meter.h"
+#include "bergamot/net/internal/piece_body.h"
 #include "bergamot/net/internal/socket_reader.h"
 
 namespace bergamot::net
@@ -21,6 +23,10 @@
 {
 
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500); // the peer's idle timer starts earlier
+constexpr std::size_t ReadsPerTurn = 8; // reads of one connection before other work of the event loop gets its turn
+constexpr std::string_view BodyTooLarge = "the response body exceeds its bound";
+constexpr int FirstFinalStatus = 200; // a lower one belongs to an interim response
+constexpr int SwitchingProtocols = 101;
 
 std::string serializedHead(const ClientRequest &request)
 {
@@ -137,9 +143,11 @@
             }
             return;
         case Stage::ReadingBody:
-            if (now - m_lastDataAt > m_request.bodyGapTimeout) {
+            if (now - m_progressAt > m_request.bodyGapTimeout) {
                 end({.failure = CallFailure::TimedOut,
                      .detail = "the response body stalled for longer than the timeout"});
+            } else if (const std::optional<Duration> limit = totalTimeout(); limit && now - m_startedAt > *limit) {
+                end({.failure = CallFailure::TimedOut, .detail = "the response did not end within the timeout"});
             }
             return;
         case Stage::Ended:
@@ -183,14 +191,25 @@
             self->m_sent = !error;
             self->m_writing = false;
         });
-        m_parser.emplace();
-        m_parser->body_limit(boost::none);
-        m_parser->eager(true);
+        renewParser();
         error_code ignored; // on failure a read could block; unlikely, because each follows a wait for data
         m_connection->socket.non_blocking(true, ignored);
         awaitData();
     }
 
+    void renewParser()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_request.maxHeadBytes - m_parsedBytes));
+        m_parser->body_limit(boost::none); // `handleBody` enforces the limit
+        m_parser->eager(true);
+    }
+
+    std::optional<Duration> totalTimeout() const
+    {
+        return m_eventMeter ? m_request.streamTimeout : std::optional(m_request.answerTimeout);
+    }
+
     void awaitData()
     {
         m_connection->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
@@ -204,7 +223,13 @@
 
     void readAll()
     {
-        while (m_stage != Stage::Ended) {
+        for (std::size_t reads = 0; m_stage != Stage::Ended; ++reads) {
+            if (reads == ReadsPerTurn) {
+                asio::post(m_client.m_loop, [self = shared_from_this()] {
+                    self->readAll();
+                });
+                return;
+            }
             error_code error;
             const bool more = internal::readAvailable(m_connection->socket, m_buffer, error);
             if (error) {
@@ -225,7 +250,13 @@
     bool parse()
     {
         error_code error;
-        internal::feed(*m_parser, m_buffer, error);
+        feedParser(error);
+        while (!error && interimResponseEnded()) {
+            if (!skipInterimResponse()) {
+                return false;
+            }
+            feedParser(error);
+        }
         if (m_stage == Stage::AwaitingHead && m_parser->is_header_done() && !handleHead()) {
             return false;
         }
@@ -240,6 +271,38 @@
             complete();
             return false;
         }
+        if (m_buffer.size() > m_request.maxHeadBytes) { // a chunk header or the trailers
+            end({.failure = CallFailure::Malformed, .detail = "the framing of the response body exceeds its bound"});
+            return false;
+        }
+        return true;
+    }
+
+    void feedParser(error_code &error)
+    {
+        const std::size_t before = m_buffer.size();
+        internal::feed(*m_parser, m_buffer, error);
+        m_parsedBytes += before - m_buffer.size();
+    }
+
+    bool interimResponseEnded() const
+    {
+        return m_stage == Stage::AwaitingHead && m_parser->is_done()
+            && static_cast<int>(m_parser->get().result_int()) < FirstFinalStatus;
+    }
+
+    /// Returns false if the call has ended.
+    bool skipInterimResponse()
+    {
+        if (static_cast<int>(m_parser->get().result_int()) == SwitchingProtocols) {
+            end({.failure = CallFailure::Malformed, .detail = "the peer switches protocols unasked"});
+            return false;
+        }
+        if (m_parsedBytes >= m_request.maxHeadBytes) {
+            end({.failure = CallFailure::Malformed, .detail = "the interim responses exceed the bound of the head"});
+            return false;
+        }
+        renewParser();
         return true;
     }
 
@@ -268,11 +331,21 @@
             end({.failure = CallFailure::Malformed, .detail = "the response belongs to another request"});
             return false;
         }
+        if (head.status < FirstFinalStatus) {
+            end({.failure = CallFailure::Malformed, .detail = "the response has no valid status"});
+            return false;
+        }
+        if (isEventStream(head)) {
+            m_eventMeter.emplace();
+        } else if (m_parser->content_length().value_or(0) > m_request.maxBodyBytes) {
+            end({.failure = CallFailure::Malformed, .detail = std::string(BodyTooLarge)});
+            return false;
+        }
         m_keepAlive = m_parser->keep_alive();
         m_peerIdleLimit = keepAliveTime(head.headers);
         m_untilClose = m_parser->need_eof();
         m_stage = Stage::ReadingBody;
-        m_lastDataAt = BootClock::now();
+        m_progressAt = BootClock::now();
         const std::shared_ptr<Call> self = shared_from_this();
         if (m_events.onHead) {
             m_events.onHead(head);
@@ -286,14 +359,35 @@
         if (body.empty()) {
             return true;
         }
-        m_lastDataAt = BootClock::now();
         const std::string data = std::exchange(body, {});
+        if (!measureBody(data)) {
+            return false;
+        }
         if (m_events.onData) {
             m_events.onData(data);
         }
         return m_stage != Stage::Ended;
     }
 
+    /// Returns false if the body exceeds its bounds and the call has ended.
+    bool measureBody(std::string_view data)
+    {
+        m_bodyBytes += data.size();
+        const bool progress = !m_eventMeter || m_eventMeter->add(data);
+        if (progress) {
+            m_progressAt = BootClock::now();
+        }
+        if (m_eventMeter && m_eventMeter->openBytes() > m_request.maxEventBytes) {
+            end({.failure = CallFailure::Malformed, .detail = "an event exceeds its bound"});
+            return false;
+        }
+        if (!m_eventMeter && m_bodyBytes > m_request.maxBodyBytes) {
+            end({.failure = CallFailure::Malformed, .detail = std::string(BodyTooLarge)});
+            return false;
+        }
+        return true;
+    }
+
     void complete()
     {
         const bool reusable = m_keepAlive && !m_untilClose && !m_writing && m_sent && m_buffer.empty();
@@ -327,11 +421,14 @@
     ClientRequest m_request;
     CallEvents m_events;
     TimePoint m_startedAt;
-    TimePoint m_lastDataAt{};
+    TimePoint m_progressAt{}; // of the last piece of the body, or the last event of an event stream
     std::shared_ptr<Connection> m_connection;
     std::string m_head;
     std::string m_buffer; // received, not parsed yet
-    std::optional<http::response_parser<http::string_body>> m_parser;
+    std::optional<http::response_parser<internal::PieceBody>> m_parser;
+    std::optional<internal::EventMeter> m_eventMeter; // present if the response is an event stream
+    std::size_t m_parsedBytes = 0;
+    std::size_t m_bodyBytes = 0;
     Stage m_stage = Stage::Connecting;
     bool m_reused = false;
     bool m_writing = true;
--- a/bergamot/net/http_client.h
+++ b/bergamot/net/http_client.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_set>
 
 #include <boost/asio/io_context.hpp>
@@ -34,7 +35,14 @@
     bool newConnection = false; // open a new connection instead of reusing an idle one
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration headTimeout = std::chrono::seconds(2); // from the start of the call to the end of the response head
-    Duration bodyGapTimeout = std::chrono::seconds(2); // between two pieces of the response body
+    Duration bodyGapTimeout =
+        std::chrono::seconds(2); // between two pieces of the body, or two events of an event stream
+    Duration answerTimeout = std::chrono::seconds(30); // from the start of the call to its end; not for event streams
+    std::optional<Duration> streamTimeout; // the same for an event stream; none: only the gaps are bounded
+    std::size_t maxHeadBytes =
+        std::size_t{16} * 1024; // heads including interim (1xx) ones; also one chunk header or the trailers
+    std::size_t maxBodyBytes = std::size_t{4} * 1024 * 1024; // not for event streams
+    std::size_t maxEventBytes = std::size_t{256} * 1024; // one event of an event stream, which is not bounded in total
     std::string expectedEcho; // a response with another value in `echoHeader` belongs to another request
     std::string echoHeader; // empty: no check
 };
@@ -44,7 +52,7 @@
     NotConnected, // the request was not sent
     Lost, // the connection was lost; the request may have reached the peer
     TimedOut,
-    Malformed, // not an HTTP response, or the response to another request
+    Malformed, // not an HTTP response, larger than its bounds, or the response to another request
 };
 
 /// The outcome of a call.
--- a/bergamot/net/message.cpp
+++ b/bergamot/net/message.cpp
@@ -74,6 +74,14 @@
     return kept;
 }
 
+bool isEventStream(const ResponseHead &head)
+{
+    constexpr std::string_view EventStream = "text/event-stream";
+    const std::string_view type = head.headers.find("Content-Type").value_or("");
+    const bool success = head.status >= 200 && head.status < 300;
+    return success && HeaderFields::sameName(type.substr(0, EventStream.size()), EventStream);
+}
+
 std::string percentDecoded(std::string_view text)
 {
     constexpr int Hexadecimal = 16;
--- a/bergamot/net/message.h
+++ b/bergamot/net/message.h
@@ -100,6 +100,9 @@
     std::string body;
 };
 
+/// Whether this is the head of a successful response with a `text/event-stream` body.
+bool isEventStream(const ResponseHead &head);
+
 /// Decodes the percent-encoding of a query value; malformed escapes stay as they are.
 std::string percentDecoded(std::string_view text);
 
