node: a run whose engine sends no events ends, however much it sends

Callers would miss results: a sample whose engine answers with bytes that are no events, or with events that have no id, stayed at that engine for good.

Cause: the time-out of a run asked for bytes, not for events; nothing bounded what came between two events. The answers to orders and reports had no bound in total.

Change: a run ends (sample-run-ended, with its reason) when gapTimeout passes without an event with an id, or when 256 KiB arrive without one; the engine backs off as after a broken stream. An order or a report has orderTimeout for its whole answer. A report that does not confirm a load is logged (load-unconfirmed), and one whose answer broke off is not used. The stand-in counts the connections that callers close, with or without a reset.

After: all 14 pass, none longer than 2.4 s; node_batches_test and node_restart_test pass.

--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -290,6 +290,7 @@
         applyEndpoints();
     }
     checkRoutes(now);
+    endRunsWithoutProgress(now);
     m_scheduler.tick(now);
     advanceLoads(now);
     planLoads(now);
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -34,6 +34,7 @@
     Duration connectTimeout = std::chrono::milliseconds(400); // hundreds of times the round trip within a region
     Duration headTimeout = std::chrono::milliseconds(1500); // engines respond within tens of milliseconds
     Duration gapTimeout = std::chrono::milliseconds(1200); // longer than the pause of an engine that loads weights
+    std::size_t maxBytesWithoutEvent = std::size_t{256} * 1024; // of the response to a run; an event is a few tokens
     Duration expectedLoadTime = std::chrono::milliseconds(920); // a load is assumed to be done after this time
     Duration confirmInterval = std::chrono::milliseconds(250); // reports lag by some hundred milliseconds
     Duration loadTimeout = std::chrono::seconds(6); // an order without visible effect is repeated after this time
@@ -97,6 +98,8 @@
         bool expectsVersion = false;
         std::uint64_t version = 0;
         bool hasEvents = false;
+        TimePoint progressAt{}; // of the head or the last event
+        std::size_t bytesSinceProgress = 0;
     };
 
     /// Host and path that select the routes of a batch.
@@ -140,6 +143,10 @@
     void handleRunHead(dispatch::RunId id, const net::ResponseHead &head);
     void handleRunData(dispatch::RunId id, std::string_view data);
     void handleRunEnd(dispatch::RunId id, const net::CallEnd &end);
+    /// Ends the runs whose response goes on without an event.
+    void endRunsWithoutProgress(TimePoint now);
+    /// Closes the connection of a run and ends it.
+    void breakOffRun(dispatch::RunId id, dispatch::RunOutcome outcome, std::string_view reason);
     void endRun(dispatch::RunId id, dispatch::RunOutcome outcome, std::string_view reason);
     void startScoring(const dispatch::ItemKey &key);
     void handleScoringEnd(const dispatch::ItemKey &key, int status, const net::Response *response);
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -91,7 +91,8 @@
                                 .body = request.body,
                                 .connectTimeout = m_options.connectTimeout,
                                 .headTimeout = m_options.orderTimeout,
-                                .bodyGapTimeout = m_options.orderTimeout};
+                                .bodyGapTimeout = m_options.orderTimeout,
+                                .answerTimeout = m_options.orderTimeout};
     outgoing.headers.set("Host", toString(endpoint->second.address));
     outgoing.headers.set(m_codec.headers().expectedEndpoint, engine);
     struct Answer
@@ -169,7 +170,7 @@
     Load &load = m_loads[engine];
     load.confirming = true;
     callEngine(
-        engine, m_codec.reportRequest(), [this, engine](int status, const std::string &body, const net::CallEnd &) {
+        engine, m_codec.reportRequest(), [this, engine](int status, const std::string &body, const net::CallEnd &end) {
             const auto found = m_loads.find(engine);
             if (found == m_loads.end()) {
                 return;
@@ -178,7 +179,10 @@
             current.confirming = false;
             current.nextConfirmAt = BootClock::now() + m_options.confirmInterval;
             const Result<EngineReport> report = m_codec.report(body);
-            if (status != Ok || !report) {
+            if (end.failure != net::CallFailure::None || status != Ok || !report) {
+                m_eventLog.write(EventKind::State,
+                                 "load-unconfirmed",
+                                 {{"engine", engine}, {"status", std::to_string(status)}, {"detail", end.detail}});
                 return; // requested again until `loadTimeout`
             }
             const auto version = report->versions.find(current.model);
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -89,6 +89,7 @@
                                .connectTimeout = m_options.connectTimeout,
                                .headTimeout = m_options.headTimeout,
                                .bodyGapTimeout = m_options.gapTimeout,
+                               .answerTimeout = Duration::max(), // `endRunsWithoutProgress` bounds every response
                                .expectedEcho = item->id,
                                .echoHeader = names.requestId};
     for (const batch::ItemHeader &header : item->headers) {
@@ -139,6 +140,7 @@
     }
     ActiveRun &run = found->second;
     run.status = head.status;
+    run.progressAt = BootClock::now();
     run.notExecuted = head.headers.has(m_codec.headers().notExecuted);
     if (head.status == Ok) {
         run.version = parseNumber(head.headers.find(m_codec.headers().weightVersions).value_or(""));
@@ -155,6 +157,7 @@
         return;
     }
     const TimePoint now = BootClock::now();
+    found->second.bytesSinceProgress += data.size();
     for (const dispatch::StreamEvent &event : found->second.reader.feed(data)) {
         ActiveRun &run = found->second;
         for (const auto &[name, value] : event.otherFields) {
@@ -167,13 +170,40 @@
             continue;
         }
         run.hasEvents = true;
+        run.progressAt = now;
+        run.bytesSinceProgress = 0;
         if (!m_scheduler.runEvent(id, *event.id, event.data, run.version, now)) {
             break;
         }
     }
+    if (found->second.bytesSinceProgress > m_options.maxBytesWithoutEvent) {
+        breakOffRun(id, dispatch::RunOutcome::StreamInterrupted, "the response goes on without an event");
+        return;
+    }
     performActions();
 }
 
+void EnginePool::endRunsWithoutProgress(TimePoint now)
+{
+    std::vector<dispatch::RunId> runs;
+    for (const auto &[id, run] : m_runs) {
+        if (run.status != 0 && now - run.progressAt > m_options.gapTimeout) {
+            runs.push_back(id);
+        }
+    }
+    for (const dispatch::RunId id : runs) {
+        if (m_runs.contains(id)) {
+            breakOffRun(id, dispatch::RunOutcome::TimedOut, "the response had no event within the timeout");
+        }
+    }
+}
+
+void EnginePool::breakOffRun(dispatch::RunId id, dispatch::RunOutcome outcome, std::string_view reason)
+{
+    m_runs.at(id).call->cancel();
+    endRun(id, outcome, reason);
+}
+
 void EnginePool::handleRunEnd(dispatch::RunId id, const net::CallEnd &end)
 {
     const auto found = m_runs.find(id);
--- a/bergamot/standins/endless_server.cpp
+++ b/bergamot/standins/endless_server.cpp
@@ -70,6 +70,17 @@
     return m_resets;
 }
 
+std::size_t EndlessServer::closed() const
+{
+    return m_closed;
+}
+
+void EndlessServer::countEnd(const error_code &error)
+{
+    ++m_closed;
+    m_resets += error == boost::asio::error::connection_reset ? 1 : 0;
+}
+
 void EndlessServer::accept()
 {
     m_acceptor.async_accept([this](const error_code &error, tcp::socket socket) {
@@ -88,9 +99,7 @@
                                   boost::asio::dynamic_buffer(peer->request),
                                   "\r\n\r\n",
                                   [this, peer](const error_code &error, std::size_t) {
-                                      if (!error) {
-                                          send(peer, m_answer.start);
-                                      }
+                                      error ? countEnd(error) : send(peer, m_answer.start);
                                   });
 }
 
@@ -101,7 +110,7 @@
             peer->bytesSent += sent;
             m_mostBytesSent = std::max<std::size_t>(m_mostBytesSent, peer->bytesSent);
             if (error) {
-                m_resets += error == boost::asio::error::connection_reset ? 1 : 0;
+                countEnd(error);
                 return;
             }
             if (m_answer.pause == Duration::zero()) {
--- a/bergamot/standins/endless_server.h
+++ b/bergamot/standins/endless_server.h
@@ -48,11 +48,14 @@
     std::size_t connections() const;
     /// Connections that the caller closed with a reset.
     std::size_t resets() const;
+    /// Connections that the caller closed in any way.
+    std::size_t closed() const;
 
 private:
     struct Peer;
 
     void accept();
+    void countEnd(const boost::system::error_code &error);
     void awaitRequest(const std::shared_ptr<Peer> &peer);
     void send(const std::shared_ptr<Peer> &peer, const std::string &bytes);
 
@@ -63,6 +66,7 @@
     std::atomic<std::size_t> m_mostBytesSent{0};
     std::atomic<std::size_t> m_connections{0};
     std::atomic<std::size_t> m_resets{0};
+    std::atomic<std::size_t> m_closed{0};
     std::thread m_thread;
 };
 
