node: an answer that drips is given up in time for a retry

Callers would get a 504 at their deadline from an endpoint whose answer drips, though another endpoint could have answered.

Cause: the time-out of an attempt ended with the head of its answer; the body had the caller's whole deadline between any two pieces.

Change: an attempt of a plain request has its time-out for the whole answer, a stream the time that is left of its deadline. The question to the pool's owner has its time-out for the whole answer, which is at most 4 KiB.

--- a/bergamot/node/owner_probe.cpp
+++ b/bergamot/node/owner_probe.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(400);
+constexpr std::size_t MaxAnswerBytes = 4096; // the answer is the name of an instance
 
 } // namespace
 
@@ -33,7 +34,9 @@
                                .newConnection = true,
                                .connectTimeout = ProbeTimeout,
                                .headTimeout = ProbeTimeout,
-                               .bodyGapTimeout = ProbeTimeout};
+                               .bodyGapTimeout = ProbeTimeout,
+                               .answerTimeout = ProbeTimeout,
+                               .maxBodyBytes = MaxAnswerBytes};
     request.headers.add("Host", toString(address));
     request.headers.add("Connection", "close");
     client.start(std::move(request),
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -22,11 +22,6 @@
     return std::to_string(std::max<std::int64_t>(1, whole));
 }
 
-bool isEventStream(const net::ResponseHead &head)
-{
-    return head.headers.find("Content-Type").value_or("").starts_with("text/event-stream");
-}
-
 } // namespace
 
 RequestForwarder::RequestForwarder(boost::asio::io_context &loop,
@@ -157,7 +152,9 @@
     }
     Pending &pending = found->second;
     ++pending.attempts;
-    const bool stream = pending.request.route.kind == fleet::RouteKind::Streaming;
+    const fleet::RouteKind kind = pending.request.route.kind;
+    const bool stream = kind == fleet::RouteKind::Streaming;
+    const bool boundedByGaps = stream || kind == fleet::RouteKind::Batch;
     net::ClientRequest outgoing{.to = action.address,
                                 .method = pending.request.request.method,
                                 .target = pending.request.request.target,
@@ -167,6 +164,8 @@
                                 .connectTimeout = std::min<Duration>(action.timeout, std::chrono::milliseconds(400)),
                                 .headTimeout = action.timeout,
                                 .bodyGapTimeout = stream ? action.timeout : action.deadlineLeft,
+                                .answerTimeout = boundedByGaps ? action.deadlineLeft : action.timeout,
+                                .streamTimeout = action.deadlineLeft,
                                 .expectedEcho = pending.request.id,
                                 .echoHeader = m_headers.requestId};
     outgoing.headers.remove("Expect");
@@ -201,8 +200,7 @@
     attempt.response.status = head.status;
     attempt.response.headers = net::withoutHopByHopFields(head.headers);
     const auto pending = m_pending.find(attempt.request);
-    const bool success = head.status >= 200 && head.status < 300;
-    if (pending != m_pending.end() && success && isEventStream(head)) {
+    if (pending != m_pending.end() && net::isEventStream(head)) {
         attempt.streaming = true;
         m_router.onStreamStarted(id);
         pending->second.sink->beginStream({.status = head.status, .headers = attempt.response.headers});
