node: a stream waits for its caller instead of filling the memory

Callers would see an instance that ends: a node read a stream as fast as its endpoint sent it and queued what the caller had not taken. One fast stream to one caller that does not read fills 112 MB within a second.

Cause: nothing compared the queue of the caller's connection with anything; the 10 s of the server's writeTimeout are too long for that.

Ruled out: a bound of the stream in bytes (long streams are legitimate), and an abort of streams that are behind (a caller that reads late would lose one).

Change: ClientCall::setPaused holds back the endpoint by flow control. The forwarder pauses a stream while more than 512 KiB wait for its caller and goes on within 10 ms of the queue's fall. The gap of a paused stream is not timed; its deadline is.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -128,6 +128,18 @@
         m_client.m_calls.erase(shared_from_this());
     }
 
+    void setPaused(bool paused) override
+    {
+        if (m_paused == paused || m_stage != Stage::ReadingBody) {
+            return;
+        }
+        m_paused = paused;
+        if (!paused) {
+            m_progressAt = BootClock::now();
+            continueReading();
+        }
+    }
+
     void checkDeadlines(TimePoint now)
     {
         switch (m_stage) {
@@ -143,7 +155,7 @@
             }
             return;
         case Stage::ReadingBody:
-            if (now - m_progressAt > m_request.bodyGapTimeout) {
+            if (!m_paused && now - m_progressAt > m_request.bodyGapTimeout) {
                 end({.failure = CallFailure::TimedOut,
                      .detail = "the response body stalled for longer than the timeout"});
             } else if (const std::optional<Duration> limit = totalTimeout(); limit && now - m_startedAt > *limit) {
@@ -210,9 +222,24 @@
         return m_eventMeter ? m_request.streamTimeout : std::optional(m_request.answerTimeout);
     }
 
+    /// Reads in a later turn of the event loop, unless a read is due anyway.
+    void continueReading()
+    {
+        if (m_readDue) {
+            return;
+        }
+        m_readDue = true;
+        asio::post(m_client.m_loop, [self = shared_from_this()] {
+            self->m_readDue = false;
+            self->readAll();
+        });
+    }
+
     void awaitData()
     {
+        m_readDue = true;
         m_connection->socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            self->m_readDue = false;
             if (error) {
                 self->connectionEnded(error);
             } else {
@@ -223,11 +250,9 @@
 
     void readAll()
     {
-        for (std::size_t reads = 0; m_stage != Stage::Ended; ++reads) {
+        for (std::size_t reads = 0; m_stage != Stage::Ended && !m_paused; ++reads) {
             if (reads == ReadsPerTurn) {
-                asio::post(m_client.m_loop, [self = shared_from_this()] {
-                    self->readAll();
-                });
+                continueReading();
                 return;
             }
             error_code error;
@@ -433,6 +458,8 @@
     bool m_reused = false;
     bool m_writing = true;
     bool m_sent = false;
+    bool m_paused = false;
+    bool m_readDue = false; // a callback that reads is scheduled
     bool m_keepAlive = false;
     bool m_untilClose = false;
     std::optional<Duration> m_peerIdleLimit;
--- a/bergamot/net/http_client.h
+++ b/bergamot/net/http_client.h
@@ -87,6 +87,8 @@
     virtual ~ClientCall() = default;
     /// Closes the connection, unless the call has ended; no event follows.
     virtual void cancel() = 0;
+    /// While paused, the response is not read and its gaps are not timed; the peer is held back by flow control.
+    virtual void setPaused(bool paused) = 0;
 };
 
 /// Not thread-safe: all calls and events run on the loop's thread. `start` itself never invokes an event.
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -66,6 +66,10 @@
     {
         refuse({});
     }
+    std::size_t queuedBytes() const override
+    {
+        return 0;
+    }
 
 private:
     EnginePool &m_pool;
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -121,6 +121,10 @@
         count(0);
         m_exchange->abort();
     }
+    std::size_t queuedBytes() const override
+    {
+        return m_exchange->queuedBytes();
+    }
 
 private:
     void count(int status)
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10); // resolution of the router's timers
+constexpr std::size_t MaxQueuedBytes = std::size_t{512} * 1024; // of one stream, before its endpoint is held back
 constexpr Duration HeartbeatLag = std::chrono::milliseconds(1500); // longest delay until a heartbeat is read
 
 std::string milliseconds(Duration duration)
@@ -220,6 +221,16 @@
     const auto pending = m_pending.find(found->second.request);
     if (pending != m_pending.end()) {
         pending->second.sink->write(data);
+        adjustFlow(found->second, *pending->second.sink);
+    }
+}
+
+void RequestForwarder::adjustFlow(Attempt &attempt, const ForwardSink &sink)
+{
+    const bool behind = sink.queuedBytes() > MaxQueuedBytes;
+    if (behind != attempt.paused) {
+        attempt.paused = behind;
+        attempt.call->setPaused(behind);
     }
 }
 
@@ -273,6 +284,12 @@
         m_tickScheduled = false;
         if (!error) {
             m_router.tick(BootClock::now());
+            for (auto &[id, attempt] : m_attempts) {
+                const auto pending = m_pending.find(attempt.request);
+                if (attempt.paused && pending != m_pending.end()) {
+                    adjustFlow(attempt, *pending->second.sink);
+                }
+            }
             performActions();
         }
     });
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -37,6 +37,8 @@
     virtual void write(std::string_view data) = 0;
     virtual void finishStream() = 0;
     virtual void abortStream() = 0;
+    /// Bytes of a stream that the receiver has not taken yet.
+    virtual std::size_t queuedBytes() const = 0;
 };
 
 struct ForwardRequest
@@ -88,6 +90,7 @@
         net::Response response;
         bool streaming = false;
         bool complete = false;
+        bool paused = false; // the receiver of the stream is behind
     };
 
     void performActions();
@@ -95,6 +98,8 @@
     void handleAttemptHead(AttemptId id, const net::ResponseHead &head);
     void handleAttemptData(AttemptId id, std::string_view data);
     void handleAttemptEnd(AttemptId id, const net::CallEnd &end);
+    /// Holds back the streams whose receivers are behind.
+    void adjustFlow(Attempt &attempt, const ForwardSink &sink);
     void scheduleTick();
     void finishRequest(RequestId id, int status, std::string_view reason);
 
