operators' client: an answer that is too large ends the call's connection

Operators' programs would grow without a bound: the call failed at its limit, but the library went on reading the answer into its own buffer.

Cause: the limit ended the call's result only; its connection stayed open.

Change: the call is cancelled, which closes the connection. The limit is an option of the call (maxResponseBytes, 64 MiB as before; not for streams).

Ruled out: a drip of a head or a body; the time-out of the whole call ends it.

Before: three of the five cases of http_client_endless_test (UntilClose, ContentLength, Chunks, with a limit of 1 MiB) accept more than 134 MB and the connection stays open; after: all pass, in three runs. http_http_test, http_server_bounds_test and standins_http_clients_test pass.

--- a/bergamot/http/client.cpp
+++ b/bergamot/http/client.cpp
@@ -13,7 +13,6 @@
 
 using NativeClient = web::http::client::http_client;
 
-constexpr std::size_t MaxResponseBytes = 64U << 20U;
 // The library's own timeout restarts with each byte; ours bounds the whole call and is the one that counts.
 constexpr std::chrono::hours LibraryTimeout{1};
 constexpr std::string_view NeverConnected = "Failed to connect";
@@ -65,8 +64,12 @@
 class NativeCall final : public PendingCall, public std::enable_shared_from_this<NativeCall>
 {
 public:
-    NativeCall(std::shared_ptr<NativeClient> client, HttpClient::Done done, HttpClient::StreamSink sink)
+    NativeCall(std::shared_ptr<NativeClient> client,
+               std::size_t maxResponseBytes,
+               HttpClient::Done done,
+               HttpClient::StreamSink sink)
         : m_client(std::move(client))
+        , m_maxResponseBytes(maxResponseBytes)
         , m_done(std::move(done))
         , m_sink(std::move(sink))
     { }
@@ -119,10 +122,11 @@
             m_sink.head(head);
             return relay(native.body(), std::move(head));
         }
-        return http_internal::readBody(native.body(), MaxResponseBytes)
+        return http_internal::readBody(native.body(), m_maxResponseBytes)
             .then([self = shared_from_this(), head = std::move(head)](std::optional<std::string> body) mutable {
                 if (!body) {
-                    self->finish(tl::unexpected(CallFailure{Delivery::MaybeRan, false, "the answer is too large"}));
+                    // The library would go on reading into its own buffer.
+                    self->end({Delivery::MaybeRan, false, "the answer is too large"});
                     return;
                 }
                 head.body = std::move(*body);
@@ -164,6 +168,7 @@
     }
 
     std::shared_ptr<NativeClient> m_client;
+    std::size_t m_maxResponseBytes;
     HttpClient::Done m_done;
     HttpClient::StreamSink m_sink;
     pplx::cancellation_token_source m_cancellation;
@@ -211,7 +216,8 @@
 
 std::shared_ptr<PendingCall> HttpClient::call(const Address &to, HttpRequest request, CallOptions options, Done done)
 {
-    auto call = std::make_shared<NativeCall>(m_impl->clientFor(to, options.repeatable), std::move(done), StreamSink{});
+    auto call = std::make_shared<NativeCall>(
+        m_impl->clientFor(to, options.repeatable), options.maxResponseBytes, std::move(done), StreamSink{});
     m_impl->timers.postAfter(options.timeout, [weak = std::weak_ptr(call)] {
         if (const auto pending = weak.lock()) {
             pending->expire();
@@ -224,8 +230,8 @@
 std::shared_ptr<PendingCall>
 HttpClient::callStreaming(const Address &to, HttpRequest request, CallOptions options, StreamSink sink, Done done)
 {
-    auto call =
-        std::make_shared<NativeCall>(m_impl->clientFor(to, options.repeatable), std::move(done), std::move(sink));
+    auto call = std::make_shared<NativeCall>(
+        m_impl->clientFor(to, options.repeatable), options.maxResponseBytes, std::move(done), std::move(sink));
     watchProgress(m_impl->timers, call, options.timeout);
     call->start(std::move(request));
     return call;
--- a/bergamot/http/client.h
+++ b/bergamot/http/client.h
@@ -36,6 +36,7 @@
 struct CallOptions
 {
     std::chrono::milliseconds timeout{1000}; // for the whole call
+    std::size_t maxResponseBytes = std::size_t{64} * 1024 * 1024; // of the body; not for streams
     bool repeatable = true; // false: never sent on a connection that was used before
 };
 
