--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10); // resolution of the router's timers
+constexpr std::size_t MaxQueuedBytes = std::size_t{512} * 1024; // of one stream, before its endpoint is held back
 constexpr Duration HeartbeatLag = std::chrono::milliseconds(1500); // longest delay until a heartbeat is read
 
 std::string milliseconds(Duration duration)
@@ -22,11 +23,6 @@
     return std::to_string(std::max<std::int64_t>(1, whole));
 }
 
-bool isEventStream(const net::ResponseHead &head)
-{
-    return head.headers.find("Content-Type").value_or("").starts_with("text/event-stream");
-}
-
 } // namespace
 
 RequestForwarder::RequestForwarder(boost::asio::io_context &loop,
@@ -163,7 +159,9 @@
     }
     Pending &pending = found->second;
     ++pending.attempts;
-    const bool stream = pending.request.route.kind == fleet::RouteKind::Streaming;
+    const fleet::RouteKind kind = pending.request.route.kind;
+    const bool stream = kind == fleet::RouteKind::Streaming;
+    const bool boundedByGaps = stream || kind == fleet::RouteKind::Batch;
     net::ClientRequest outgoing{.to = action.address,
                                 .method = pending.request.request.method,
                                 .target = pending.request.request.target,
@@ -173,6 +171,8 @@
                                 .connectTimeout = std::min<Duration>(action.timeout, std::chrono::milliseconds(400)),
                                 .headTimeout = action.timeout,
                                 .bodyGapTimeout = stream ? action.timeout : action.deadlineLeft,
+                                .answerTimeout = boundedByGaps ? action.deadlineLeft : action.timeout,
+                                .streamTimeout = action.deadlineLeft,
                                 .expectedEcho = pending.request.id,
                                 .echoHeader = m_headers.requestId};
     outgoing.headers.remove("Expect");
@@ -214,8 +214,7 @@
     attempt.response.status = head.status;
     attempt.response.headers = net::withoutHopByHopFields(head.headers);
     const auto pending = m_pending.find(attempt.request);
-    const bool success = head.status >= 200 && head.status < 300;
-    if (pending != m_pending.end() && success && isEventStream(head)) {
+    if (pending != m_pending.end() && net::isEventStream(head)) {
         attempt.streaming = true;
         m_router.onStreamStarted(id);
         pending->second.sink->beginStream({.status = head.status, .headers = attempt.response.headers});
@@ -235,6 +234,16 @@
     const auto pending = m_pending.find(found->second.request);
     if (pending != m_pending.end()) {
         pending->second.sink->write(data);
+        adjustFlow(found->second, *pending->second.sink);
+    }
+}
+
+void RequestForwarder::adjustFlow(Attempt &attempt, const ForwardSink &sink)
+{
+    const bool behind = sink.queuedBytes() > MaxQueuedBytes;
+    if (behind != attempt.paused) {
+        attempt.paused = behind;
+        attempt.call->setPaused(behind);
     }
 }
 
@@ -288,6 +297,12 @@
         m_tickScheduled = false;
         if (!error) {
             m_router.tick(BootClock::now());
+            for (auto &[id, attempt] : m_attempts) {
+                const auto pending = m_pending.find(attempt.request);
+                if (attempt.paused && pending != m_pending.end()) {
+                    adjustFlow(attempt, *pending->second.sink);
+                }
+            }
             performActions();
         }
     });
