--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -438,6 +438,7 @@
     updateReadPause();
     if (owns) {
         m_writer.begin(m_ownership.epoch(), 1);
+        m_snapshotSequence = 1;
     } else {
         m_writer.end();
         m_payloadWriter.clear();
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -146,6 +146,7 @@
     void acceptGap(TimePoint now);
     bool snapshotDue(TimePoint now) const;
     void writeSnapshot(TimePoint now);
+    void handleSnapshotAppend(const logstore::AppendOutcome &outcome);
     void appendSnapshot(std::vector<std::string> records, std::size_t bytes, std::uint64_t nextOffset);
     void applyRecord(std::uint64_t offset, const std::string &bytes);
     void readEnd();
@@ -184,7 +185,9 @@
     TimePoint m_gapAt{};
     TimePoint m_snapshotReadAt{};
     bool m_following = false;
+    std::uint64_t m_snapshotSequence = 1; // of the next append to the snapshot's topic in this epoch
     bool m_snapshotPending = false;
+    bool m_snapshotFailed = false; // the last snapshot is not known to be written
     bool m_started = false;
     bool m_owned = false;
     bool m_resultAwaited = false;
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr std::string_view SnapshotProducer = "snapshot";
+
 /// Keys sort in the order of the parts.
 std::string snapshotPartKey(std::size_t index)
 {
@@ -165,7 +167,8 @@
     const bool outweighed = m_bytesSinceSnapshot >= std::max(m_options.minSnapshotBytes, Weight * m_snapshotBytes);
     const bool recordsDeleted = m_tail.firstRetained() > m_snapshotNextOffset; // neither in the log nor in a snapshot
     return m_owned && !m_snapshotPending && m_tail.caughtUp()
-        && now - m_snapshotWrittenAt >= m_options.minSnapshotInterval && (outweighed || recordsDeleted);
+        && now - m_snapshotWrittenAt >= m_options.minSnapshotInterval
+        && (outweighed || recordsDeleted || m_snapshotFailed);
 }
 
 void BatchLog::writeSnapshot(TimePoint now)
@@ -193,9 +196,23 @@
     appendSnapshot(std::move(records), bytes, m_tail.nextOffset());
 }
 
+void BatchLog::handleSnapshotAppend(const logstore::AppendOutcome &outcome)
+{
+    m_snapshotFailed = outcome.status != logstore::AppendStatus::Appended;
+    if (outcome.status == logstore::AppendStatus::OutOfSequence) {
+        m_snapshotSequence = outcome.expectedSequence;
+    } else if (!m_snapshotFailed || outcome.status == logstore::AppendStatus::Unknown) {
+        ++m_snapshotSequence; // the store corrects it if the append was not executed
+    }
+}
+
 void BatchLog::appendSnapshot(std::vector<std::string> records, std::size_t bytes, std::uint64_t nextOffset)
 {
-    logstore::Append append{.topic = m_options.snapshotTopic};
+    // A snapshot that the store executes late must not replace a newer one: the store refuses its epoch or sequence.
+    logstore::Append append{.topic = m_options.snapshotTopic,
+                            .producer = logstore::Producer{.name = std::string(SnapshotProducer),
+                                                           .epoch = m_ownership.epoch(),
+                                                           .sequence = m_snapshotSequence}};
     std::size_t callBytes = 0;
     std::size_t count = 0;
     while (count < records.size() && (count == 0 || callBytes + records[count].size() <= m_options.maxCallBytes)) {
@@ -208,6 +225,7 @@
         std::move(append),
         [this, records = std::move(records), bytes, nextOffset](const logstore::AppendOutcome &outcome) mutable {
             const bool written = outcome.status == logstore::AppendStatus::Appended;
+            handleSnapshotAppend(outcome);
             if (written && !records.empty()) {
                 appendSnapshot(std::move(records), bytes, nextOffset);
                 return;
