--- a/bergamot/samples/sample_failures_test.cpp
+++ b/bergamot/samples/sample_failures_test.cpp
@@ -1,7 +1,6 @@
-#include <random>
-
 #include <gtest/gtest.h>
 
+#include "bergamot/samples/internal/crash_bursts.h"
 #include "bergamot/samples/internal/simulation_options.h"
 
 namespace bergamot
@@ -190,28 +189,12 @@
 class CrashBursts : public testing::TestWithParam<unsigned>
 { };
 
-/// Three bursts 6 s apart, each of five waves in which a third of the engines crash for 0.4 s: no sample is given up.
 TEST_P(CrashBursts, loseNoSample)
 {
-    constexpr Duration BetweenWaves = milliseconds(400);
-    constexpr std::uint16_t CrashesPerWave = 3;
-    SampleSimulation simulation(oneTrainer());
-    simulation.run(seconds(3));
-    std::mt19937 random(GetParam());
-    std::vector<std::uint16_t> engines{0, 1, 2, 3, 4, 5, 6, 7, 8};
-    for (int burst = 0; burst < 3; ++burst) {
-        for (int wave = 0; wave < 5; ++wave) {
-            std::shuffle(engines.begin(), engines.end(), random);
-            for (std::uint16_t index = 0; index < CrashesPerWave; ++index) {
-                fault(simulation, engines[index], {.fault = "crash", .duration = milliseconds(400)});
-            }
-            simulation.run(BetweenWaves);
-        }
-        simulation.run(seconds(6) - 5 * BetweenWaves);
-    }
-    EXPECT_TRUE(simulation.runUntilFinished(minutes(10)));
-    EXPECT_EQ(simulation.violations().sum(), 0U);
-    EXPECT_TRUE(simulation.trainer(0).failures().empty());
+    const CrashBurstOutcome outcome = runCrashBursts(GetParam());
+    EXPECT_TRUE(outcome.finished);
+    EXPECT_EQ(outcome.violations, 0U);
+    EXPECT_EQ(outcome.failures, 0U);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, CrashBursts, testing::Range(0U, 10U));
