node: a batch with an unreadable payload is not run in part

Trainers would get texts under the positions and ids of other items: the owner skipped an unreadable payload, so all later items of the batch moved to earlier positions.

Change: such a batch is not taken up; a line batch-record-unreadable names it and the offset. Its reads stay possible and have no results.

--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -112,62 +112,66 @@
 void EnginePool::readBatch(const std::string &batch)
 {
     const batch::BatchEntry *entry = m_log.index().find(batch);
-    m_log.readPayloads(entry->partition,
-                       entry->parts,
-                       [this, batch, generation = m_generation](bool complete, const std::vector<LogRecord> &records) {
-                           if (generation != m_generation) {
-                               return;
-                           }
-                           const batch::BatchEntry *currentEntry = m_log.index().find(batch);
-                           if (currentEntry == nullptr || currentEntry->ended) {
-                               return;
-                           }
-                           if (!complete) {
-                               auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_options.retryPause);
-                               timer->async_wait([this, batch, generation, timer](const boost::system::error_code &) {
-                                   if (generation == m_generation && m_log.index().find(batch) != nullptr) {
-                                       readBatch(batch);
-                                   }
-                               });
-                               return;
-                           }
-                           batch::Batch loaded{.id = batch,
-                                               .host = currentEntry->host,
-                                               .step = currentEntry->step,
-                                               .model = currentEntry->model,
-                                               .minVersion = currentEntry->minVersion,
-                                               .wantedGroups = currentEntry->wantedGroups};
-                           for (const LogRecord &payloadRecord : records) {
-                               const batch::log::Record *record = batch::parseRecord(payloadRecord.bytes);
-                               const batch::log::BatchPart *part =
-                                   record == nullptr ? nullptr : record->payload_as_BatchPart();
-                               if (part == nullptr || part->items() == nullptr) {
-                                   continue;
-                               }
-                               for (const batch::log::Item *item : *part->items()) {
-                                   loaded.items.push_back(batch::toItem(*item));
-                               }
-                           }
-                           if (loaded.items.empty()) {
-                               return;
-                           }
-                           BatchRouteKey routeKey{.host = loaded.host,
-                                                  .itemPath = loaded.items.front().path,
-                                                  .absence = fleet::RouteAbsence(m_options.routeAbsence)};
-                           if (loaded.items.front().scoring) {
-                               routeKey.scoringHost = loaded.items.front().scoring->host;
-                               routeKey.scoringPath = loaded.items.front().scoring->path;
-                           }
-                           m_eventLog.write(EventKind::State,
-                                            "batch-taken-up",
-                                            {{"batch", batch},
-                                             {"step", std::to_string(loaded.step)},
-                                             {"items", std::to_string(loaded.items.size())},
-                                             {"listed", std::to_string(currentEntry->results.size())},
-                                             {"min_version", std::to_string(loaded.minVersion)}});
-                           m_routeKeys[batch] = std::move(routeKey);
-                           restoreProgress(std::move(loaded));
-                       });
+    m_log.readPayloads(
+        entry->partition,
+        entry->parts,
+        [this, batch, generation = m_generation](bool complete, const std::vector<LogRecord> &records) {
+            if (generation != m_generation) {
+                return;
+            }
+            const batch::BatchEntry *currentEntry = m_log.index().find(batch);
+            if (currentEntry == nullptr || currentEntry->ended) {
+                return;
+            }
+            if (!complete) {
+                auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_options.retryPause);
+                timer->async_wait([this, batch, generation, timer](const boost::system::error_code &) {
+                    if (generation == m_generation && m_log.index().find(batch) != nullptr) {
+                        readBatch(batch);
+                    }
+                });
+                return;
+            }
+            batch::Batch loaded{.id = batch,
+                                .host = currentEntry->host,
+                                .step = currentEntry->step,
+                                .model = currentEntry->model,
+                                .minVersion = currentEntry->minVersion,
+                                .wantedGroups = currentEntry->wantedGroups};
+            for (const LogRecord &payloadRecord : records) {
+                const batch::log::Record *record = batch::parseRecord(payloadRecord.bytes);
+                const batch::log::BatchPart *part = record == nullptr ? nullptr : record->payload_as_BatchPart();
+                if (part == nullptr || part->items() == nullptr) {
+                    // Without its items, later ones would get the positions of others.
+                    m_eventLog.write(EventKind::State,
+                                     "batch-record-unreadable",
+                                     {{"batch", batch}, {"offset", std::to_string(payloadRecord.offset)}});
+                    return;
+                }
+                for (const batch::log::Item *item : *part->items()) {
+                    loaded.items.push_back(batch::toItem(*item));
+                }
+            }
+            if (loaded.items.empty()) {
+                return;
+            }
+            BatchRouteKey routeKey{.host = loaded.host,
+                                   .itemPath = loaded.items.front().path,
+                                   .absence = fleet::RouteAbsence(m_options.routeAbsence)};
+            if (loaded.items.front().scoring) {
+                routeKey.scoringHost = loaded.items.front().scoring->host;
+                routeKey.scoringPath = loaded.items.front().scoring->path;
+            }
+            m_eventLog.write(EventKind::State,
+                             "batch-taken-up",
+                             {{"batch", batch},
+                              {"step", std::to_string(loaded.step)},
+                              {"items", std::to_string(loaded.items.size())},
+                              {"listed", std::to_string(currentEntry->results.size())},
+                              {"min_version", std::to_string(loaded.minVersion)}});
+            m_routeKeys[batch] = std::move(routeKey);
+            restoreProgress(std::move(loaded));
+        });
 }
 
 void EnginePool::restoreProgress(batch::Batch loaded)
