--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -75,7 +75,8 @@
                              request.service, request.request.method, request.request.target, request.request.body),
                          .mostAttempts = std::max(1U, route.maxAttempts),
                          .owed = request.owed};
-    m_pending.emplace(id, Pending{.request = std::move(request), .sink = std::move(sink)});
+    m_pending.emplace(
+        id, Pending{.request = std::move(request), .sink = std::move(sink), .fingerprint = caller.fingerprint});
     m_router.onRequest(std::move(caller), BootClock::now());
     boost::asio::post(m_loop, [this] {
         performActions();
@@ -148,9 +149,25 @@
         }
     }
     m_performing = false;
+    logSuspects();
     scheduleTick();
 }
 
+void RequestForwarder::logSuspects()
+{
+    for (const SuspectReport &report : m_router.takeSuspectChanges()) {
+        std::string endpoints;
+        for (const EndpointId &endpoint : report.endpoints) {
+            endpoints += (endpoints.empty() ? "" : ",") + endpoint.value();
+        }
+        m_log.write(EventKind::State,
+                    report.cleared ? "crash-suspect-cleared" : "crash-suspect",
+                    {{"fingerprint", std::to_string(report.fingerprint)},
+                     {"endpoints", endpoints},
+                     {"alone", report.ranAlone ? "yes" : "no"}});
+    }
+}
+
 void RequestForwarder::startAttempt(const DispatchAction &action)
 {
     const auto found = m_pending.find(action.request);
@@ -273,6 +290,8 @@
                         "attempt-failed",
                         {{"request", pending->second.request.id},
                          {"endpoint", attempt.endpoint},
+                         {"incarnation", std::to_string(attempt.incarnation)},
+                         {"fingerprint", std::to_string(pending->second.fingerprint)},
                          {"reason", end.detail},
                          {"reused", end.reused ? "yes" : "no"}});
         }
@@ -318,6 +337,7 @@
                 {{"request", pending.request.id},
                  {"route", pending.request.route.name},
                  {"service", pending.request.service},
+                 {"fingerprint", std::to_string(pending.fingerprint)},
                  {"status", std::to_string(status)},
                  {"reason", std::string(reason)},
                  {"attempts", std::to_string(pending.attempts)},
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -83,6 +83,7 @@
     {
         ForwardRequest request;
         std::shared_ptr<ForwardSink> sink;
+        std::uint64_t fingerprint = 0; // the same for the same request at every instance
         std::uint32_t attempts = 0;
     };
 
@@ -99,6 +100,8 @@
     };
 
     void performActions();
+    /// Logs which requests became crash suspects, and which were cleared.
+    void logSuspects();
     void startAttempt(const DispatchAction &action);
     void handleAttemptHead(AttemptId id, const net::ResponseHead &head);
     void handleAttemptData(AttemptId id, std::string_view data);
--- /dev/null
+++ b/bergamot/routing/crash_evidence_test.cpp
@@ -0,0 +1,77 @@
+// Tests of the router: what counts for and against a request that may have crashed its endpoint.
+
+#include "bergamot/routing/internal/router_test_fixture.h"
+
+namespace bergamot
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t Suspected = 666;
+
+class CrashEvidenceTest : public RouterTest
+{
+protected:
+    RequestId sendSuspected()
+    {
+        return send([](CallerRequest &request) {
+            request.fingerprint = Suspected;
+            request.repeatable = true;
+            request.mostAttempts = 2;
+        });
+    }
+
+    /// Makes the request a suspect: its endpoint is lost, and no retry follows.
+    void crashOnce()
+    {
+        send([](CallerRequest &request) {
+            request.fingerprint = Suspected;
+            request.mostAttempts = 1;
+        });
+        fail(m_dispatches.back().attempt, ConnectionLost);
+    }
+};
+
+struct AnswerCase
+{
+    const char *name;
+    AttemptAnswer answer;
+    bool clears;
+};
+
+class AnswerEvidenceTest : public CrashEvidenceTest, public testing::WithParamInterface<AnswerCase>
+{ };
+
+TEST_P(AnswerEvidenceTest, OnlyAWholeRunClearsASuspect)
+{
+    showEndpoints(4);
+    crashOnce();
+    sendSuspected();
+    answer(m_dispatches.back().attempt, GetParam().answer);
+    pass(1s);
+    const RequestId last = sendSuspected();
+    fail(m_dispatches.back().attempt, ConnectionLost); // alone, unless the request was cleared
+    const RequestId again = sendSuspected();
+    EXPECT_EQ(m_refusals.contains(again) && m_refusals[again].reason == RefusalReason::CrashSuspect,
+              !GetParam().clears);
+    EXPECT_EQ(dispatchesOf(last), GetParam().clears ? 2U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers,
+                         AnswerEvidenceTest,
+                         testing::Values(AnswerCase{"Success", {.status = 200}, true},
+                                         AnswerCase{"NotFound", {.status = 404}, true},
+                                         AnswerCase{"OtherEndpoint", {.status = 421, .notRun = true}, false},
+                                         AnswerCase{"Full", {.status = 503, .notRun = true}, false},
+                                         AnswerCase{"Failure", {.status = 500}, false},
+                                         AnswerCase{"OutOfTime", {.status = 504}, false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
+} // namespace
+
+} // namespace bergamot
