routing: a request that was never sent is no crash suspect

Cause: the router takes a failure on a pooled connection for "may have run", because the client of cpprestsdk sends such a request again by itself. bergamot-node uses net::HttpClient, which sends once and knows whether it did. Ruled out: losses of real connections; the logs have 15 of them. Change: RouterOptions::clientResendsOnPooled says which client it is; the node sets it to false. The operators' programs keep the old rule. Before: CrashingRequestTest.SoundRequestsAreServedWhenTheEndpointsAreBack fails with 503 at each instance; after: it holds, and ARequestThatWasNeverSentIsNoSuspectAndIsRefusedAsNotRun with it.

--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -42,6 +42,7 @@
     router.target.pool.domain = FailureDomainId(options.zone);
     router.target.pool.limit.initial = 8; // a small service has some six slots, which several instances share
     router.target.pool.limit.minimum = 2;
+    router.clientResendsOnPooled = false; // net::HttpClient sends each request once
     return router;
 }
 
--- a/bergamot/routing/crash_evidence_test.cpp
+++ b/bergamot/routing/crash_evidence_test.cpp
@@ -72,6 +72,43 @@
                              return test.param.name;
                          });
 
+RouterOptions optionsWithoutResending()
+{
+    RouterOptions options = testOptions();
+    options.clientResendsOnPooled = false;
+    return options;
+}
+
+class SentOnceTest : public RouterTest
+{
+protected:
+    SentOnceTest()
+        : RouterTest(optionsWithoutResending())
+    { }
+};
+
+// The entries of crashed endpoints stay listed for seconds, and connections to them are refused. Guards against taking
+// the requests that were never sent for the cause of the crashes.
+TEST_F(SentOnceTest, ARequestThatWasNeverSentIsNoSuspectAndIsRefusedAsNotRun)
+{
+    showEndpoints(3);
+    const auto sound = [](CallerRequest &request) {
+        request.fingerprint = 77;
+        request.repeatable = true;
+        request.mostAttempts = 2;
+    };
+    const RequestId refused = send(sound);
+    for (std::size_t next = 0; next < m_dispatches.size(); ++next) {
+        ASSERT_EQ(m_dispatches[next].connection, Connection::Pooled);
+        fail(m_dispatches[next].attempt, ConnectionRefused);
+        pass(1ms);
+    }
+    EXPECT_EQ(m_refusals[refused].outcome, RequestOutcome::RefusedNotRun);
+    EXPECT_EQ(m_refusals[refused].status, 503);
+    EXPECT_NE(m_refusals[refused].reason, RefusalReason::CrashSuspect);
+    EXPECT_TRUE(m_router.takeSuspectChanges().empty());
+}
+
 } // namespace
 
 } // namespace bergamot
--- a/bergamot/routing/internal/router_test_fixture.h
+++ b/bergamot/routing/internal/router_test_fixture.h
@@ -23,6 +23,10 @@
 class RouterTest : public testing::Test
 {
 protected:
+    explicit RouterTest(const RouterOptions &options = testOptions())
+        : m_router(options, Seed)
+    { }
+
     void SetUp() override
     {
         showEndpoints(3);
@@ -115,7 +119,7 @@
     }
 
     TimePoint m_now = TimePoint(std::chrono::hours(1));
-    Router m_router{testOptions(), Seed};
+    Router m_router;
     RequestId m_lastRequest = 0;
     std::vector<SuspectReport> m_suspects;
     std::vector<DispatchAction> m_dispatches;
--- a/bergamot/routing/request.h
+++ b/bergamot/routing/request.h
@@ -74,8 +74,8 @@
 
 struct AttemptFailure
 {
-    // The router uses it only for a fresh connection. On a pooled one the request may have been sent and the connection
-    // broken, before a second connection could not be opened.
+    // Not used for a pooled connection with `RouterOptions::clientResendsOnPooled`: the request may have been sent and
+    // the connection broken, before a second connection could not be opened.
     DeliveryProof proof = DeliveryProof::MaybeRan;
     bool timedOut = false;
 };
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -34,6 +34,9 @@
     BackoffOptions backoff;
     QuarantineOptions quarantine;
     std::uint32_t maxRetries = 3; // maximum number of retries of one request
+    // Whether the HTTP client sends a request again by itself when a pooled connection breaks. A failure to connect on
+    // a pooled connection then does not prove that the request was never sent.
+    bool clientResendsOnPooled = true;
     Duration deadlineMargin = std::chrono::milliseconds(5); // reserved for delivering the answer to the caller
     Duration minStall = std::chrono::milliseconds(500); // an earlier timeout is no failure of the endpoint
 };
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -91,7 +91,8 @@
         dispatchQueued(target, now);
         return;
     }
-    const DeliveryProof proof = attempt->connection == Connection::Pooled ? DeliveryProof::MaybeRan : failure.proof;
+    const bool mayBeResent = m_options.clientResendsOnPooled && attempt->connection == Connection::Pooled;
+    const DeliveryProof proof = mayBeResent ? DeliveryProof::MaybeRan : failure.proof;
     recordFailure(*attempt, {.proof = proof, .timedOut = failure.timedOut}, pending->request, now);
     std::erase(pending->attempts, id);
     pending->outcome = afterFailure(pending->outcome, proof);
