routing: only a whole run clears a crash suspect

Callers saw nothing of it; the endpoints did: a crash suspect was cleared by any answer, so the next instance or retry ran it beside other requests. Cause: Router::onAnswered called recordFinished for every answer. "Not run" says that the request did not begin, 5xx that it was not finished. Change: an answer clears a suspect only if the request ran to its end. An answer that says "not run" does not retract a loss either; a 421 may come from the process that was started after the crash.

--- a/bergamot/routing/crash_evidence_test.cpp
+++ b/bergamot/routing/crash_evidence_test.cpp
@@ -15,22 +15,19 @@
 class CrashEvidenceTest : public RouterTest
 {
 protected:
-    RequestId sendSuspected()
+    RequestId sendSuspected(std::uint32_t mostAttempts)
     {
-        return send([](CallerRequest &request) {
+        return send([mostAttempts](CallerRequest &request) {
             request.fingerprint = Suspected;
             request.repeatable = true;
-            request.mostAttempts = 2;
+            request.mostAttempts = mostAttempts;
         });
     }
 
     /// Makes the request a suspect: its endpoint is lost, and no retry follows.
     void crashOnce()
     {
-        send([](CallerRequest &request) {
-            request.fingerprint = Suspected;
-            request.mostAttempts = 1;
-        });
+        sendSuspected(1);
         fail(m_dispatches.back().attempt, ConnectionLost);
     }
 };
@@ -49,12 +46,12 @@
 {
     showEndpoints(4);
     crashOnce();
-    sendSuspected();
+    sendSuspected(1);
     answer(m_dispatches.back().attempt, GetParam().answer);
     pass(1s);
-    const RequestId last = sendSuspected();
-    fail(m_dispatches.back().attempt, ConnectionLost); // alone, unless the request was cleared
-    const RequestId again = sendSuspected();
+    const RequestId last = sendSuspected(2);
+    fail(m_dispatches.back().attempt, ConnectionLost); // it ran alone, unless it was cleared
+    const RequestId again = sendSuspected(1);
     EXPECT_EQ(m_refusals.contains(again) && m_refusals[again].reason == RefusalReason::CrashSuspect,
               !GetParam().clears);
     EXPECT_EQ(dispatchesOf(last), GetParam().clears ? 2U : 1U);
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -17,6 +17,13 @@
     return answer.status == TooManyRequests || answer.status == ServiceUnavailable;
 }
 
+/// Whether the endpoint ran the request from its beginning to its end. Any other answer may come from an endpoint that
+/// has not begun to run it, or has given it up.
+bool ranToEnd(const AttemptAnswer &answer)
+{
+    return !answer.notRun && answer.status < FirstServerError && !endpointOverloaded(answer);
+}
+
 } // namespace
 
 void Router::onStreamStarted(AttemptId id)
@@ -57,8 +64,12 @@
         return;
     }
     std::erase(pending->attempts, id);
-    m_quarantine.recordFinished(pending->request.fingerprint, now);
-    retractLosses(*attempt, now);
+    if (ranToEnd(answer)) {
+        m_quarantine.recordFinished(pending->request.fingerprint, now);
+    }
+    if (!answer.notRun) {
+        retractLosses(*attempt, now);
+    }
     if (answer.notRun && !pending->streamStarted) {
         pending->retryAfter = answer.retryAfter;
         const FailureFacts facts{.proof = DeliveryProof::NotRun, .otherInFlight = !pending->attempts.empty()};
