routing: a heartbeat retracts only a loss of its own process, by when it was written

Cause: a loss was kept by the id of the endpoint. The heartbeats of the process that started after the crash retracted it. Class: evidence that is taken for newer than it is, and an identity that a restart keeps. It was found by reading. Change: losses and heartbeats name the process (id and incarnation). The time of a heartbeat is a lower bound that the reads of the store prove (TopicTail::recordsAppendedAfter). What is known of a suspect is kept by crash, so crashes can be retracted one by one; a crash counts as the request's own only if no other suspect was in flight there. Two crashes refuse a request for 15 s, a third one for ten minutes: a sound request that was unlucky twice is not lost for long. Waiting requests are decided on again when something becomes known: in the queue, in a reservation and before a hedge; a suspect has one reservation at a time.

--- a/bergamot/entry/data_path.cpp
+++ b/bergamot/entry/data_path.cpp
@@ -162,7 +162,11 @@
 
     void requestView()
     {
-        views.requestViews(router.takeSuspectChanges(), onViewUpdate);
+        std::vector<SuspectReport> suspects;
+        for (const CrashReport &report : router.takeCrashReports(clock.now())) {
+            suspects.push_back(toSuspectReport(report));
+        }
+        views.requestViews(suspects, onViewUpdate);
     }
 
     void applyView(const ViewSource &source, const Result<ViewUpdate> &update)
--- a/bergamot/logstore/topic_tail.cpp
+++ b/bergamot/logstore/topic_tail.cpp
@@ -73,6 +73,8 @@
             break;
         }
         case ReadStatus::Done: {
+            // At that time the new records of this response were not in the partition.
+            recordsAppendedAfter = schedule.confirmedAt();
             const NewRecords added = schedule.onRecords(id, from, outcome.records.size(), outcome.end, now);
             reportRecovery(now);
             deliver(from, added, outcome.records);
@@ -125,6 +127,7 @@
     boost::asio::steady_timer timer;
     std::string lastError;
     TimePoint unavailableSince{};
+    TimePoint recordsAppendedAfter{};
     std::uint64_t firstRetained = 0;
     bool unavailable = false;
 };
@@ -170,6 +173,11 @@
     return m_state->schedule.confirmedAt();
 }
 
+TimePoint TopicTail::recordsAppendedAfter() const
+{
+    return m_state->recordsAppendedAfter;
+}
+
 std::uint64_t TopicTail::firstRetained() const
 {
     return m_state->firstRetained;
--- a/bergamot/logstore/topic_tail.h
+++ b/bergamot/logstore/topic_tail.h
@@ -73,6 +73,8 @@
     /// Whatever was in the partition at this time has been read. `TimePoint()` if the end has not been reached since
     /// `start`.
     TimePoint confirmedAt() const;
+    /// For use in `onRecord`: the records of this response were appended after this time. `TimePoint()` if not known.
+    TimePoint recordsAppendedAfter() const;
     /// Offset of the first record that the store retained at the last response; older records were deleted.
     std::uint64_t firstRetained() const;
     /// Offset of the next record to read.
--- a/bergamot/logstore/topic_tail_test.cpp
+++ b/bergamot/logstore/topic_tail_test.cpp
@@ -28,6 +28,7 @@
         return {.onRecord =
                     [this](std::uint64_t offset, const std::string &record) {
                         m_records.emplace_back(offset, record);
+                        m_appendedAfter.push_back(m_tail.recordsAppendedAfter());
                     },
                 .onGap =
                     [this](std::uint64_t first) {
@@ -55,6 +56,7 @@
         events(),
         1};
     std::vector<std::pair<std::uint64_t, std::string>> m_records;
+    std::vector<TimePoint> m_appendedAfter; // the lower bound of the time of each record
     std::vector<std::uint64_t> m_gaps;
     TailOutage m_lastOutage;
     int m_outages = 0;
@@ -76,6 +78,28 @@
     EXPECT_EQ(m_records, (std::vector<std::pair<std::uint64_t, std::string>>{{0, "a"}, {1, "b"}, {2, "c"}}));
 }
 
+// A record that was appended before a read may arrive with that read's response, however late.
+TEST_F(TopicTailTest, RecordsAreNotTakenForYoungerThanTheyAre)
+{
+    m_log.append({.topic = "t", .records = {"before the start"}});
+    m_tail.start(0);
+    runUntil([this] {
+        return m_tail.caughtUp();
+    });
+    EXPECT_EQ(m_appendedAfter, (std::vector<TimePoint>{TimePoint()}));
+    m_store.faults.down = true;
+    m_loop.run_for(20ms);
+    const TimePoint appendedAt = BootClock::now();
+    m_log.append({.topic = "t", .records = {"in the outage"}});
+    m_loop.run_for(20ms);
+    m_store.faults.down = false;
+    runUntil([this] {
+        return m_records.size() == 2;
+    });
+    EXPECT_LE(m_appendedAfter.back(), appendedAt);
+    EXPECT_GT(m_appendedAfter.back(), TimePoint());
+}
+
 TEST_F(TopicTailTest, OutageIsReportedAndNoRecordIsMissed)
 {
     m_tail.start(0);
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -155,7 +155,7 @@
     m_namedVersionHandler = std::move(handler);
 }
 
-void FleetView::onHeartbeat(std::function<void(const std::string &)> handler)
+void FleetView::onHeartbeat(std::function<void(const std::string &, std::uint64_t, TimePoint)> handler)
 {
     m_heartbeatHandler = std::move(handler);
 }
@@ -282,7 +282,7 @@
     const bool isDraining = endpoint && endpoint->draining;
     if (endpoint && before != m_directory.endpoints().end() && before->second.incarnation == endpoint->incarnation
         && m_heartbeatHandler) {
-        m_heartbeatHandler(record.key);
+        m_heartbeatHandler(record.key, endpoint->incarnation, m_endpointTail->recordsAppendedAfter());
     }
     const bool changed =
         endpoint ? m_directory.put(std::move(*endpoint)) : m_directory.remove(record.key, BootClock::now());
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -57,8 +57,10 @@
     /// An answer of this incarnation of the endpoint said that it is leaving. `source` names the kind of the answer.
     void endpointLeaving(const std::string &endpoint, std::uint64_t incarnation, std::string_view source);
     void onNamedVersion(std::function<void()> handler);
-    /// `handler` runs when a registered endpoint has written its entry again without a restart.
-    void onHeartbeat(std::function<void(const std::string &endpoint)> handler);
+    /// `handler` runs when a registered endpoint has written its entry again without a restart, some time after
+    /// `aliveAt`.
+    void
+    onHeartbeat(std::function<void(const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt)> handler);
     /// Removes endpoints that did not register again after an outage. Call it a few times a second.
     void tick(TimePoint now);
     /// Changes the delay after a read that returned records.
@@ -89,7 +91,7 @@
     std::function<void()> m_endpointsHandler;
     std::function<void()> m_endpointLeavingHandler;
     std::function<void()> m_namedVersionHandler;
-    std::function<void(const std::string &)> m_heartbeatHandler;
+    std::function<void(const std::string &, std::uint64_t, TimePoint)> m_heartbeatHandler;
 };
 
 } // namespace bergamot::node
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -215,8 +215,8 @@
     m_forwarder.onLeaving([this](const std::string &endpoint, std::uint64_t incarnation) {
         m_view.endpointLeaving(endpoint, incarnation, "request");
     });
-    m_view.onHeartbeat([this](const std::string &endpoint) {
-        m_forwarder.recordHeartbeat(endpoint);
+    m_view.onHeartbeat([this](const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt) {
+        m_forwarder.recordHeartbeat(endpoint, incarnation, aliveAt);
     });
     m_view.onNamedVersion([this] {
         m_pool.tick(BootClock::now());
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -15,7 +15,6 @@
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10); // resolution of the router's timers
 constexpr std::size_t MaxQueuedBytes = std::size_t{512} * 1024; // of one stream, before its endpoint is held back
-constexpr Duration HeartbeatLag = std::chrono::milliseconds(1500); // longest delay until a heartbeat is read
 
 std::string milliseconds(Duration duration)
 {
@@ -52,10 +51,9 @@
     performActions();
 }
 
-void RequestForwarder::recordHeartbeat(const std::string &endpoint)
+void RequestForwarder::recordHeartbeat(const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt)
 {
-    const TimePoint now = BootClock::now();
-    m_router.onHeartbeat(EndpointId(endpoint), now - HeartbeatLag, now);
+    m_router.onHeartbeat({EndpointId(endpoint), incarnation}, aliveAt, BootClock::now());
     performActions();
 }
 
@@ -155,16 +153,15 @@
 
 void RequestForwarder::logSuspects()
 {
-    for (const SuspectReport &report : m_router.takeSuspectChanges()) {
-        std::string endpoints;
-        for (const EndpointId &endpoint : report.endpoints) {
-            endpoints += (endpoints.empty() ? "" : ",") + endpoint.value();
+    for (const CrashReport &report : m_router.takeCrashReports(BootClock::now())) {
+        std::string crashes;
+        for (const CrashUnderRequest &crash : report.crashes) {
+            crashes += (crashes.empty() ? "" : ",") + crash.process.endpoint.value() + "/"
+                + std::to_string(crash.process.incarnation) + (crash.alone ? "/alone" : "");
         }
         m_log.write(EventKind::State,
                     report.cleared ? "crash-suspect-cleared" : "crash-suspect",
-                    {{"fingerprint", std::to_string(report.fingerprint)},
-                     {"endpoints", endpoints},
-                     {"alone", report.ranAlone ? "yes" : "no"}});
+                    {{"fingerprint", std::to_string(report.fingerprint)}, {"crashes", crashes}});
     }
 }
 
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -69,8 +69,8 @@
     void onLeaving(std::function<void(const std::string &endpoint, std::uint64_t incarnation)> handler);
     /// Replaces the endpoints that requests may go to.
     void updateEndpoints(const RoutingTable &table);
-    /// Records that a heartbeat of the endpoint was read from the store.
-    void recordHeartbeat(const std::string &endpoint);
+    /// Records that the store has a heartbeat of the endpoint that was written after `aliveAt`.
+    void recordHeartbeat(const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt);
     /// Forwards a request; `sink` receives the response, never from within this call.
     RequestId forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink);
     /// Cancels a request; its sink is not called any more. No effect if the request has ended.
--- a/bergamot/routing/crash_evidence_test.cpp
+++ b/bergamot/routing/crash_evidence_test.cpp
@@ -69,6 +69,42 @@
                              return test.param.name;
                          });
 
+struct HeartbeatCase
+{
+    const char *name;
+    std::uint64_t incarnation; // of the process that wrote the heartbeat; the one that was lost is 1
+    Duration aliveAfterLoss; // when the process was alive, after the loss
+    bool retracts;
+};
+
+class HeartbeatEvidenceTest : public CrashEvidenceTest, public testing::WithParamInterface<HeartbeatCase>
+{ };
+
+TEST_P(HeartbeatEvidenceTest, OnlyTheLostProcessRetractsItsLossAndOnlyByWhatItWroteLater)
+{
+    showEndpoints(4, [](RoutedEndpoint &endpoint) {
+        endpoint.incarnation = 1;
+    });
+    crashOnce();
+    const TimePoint lostAt = m_now;
+    const EndpointId lost = m_dispatches.back().endpoint;
+    pass(3s);
+    m_router.onHeartbeat({lost, GetParam().incarnation}, lostAt + GetParam().aliveAfterLoss, m_now);
+    const RequestId last = sendSuspected(2);
+    fail(m_dispatches.back().attempt, ConnectionLost); // it ran alone, unless the loss was retracted
+    EXPECT_EQ(dispatchesOf(last), GetParam().retracts ? 2U : 1U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Heartbeats,
+                         HeartbeatEvidenceTest,
+                         testing::Values(HeartbeatCase{"Later", 1, 1s, true},
+                                         HeartbeatCase{"Earlier", 1, -1s, false},
+                                         HeartbeatCase{"AtTheSameTime", 1, 0s, false},
+                                         HeartbeatCase{"OfTheNextProcess", 2, 1s, false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 RouterOptions optionsWithoutResending()
 {
     RouterOptions options = testOptions();
@@ -103,7 +139,7 @@
     EXPECT_EQ(m_refusals[refused].outcome, RequestOutcome::RefusedNotRun);
     EXPECT_EQ(m_refusals[refused].status, 503);
     EXPECT_NE(m_refusals[refused].reason, RefusalReason::CrashSuspect);
-    EXPECT_TRUE(m_router.takeSuspectChanges().empty());
+    EXPECT_TRUE(m_router.takeCrashReports(m_now).empty());
 }
 
 } // namespace
--- a/bergamot/routing/crash_quarantine.cpp
+++ b/bergamot/routing/crash_quarantine.cpp
@@ -20,6 +20,25 @@
     return stableHash(body, stableHash(path, stableHash(method, stableHash(target))));
 }
 
+SuspectReport toSuspectReport(const CrashReport &report)
+{
+    SuspectReport suspect{.fingerprint = report.fingerprint, .endpoints = {}, .cleared = report.cleared};
+    for (const CrashUnderRequest &crash : report.crashes) {
+        suspect.endpoints.insert(crash.process.endpoint);
+        suspect.ranAlone = suspect.ranAlone || crash.alone;
+    }
+    return suspect;
+}
+
+CrashReport toCrashReport(const SuspectReport &report)
+{
+    CrashReport crashes{.fingerprint = report.fingerprint, .crashes = {}, .cleared = report.cleared};
+    for (const EndpointId &endpoint : report.endpoints) {
+        crashes.crashes.push_back({.process = {.endpoint = endpoint}, .alone = report.ranAlone});
+    }
+    return crashes;
+}
+
 CrashQuarantine::CrashQuarantine(QuarantineOptions options)
     : m_options(options)
 { }
@@ -30,43 +49,104 @@
         return QuarantineStatus::Clear;
     }
     const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.endpoints.empty()
+    if (found == m_entries.end() || found->second.crashes.empty()
         || now - found->second.changedAt > m_options.retention) {
         return QuarantineStatus::Clear;
     }
     const Entry &entry = found->second;
-    const bool refused = entry.ranAlone && entry.endpoints.size() >= m_options.endpointsToRefuse;
-    return refused ? QuarantineStatus::Refused : QuarantineStatus::Suspect;
+    return now - entry.changedAt < refusal(entry) ? QuarantineStatus::Refused : QuarantineStatus::Suspect;
+}
+
+Duration CrashQuarantine::refusedFor(std::uint64_t fingerprint, TimePoint now) const
+{
+    const auto found = m_entries.find(fingerprint);
+    if (found == m_entries.end()) {
+        return {};
+    }
+    return std::max(Duration::zero(), found->second.changedAt + refusal(found->second) - now);
+}
+
+Duration CrashQuarantine::refusal(const Entry &entry) const
+{
+    const std::size_t crashes = entry.crashes.size();
+    const bool blamed =
+        crashes >= m_options.maxCrashes || (crashes >= m_options.endpointsToRefuse && isOnlySuspect(entry));
+    if (!blamed) {
+        return {};
+    }
+    return crashes > m_options.endpointsToRefuse ? m_options.retention : m_options.firstRefusal;
+}
+
+bool CrashQuarantine::isOnlySuspect(const Entry &entry) const
+{
+    return std::any_of(entry.crashes.begin(), entry.crashes.end(), [&](const auto &crash) {
+        const auto others = std::count_if(m_entries.begin(), m_entries.end(), [&](const auto &other) {
+            return &other.second != &entry && other.second.crashes.contains(crash.first);
+        });
+        return crash.second.alone && others == 0;
+    });
 }
 
 void CrashQuarantine::recordEndpointLoss(std::uint64_t fingerprint,
-                                         const EndpointId &endpoint,
+                                         const EndpointProcess &process,
                                          RunMode mode,
                                          TimePoint now)
 {
     evictIfFull(now);
     Entry &entry = m_entries[fingerprint];
-    const bool firstLoss = entry.endpoints.empty();
-    if (!firstLoss && mode == RunMode::Shared) {
+    const bool alone = mode == RunMode::Alone;
+    if (!entry.crashes.empty() && !alone) {
         return;
     }
-    entry.endpoints.insert(endpoint);
-    entry.ranAlone = entry.ranAlone || mode == RunMode::Alone;
+    Crash &crash = entry.crashes[process];
+    crash = {.at = now, .alone = crash.alone || alone, .observed = true};
     entry.changedAt = now;
-    addChange(fingerprint, entry, false);
+    scheduleReport(fingerprint, alone ? now : now + m_options.reportDelay);
 }
 
-void CrashQuarantine::retractEndpointLoss(std::uint64_t fingerprint, const EndpointId &endpoint, TimePoint now)
+bool CrashQuarantine::recordAlive(const EndpointProcess &process, TimePoint aliveAt, TimePoint now)
 {
-    const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.endpoints.erase(endpoint) == 0) {
-        return;
-    }
-    found->second.ranAlone = false;
-    if (found->second.endpoints.empty()) {
-        addChange(fingerprint, found->second, true);
-        found->second = Entry{.endpoints = {}, .ranAlone = false, .changedAt = now, .clearedAt = now};
+    return retractCrashes(
+        process,
+        [aliveAt](const Crash &crash) {
+            return crash.at < aliveAt;
+        },
+        now);
+}
+
+bool CrashQuarantine::recordAnswered(const EndpointProcess &process, TimePoint since, TimePoint now)
+{
+    return retractCrashes(
+        process,
+        [since](const Crash &crash) {
+            return crash.at > since;
+        },
+        now);
+}
+
+bool CrashQuarantine::retractCrashes(const EndpointProcess &process,
+                                     const std::function<bool(const Crash &)> &survived,
+                                     TimePoint now)
+{
+    bool changed = false;
+    for (auto &[fingerprint, entry] : m_entries) {
+        const auto crash = entry.crashes.find(process);
+        if (crash == entry.crashes.end() || !survived(crash->second)) {
+            continue;
+        }
+        changed = true;
+        const bool observed = crash->second.observed;
+        entry.crashes.erase(crash);
+        entry.changedAt = now;
+        if (!entry.crashes.empty()) {
+            continue;
+        }
+        m_reportsDue.erase(fingerprint);
+        if (observed && entry.reported) {
+            scheduleReport(fingerprint, now); // the instances that did not observe the crash leave that to this one
+        }
     }
+    return changed;
 }
 
 void CrashQuarantine::recordFinished(std::uint64_t fingerprint, TimePoint now)
@@ -75,26 +155,35 @@
         return;
     }
     const auto found = m_entries.find(fingerprint);
-    if (found == m_entries.end() || found->second.endpoints.empty()) {
+    if (found == m_entries.end() || found->second.crashes.empty()) {
         return;
     }
-    addChange(fingerprint, found->second, true);
-    found->second = Entry{.endpoints = {}, .ranAlone = false, .changedAt = now, .clearedAt = now};
+    Entry &entry = found->second;
+    entry = Entry{.crashes = {}, .changedAt = now, .clearedAt = now, .reported = entry.reported};
+    m_reportsDue.erase(fingerprint);
+    if (entry.reported) {
+        scheduleReport(fingerprint, now);
+    }
 }
 
 bool CrashQuarantine::hasCrashed(std::uint64_t fingerprint, const EndpointId &endpoint) const
 {
     const auto found = m_entries.find(fingerprint);
-    return found != m_entries.end() && found->second.endpoints.contains(endpoint);
+    if (found == m_entries.end()) {
+        return false;
+    }
+    const auto crash = found->second.crashes.lower_bound({endpoint, 0});
+    return crash != found->second.crashes.end() && crash->first.endpoint == endpoint;
 }
 
-void CrashQuarantine::merge(const std::vector<SuspectReport> &reports, TimePoint now)
+void CrashQuarantine::merge(const std::vector<CrashReport> &reports, TimePoint now)
 {
-    for (const SuspectReport &report : reports) {
+    for (const CrashReport &report : reports) {
         const auto found = m_entries.find(report.fingerprint);
         if (report.cleared) {
             if (found != m_entries.end()) {
-                found->second = Entry{.endpoints = {}, .ranAlone = false, .changedAt = now, .clearedAt = now};
+                found->second = Entry{.crashes = {}, .changedAt = now, .clearedAt = now};
+                m_reportsDue.erase(report.fingerprint);
             }
             continue;
         }
@@ -104,19 +193,37 @@
         }
         evictIfFull(now);
         Entry &entry = m_entries[report.fingerprint];
-        const std::size_t before = entry.endpoints.size();
-        const bool ranAloneBefore = entry.ranAlone;
-        entry.endpoints.insert(report.endpoints.begin(), report.endpoints.end());
-        entry.ranAlone = entry.ranAlone || report.ranAlone;
-        if (entry.endpoints.size() != before || entry.ranAlone != ranAloneBefore) {
-            entry.changedAt = now;
+        entry.reported = true;
+        for (const CrashUnderRequest &reported : report.crashes) {
+            const auto [crash, added] = entry.crashes.try_emplace(reported.process, Crash{.at = now});
+            if (added || (reported.alone && !crash->second.alone)) {
+                crash->second.alone = crash->second.alone || reported.alone;
+                entry.changedAt = now;
+            }
         }
     }
 }
 
-std::vector<SuspectReport> CrashQuarantine::takeChanges()
+std::vector<CrashReport> CrashQuarantine::takeChanges(TimePoint now)
 {
-    return std::exchange(m_unreportedChanges, {});
+    std::vector<CrashReport> changes;
+    for (auto due = m_reportsDue.begin(); due != m_reportsDue.end();) {
+        if (due->second > now) {
+            ++due;
+            continue;
+        }
+        const auto entry = m_entries.find(due->first);
+        if (entry != m_entries.end()) {
+            CrashReport report{.fingerprint = due->first, .crashes = {}, .cleared = entry->second.crashes.empty()};
+            for (const auto &[process, crash] : entry->second.crashes) {
+                report.crashes.push_back({.process = process, .alone = crash.alone});
+            }
+            entry->second.reported = !report.cleared;
+            changes.push_back(std::move(report));
+        }
+        due = m_reportsDue.erase(due);
+    }
+    return changes;
 }
 
 std::size_t CrashQuarantine::size() const
@@ -124,10 +231,12 @@
     return m_entries.size();
 }
 
-void CrashQuarantine::addChange(std::uint64_t fingerprint, const Entry &entry, bool cleared)
+void CrashQuarantine::scheduleReport(std::uint64_t fingerprint, TimePoint at)
 {
-    m_unreportedChanges.push_back(
-        {.fingerprint = fingerprint, .endpoints = entry.endpoints, .ranAlone = entry.ranAlone, .cleared = cleared});
+    const auto [due, added] = m_reportsDue.try_emplace(fingerprint, at);
+    if (!added) {
+        due->second = std::min(due->second, at);
+    }
 }
 
 void CrashQuarantine::evictIfFull(TimePoint now)
--- a/bergamot/routing/crash_quarantine.h
+++ b/bergamot/routing/crash_quarantine.h
@@ -2,13 +2,19 @@
 
 // Detects requests that crash the endpoint that runs them. A request that was in flight when its endpoint crashed
 // becomes a suspect, identified by its fingerprint. A suspect runs alone on an endpoint and is refused once a second
-// endpoint has crashed while running it alone. A suspect that finishes is cleared. All instances of a failure domain
-// share their suspects.
+// endpoint has crashed while running it alone. A suspect that finishes is cleared. Instances share their suspects.
 //
-//     quarantine.recordEndpointLoss(fingerprint, endpoint, RunMode::Shared, now);
+//     quarantine.recordEndpointLoss(fingerprint, {endpoint, incarnation}, RunMode::Shared, now);
 //     quarantine.statusOf(fingerprint, now); // QuarantineStatus::Suspect
+//
+// Load pattern: callers send a request that crashes endpoints again and again, each time to another instance, beside
+// sound requests that are in flight when the endpoints crash. Two crashes refuse a request only for some seconds, as
+// both may be accidents; a third one refuses it for long.
 
+#include <compare>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <set>
 #include <string_view>
 #include <unordered_map>
@@ -20,6 +26,34 @@
 namespace bergamot
 {
 
+/// A process of an endpoint. An endpoint that starts again under its id has another incarnation.
+struct EndpointProcess
+{
+    EndpointId endpoint;
+    std::uint64_t incarnation = 0; // 0: not known
+
+    auto operator<=>(const EndpointProcess &) const = default;
+};
+
+/// A crash during a request.
+struct CrashUnderRequest
+{
+    EndpointProcess process;
+    bool alone = false; // it was the only request of the reporting instance at the endpoint
+
+    bool operator==(const CrashUnderRequest &) const = default;
+};
+
+/// What one instance knows of a suspect, for all other instances.
+struct CrashReport
+{
+    std::uint64_t fingerprint = 0;
+    std::vector<CrashUnderRequest> crashes; // by ascending process
+    bool cleared = false; // the request has finished since, so it is no suspect
+
+    bool operator==(const CrashReport &) const = default;
+};
+
 /// A change of a suspect's state that one instance sends to the others of its failure domain.
 struct SuspectReport
 {
@@ -31,6 +65,9 @@
     bool operator==(const SuspectReport &) const = default;
 };
 
+SuspectReport toSuspectReport(const CrashReport &report);
+CrashReport toCrashReport(const SuspectReport &report);
+
 enum class QuarantineStatus {
     Clear,
     Suspect,
@@ -44,8 +81,12 @@
 
 struct QuarantineOptions
 {
-    std::size_t endpointsToRefuse = 2;
-    Duration retention = std::chrono::minutes(10);
+    std::size_t endpointsToRefuse = 2; // crashes, at least one of them alone
+    std::size_t maxCrashes = 4; // crashes that refuse a request although it never ran alone
+    Duration firstRefusal = std::chrono::seconds(15); // after `endpointsToRefuse` crashes; then the request runs alone
+    Duration retention = std::chrono::minutes(10); // of a suspect, and of a refusal after more crashes
+    Duration
+        reportDelay{}; // until a crash beside other requests is reported; most of these suspects are cleared sooner
     std::size_t maxSuspects = 4096; // the oldest suspects are dropped beyond this
 };
 
@@ -60,38 +101,55 @@
     explicit CrashQuarantine(QuarantineOptions options = {});
 
     QuarantineStatus statusOf(std::uint64_t fingerprint, TimePoint now) const;
-    /// Records that the connection to `endpoint` broke while the request ran there. A second endpoint counts only if
-    /// the request ran alone: a request that was twice in flight beside one that crashes endpoints stays a suspect.
-    void recordEndpointLoss(std::uint64_t fingerprint, const EndpointId &endpoint, RunMode mode, TimePoint now);
-    /// Removes `endpoint` from the crashes that count against the request: it answered a request that was in flight
-    /// when the connection broke, so it had not crashed.
-    void retractEndpointLoss(std::uint64_t fingerprint, const EndpointId &endpoint, TimePoint now);
+    /// Time until a refused request may run again; zero if it is not refused.
+    Duration refusedFor(std::uint64_t fingerprint, TimePoint now) const;
+    /// Records that the connection to `process` broke while the request ran there. A further loss counts only if the
+    /// request ran alone: a request that was twice in flight beside one that crashes endpoints stays a suspect.
+    void recordEndpointLoss(std::uint64_t fingerprint, const EndpointProcess &process, RunMode mode, TimePoint now);
+    /// The process was alive at `aliveAt`, so it had not crashed before. Returns whether that changed a suspect.
+    bool recordAlive(const EndpointProcess &process, TimePoint aliveAt, TimePoint now);
+    /// The process has answered a request that it received at `since`, so it has not crashed since. Returns whether
+    /// that changed a suspect.
+    bool recordAnswered(const EndpointProcess &process, TimePoint since, TimePoint now);
     /// Clears the request, which finished normally.
     void recordFinished(std::uint64_t fingerprint, TimePoint now);
     /// Whether a crash of `endpoint` counts against the request.
     bool hasCrashed(std::uint64_t fingerprint, const EndpointId &endpoint) const;
 
-    /// Merges the reports of the other instances of the domain.
-    void merge(const std::vector<SuspectReport> &reports, TimePoint now);
-    /// The changes of this instance since the last call, to send to the other instances of the domain.
-    std::vector<SuspectReport> takeChanges();
+    /// Merges the reports of other instances.
+    void merge(const std::vector<CrashReport> &reports, TimePoint now);
+    /// The changes of this instance that are due to be reported to the others, since the last call.
+    std::vector<CrashReport> takeChanges(TimePoint now);
     std::size_t size() const;
 
 private:
+    struct Crash
+    {
+        TimePoint at{}; // when it was recorded or reported here
+        bool alone = false;
+        bool observed = false; // by this instance
+    };
+
     struct Entry
     {
-        std::set<EndpointId> endpoints;
-        bool ranAlone = false;
+        std::map<EndpointProcess, Crash> crashes;
         TimePoint changedAt{};
-        TimePoint clearedAt{};
+        TimePoint clearedAt{}; // by a run that finished
+        bool reported = false; // other instances know the suspect
     };
 
-    void addChange(std::uint64_t fingerprint, const Entry &entry, bool cleared);
+    /// Time until the request may run again, counted from its newest crash; zero if it is not to be refused.
+    Duration refusal(const Entry &entry) const;
+    /// Whether a crash has no other suspect that may have caused it.
+    bool isOnlySuspect(const Entry &entry) const;
+    bool
+    retractCrashes(const EndpointProcess &process, const std::function<bool(const Crash &)> &survived, TimePoint now);
+    void scheduleReport(std::uint64_t fingerprint, TimePoint at);
     void evictIfFull(TimePoint now);
 
     QuarantineOptions m_options;
     std::unordered_map<std::uint64_t, Entry> m_entries;
-    std::vector<SuspectReport> m_unreportedChanges;
+    std::map<std::uint64_t, TimePoint> m_reportsDue; // by fingerprint
 };
 
 } // namespace bergamot
--- a/bergamot/routing/router.cpp
+++ b/bergamot/routing/router.cpp
@@ -56,7 +56,21 @@
         }
         dispatchQueued(*state, now);
     }
-    m_quarantine.merge(table.suspects, now);
+    std::vector<CrashReport> reports;
+    reports.reserve(table.suspects.size());
+    for (const SuspectReport &suspect : table.suspects) {
+        reports.push_back(toCrashReport(suspect));
+    }
+    onCrashReports(reports, now);
+}
+
+void Router::onCrashReports(const std::vector<CrashReport> &reports, TimePoint now)
+{
+    if (reports.empty()) {
+        return;
+    }
+    m_quarantine.merge(reports, now);
+    reviewSuspects(now);
 }
 
 void Router::onRequest(CallerRequest request, TimePoint now)
@@ -144,9 +158,9 @@
     return std::exchange(m_actions, {});
 }
 
-std::vector<SuspectReport> Router::takeSuspectChanges()
+std::vector<CrashReport> Router::takeCrashReports(TimePoint now)
 {
-    return m_quarantine.takeChanges();
+    return m_quarantine.takeChanges(now);
 }
 
 std::size_t Router::pending() const
@@ -177,10 +191,7 @@
 {
     switch (quarantineStatus(pending.request, now)) {
     case QuarantineStatus::Refused:
-        refuse(pending,
-               {RefusalReason::CrashSuspect,
-                "Endpoints crashed while running this request; it is not run again. Change it before sending it again.",
-                MaxRetryAfter});
+        refuseSuspect(pending, now);
         return;
     case QuarantineStatus::Suspect:
         quarantine(pending, now);
@@ -242,6 +253,14 @@
     finish(id);
 }
 
+void Router::refuseSuspect(Pending &pending, TimePoint now)
+{
+    refuse(pending,
+           {RefusalReason::CrashSuspect,
+            "Endpoints crashed while running this request; it is not run again. Change it before sending it again.",
+            m_quarantine.refusedFor(pending.request.fingerprint, now)});
+}
+
 void Router::refuseQueue(TargetState &target)
 {
     while (const std::optional<WaitingRequest> waiting = target.queue.front()) {
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -61,15 +61,16 @@
     void onCallerDisconnected(RequestId id, TimePoint now);
     /// New requests are refused as not run from now on; requests that were accepted finish.
     void stopAccepting();
-    /// The endpoint was alive at `aliveAt`, and it was not started again after its earlier connections broke. So it did
-    /// not crash then, and those losses no longer count against the requests that were in flight.
-    void onHeartbeat(const EndpointId &endpoint, TimePoint aliveAt, TimePoint now);
+    /// The process of the endpoint was alive at `aliveAt`, so it had not crashed before then.
+    void onHeartbeat(const EndpointProcess &process, TimePoint aliveAt, TimePoint now);
+    /// Reports of other instances on requests that crash endpoints.
+    void onCrashReports(const std::vector<CrashReport> &reports, TimePoint now);
     /// Runs timers and dispatches waiting requests; to be called every few milliseconds.
     void tick(TimePoint now);
 
     Actions takeActions();
-    /// Changes of suspects since the last call, to send to the other instances of the domain.
-    std::vector<SuspectReport> takeSuspectChanges();
+    /// What this instance has learned about requests that crash endpoints, to send to all other instances.
+    std::vector<CrashReport> takeCrashReports(TimePoint now);
 
     /// Requests that have no final answer yet.
     std::size_t pending() const;
@@ -159,9 +160,11 @@
     void dispatchQuarantined(TargetState &target, TimePoint now);
     void quarantine(Pending &pending, TimePoint now);
     QuarantineStatus quarantineStatus(const CallerRequest &request, TimePoint now) const;
-    void retractLosses(const Attempt &answered, TimePoint now);
-    void
-    retractLossesWhere(TargetState &target, const std::function<bool(const ConnectionLoss &)> &survived, TimePoint now);
+    /// Decides again on the waiting suspects, after what is known about them has changed.
+    void reviewSuspects(TimePoint now);
+    /// Whether a request with the fingerprint has an endpoint reserved.
+    bool hasReservation(const TargetState &target, std::uint64_t fingerprint);
+    void refuseSuspect(Pending &pending, TimePoint now);
     void hedge(Pending &pending, TimePoint now);
     void runTimers(TimePoint now);
     void deadlinePassed(Pending &pending, TimePoint now);
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -100,6 +100,11 @@
     }
     while (const std::optional<WaitingRequest> waiting = target.queue.front()) {
         Pending *pending = find(waiting->id);
+        if (pending != nullptr && quarantineStatus(pending->request, now) != QuarantineStatus::Clear) {
+            target.queue.popFront();
+            admit(*pending, now);
+            continue;
+        }
         if (pending != nullptr && !tryDispatch(*pending, now)) {
             return;
         }
@@ -132,11 +137,24 @@
 
 void Router::dispatchQuarantined(TargetState &target, TimePoint now)
 {
-    while (!target.suspects.empty() && target.reservations.size() < target.pool.maxReserved()) {
-        const RequestId id = target.suspects.front();
+    while (target.reservations.size() < target.pool.maxReserved()) {
+        // Two runs of one suspect at the same time could crash two endpoints.
+        const auto next = std::find_if(target.suspects.begin(), target.suspects.end(), [&](RequestId waiting) {
+            const Pending *suspect = find(waiting);
+            return suspect == nullptr || !hasReservation(target, suspect->request.fingerprint);
+        });
+        if (next == target.suspects.end()) {
+            break;
+        }
+        const RequestId id = *next;
         Pending *pending = find(id);
         if (pending == nullptr) {
-            target.suspects.pop_front();
+            target.suspects.erase(next);
+            continue;
+        }
+        if (quarantineStatus(pending->request, now) == QuarantineStatus::Refused) {
+            target.suspects.erase(next);
+            refuseSuspect(*pending, now);
             continue;
         }
         const std::uint64_t fingerprint = pending->request.fingerprint;
@@ -145,7 +163,7 @@
         };
         const std::optional<std::size_t> slot = target.pool.reserveExclusive(avoid, now);
         if (!slot && target.reservations.empty()) {
-            target.suspects.pop_front();
+            target.suspects.erase(next);
             refuse(
                 *pending,
                 {RefusalReason::CrashSuspect,
@@ -156,11 +174,17 @@
         if (!slot) {
             break;
         }
-        target.suspects.pop_front();
+        target.suspects.erase(next);
         target.reservations.push_back({.slot = *slot, .request = id, .running = false});
     }
     std::erase_if(target.reservations, [&](QuarantineReservation &reservation) {
         Pending *pending = find(reservation.request);
+        if (!reservation.running && pending != nullptr
+            && quarantineStatus(pending->request, now) == QuarantineStatus::Refused) {
+            refuseSuspect(*pending, now);
+            target.pool.releaseExclusive(reservation.slot);
+            return true;
+        }
         if (!target.pool.idle(reservation.slot)) {
             return false;
         }
@@ -178,50 +202,34 @@
     });
 }
 
-void Router::retractLosses(const Attempt &answered, TimePoint now)
+bool Router::hasReservation(const TargetState &target, std::uint64_t fingerprint)
 {
-    retractLossesWhere(
-        *answered.target,
-        [&answered](const ConnectionLoss &loss) {
-            return loss.slot == answered.slot && loss.at > answered.dispatchedAt;
-        },
-        now);
+    return std::any_of(target.reservations.begin(), target.reservations.end(), [&](const auto &reservation) {
+        const Pending *pending = find(reservation.request);
+        return pending != nullptr && pending->request.fingerprint == fingerprint;
+    });
 }
 
-void Router::onHeartbeat(const EndpointId &endpoint, TimePoint aliveAt, TimePoint now)
+void Router::onHeartbeat(const EndpointProcess &process, TimePoint aliveAt, TimePoint now)
 {
-    for (auto &entry : m_targets) {
-        TargetState &target = *entry.second;
-        retractLossesWhere(
-            target,
-            [&target, &endpoint, aliveAt](const ConnectionLoss &loss) {
-                return loss.at < aliveAt && target.pool.endpoint(loss.slot) == endpoint;
-            },
-            now);
+    if (m_quarantine.recordAlive(process, aliveAt, now)) {
+        reviewSuspects(now);
     }
 }
 
-void Router::retractLossesWhere(TargetState &target,
-                                const std::function<bool(const ConnectionLoss &)> &survived,
-                                TimePoint now)
+void Router::reviewSuspects(TimePoint now)
 {
-    for (const ConnectionLoss &loss : target.losses) {
-        if (survived(loss)) {
-            m_quarantine.retractEndpointLoss(loss.fingerprint, target.pool.endpoint(loss.slot), now);
-        }
-    }
-    if (std::erase_if(target.losses, survived) == 0) {
-        return;
-    }
-    for (const RequestId id : std::exchange(target.suspects, {})) {
-        Pending *pending = find(id);
-        if (pending == nullptr) {
-            continue;
-        }
-        if (quarantineStatus(pending->request, now) == QuarantineStatus::Suspect) {
-            target.suspects.push_back(id);
-        } else {
-            admit(*pending, now);
+    for (auto &[name, target] : m_targets) {
+        for (const RequestId id : std::exchange(target->suspects, {})) {
+            Pending *pending = find(id);
+            if (pending == nullptr) {
+                continue;
+            }
+            if (quarantineStatus(pending->request, now) == QuarantineStatus::Suspect) {
+                target->suspects.push_back(id);
+            } else {
+                admit(*pending, now);
+            }
         }
     }
 }
@@ -230,7 +238,8 @@
 {
     TargetState &target = *pending.target;
     const bool wanted = pending.stage == Stage::Running && pending.attempts.size() == 1
-        && pending.dispatches < pending.request.mostAttempts && target.queue.size() == 0;
+        && pending.dispatches < pending.request.mostAttempts && target.queue.size() == 0
+        && quarantineStatus(pending.request, now) == QuarantineStatus::Clear;
     if (!wanted || target.hedges.available() < 1.0) {
         return;
     }
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -8,7 +8,6 @@
 
 constexpr Duration RetryAfterFailure = std::chrono::seconds(1);
 constexpr std::int32_t FirstServerError = 500;
-constexpr std::size_t MaxLosses = 256;
 
 bool endpointOverloaded(const AttemptAnswer &answer)
 {
@@ -67,8 +66,9 @@
     if (ranToEnd(answer)) {
         m_quarantine.recordFinished(pending->request.fingerprint, now);
     }
-    if (!answer.notRun) {
-        retractLosses(*attempt, now);
+    const EndpointProcess process{target.pool.endpoint(attempt->slot), attempt->incarnation};
+    if (!answer.notRun && m_quarantine.recordAnswered(process, attempt->dispatchedAt, now)) {
+        reviewSuspects(now);
     }
     if (answer.notRun && !pending->streamStarted) {
         pending->retryAfter = answer.retryAfter;
@@ -217,12 +217,8 @@
     }
     if (!failure.timedOut) {
         if (!request.owed) {
-            m_quarantine.recordEndpointLoss(request.fingerprint, pool.endpoint(attempt.slot), attempt.mode, now);
-            std::deque<ConnectionLoss> &losses = attempt.target->losses;
-            losses.push_back({.slot = attempt.slot, .fingerprint = request.fingerprint, .at = now});
-            if (losses.size() > MaxLosses) {
-                losses.pop_front();
-            }
+            m_quarantine.recordEndpointLoss(
+                request.fingerprint, {pool.endpoint(attempt.slot), attempt.incarnation}, attempt.mode, now);
         }
         pool.failed(attempt.slot, EndpointFailure::Lost, now, m_random);
         return;
--- a/bergamot/routing/router_trouble_test.cpp
+++ b/bergamot/routing/router_trouble_test.cpp
@@ -117,7 +117,7 @@
     const TimePoint lostBy = m_now;
     pass(2s);
     for (const char *endpoint : {"endpoint-0", "endpoint-1", "endpoint-2", "endpoint-3"}) {
-        m_router.onHeartbeat(EndpointId(endpoint), lostBy, m_now);
+        m_router.onHeartbeat({EndpointId(endpoint)}, lostBy, m_now);
     }
     const RequestId again = send(withLostAnswer);
     EXPECT_FALSE(m_refusals.contains(again));
--- a/bergamot/routing/target_state.h
+++ b/bergamot/routing/target_state.h
@@ -33,14 +33,6 @@
     bool running = false;
 };
 
-/// A connection that broke during a request.
-struct ConnectionLoss
-{
-    std::size_t slot = 0;
-    std::uint64_t fingerprint = 0;
-    TimePoint at{};
-};
-
 struct TargetState
 {
     explicit TargetState(const TargetOptions &options)
@@ -70,7 +62,6 @@
     LatencyQuantile unitLatencyQuantile;
     std::deque<RequestId> suspects;
     std::vector<QuarantineReservation> reservations;
-    std::deque<ConnectionLoss> losses; // the newest ones, oldest first
 };
 
 } // namespace bergamot
