node: instances share what they learn about requests that crash endpoints

Cause: bergamot-node never passed on what its router knew (Router::takeSuspectChanges had no caller), and a restart forgot it. Class: a fact that one instance knows and all must act on. Change: a report of a suspect is a record of the batch log, which every instance follows already: no further topic, reader or connection. Crashes add up; a suspect that finishes clears itself everywhere. A crash beside other requests is reported after 200 ms only, as the sound requests among them have finished by then; a crash alone at once. While the store is away each instance goes by what it knows, and reports it afterwards. Ruled out: a keyed topic of its own (one more long poll an instance, 1.4 calls/s each); waiting for the store before a suspect runs (the outage would refuse sound requests).

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -187,6 +187,26 @@
     return serializeRecord(std::move(record));
 }
 
+log::SuspectReportedT toRecord(const CrashReport &report)
+{
+    log::SuspectReportedT record;
+    record.fingerprint = report.fingerprint;
+    record.cleared = report.cleared;
+    for (const CrashUnderRequest &crash : report.crashes) {
+        auto entry = std::make_unique<log::CrashUnderRequestT>();
+        entry->endpoint = crash.process.endpoint.value();
+        entry->incarnation = crash.process.incarnation;
+        entry->alone = crash.alone;
+        record.crashes.push_back(std::move(entry));
+    }
+    return record;
+}
+
+std::string suspectRecord(const CrashReport &report)
+{
+    return serializeRecord(toRecord(report));
+}
+
 const log::Record *parseRecord(const std::string &bytes)
 {
     flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
@@ -251,4 +271,17 @@
     return progress;
 }
 
+CrashReport toCrashReport(const log::SuspectReported &record)
+{
+    CrashReport report{.fingerprint = record.fingerprint(), .crashes = {}, .cleared = record.cleared()};
+    if (record.crashes() != nullptr) {
+        for (const log::CrashUnderRequest *crash : *record.crashes()) {
+            report.crashes.push_back({.process = {.endpoint = EndpointId(stringOrEmpty(crash->endpoint())),
+                                                  .incarnation = crash->incarnation()},
+                                      .alone = crash->alone()});
+        }
+    }
+    return report;
+}
+
 } // namespace bergamot::batch
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -13,6 +13,7 @@
 #include <string>
 #include <vector>
 
+#include "bergamot/base/crash_report.h"
 #include "bergamot/base/error.h"
 #include "bergamot/batch/generated/records_generated.h"
 
@@ -105,12 +106,16 @@
 std::string
 loadIntentRecord(std::uint64_t epoch, const std::string &engine, const std::string &model, std::uint64_t version);
 
+std::string suspectRecord(const CrashReport &report);
+
 /// Verifies `bytes`; null if they are not a record of this log. The result points into `bytes`.
 const log::Record *parseRecord(const std::string &bytes);
 
 Item toItem(const log::Item &record);
 ItemResult toResult(const log::ItemResult &record);
 ItemProgress toProgress(const log::ItemProgress &record);
+CrashReport toCrashReport(const log::SuspectReported &record);
+log::SuspectReportedT toRecord(const CrashReport &report);
 
 /// The string of an optional field; empty if it is absent.
 std::string stringOrEmpty(const flatbuffers::String *field);
--- a/bergamot/batch/batch_test.cpp
+++ b/bergamot/batch/batch_test.cpp
@@ -96,5 +96,15 @@
     EXPECT_EQ(result.score, "stamp");
 }
 
+TEST(RecordTest, ACrashReportSurvivesSerialization)
+{
+    const CrashReport report{
+        .fingerprint = 7,
+        .crashes = {{.process = {EndpointId("d1"), 4}, .alone = true}, {.process = {EndpointId("d2"), 0}}},
+        .cleared = true};
+    const std::string bytes = suspectRecord(report);
+    EXPECT_EQ(toCrashReport(*parseRecord(bytes)->payload_as_SuspectReported()), report);
+}
+
 } // namespace
 } // namespace bergamot::batch
--- a/bergamot/batch/snapshot.cpp
+++ b/bergamot/batch/snapshot.cpp
@@ -148,6 +148,9 @@
     for (const auto &[id, entry] : batches) {
         snapshot.batches.push_back(std::make_unique<log::SnapshotBatchT>(toRecord(id, entry, now)));
     }
+    for (const CrashReport &suspect : header.suspects) {
+        snapshot.suspects.push_back(std::make_unique<log::SuspectReportedT>(toRecord(suspect)));
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(log::Snapshot::Pack(builder, &snapshot));
     const std::string_view bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
@@ -184,7 +187,8 @@
                                     .epoch = record.epoch(),
                                     .owner = stringOrEmpty(record.owner()),
                                     .ownerAddress = stringOrEmpty(record.owner_address()),
-                                    .recentOrders = {}},
+                                    .recentOrders = {},
+                                    .suspects = {}},
                          .batches = {}};
     if (record.orders() != nullptr) {
         for (const log::RecentOrder *order : *record.orders()) {
@@ -200,6 +204,11 @@
             snapshot.batches.emplace(stringOrEmpty(batch->batch()), std::move(*entry));
         }
     }
+    if (record.suspects() != nullptr) {
+        for (const log::SuspectReported *suspect : *record.suspects()) {
+            snapshot.header.suspects.push_back(toCrashReport(*suspect));
+        }
+    }
     return snapshot;
 }
 
--- a/bergamot/batch/snapshot.h
+++ b/bergamot/batch/snapshot.h
@@ -1,8 +1,8 @@
 #pragma once
 
-// Snapshot of what an instance has folded from the batch log: the index of batches and the ownership of the engine
-// pool. An instance that starts loads the newest snapshot and reads only the records after it, so a restart costs the
-// same however long the log is.
+// Snapshot of what an instance has folded from the batch log: the index of batches, the ownership of the engine
+// pool and the requests that may crash endpoints. An instance that starts loads the newest snapshot and reads only the
+// records after it, so a restart costs the same however long the log is.
 //
 //     std::vector<std::string> parts = snapshotParts(header, index.batches(), {.maxPartBytes = 200000}, now);
 //     Result<LogSnapshot> snapshot = parseSnapshot(parts, now);
@@ -29,6 +29,7 @@
     std::string owner; // empty: the pool had no owner
     std::string ownerAddress; // from its claim; may be empty
     std::map<std::string, std::uint64_t> recentOrders; // epoch of the newest load order, by engine
+    std::vector<CrashReport> suspects; // requests under which endpoints crashed
 };
 
 struct LogSnapshot
--- a/bergamot/batch/snapshot_test.cpp
+++ b/bergamot/batch/snapshot_test.cpp
@@ -48,13 +48,16 @@
                               .epoch = 7,
                               .owner = "node-1",
                               .ownerAddress = "10.0.0.1:7720",
-                              .recentOrders = {{"e1", 6}}},
+                              .recentOrders = {{"e1", 6}},
+                              .suspects = m_suspects},
                              m_index.batches(),
                              {.maxPartBytes = maxPartBytes},
                              Now);
     }
 
     BatchIndex m_index;
+    std::vector<CrashReport> m_suspects{
+        {.fingerprint = 7, .crashes = {{.process = {EndpointId("d1"), 4}, .alone = true}}}, {.fingerprint = 9}};
 };
 
 TEST_F(SnapshotTest, RestoresTheWholeState)
@@ -66,6 +69,7 @@
     EXPECT_EQ(snapshot->header.owner, "node-1");
     EXPECT_EQ(snapshot->header.ownerAddress, "10.0.0.1:7720");
     EXPECT_EQ(snapshot->header.recentOrders, (std::map<std::string, std::uint64_t>{{"e1", 6}}));
+    EXPECT_EQ(snapshot->header.suspects, m_suspects);
     ASSERT_EQ(snapshot->batches.size(), 2U);
     for (const auto &[id, expected] : m_index.batches()) {
         const BatchEntry &entry = snapshot->batches.at(id);
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -69,6 +69,7 @@
           store,
           {.topic = m_options.topic, .producer = std::string(ProducerName), .maxCallBytes = m_options.maxCallBytes})
     , m_payloadWriter(loop, store, {.topic = m_options.payloadTopic, .maxCallBytes = m_options.maxCallBytes})
+    , m_suspectWriter(loop, store, {.topic = m_options.topic, .maxCallBytes = m_options.maxCallBytes})
     , m_confirmation(m_options.confirmation)
 {
     m_writer.onFenced([this] {
@@ -178,6 +179,24 @@
         std::move(done));
 }
 
+void BatchLog::reportSuspect(const CrashReport &report)
+{
+    if (m_suspectWriter.pendingRecords() >= m_options.maxUnwrittenSuspects) {
+        m_log.write(
+            EventKind::State,
+            "crash-suspect-not-reported",
+            {{"fingerprint", std::to_string(report.fingerprint)}, {"reason", "too many reports wait for the store"}});
+        return;
+    }
+    m_suspectWriter.write(0, batch::suspectRecord(report), [this, report](std::optional<std::uint64_t> offset) {
+        if (!offset) {
+            m_log.write(EventKind::State,
+                        "crash-suspect-not-reported",
+                        {{"fingerprint", std::to_string(report.fingerprint)}, {"reason", "the store refused it"}});
+        }
+    });
+}
+
 std::uint32_t BatchLog::payloadPartition(const std::string &batch) const
 {
     return static_cast<std::uint32_t>(stableHash(batch) % std::max(1U, m_options.payloadPartitions));
@@ -261,6 +280,11 @@
     m_batchChangeHandler = std::move(handler);
 }
 
+void BatchLog::onCrashReport(std::function<void(const CrashReport &)> handler)
+{
+    m_crashReportHandler = std::move(handler);
+}
+
 void BatchLog::onRecordsApplied(std::function<void()> handler)
 {
     m_recordsAppliedHandler = std::move(handler);
@@ -274,6 +298,7 @@
 void BatchLog::tick(TimePoint now)
 {
     m_index.expire(now);
+    m_suspects.expire(now);
     m_ownership.tick(now, m_tail.confirmedAt());
     readEnd();
     reportConfirmations();
@@ -375,6 +400,14 @@
     case batch::log::Payload::ProgressSaved:
         m_ownership.applyRenewal(m_ownership.epoch(), now);
         break;
+    case batch::log::Payload::SuspectReported: {
+        const CrashReport report = batch::toCrashReport(*record->payload_as_SuspectReported());
+        m_suspects.apply(report, now);
+        if (m_crashReportHandler) {
+            m_crashReportHandler(report);
+        }
+        break;
+    }
     default:
         break;
     }
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -19,6 +19,7 @@
 #include "bergamot/base/event_log.h"
 #include "bergamot/batch/batch_index.h"
 #include "bergamot/batch/snapshot.h"
+#include "bergamot/batch/suspect_index.h"
 #include "bergamot/duties/pool_ownership.h"
 #include "bergamot/logstore/bulk_writer.h"
 #include "bergamot/logstore/fenced_writer.h"
@@ -42,6 +43,7 @@
     Duration ownerReadPause = std::chrono::milliseconds(20); // owner's delay after a read that returned records
     Duration followerReadPause = std::chrono::milliseconds(200); // the same for other instances
     Duration awaitedReadPause = std::chrono::milliseconds(50); // the same while a caller waits for a result here
+    std::size_t maxUnwrittenSuspects = 64; // reports that wait for the store; further ones are dropped
     std::size_t minSnapshotBytes = 64 * 1024; // records that are always read instead of a new snapshot
     Duration minSnapshotInterval = std::chrono::seconds(1);
     Duration gapReloadInterval = std::chrono::seconds(1); // between reads of the snapshot while records are missing
@@ -99,6 +101,8 @@
                         std::vector<std::string> records,
                         Duration timeout,
                         std::function<void(const logstore::AppendOutcome &)> done);
+    /// Reports a suspect to all instances, also while the store is away: then later, the newest ones only.
+    void reportSuspect(const CrashReport &report);
     /// Partition that holds the payloads of a batch.
     std::uint32_t payloadPartition(const std::string &batch) const;
     /// Reads the payloads at `offsets`, which must be ascending.
@@ -113,6 +117,8 @@
     std::size_t unwrittenRecords() const;
 
     void onBatchChange(std::function<void(batch::BatchChange, const batch::log::Record &)> handler);
+    /// `handler` receives what instances report about requests that crash endpoints, this instance included.
+    void onCrashReport(std::function<void(const CrashReport &)> handler);
     /// `handler` runs after all records of one read have been applied to the index.
     void onRecordsApplied(std::function<void()> handler);
     void onOwnership(std::function<void(bool owns)> handler);
@@ -162,11 +168,14 @@
     EventLog &m_log;
     batch::BatchIndex m_index;
     duties::PoolOwnership m_ownership;
+    batch::SuspectIndex m_suspects;
     logstore::KeyedReader m_snapshotReader;
     logstore::TopicTail m_tail;
     logstore::FencedWriter m_writer;
     logstore::BulkWriter m_payloadWriter;
+    logstore::BulkWriter m_suspectWriter;
     std::function<void(batch::BatchChange, const batch::log::Record &)> m_batchChangeHandler;
+    std::function<void(const CrashReport &)> m_crashReportHandler;
     std::function<void()> m_recordsAppliedHandler;
     std::function<void(bool)> m_ownershipHandler;
     std::function<void(const std::string &, const std::string &)> m_probeHandler;
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -70,6 +70,12 @@
     m_ownerAddress = std::move(snapshot.header.ownerAddress);
     m_snapshotNextOffset = next;
     m_index.restore(std::move(snapshot.batches));
+    m_suspects.restore(snapshot.header.suspects, BootClock::now());
+    for (const CrashReport &suspect : snapshot.header.suspects) {
+        if (m_crashReportHandler) {
+            m_crashReportHandler(suspect);
+        }
+    }
     follow(next, "snapshot");
     return true;
 }
@@ -180,7 +186,8 @@
                               .epoch = ownership.epoch,
                               .owner = std::move(ownership.owner),
                               .ownerAddress = m_ownerAddress,
-                              .recentOrders = std::move(ownership.recentOrders)},
+                              .recentOrders = std::move(ownership.recentOrders),
+                              .suspects = m_suspects.suspects()},
                              m_index.batches(),
                              {.maxPartBytes = m_options.maxRecordBytes - PartOverhead},
                              now);
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -27,6 +27,8 @@
 constexpr Duration RetryAfter = std::chrono::milliseconds(300); // another instance may respond at once
 constexpr Duration OrderLeaseMargin = std::chrono::milliseconds(400); // orders reach their engine within this time
 constexpr Duration DefaultCallerWait = std::chrono::seconds(30); // for a caller that sends no deadline
+constexpr Duration CrashReportDelay =
+    std::chrono::milliseconds(200); // sound requests that were beside a crash have finished elsewhere by then
 constexpr double SmallCpuShare = 0.25; // a smaller share cannot process hundreds of streams
 constexpr Duration SmallInstanceClaimDelay = std::chrono::milliseconds(1500); // larger instances claim first
 
@@ -42,6 +44,7 @@
     router.target.pool.domain = FailureDomainId(options.zone);
     router.target.pool.limit.initial = 8; // a small service has some six slots, which several instances share
     router.target.pool.limit.minimum = 2;
+    router.quarantine.reportDelay = CrashReportDelay;
     router.clientResendsOnPooled = false; // net::HttpClient sends each request once
     return router;
 }
@@ -70,6 +73,20 @@
     return pool;
 }
 
+/// `source` tells what this instance observed from what it read in the log.
+void writeCrashReport(EventLog &log, std::string_view source, const CrashReport &report)
+{
+    std::string crashes; // as endpoint/incarnation, with "/alone" if the request was the only one
+    for (const CrashUnderRequest &crash : report.crashes) {
+        crashes += (crashes.empty() ? "" : ",") + crash.process.endpoint.value() + "/"
+            + std::to_string(crash.process.incarnation) + (crash.alone ? "/alone" : "");
+    }
+    log.write(
+        EventKind::State,
+        report.cleared ? "crash-suspect-cleared" : "crash-suspect",
+        {{"source", std::string(source)}, {"fingerprint", std::to_string(report.fingerprint)}, {"crashes", crashes}});
+}
+
 std::string seconds(Duration duration)
 {
     std::array<char, 32> text{};
@@ -228,6 +245,10 @@
     m_batchLog.onBatchChange([this](batch::BatchChange change, const batch::log::Record &record) {
         m_pool.batchChanged(change, record);
     });
+    m_batchLog.onCrashReport([this](const CrashReport &report) {
+        writeCrashReport(m_log, "read", report);
+        m_forwarder.applyCrashReport(report);
+    });
     m_batchLog.onRecordsApplied([this] {
         m_batchService.answerReadyReaders();
     });
@@ -401,6 +422,14 @@
     exchange.respond(std::move(response));
 }
 
+void Node::shareCrashReports()
+{
+    for (const CrashReport &report : m_forwarder.takeCrashReports()) {
+        writeCrashReport(m_log, "observed", report);
+        m_batchLog.reportSuspect(report);
+    }
+}
+
 void Node::updateRoutingTable()
 {
     RoutingTable table;
@@ -454,6 +483,7 @@
     m_batchLog.tick(now);
     m_batchService.tick(now);
     m_pool.tick(now);
+    shareCrashReports();
     m_log.flush();
     scheduleTick();
 }
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -82,6 +82,8 @@
     void forwardRequest(const fleet::Route &route, std::shared_ptr<net::Exchange> exchange);
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
     void refuse(net::Exchange &exchange, int status, std::string_view reason);
+    /// Reports what this instance has learned about requests that crash endpoints.
+    void shareCrashReports();
     void updateRoutingTable();
     void applyLimits();
     void scheduleTick();
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -57,6 +57,17 @@
     performActions();
 }
 
+void RequestForwarder::applyCrashReport(const CrashReport &report)
+{
+    m_router.onCrashReports({report}, BootClock::now());
+    performActions();
+}
+
+std::vector<CrashReport> RequestForwarder::takeCrashReports()
+{
+    return m_router.takeCrashReports(BootClock::now());
+}
+
 RequestId RequestForwarder::forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink)
 {
     const RequestId id = ++m_lastRequest;
@@ -147,24 +158,9 @@
         }
     }
     m_performing = false;
-    logSuspects();
     scheduleTick();
 }
 
-void RequestForwarder::logSuspects()
-{
-    for (const CrashReport &report : m_router.takeCrashReports(BootClock::now())) {
-        std::string crashes;
-        for (const CrashUnderRequest &crash : report.crashes) {
-            crashes += (crashes.empty() ? "" : ",") + crash.process.endpoint.value() + "/"
-                + std::to_string(crash.process.incarnation) + (crash.alone ? "/alone" : "");
-        }
-        m_log.write(EventKind::State,
-                    report.cleared ? "crash-suspect-cleared" : "crash-suspect",
-                    {{"fingerprint", std::to_string(report.fingerprint)}, {"crashes", crashes}});
-    }
-}
-
 void RequestForwarder::startAttempt(const DispatchAction &action)
 {
     const auto found = m_pending.find(action.request);
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -71,6 +71,10 @@
     void updateEndpoints(const RoutingTable &table);
     /// Records that the store has a heartbeat of the endpoint that was written after `aliveAt`.
     void recordHeartbeat(const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt);
+    /// Applies what instances have reported about requests that crash endpoints.
+    void applyCrashReport(const CrashReport &report);
+    /// What this instance has learned about such requests, to be reported to all instances. Call it often.
+    std::vector<CrashReport> takeCrashReports();
     /// Forwards a request; `sink` receives the response, never from within this call.
     RequestId forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink);
     /// Cancels a request; its sink is not called any more. No effect if the request has ended.
@@ -100,8 +104,6 @@
     };
 
     void performActions();
-    /// Logs which requests became crash suspects, and which were cleared.
-    void logSuspects();
     void startAttempt(const DispatchAction &action);
     void handleAttemptHead(AttemptId id, const net::ResponseHead &head);
     void handleAttemptData(AttemptId id, std::string_view data);
--- a/bergamot/routing/crash_quarantine.h
+++ b/bergamot/routing/crash_quarantine.h
@@ -11,7 +11,6 @@
 // sound requests that are in flight when the endpoints crash. Two crashes refuse a request only for some seconds, as
 // both may be accidents; a third one refuses it for long.
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -21,39 +20,12 @@
 #include <vector>
 
 #include "bergamot/base/clock.h"
+#include "bergamot/base/crash_report.h"
 #include "bergamot/base/ids.h"
 
 namespace bergamot
 {
 
-/// A process of an endpoint. An endpoint that starts again under its id has another incarnation.
-struct EndpointProcess
-{
-    EndpointId endpoint;
-    std::uint64_t incarnation = 0; // 0: not known
-
-    auto operator<=>(const EndpointProcess &) const = default;
-};
-
-/// A crash during a request.
-struct CrashUnderRequest
-{
-    EndpointProcess process;
-    bool alone = false; // it was the only request of the reporting instance at the endpoint
-
-    bool operator==(const CrashUnderRequest &) const = default;
-};
-
-/// What one instance knows of a suspect, for all other instances.
-struct CrashReport
-{
-    std::uint64_t fingerprint = 0;
-    std::vector<CrashUnderRequest> crashes; // by ascending process
-    bool cleared = false; // the request has finished since, so it is no suspect
-
-    bool operator==(const CrashReport &) const = default;
-};
-
 /// A change of a suspect's state that one instance sends to the others of its failure domain.
 struct SuspectReport
 {
