--- a/bergamot/node/platform_codec.h
+++ b/bergamot/node/platform_codec.h
@@ -28,6 +28,7 @@
     std::string expectedEndpoint; // id of the intended endpoint; any other one refuses the request
     std::string notExecuted; // in a response: the request was not executed
     std::string leaving; // in any response, with the value `LeavingValue`: the endpoint is leaving
+    std::string limit; // in any response: requests a second that the endpoint takes from all instances together
     std::string signature; // signature of an endpoint's response
     std::string weightVersions; // in an engine's response: its weight version
     std::string weightVersionField; // field of the event at which the weight version changes
