--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -207,6 +207,21 @@
     return serializeRecord(toRecord(report));
 }
 
+log::LimitReportedT toRecord(const quota::LimitReport &report)
+{
+    log::LimitReportedT record;
+    record.endpoint = report.process.endpoint.value();
+    record.incarnation = report.process.incarnation;
+    record.per_second = report.perSecond.value_or(0);
+    record.ended = !report.perSecond.has_value();
+    return record;
+}
+
+std::string limitRecord(const quota::LimitReport &report)
+{
+    return serializeRecord(toRecord(report));
+}
+
 const log::Record *parseRecord(const std::string &bytes)
 {
     flatbuffers::Verifier verifier(reinterpret_cast<const std::uint8_t *>(bytes.data()), bytes.size());
@@ -284,4 +299,11 @@
     return report;
 }
 
+quota::LimitReport toLimitReport(const log::LimitReported &record)
+{
+    const bool named = !record.ended() && record.per_second() >= 0;
+    return {.process = {.endpoint = EndpointId(stringOrEmpty(record.endpoint())), .incarnation = record.incarnation()},
+            .perSecond = named ? std::optional(record.per_second()) : std::nullopt};
+}
+
 } // namespace bergamot::batch
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -16,6 +16,7 @@
 #include "bergamot/base/crash_report.h"
 #include "bergamot/base/error.h"
 #include "bergamot/batch/generated/records_generated.h"
+#include "bergamot/quota/named_limits.h"
 
 namespace bergamot::batch
 {
@@ -107,6 +108,7 @@
 loadIntentRecord(std::uint64_t epoch, const std::string &engine, const std::string &model, std::uint64_t version);
 
 std::string suspectRecord(const CrashReport &report);
+std::string limitRecord(const quota::LimitReport &report);
 
 /// Verifies `bytes`; null if they are not a record of this log. The result points into `bytes`.
 const log::Record *parseRecord(const std::string &bytes);
@@ -116,6 +118,8 @@
 ItemProgress toProgress(const log::ItemProgress &record);
 CrashReport toCrashReport(const log::SuspectReported &record);
 log::SuspectReportedT toRecord(const CrashReport &report);
+quota::LimitReport toLimitReport(const log::LimitReported &record);
+log::LimitReportedT toRecord(const quota::LimitReport &report);
 
 /// The string of an optional field; empty if it is absent.
 std::string stringOrEmpty(const flatbuffers::String *field);
--- a/bergamot/batch/batch_test.cpp
+++ b/bergamot/batch/batch_test.cpp
@@ -96,6 +96,15 @@
     EXPECT_EQ(result.score, "stamp");
 }
 
+TEST(RecordTest, ALimitReportSurvivesSerialization)
+{
+    for (const std::optional<double> perSecond : {std::optional(3.5), std::optional<double>()}) {
+        const quota::LimitReport report{.process = {EndpointId("d1"), 4}, .perSecond = perSecond};
+        const std::string bytes = limitRecord(report);
+        EXPECT_EQ(toLimitReport(*parseRecord(bytes)->payload_as_LimitReported()), report);
+    }
+}
+
 TEST(RecordTest, ACrashReportSurvivesSerialization)
 {
     const CrashReport report{
--- a/bergamot/batch/snapshot.cpp
+++ b/bergamot/batch/snapshot.cpp
@@ -151,6 +151,9 @@
     for (const CrashReport &suspect : header.suspects) {
         snapshot.suspects.push_back(std::make_unique<log::SuspectReportedT>(toRecord(suspect)));
     }
+    for (const quota::LimitReport &limit : header.limits) {
+        snapshot.limits.push_back(std::make_unique<log::LimitReportedT>(toRecord(limit)));
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(log::Snapshot::Pack(builder, &snapshot));
     const std::string_view bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
@@ -188,7 +191,8 @@
                                     .owner = stringOrEmpty(record.owner()),
                                     .ownerAddress = stringOrEmpty(record.owner_address()),
                                     .recentOrders = {},
-                                    .suspects = {}},
+                                    .suspects = {},
+                                    .limits = {}},
                          .batches = {}};
     if (record.orders() != nullptr) {
         for (const log::RecentOrder *order : *record.orders()) {
@@ -209,6 +213,11 @@
             snapshot.header.suspects.push_back(toCrashReport(*suspect));
         }
     }
+    if (record.limits() != nullptr) {
+        for (const log::LimitReported *limit : *record.limits()) {
+            snapshot.header.limits.push_back(toLimitReport(*limit));
+        }
+    }
     return snapshot;
 }
 
--- a/bergamot/batch/snapshot.h
+++ b/bergamot/batch/snapshot.h
@@ -30,6 +30,7 @@
     std::string ownerAddress; // from its claim; may be empty
     std::map<std::string, std::uint64_t> recentOrders; // epoch of the newest load order, by engine
     std::vector<CrashReport> suspects; // requests under which endpoints crashed
+    std::vector<quota::LimitReport> limits; // that endpoints have named
 };
 
 struct LogSnapshot
--- a/bergamot/batch/snapshot_test.cpp
+++ b/bergamot/batch/snapshot_test.cpp
@@ -49,13 +49,15 @@
                               .owner = "node-1",
                               .ownerAddress = "10.0.0.1:7720",
                               .recentOrders = {{"e1", 6}},
-                              .suspects = m_suspects},
+                              .suspects = m_suspects,
+                              .limits = m_limits},
                              m_index.batches(),
                              {.maxPartBytes = maxPartBytes},
                              Now);
     }
 
     BatchIndex m_index;
+    std::vector<quota::LimitReport> m_limits{{.process = {EndpointId("d1"), 4}, .perSecond = 3.5}};
     std::vector<CrashReport> m_suspects{
         {.fingerprint = 7, .crashes = {{.process = {EndpointId("d1"), 4}, .alone = true}}}, {.fingerprint = 9}};
 };
@@ -70,6 +72,7 @@
     EXPECT_EQ(snapshot->header.ownerAddress, "10.0.0.1:7720");
     EXPECT_EQ(snapshot->header.recentOrders, (std::map<std::string, std::uint64_t>{{"e1", 6}}));
     EXPECT_EQ(snapshot->header.suspects, m_suspects);
+    EXPECT_EQ(snapshot->header.limits, m_limits);
     ASSERT_EQ(snapshot->batches.size(), 2U);
     for (const auto &[id, expected] : m_index.batches()) {
         const BatchEntry &entry = snapshot->batches.at(id);
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -288,7 +288,7 @@
         const std::uint32_t failureLimit = batch->policy ? batch->policy->maxAttempts : 1;
         item->failures += outcome == RunOutcome::Failed ? 1 : 0;
         if (outcome == RunOutcome::Complete) {
-            completeText(key, *item);
+            completeText(key, *item, now);
         } else if (outcome == RunOutcome::Rejected
                    || (outcome == RunOutcome::Failed && item->failures >= failureLimit)) {
             commitIncompleteResult(key, *item);
@@ -301,27 +301,6 @@
     }
 }
 
-void SampleScheduler::scoringEnded(const ItemKey &key, ScoringOutcome outcome, const std::string &score, TimePoint now)
-{
-    ItemState *item = findItem(key);
-    if (item == nullptr || item->stage != Stage::Scoring) {
-        return;
-    }
-    BatchState &batch = m_batches[key.batch];
-    if (outcome == ScoringOutcome::Scored) {
-        commitResult(key, *item, true);
-        std::get<CommitResult>(m_actions.back()).result.score = score;
-        return;
-    }
-    if (outcome == ScoringOutcome::Failed
-        && ++item->scoringFailures >= (batch.policy ? batch.policy->maxScoringFailures : 1)) {
-        commitIncompleteResult(key, *item);
-        return;
-    }
-    setStage(batch, *item, Stage::AwaitingScore);
-    item->nextScoringAt = now + m_options.scoringRetryDelay;
-}
-
 void SampleScheduler::loadStarted(const std::string &engine, const std::string &model)
 {
     const auto found = m_engines.find(engine);
@@ -369,10 +348,6 @@
     for (auto &[id, batch] : m_batches) {
         for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
             ItemState &item = batch.items[index];
-            if (item.stage == Stage::AwaitingScore && now >= item.nextScoringAt) {
-                setStage(batch, item, Stage::Scoring);
-                m_actions.emplace_back(StartScoring{{id, index}});
-            }
             const bool expired = batch.policy && now - batch.addedAt > batch.policy->retention;
             if ((batch.routeRemoved || expired) && (item.stage == Stage::Waiting || item.stage == Stage::Running)) {
                 if (item.run != 0) {
@@ -382,6 +357,7 @@
             }
         }
     }
+    startDueScorings(now);
     if (now >= m_nextSaveCheck) {
         m_nextSaveCheck = now + m_options.saveCheckInterval;
         saveProgress(now);
@@ -424,17 +400,6 @@
     m_actions.emplace_back(std::move(action));
 }
 
-void SampleScheduler::completeText(const ItemKey &key, ItemState &item)
-{
-    item.complete = true;
-    if (item.item.scoring) {
-        setStage(m_batches[key.batch], item, Stage::Scoring);
-        m_actions.emplace_back(StartScoring{key});
-        return;
-    }
-    commitResult(key, item, true);
-}
-
 void SampleScheduler::commitIncompleteResult(const ItemKey &key, ItemState &item)
 {
     commitResult(key, item, false);
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -25,6 +25,7 @@
 #include "bergamot/base/address.h"
 #include "bergamot/base/clock.h"
 #include "bergamot/batch/batch.h"
+#include "bergamot/quota/dispatch_gate.h"
 
 namespace bergamot::dispatch
 {
@@ -143,6 +144,9 @@
     Duration saveInterval = std::chrono::milliseconds(1000); // per run; a new owner repeats at most this much
     Duration saveCheckInterval = std::chrono::milliseconds(200); // between two checks of all runs
     double slowdownPerRun = 0.02; // share by which each further run at an engine slows the others
+    /// Whether the scoring call of the item may be sent now; takes what it needs beyond load. None: always.
+    std::function<bool(const batch::Item &item, TimePoint now)> mayScore;
+    quota::DispatchGate *gate = nullptr; // limits beyond slots and memory; null: none. Must outlive the scheduler
     double maxMemoryShare = 0.95; // share of an engine's memory that the declared tokens of its runs may fill
 };
 
@@ -182,7 +186,12 @@
     /// that the batch or the text does not allow, and the run has been cancelled. Its item runs again.
     bool runEvent(RunId run, std::uint64_t eventId, std::string_view data, std::uint64_t version, TimePoint now);
     void runEnded(RunId run, RunOutcome outcome, TimePoint now);
-    void scoringEnded(const ItemKey &key, ScoringOutcome outcome, const std::string &score, TimePoint now);
+    /// After a call without a score, the next one follows after `retryAfter` or the usual delay, whichever is longer.
+    void scoringEnded(const ItemKey &key,
+                      ScoringOutcome outcome,
+                      const std::string &score,
+                      TimePoint now,
+                      Duration retryAfter = Duration::zero());
 
     /// From now on no run of `model` starts at the engine, until its load has finished or was cancelled.
     void loadStarted(const std::string &engine, const std::string &model);
@@ -282,6 +291,7 @@
         std::vector<std::string> groups; // group by item
         std::vector<std::uint32_t> startOrder; // item indexes, first to start first
         std::set<std::uint32_t> waiting; // start positions of the waiting items
+        std::set<std::uint32_t> awaitingScore; // start positions of the items whose scoring call waits
         std::size_t openItems = 0; // items without a result
     };
 
@@ -327,6 +337,7 @@
 
     static void addVersion(ItemState &item, std::uint64_t version);
     static void setStage(BatchState &batch, ItemState &item, Stage stage);
+    static EndpointProcess processOf(const EngineState &engine);
     /// Whether the engine can start a further run of the batch.
     bool canStartRun(const EngineState &engine, const BatchState &batch, TimePoint now);
     /// Whether the memory of the engine holds the item beside its runs. An engine without runs takes any item.
@@ -337,8 +348,10 @@
     void updateMedianSecondsPerEvent();
     /// The free engine with the lowest time per event that can run the item; null if there is none.
     EngineState *bestEngine(const BatchState &batch, const ItemState &item, TimePoint now);
-    /// Batches before their result deadline go first, then the late ones; each in the order of acceptance.
-    std::vector<BatchState *> batchesByUrgency(TimePoint now);
+    /// The batches for which `wanted` returns true. Those before their result deadline go first, then the late ones;
+    /// each in the order of acceptance.
+    std::vector<BatchState *> batchesByUrgency(TimePoint now, bool (*wanted)(const BatchState &batch));
+    static bool hasWaitingItems(const BatchState &batch);
     /// Sets the start order of the items. First come the groups that the trainer probably waits for: those that have a
     /// result or were part of an earlier batch, then those with the shortest longest item. Among them the longest items
     /// start first.
@@ -369,7 +382,12 @@
     /// Orders the result to be committed; without its text if it is not `completed`.
     void commitResult(const ItemKey &key, ItemState &item, bool completed);
     /// Starts the scoring of a complete text, or commits it if the item needs no score.
-    void completeText(const ItemKey &key, ItemState &item);
+    void completeText(const ItemKey &key, ItemState &item, TimePoint now);
+    /// Starts the scoring calls that are due, as long as `mayScore` allows.
+    void startDueScorings(TimePoint now);
+    /// Indexes of the items whose scoring calls are due. Groups that lack the fewest results go first, as the trainer
+    /// waits for whole groups.
+    static std::vector<std::uint32_t> dueScorings(const BatchState &batch, TimePoint now);
     /// Gives the item up: commits a result without text.
     void commitIncompleteResult(const ItemKey &key, ItemState &item);
     BatchState *findBatch(const std::string &batch);
--- a/bergamot/dispatch/sample_scheduler_assignment.cpp
+++ b/bergamot/dispatch/sample_scheduler_assignment.cpp
@@ -34,6 +34,11 @@
     } else {
         batch.waiting.erase(item.startPosition);
     }
+    if (stage == Stage::AwaitingScore) {
+        batch.awaitingScore.insert(item.startPosition);
+    } else {
+        batch.awaitingScore.erase(item.startPosition);
+    }
 }
 
 void SampleScheduler::updateFreeEngines(EngineState &engine)
@@ -54,7 +59,13 @@
     if (engine.loadingModel == batch.model || (engine.unconfirmedModel == batch.model && engine.probe != 0)) {
         return false;
     }
-    return versionOf(engine.versions, batch.model) >= batch.minVersion && serves(engine, batch);
+    return versionOf(engine.versions, batch.model) >= batch.minVersion && serves(engine, batch)
+        && (m_options.gate == nullptr || m_options.gate->admits(processOf(engine), now));
+}
+
+EndpointProcess SampleScheduler::processOf(const EngineState &engine)
+{
+    return {.endpoint = EndpointId(engine.description.id), .incarnation = engine.description.incarnation};
 }
 
 bool SampleScheduler::hasMemoryFor(const EngineState &engine, const ItemState &item) const
@@ -106,7 +117,7 @@
     if (m_startsHeld || m_freeEngines.empty()) {
         return;
     }
-    for (BatchState *batch : batchesByUrgency(now)) {
+    for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
         while (!batch->waiting.empty()) {
             const std::uint32_t index = batch->startOrder[*batch->waiting.begin()];
             EngineState *engine = bestEngine(*batch, batch->items[index], now);
@@ -123,7 +134,7 @@
     if (m_startsHeld) {
         return;
     }
-    for (BatchState *batch : batchesByUrgency(now)) {
+    for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
         while (!batch->waiting.empty() && canStartRun(engine, *batch, now)) {
             const std::uint32_t index = batch->startOrder[*batch->waiting.begin()];
             if (!hasMemoryFor(engine, batch->items[index])) {
@@ -134,16 +145,22 @@
     }
 }
 
-std::vector<SampleScheduler::BatchState *> SampleScheduler::batchesByUrgency(TimePoint now)
+bool SampleScheduler::hasWaitingItems(const BatchState &batch)
+{
+    return !batch.waiting.empty() && batch.policy;
+}
+
+std::vector<SampleScheduler::BatchState *> SampleScheduler::batchesByUrgency(TimePoint now,
+                                                                             bool (*wanted)(const BatchState &batch))
 {
     std::vector<BatchState *> inTime;
     std::vector<BatchState *> late;
     for (const auto &[order, id] : m_batchByAcceptance) {
         BatchState &batch = m_batches.at(id);
-        if (batch.waiting.empty() || !batch.policy) {
+        if (!wanted(batch)) {
             continue;
         }
-        const bool isLate = now - batch.addedAt > batch.policy->resultDeadline;
+        const bool isLate = batch.policy && now - batch.addedAt > batch.policy->resultDeadline;
         (isLate ? late : inTime).push_back(&batch);
     }
     inTime.insert(inTime.end(), late.begin(), late.end());
@@ -212,6 +229,9 @@
     engine.runs.insert(run);
     engine.tokens += item.item.maxTotalTokens;
     updateFreeEngines(engine);
+    if (m_options.gate != nullptr) {
+        m_options.gate->dispatched(processOf(engine), now);
+    }
     m_runs.emplace(run, Run{.key = key, .engine = engine.description.id, .startedAt = now, .lastEventAt = now});
     StartRun action{.run = run,
                     .key = key,
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -38,6 +38,7 @@
     , m_log(log)
     , m_index(m_options.index)
     , m_ownership(m_options.instance, m_options.ownership, seed)
+    , m_limits({}, seed)
     , m_snapshotReader(loop, store, {.topic = m_options.snapshotTopic}, seed + 1)
     , m_tail(loop,
              store,
@@ -69,7 +70,7 @@
           store,
           {.topic = m_options.topic, .producer = std::string(ProducerName), .maxCallBytes = m_options.maxCallBytes})
     , m_payloadWriter(loop, store, {.topic = m_options.payloadTopic, .maxCallBytes = m_options.maxCallBytes})
-    , m_suspectWriter(loop, store, {.topic = m_options.topic, .maxCallBytes = m_options.maxCallBytes})
+    , m_reportWriter(loop, store, {.topic = m_options.topic, .maxCallBytes = m_options.maxCallBytes})
     , m_confirmation(m_options.confirmation)
 {
     m_writer.onFenced([this] {
@@ -152,6 +153,18 @@
     return m_ownership;
 }
 
+const std::string &BatchLog::ownerAddress() const
+{
+    return m_ownerAddress;
+}
+
+bool BatchLog::ownershipIsCertain(TimePoint now) const
+{
+    constexpr Duration Margin = std::chrono::milliseconds(200); // between a decision and what follows from it
+    return m_owned && m_ownership.isOwner()
+        && now - m_writer.acknowledgedCallSentAt() < m_options.ownership.expiresAfter - Margin;
+}
+
 logstore::FencedWriter &BatchLog::writer()
 {
     return m_writer;
@@ -181,18 +194,24 @@
 
 void BatchLog::reportSuspect(const CrashReport &report)
 {
-    if (m_suspectWriter.pendingRecords() >= m_options.maxUnwrittenSuspects) {
+    appendReport(batch::suspectRecord(report), "suspect " + std::to_string(report.fingerprint));
+}
+
+void BatchLog::reportLimit(const quota::LimitReport &report)
+{
+    appendReport(batch::limitRecord(report), "limit of " + report.process.endpoint.value());
+}
+
+void BatchLog::appendReport(std::string record, const std::string &about)
+{
+    if (m_reportWriter.pendingRecords() >= m_options.maxUnwrittenReports) {
         m_log.write(
-            EventKind::State,
-            "crash-suspect-not-reported",
-            {{"fingerprint", std::to_string(report.fingerprint)}, {"reason", "too many reports wait for the store"}});
+            EventKind::State, "not-reported", {{"about", about}, {"reason", "too many reports wait for the store"}});
         return;
     }
-    m_suspectWriter.write(0, batch::suspectRecord(report), [this, report](std::optional<std::uint64_t> offset) {
+    m_reportWriter.write(0, std::move(record), [this, about](std::optional<std::uint64_t> offset) {
         if (!offset) {
-            m_log.write(EventKind::State,
-                        "crash-suspect-not-reported",
-                        {{"fingerprint", std::to_string(report.fingerprint)}, {"reason", "the store refused it"}});
+            m_log.write(EventKind::State, "not-reported", {{"about", about}, {"reason", "the store refused it"}});
         }
     });
 }
@@ -285,6 +304,16 @@
     m_crashReportHandler = std::move(handler);
 }
 
+void BatchLog::onLimitReport(std::function<void(const quota::LimitReport &)> handler)
+{
+    m_limitReportHandler = std::move(handler);
+}
+
+void BatchLog::retainLimits(const std::function<bool(const EndpointId &)> &present)
+{
+    m_limits.retain(present);
+}
+
 void BatchLog::onRecordsApplied(std::function<void()> handler)
 {
     m_recordsAppliedHandler = std::move(handler);
@@ -408,6 +437,14 @@
         }
         break;
     }
+    case batch::log::Payload::LimitReported: {
+        const quota::LimitReport report = batch::toLimitReport(*record->payload_as_LimitReported());
+        m_limits.reported(report);
+        if (m_limitReportHandler) {
+            m_limitReportHandler(report);
+        }
+        break;
+    }
     default:
         break;
     }
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -43,7 +43,7 @@
     Duration ownerReadPause = std::chrono::milliseconds(20); // owner's delay after a read that returned records
     Duration followerReadPause = std::chrono::milliseconds(200); // the same for other instances
     Duration awaitedReadPause = std::chrono::milliseconds(50); // the same while a caller waits for a result here
-    std::size_t maxUnwrittenSuspects = 64; // reports that wait for the store; further ones are dropped
+    std::size_t maxUnwrittenReports = 64; // reports that wait for the store; further ones are dropped
     std::size_t minSnapshotBytes = 64 * 1024; // records that are always read instead of a new snapshot
     Duration minSnapshotInterval = std::chrono::seconds(1);
     Duration gapReloadInterval = std::chrono::seconds(1); // between reads of the snapshot while records are missing
@@ -90,6 +90,10 @@
     Duration retryAfter(TimePoint now) const;
     const batch::BatchIndex &index() const;
     const duties::PoolOwnership &ownership() const;
+    /// Address at which the owner's process answers other instances; empty if it is not known.
+    const std::string &ownerAddress() const;
+    /// Whether this instance owns the pool and no other instance can have succeeded it by now.
+    bool ownershipIsCertain(TimePoint now) const;
     logstore::FencedWriter &writer();
 
     /// Appends records that need no ownership. The caller resolves unknown outcomes.
@@ -101,8 +105,11 @@
                         std::vector<std::string> records,
                         Duration timeout,
                         std::function<void(const logstore::AppendOutcome &)> done);
-    /// Reports a suspect to all instances, also while the store is away: then later, the newest ones only.
+    /// Reports a suspect to all instances; once the store is back, if it is away. Beyond `maxUnwrittenReports` reports
+    /// are dropped.
     void reportSuspect(const CrashReport &report);
+    /// Reports a limit that an endpoint has named to all instances; bounded in the same way.
+    void reportLimit(const quota::LimitReport &report);
     /// Partition that holds the payloads of a batch.
     std::uint32_t payloadPartition(const std::string &batch) const;
     /// Reads the payloads at `offsets`, which must be ascending.
@@ -119,6 +126,10 @@
     void onBatchChange(std::function<void(batch::BatchChange, const batch::log::Record &)> handler);
     /// `handler` receives what instances report about requests that crash endpoints, this instance included.
     void onCrashReport(std::function<void(const CrashReport &)> handler);
+    /// `handler` receives what instances report about limits that endpoints have named, this instance included.
+    void onLimitReport(std::function<void(const quota::LimitReport &)> handler);
+    /// Forgets the limits of endpoints for which `present` returns false.
+    void retainLimits(const std::function<bool(const EndpointId &)> &present);
     /// `handler` runs after all records of one read have been applied to the index.
     void onRecordsApplied(std::function<void()> handler);
     void onOwnership(std::function<void(bool owns)> handler);
@@ -155,6 +166,8 @@
     void handleSnapshotAppend(const logstore::AppendOutcome &outcome);
     void appendSnapshot(std::vector<std::string> records, std::size_t bytes, std::uint64_t nextOffset);
     void applyRecord(std::uint64_t offset, const std::string &bytes);
+    /// Appends a report, unless too many wait for the store. `about` names its subject in logs.
+    void appendReport(std::string record, const std::string &about);
     void readEnd();
     void reportConfirmations();
     void claim();
@@ -169,13 +182,15 @@
     batch::BatchIndex m_index;
     duties::PoolOwnership m_ownership;
     batch::SuspectIndex m_suspects;
+    quota::NamedLimits m_limits; // as all instances have been told
     logstore::KeyedReader m_snapshotReader;
     logstore::TopicTail m_tail;
     logstore::FencedWriter m_writer;
     logstore::BulkWriter m_payloadWriter;
-    logstore::BulkWriter m_suspectWriter;
+    logstore::BulkWriter m_reportWriter;
     std::function<void(batch::BatchChange, const batch::log::Record &)> m_batchChangeHandler;
     std::function<void(const CrashReport &)> m_crashReportHandler;
+    std::function<void(const quota::LimitReport &)> m_limitReportHandler;
     std::function<void()> m_recordsAppliedHandler;
     std::function<void(bool)> m_ownershipHandler;
     std::function<void(const std::string &, const std::string &)> m_probeHandler;
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -76,6 +76,12 @@
             m_crashReportHandler(suspect);
         }
     }
+    for (const quota::LimitReport &limit : snapshot.header.limits) {
+        m_limits.reported(limit);
+        if (m_limitReportHandler) {
+            m_limitReportHandler(limit);
+        }
+    }
     follow(next, "snapshot");
     return true;
 }
@@ -187,7 +193,8 @@
                               .owner = std::move(ownership.owner),
                               .ownerAddress = m_ownerAddress,
                               .recentOrders = std::move(ownership.recentOrders),
-                              .suspects = m_suspects.suspects()},
+                              .suspects = m_suspects.suspects(),
+                              .limits = m_limits.all()},
                              m_index.batches(),
                              {.maxPartBytes = m_options.maxRecordBytes - PartOverhead},
                              now);
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -8,6 +8,7 @@
                        RequestForwarder &forwarder,
                        BatchLog &log,
                        FleetView &view,
+                       QuotaExchange &quota,
                        const PlatformCodec &codec,
                        EventLog &eventLog,
                        EnginePoolOptions options,
@@ -17,13 +18,24 @@
     , m_forwarder(forwarder)
     , m_log(log)
     , m_view(view)
+    , m_quota(quota)
     , m_codec(codec)
     , m_eventLog(eventLog)
     , m_options(std::move(options))
     , m_random(seed)
-    , m_scheduler(m_options.scheduler)
+    , m_scheduler(schedulerOptions())
 { }
 
+dispatch::SampleSchedulerOptions EnginePool::schedulerOptions()
+{
+    dispatch::SampleSchedulerOptions scheduler = m_options.scheduler;
+    scheduler.gate = &m_quota.sampleGate();
+    scheduler.mayScore = [this](const batch::Item &item, TimePoint now) {
+        return mayScore(item, now);
+    };
+    return scheduler;
+}
+
 EnginePool::~EnginePool() = default;
 
 void EnginePool::begin()
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -22,6 +22,7 @@
 #include "bergamot/net/http_client.h"
 #include "bergamot/node/batch_log.h"
 #include "bergamot/node/fleet_view.h"
+#include "bergamot/node/quota_exchange.h"
 #include "bergamot/node/request_forwarder.h"
 
 namespace bergamot::node
@@ -56,6 +57,7 @@
                RequestForwarder &forwarder,
                BatchLog &log,
                FleetView &view,
+               QuotaExchange &quota,
                const PlatformCodec &codec,
                EventLog &eventLog,
                EnginePoolOptions options,
@@ -135,6 +137,7 @@
         bool confirming = false; // a report request for the confirmation is in flight
     };
 
+    dispatch::SampleSchedulerOptions schedulerOptions();
     void applyEndpoints();
     void readBatch(const std::string &batch);
     /// Adds a batch to the scheduler, with the partial samples that earlier owners saved.
@@ -153,7 +156,13 @@
     /// Logs why a run ended without a whole text.
     void writeRunEnd(const ActiveRun &run, std::string_view reason);
     void startScoring(const dispatch::ItemKey &key);
-    void handleScoringEnd(const dispatch::ItemKey &key, int status, const net::Response *response);
+    /// Whether the limits of the endpoints that score the item admit a call now; takes a token for it.
+    bool mayScore(const batch::Item &item, TimePoint now);
+    /// `response` is null if the call was refused; it may be repeated after `retryAfter`.
+    void handleScoringEnd(const dispatch::ItemKey &key,
+                          int status,
+                          const net::Response *response,
+                          Duration retryAfter = Duration::zero());
     void commitResult(const batch::ItemResult &result);
     void saveProgress(const batch::ItemProgress &progress);
     /// Reports batches whose route counts as removed to the scheduler.
@@ -176,9 +185,11 @@
     void failLoad(const std::string &engine, std::string_view reason);
     void advanceLoads(TimePoint now);
     /// Calls an engine about its load; `kind` names the call in logs. Fails the load of an engine that is leaving.
-    void callEngine(const std::string &engine,
+    /// Returns false if the limit of the engine admits no call now; nothing was sent then.
+    bool callEngine(const std::string &engine,
                     std::string_view kind,
                     const net::Request &request,
+                    bool urgent,
                     std::function<void(int status, const std::string &body, const net::CallEnd &end)> done);
 
     boost::asio::io_context &m_loop;
@@ -186,6 +197,7 @@
     RequestForwarder &m_forwarder;
     BatchLog &m_log;
     FleetView &m_view;
+    QuotaExchange &m_quota;
     const PlatformCodec &m_codec;
     EventLog &m_eventLog;
     EnginePoolOptions m_options;
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -75,19 +75,27 @@
         });
 }
 
-void EnginePool::callEngine(const std::string &engine,
+bool EnginePool::callEngine(const std::string &engine,
                             std::string_view kind,
                             const net::Request &request,
+                            bool urgent,
                             std::function<void(int status, const std::string &body, const net::CallEnd &end)> done)
 {
     const auto endpoint = m_view.endpoints().find(engine);
     if (endpoint == m_view.endpoints().end()) {
         failLoad(engine, "the engine is no longer registered");
-        return;
+        return true;
     }
     if (endpoint->second.leaving()) {
         failLoad(engine, "the engine is leaving");
-        return;
+        return true;
+    }
+    const EndpointProcess process{EndpointId(engine), endpoint->second.incarnation};
+    if (!m_quota.takeForCall(process, urgent, BootClock::now())) {
+        m_eventLog.write(EventKind::State,
+                         "engine-call-delayed",
+                         {{"engine", engine}, {"call", std::string(kind)}, {"reason", "limit"}});
+        return false;
     }
     net::ClientRequest outgoing{.to = endpoint->second.address,
                                 .method = request.method,
@@ -111,6 +119,9 @@
         {.onHead =
              [this, answer, engine, incarnation = endpoint->second.incarnation, kind](const net::ResponseHead &head) {
                  answer->status = head.status;
+                 m_quota.heardAnswer({EndpointId(engine), incarnation},
+                                     head.status,
+                                     head.headers.find(m_codec.headers().limit).value_or(""));
                  if (saysLeaving(m_codec.headers(), head.headers)) {
                      m_view.endpointLeaving(engine, incarnation, kind);
                  }
@@ -126,6 +137,7 @@
                      performActions();
                  }
              }});
+    return true;
 }
 
 void EnginePool::requestReport(const std::string &engine)
@@ -133,27 +145,31 @@
     Load &load = m_loads[engine];
     load.phase = LoadPhase::RequestingReport;
     load.phaseStart = BootClock::now();
-    callEngine(engine,
-               "report",
-               m_codec.reportRequest(),
-               [this, engine](int status, const std::string &body, const net::CallEnd &end) {
-                   const auto found = m_loads.find(engine);
-                   if (found == m_loads.end()) {
-                       return;
-                   }
-                   if (end.failure != net::CallFailure::None || status != Ok) {
-                       failLoad(engine,
-                                "the report request failed: "
-                                    + (end.detail.empty() ? std::to_string(status) : end.detail));
-                       return;
-                   }
-                   const Result<EngineReport> report = m_codec.report(body);
-                   if (!report) {
-                       failLoad(engine, report.error().message);
-                       return;
-                   }
-                   applyReport(engine, *report);
-               });
+    const bool called = callEngine(engine,
+                                   "report",
+                                   m_codec.reportRequest(),
+                                   true,
+                                   [this, engine](int status, const std::string &body, const net::CallEnd &end) {
+                                       const auto found = m_loads.find(engine);
+                                       if (found == m_loads.end()) {
+                                           return;
+                                       }
+                                       if (end.failure != net::CallFailure::None || status != Ok) {
+                                           failLoad(engine,
+                                                    "the report request failed: "
+                                                        + (end.detail.empty() ? std::to_string(status) : end.detail));
+                                           return;
+                                       }
+                                       const Result<EngineReport> report = m_codec.report(body);
+                                       if (!report) {
+                                           failLoad(engine, report.error().message);
+                                           return;
+                                       }
+                                       applyReport(engine, *report);
+                                   });
+    if (!called) {
+        pauseLoad(load);
+    }
 }
 
 void EnginePool::applyReport(const std::string &engine, const EngineReport &report)
@@ -181,31 +197,36 @@
 {
     Load &load = m_loads[engine];
     load.confirming = true;
-    callEngine(engine,
-               "report",
-               m_codec.reportRequest(),
-               [this, engine](int status, const std::string &body, const net::CallEnd &end) {
-                   const auto found = m_loads.find(engine);
-                   if (found == m_loads.end()) {
-                       return;
-                   }
-                   Load &current = found->second;
-                   current.confirming = false;
-                   current.nextConfirmAt = BootClock::now() + m_options.confirmInterval;
-                   const Result<EngineReport> report = m_codec.report(body);
-                   if (end.failure != net::CallFailure::None || status != Ok || !report) {
-                       m_eventLog.write(
-                           EventKind::State,
-                           "load-unconfirmed",
-                           {{"engine", engine}, {"status", std::to_string(status)}, {"detail", end.detail}});
-                       return; // requested again until `loadTimeout`
-                   }
-                   const auto version = report->versions.find(current.model);
-                   if (version != report->versions.end() && version->second >= current.version) {
-                       m_scheduler.recordReportedVersion(engine, current.model, version->second);
-                       endLoad(engine, "loaded");
-                   }
-               });
+    const bool called = callEngine(
+        engine,
+        "report",
+        m_codec.reportRequest(),
+        false,
+        [this, engine](int status, const std::string &body, const net::CallEnd &end) {
+            const auto found = m_loads.find(engine);
+            if (found == m_loads.end()) {
+                return;
+            }
+            Load &current = found->second;
+            current.confirming = false;
+            current.nextConfirmAt = BootClock::now() + m_options.confirmInterval;
+            const Result<EngineReport> report = m_codec.report(body);
+            if (end.failure != net::CallFailure::None || status != Ok || !report) {
+                m_eventLog.write(EventKind::State,
+                                 "load-unconfirmed",
+                                 {{"engine", engine}, {"status", std::to_string(status)}, {"detail", end.detail}});
+                return; // requested again until `loadTimeout`
+            }
+            const auto version = report->versions.find(current.model);
+            if (version != report->versions.end() && version->second >= current.version) {
+                m_scheduler.recordReportedVersion(engine, current.model, version->second);
+                endLoad(engine, "loaded");
+            }
+        });
+    if (!called) {
+        load.confirming = false;
+        load.nextConfirmAt = BootClock::now() + m_options.confirmInterval;
+    }
 }
 
 void EnginePool::sendOrder(const std::string &engine)
@@ -225,14 +246,18 @@
                       {"version", std::to_string(load.version)},
                       {"fencing", std::to_string(order.fencingToken)},
                       {"expected_orders", std::to_string(order.expectedOrderCount)}});
-    callEngine(engine,
-               "order",
-               m_codec.loadOrderRequest(order),
-               [this, engine](int status, const std::string &, const net::CallEnd &end) {
-                   if (m_loads.contains(engine)) {
-                       handleOrderResponse(engine, status, end);
-                   }
-               });
+    const bool called = callEngine(engine,
+                                   "order",
+                                   m_codec.loadOrderRequest(order),
+                                   true,
+                                   [this, engine](int status, const std::string &, const net::CallEnd &end) {
+                                       if (m_loads.contains(engine)) {
+                                           handleOrderResponse(engine, status, end);
+                                       }
+                                   });
+    if (!called) {
+        pauseLoad(load);
+    }
 }
 
 void EnginePool::handleOrderResponse(const std::string &engine, int status, const net::CallEnd &end)
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -48,7 +48,7 @@
     void refuse(const RefuseAction &refusal) override
     {
         if (m_generation == m_pool.m_generation) {
-            m_pool.handleScoringEnd(m_key, refusal.status, nullptr);
+            m_pool.handleScoringEnd(m_key, refusal.status, nullptr, refusal.retryAfter);
         }
     }
     void beginStream(const net::ResponseHead &head) override
@@ -142,6 +142,11 @@
 void EnginePool::handleRunHead(dispatch::RunId id, const net::ResponseHead &head)
 {
     const auto answered = m_runs.find(id);
+    if (answered != m_runs.end()) {
+        m_quota.heardAnswer({EndpointId(answered->second.engine), answered->second.incarnation},
+                            head.status,
+                            head.headers.find(m_codec.headers().limit).value_or(""));
+    }
     if (answered != m_runs.end() && saysLeaving(m_codec.headers(), head.headers)) {
         const std::string engine = answered->second.engine; // the run may be cancelled meanwhile
         m_view.endpointLeaving(engine, answered->second.incarnation, "sample");
@@ -316,7 +321,29 @@
         m_forwarder.forward(std::move(request), std::make_shared<ScoringSink>(*this, key, m_generation));
 }
 
-void EnginePool::handleScoringEnd(const dispatch::ItemKey &key, int status, const net::Response *response)
+bool EnginePool::mayScore(const batch::Item &item, TimePoint now)
+{
+    const fleet::Route *route =
+        m_quota.limitsAny() ? m_view.configuration().findRoute(item.scoring->host, item.scoring->path) : nullptr;
+    if (route == nullptr) {
+        return true;
+    }
+    std::vector<EndpointProcess> processes;
+    for (const auto &[id, endpoint] : m_view.endpoints()) {
+        const bool serves = std::any_of(route->services.begin(), route->services.end(), [&](const auto &service) {
+            return service.service == endpoint.service;
+        });
+        if (serves && !endpoint.leaving()) {
+            processes.push_back({.endpoint = EndpointId(id), .incarnation = endpoint.incarnation});
+        }
+    }
+    return m_quota.takeForScoring(processes, now);
+}
+
+void EnginePool::handleScoringEnd(const dispatch::ItemKey &key,
+                                  int status,
+                                  const net::Response *response,
+                                  Duration retryAfter)
 {
     m_scoringRequests.erase(key);
     const bool success = response != nullptr && status >= Ok && status < 300;
@@ -328,7 +355,7 @@
     } else if (response != nullptr && status == InternalServerError) {
         outcome = dispatch::ScoringOutcome::Failed;
     }
-    m_scheduler.scoringEnded(key, outcome, std::string(signature), BootClock::now());
+    m_scheduler.scoringEnded(key, outcome, std::string(signature), BootClock::now(), retryAfter);
     performActions();
 }
 
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -37,10 +37,11 @@
     return {};
 }
 
-RouterOptions routerOptions(const NodeOptions &options)
+RouterOptions routerOptions(const NodeOptions &options, quota::DispatchGate &gate)
 {
     RouterOptions router;
     router.target.pool.instance = options.instance;
+    router.target.pool.gate = &gate;
     router.target.pool.domain = FailureDomainId(options.zone);
     router.target.pool.limit.initial = 8; // a small service has some six slots, which several instances share
     router.target.pool.limit.minimum = 2;
@@ -167,10 +168,11 @@
     , m_random(m_options.seed)
     , m_client(loop, clientOptions())
     , m_view(loop, store, codec, log, m_options.followInterval, m_random())
-    , m_forwarder(loop, m_client, codec.headers(), log, routerOptions(m_options), m_random())
     , m_batchLog(loop, store, batchLogOptions(m_options), log, m_random())
+    , m_quota(loop, m_client, m_batchLog, log, {}, m_random())
+    , m_forwarder(loop, m_client, codec.headers(), log, routerOptions(m_options, m_quota), m_random())
     , m_batchService(loop, m_batchLog, codec, log, {}, m_random())
-    , m_pool(loop, m_client, m_forwarder, m_batchLog, m_view, codec, log, poolOptions(m_options), m_random())
+    , m_pool(loop, m_client, m_forwarder, m_batchLog, m_view, m_quota, codec, log, poolOptions(m_options), m_random())
     , m_callerServer(loop,
                      [this](std::shared_ptr<net::Exchange> exchange) {
                          handleCall(std::move(exchange));
@@ -186,7 +188,9 @@
                       })
     , m_peerServer(loop,
                    [this](std::shared_ptr<net::Exchange> exchange) {
-                       exchange->respond(probeResponse(m_options.instance));
+                       const bool asksForTokens = exchange->request().method == "POST";
+                       exchange->respond(asksForTokens ? m_quota.answer(exchange->request().body)
+                                                       : probeResponse(m_options.instance));
                    })
     , m_tickTimer(loop)
     , m_drainTimer(loop)
@@ -232,6 +236,12 @@
     m_forwarder.onLeaving([this](const std::string &endpoint, std::uint64_t incarnation) {
         m_view.endpointLeaving(endpoint, incarnation, "request");
     });
+    m_forwarder.onAnswerHead([this](const EndpointProcess &process, const net::ResponseHead &head) {
+        m_quota.heardAnswer(process, head.status, head.headers.find(m_codec.headers().limit).value_or(""));
+    });
+    m_forwarder.onTokensNeeded([this](const TokenRequest &request, RequestForwarder::TokensGranted done) {
+        m_quota.request(request, std::move(done));
+    });
     m_view.onHeartbeat([this](const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt) {
         m_forwarder.recordHeartbeat(endpoint, incarnation, aliveAt);
     });
@@ -249,6 +259,9 @@
         writeCrashReport(m_log, "read", report);
         m_forwarder.applyCrashReport(report);
     });
+    m_batchLog.onLimitReport([this](const quota::LimitReport &report) {
+        m_quota.applyReport(report);
+    });
     m_batchLog.onRecordsApplied([this] {
         m_batchService.answerReadyReaders();
     });
@@ -451,6 +464,11 @@
                                             .incarnation = endpoint.incarnation});
     }
     m_forwarder.updateEndpoints(table);
+    const auto listed = [this](const EndpointId &endpoint) {
+        return m_view.endpoints().contains(endpoint.value());
+    };
+    m_quota.retain(listed);
+    m_batchLog.retainLimits(listed);
 }
 
 void Node::applyLimits()
@@ -484,6 +502,7 @@
     m_batchService.tick(now);
     m_pool.tick(now);
     shareCrashReports();
+    m_quota.tick(now);
     m_log.flush();
     scheduleTick();
 }
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -24,6 +24,7 @@
 #include "bergamot/node/fleet_view.h"
 #include "bergamot/node/node_metrics.h"
 #include "bergamot/node/platform_codec.h"
+#include "bergamot/node/quota_exchange.h"
 #include "bergamot/node/request_forwarder.h"
 
 namespace bergamot::node
@@ -99,8 +100,9 @@
     NodeMetrics m_metrics;
     net::HttpClient m_client;
     FleetView m_view;
-    RequestForwarder m_forwarder;
     BatchLog m_batchLog;
+    QuotaExchange m_quota;
+    RequestForwarder m_forwarder;
     BatchService m_batchService;
     EnginePool m_pool;
     net::HttpServer m_callerServer;
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -45,6 +45,29 @@
     m_leavingHandler = std::move(handler);
 }
 
+void RequestForwarder::onAnswerHead(std::function<void(const EndpointProcess &, const net::ResponseHead &)> handler)
+{
+    m_answerHeadHandler = std::move(handler);
+}
+
+void RequestForwarder::onTokensNeeded(std::function<void(const TokenRequest &, TokensGranted)> handler)
+{
+    m_tokensHandler = std::move(handler);
+}
+
+void RequestForwarder::requestTokens()
+{
+    if (!m_tokensHandler) {
+        return;
+    }
+    for (const TokenRequest &request : m_router.takeTokenRequests(BootClock::now())) {
+        m_tokensHandler(request, [this, id = request.id](const auto &returns) {
+            m_router.onTokens(id, returns, BootClock::now());
+            performActions();
+        });
+    }
+}
+
 void RequestForwarder::updateEndpoints(const RoutingTable &table)
 {
     m_router.onView(table, BootClock::now());
@@ -158,6 +181,7 @@
         }
     }
     m_performing = false;
+    requestTokens();
     scheduleTick();
 }
 
@@ -212,6 +236,9 @@
 {
     // The body of a stream may take minutes, so the head counts.
     const auto answered = m_attempts.find(id);
+    if (answered != m_attempts.end() && m_answerHeadHandler) {
+        m_answerHeadHandler({EndpointId(answered->second.endpoint), answered->second.incarnation}, head);
+    }
     if (answered != m_attempts.end() && m_leavingHandler && saysLeaving(m_headers, head.headers)) {
         const std::string endpoint = answered->second.endpoint; // the attempt may be cancelled meanwhile
         m_leavingHandler(endpoint, answered->second.incarnation);
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -67,6 +67,11 @@
     /// `handler` runs when an answer says that its endpoint is leaving. It has to take the endpoint out by
     /// `updateEndpoints` before it returns.
     void onLeaving(std::function<void(const std::string &endpoint, std::uint64_t incarnation)> handler);
+    /// `handler` receives the head of each answer of an endpoint.
+    void onAnswerHead(std::function<void(const EndpointProcess &process, const net::ResponseHead &head)> handler);
+    /// `handler` requests tokens for requests to limited endpoints, and calls `done` later.
+    using TokensGranted = std::function<void(const std::array<quota::ReturnTimes, quota::TokenUses> &returns)>;
+    void onTokensNeeded(std::function<void(const TokenRequest &request, TokensGranted done)> handler);
     /// Replaces the endpoints that requests may go to.
     void updateEndpoints(const RoutingTable &table);
     /// Records that the store has a heartbeat of the endpoint that was written after `aliveAt`.
@@ -104,6 +109,7 @@
     };
 
     void performActions();
+    void requestTokens();
     void startAttempt(const DispatchAction &action);
     void handleAttemptHead(AttemptId id, const net::ResponseHead &head);
     void handleAttemptData(AttemptId id, std::string_view data);
@@ -120,6 +126,8 @@
     Router m_router;
     boost::asio::steady_timer m_timer;
     std::function<void(const std::string &, std::uint64_t)> m_leavingHandler;
+    std::function<void(const EndpointProcess &, const net::ResponseHead &)> m_answerHeadHandler;
+    std::function<void(const TokenRequest &, TokensGranted)> m_tokensHandler;
     std::map<RequestId, Pending> m_pending;
     std::map<AttemptId, Attempt> m_attempts;
     RequestId m_lastRequest = 0;
--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -83,6 +83,9 @@
     State &state = m_states[slot];
     countDispatched(state, now);
     state.health.dispatched(now);
+    if (m_options.gate != nullptr) {
+        m_options.gate->dispatched(processOf(state), now);
+    }
 }
 
 void EndpointPool::answered(std::size_t slot, Duration latency, double work, TimePoint now, std::mt19937_64 &random)
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -16,6 +16,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "bergamot/quota/dispatch_gate.h"
 #include "bergamot/routing/choice.h"
 #include "bergamot/routing/concurrency_limit.h"
 #include "bergamot/routing/endpoint_health.h"
@@ -48,6 +49,7 @@
     ConcurrencyLimitOptions limit; // of each endpoint, from its latency
     ReportLimitOptions reportLimit; // of the own domain's and of all other endpoints, from reported load
     EndpointHealthOptions health;
+    quota::DispatchGate *gate = nullptr; // limits beyond load and health; null: none. Must outlive the pool
 };
 
 struct PickRequest
@@ -68,6 +70,12 @@
 
     /// The slot of an endpoint with room; none if no endpoint has room.
     std::optional<std::size_t> pick(const PickRequest &request, TimePoint now, std::mt19937_64 &random);
+    /// The endpoints that have room and get no request only because of the gate.
+    std::vector<EndpointProcess> gatedEndpoints(TimePoint now) const;
+    /// Whether the gate admits no request to any endpoint that works, so that waiting for a busy one does not help.
+    bool allGated(TimePoint now) const;
+    /// Whether the gate admits a request to the endpoint.
+    bool gateAdmits(std::size_t slot, TimePoint now) const;
     /// Whether any endpoint, busy or not, may take requests now. If not, waiting does not help before the next probe.
     bool serviceable(TimePoint now) const;
 
@@ -156,6 +164,9 @@
     static bool saidLeaving(const State &state, TimePoint now);
     bool usable(const State &state, TimePoint now) const;
     bool hasRoom(const State &state, double share, TimePoint now) const;
+    /// The same without the gate.
+    bool hasCapacity(const State &state, double share, TimePoint now) const;
+    static EndpointProcess processOf(const State &state);
     /// Whether one more request of the class fits into `share` of the group's limits.
     bool classHasRoom(const Group &group, TrafficClass trafficClass, double share) const;
     void sumLimits();
--- a/bergamot/routing/endpoint_pool_choice.cpp
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -128,7 +128,48 @@
     return state.present && !state.routed.leaving && !saidLeaving(state, now);
 }
 
+EndpointProcess EndpointPool::processOf(const State &state)
+{
+    return {.endpoint = state.routed.id, .incarnation = state.routed.incarnation};
+}
+
+bool EndpointPool::gateAdmits(std::size_t slot, TimePoint now) const
+{
+    return m_options.gate == nullptr || m_options.gate->admits(processOf(m_states[slot]), now);
+}
+
+bool EndpointPool::allGated(TimePoint now) const
+{
+    const auto mayServe = [&](std::size_t slot) {
+        return admits(slot, now) && gateAdmits(slot, now);
+    };
+    return std::none_of(m_local.memberSlots.begin(), m_local.memberSlots.end(), mayServe)
+        && std::none_of(m_remote.memberSlots.begin(), m_remote.memberSlots.end(), mayServe);
+}
+
+std::vector<EndpointProcess> EndpointPool::gatedEndpoints(TimePoint now) const
+{
+    std::vector<EndpointProcess> gated;
+    if (m_options.gate == nullptr || !m_options.gate->limitsAny()) {
+        return gated;
+    }
+    for (const Group *group : {&m_local, &m_remote}) {
+        for (const std::size_t slot : group->memberSlots) {
+            if (hasCapacity(m_states[slot], 1.0, now) && !gateAdmits(slot, now)) {
+                gated.push_back(processOf(m_states[slot]));
+            }
+        }
+    }
+    return gated;
+}
+
 bool EndpointPool::hasRoom(const State &state, double share, TimePoint now) const
+{
+    const bool gated = m_options.gate != nullptr && m_options.gate->limitsAny();
+    return hasCapacity(state, share, now) && (!gated || m_options.gate->admits(processOf(state), now));
+}
+
+bool EndpointPool::hasCapacity(const State &state, double share, TimePoint now) const
 {
     if (!usable(state, now) || state.reserved || !state.health.admits(now)) {
         return false;
--- a/bergamot/routing/request.h
+++ b/bergamot/routing/request.h
@@ -51,6 +51,7 @@
     CrashSuspect,
     AttemptFailed,
     DeadlinePassed,
+    LimitReached, // the endpoints take no more requests a second from all instances together
 };
 
 std::string_view refusalReasonName(RefusalReason reason);
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -17,6 +17,7 @@
 #include <random>
 #include <unordered_map>
 
+#include "bergamot/quota/token_granter.h"
 #include "bergamot/routing/attempt_policy.h"
 #include "bergamot/routing/crash_quarantine.h"
 #include "bergamot/routing/request.h"
@@ -41,6 +42,14 @@
     Duration minStall = std::chrono::milliseconds(500); // an earlier timeout is no failure of the endpoint
 };
 
+/// Requests of one target wait because its endpoints are limited; each needs a token of one of them.
+struct TokenRequest
+{
+    std::uint64_t id = 0;
+    std::vector<EndpointProcess> endpoints;
+    std::array<std::uint32_t, quota::TokenUses> wanted{}; // by use
+};
+
 /// Not thread-safe.
 class Router
 {
@@ -69,6 +78,10 @@
     void tick(TimePoint now);
 
     Actions takeActions();
+    /// Tokens to request now; each request is answered by `onTokens`. At most one per target is open.
+    std::vector<TokenRequest> takeTokenRequests(TimePoint now);
+    /// The gate knows the granted tokens. Requests that get none are refused and return at the given times.
+    void onTokens(std::uint64_t id, const std::array<quota::ReturnTimes, quota::TokenUses> &returns, TimePoint now);
     /// What this instance has learned about requests that crash endpoints, to send to all other instances.
     std::vector<CrashReport> takeCrashReports(TimePoint now);
 
@@ -166,6 +179,12 @@
     bool hasReservation(const TargetState &target, std::uint64_t fingerprint);
     void refuseSuspect(Pending &pending, TimePoint now);
     void hedge(Pending &pending, TimePoint now);
+
+    // router_tokens.cpp: requests to endpoints that have named a limit
+    std::vector<RequestId> requestsWithoutToken(const TargetState &target, TimePoint now);
+    /// The reserved endpoint of a waiting suspect that the gate does not admit; null if there is none.
+    QuarantineReservation *gatedReservation(TargetState &target, RequestId id, TimePoint now);
+    void refuseForLimit(Pending &pending, Duration retryAfter, TimePoint now);
     void runTimers(TimePoint now);
     void deadlinePassed(Pending &pending, TimePoint now);
 
@@ -187,6 +206,7 @@
     std::priority_queue<Timer, std::vector<Timer>, std::greater<>> m_timers;
     Actions m_actions;
     AttemptId m_lastAttempt = 0;
+    std::uint64_t m_lastTokenRequest = 0;
     TimePoint m_reviewAt{};
     bool m_accepting = true;
     std::uint64_t m_retries = 0;
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -195,6 +195,9 @@
             target.pool.releaseExclusive(reservation.slot);
             return true;
         }
+        if (!target.pool.gateAdmits(reservation.slot, now)) {
+            return false; // waits for a token
+        }
         reservation.running = true;
         const Connection connection = pending->request.repeatable ? Connection::Pooled : Connection::Fresh;
         dispatch(*pending, reservation.slot, connection, RunMode::Alone, now);
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -183,6 +183,7 @@
     ++m_retries;
     ++pending.retries;
     if (step == FailureStep::RetryFresh && attempt.target->pool.takesRequests(attempt.slot, now)
+        && attempt.target->pool.gateAdmits(attempt.slot, now)
         && quarantineStatus(pending.request, now) == QuarantineStatus::Clear) {
         dispatch(pending, attempt.slot, Connection::Fresh, RunMode::Shared, now);
         return;
--- a/bergamot/routing/target_state.h
+++ b/bergamot/routing/target_state.h
@@ -33,6 +33,13 @@
     bool running = false;
 };
 
+/// Requests for which tokens have been requested.
+struct TokenWait
+{
+    std::uint64_t id = 0;
+    std::vector<RequestId> requests;
+};
+
 struct TargetState
 {
     explicit TargetState(const TargetOptions &options)
@@ -62,6 +69,7 @@
     LatencyQuantile unitLatencyQuantile;
     std::deque<RequestId> suspects;
     std::vector<QuarantineReservation> reservations;
+    std::optional<TokenWait> tokenWait; // while tokens are requested
 };
 
 } // namespace bergamot
