--- a/bergamot/dispatch/sample_limit_test.cpp
+++ b/bergamot/dispatch/sample_limit_test.cpp
@@ -46,7 +46,7 @@
     {
         SampleSchedulerOptions options;
         options.gate = &m_gate;
-        options.mayScore = [this](const batch::Item &, TimePoint) {
+        options.mayScore = [this](const batch::Item &) {
             return m_scoringTokens > 0 && m_scoringTokens-- > 0;
         };
         return options;
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -145,7 +145,7 @@
     Duration saveCheckInterval = std::chrono::milliseconds(200); // between two checks of all runs
     double slowdownPerRun = 0.02; // share by which each further run at an engine slows the others
     /// Whether the scoring call of the item may be sent now; takes what it needs beyond load. None: always.
-    std::function<bool(const batch::Item &item, TimePoint now)> mayScore;
+    std::function<bool(const batch::Item &item)> mayScore;
     quota::DispatchGate *gate = nullptr; // limits beyond slots and memory; null: none. Must outlive the scheduler
     double maxMemoryShare = 0.95; // share of an engine's memory that the declared tokens of its runs may fill
 };
--- a/bergamot/dispatch/sample_scheduler_scoring.cpp
+++ b/bergamot/dispatch/sample_scheduler_scoring.cpp
@@ -14,7 +14,7 @@
     }
     BatchState &batch = m_batches[key.batch];
     const bool othersWait = !batch.awaitingScore.empty();
-    if (m_options.mayScore && (othersWait || !m_options.mayScore(item.item, now))) {
+    if (m_options.mayScore && (othersWait || !m_options.mayScore(item.item))) {
         setStage(batch, item, Stage::AwaitingScore);
         item.nextScoringAt = now;
         return;
@@ -30,7 +30,7 @@
          })) {
         for (const std::uint32_t index : dueScorings(*batch, now)) {
             ItemState &item = batch->items[index];
-            if (m_options.mayScore && !m_options.mayScore(item.item, now)) {
+            if (m_options.mayScore && !m_options.mayScore(item.item)) {
                 break;
             }
             setStage(*batch, item, Stage::Scoring);
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -30,8 +30,8 @@
 {
     dispatch::SampleSchedulerOptions scheduler = m_options.scheduler;
     scheduler.gate = &m_quota.sampleGate();
-    scheduler.mayScore = [this](const batch::Item &item, TimePoint now) {
-        return mayScore(item, now);
+    scheduler.mayScore = [this](const batch::Item &item) {
+        return mayScore(item);
     };
     return scheduler;
 }
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -157,7 +157,7 @@
     void writeRunEnd(const ActiveRun &run, std::string_view reason);
     void startScoring(const dispatch::ItemKey &key);
     /// Whether the limits of the endpoints that score the item admit a call now; takes a token for it.
-    bool mayScore(const batch::Item &item, TimePoint now);
+    bool mayScore(const batch::Item &item);
     /// `response` is null if the call was refused; it may be repeated after `retryAfter`.
     void handleScoringEnd(const dispatch::ItemKey &key,
                           int status,
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -321,7 +321,7 @@
         m_forwarder.forward(std::move(request), std::make_shared<ScoringSink>(*this, key, m_generation));
 }
 
-bool EnginePool::mayScore(const batch::Item &item, TimePoint now)
+bool EnginePool::mayScore(const batch::Item &item)
 {
     const fleet::Route *route =
         m_quota.limitsAny() ? m_view.configuration().findRoute(item.scoring->host, item.scoring->path) : nullptr;
@@ -337,7 +337,7 @@
             processes.push_back({.endpoint = EndpointId(id), .incarnation = endpoint.incarnation});
         }
     }
-    return m_quota.takeForScoring(processes, now);
+    return m_quota.takeForScoring(processes);
 }
 
 void EnginePool::handleScoringEnd(const dispatch::ItemKey &key,
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -184,6 +184,8 @@
     , m_metricsServer(loop,
                       [this](std::shared_ptr<net::Exchange> exchange) {
                           m_metrics.updatePool(m_pool.active(), m_pool.runningSamples(), m_pool.waitingSamples());
+                          const QuotaExchange::Counts quota = m_quota.counts();
+                          m_metrics.updateQuota(quota.limitedEndpoints, quota.grantedTokens, quota.refusedTokens);
                           exchange->respond({.body = m_metrics.exposition()});
                       })
     , m_peerServer(loop,
--- a/bergamot/node/node_metrics.cpp
+++ b/bergamot/node/node_metrics.cpp
@@ -8,6 +8,8 @@
     , m_requestSeconds(
           m_metrics.histograms("bergamot_request_seconds", "Time to answer a caller, by route, in seconds."))
     , m_pool(m_metrics.gauges("bergamot_pool", "The engine pool at its owner: owned, samples running and waiting."))
+    , m_quota(m_metrics.gauges("bergamot_quota",
+                               "Endpoints that name a limit, and the tokens that this instance granted and refused."))
 { }
 
 void NodeMetrics::recordRequest(const std::string &route, int status, Duration elapsed)
@@ -23,6 +25,13 @@
     m_pool.Add({{"what", "waiting"}}).Set(static_cast<double>(waiting));
 }
 
+void NodeMetrics::updateQuota(std::size_t limitedEndpoints, std::uint64_t granted, std::uint64_t refused)
+{
+    m_quota.Add({{"what", "limited_endpoints"}}).Set(static_cast<double>(limitedEndpoints));
+    m_quota.Add({{"what", "granted_tokens"}}).Set(static_cast<double>(granted));
+    m_quota.Add({{"what", "refused_tokens"}}).Set(static_cast<double>(refused));
+}
+
 std::string NodeMetrics::exposition() const
 {
     return m_metrics.exposition();
--- a/bergamot/node/node_metrics.h
+++ b/bergamot/node/node_metrics.h
@@ -23,6 +23,8 @@
     void recordRequest(const std::string &route, int status, Duration elapsed);
     /// Sets the gauges of the engine pool: whether this instance owns it, and its samples.
     void updatePool(bool owned, std::size_t running, std::size_t waiting);
+    /// Sets what is known of limits that endpoints name, and the tokens that this instance granted and refused.
+    void updateQuota(std::size_t limitedEndpoints, std::uint64_t granted, std::uint64_t refused);
     /// All metrics in the text format.
     std::string exposition() const;
 
@@ -31,6 +33,7 @@
     prometheus::Family<prometheus::Counter> &m_requests;
     prometheus::Family<prometheus::Histogram> &m_requestSeconds;
     prometheus::Family<prometheus::Gauge> &m_pool;
+    prometheus::Family<prometheus::Gauge> &m_quota;
 };
 
 } // namespace bergamot::node
--- a/bergamot/node/quota_exchange.cpp
+++ b/bergamot/node/quota_exchange.cpp
@@ -116,7 +116,7 @@
                   : m_granter.take(*limit, quota::TokenUse::Owed, share(now), now);
 }
 
-bool QuotaExchange::takeForScoring(const std::vector<EndpointProcess> &processes, TimePoint now)
+bool QuotaExchange::takeForScoring(const std::vector<EndpointProcess> &processes)
 {
     quota::TokenAsk ask{.endpoints = {}, .wanted = {}};
     for (const EndpointProcess &process : processes) {
@@ -130,9 +130,9 @@
         return true;
     }
     ask.wanted[static_cast<std::size_t>(quota::TokenUse::Owed)] = 1;
-    const quota::TokenGrant grant = m_granter.grant(ask, share(now), now);
-    applyGrant(grant);
-    return !grant.granted.empty();
+    const quota::TokenGrant granted = grant(ask);
+    applyGrant(granted);
+    return !granted.granted.empty();
 }
 
 quota::GrantShare QuotaExchange::share(TimePoint now) const
@@ -203,10 +203,11 @@
     }
     const TimePoint now = BootClock::now();
     if (m_log.ownership().isOwner()) {
-        const quota::TokenGrant grant = m_granter.grant(ask, share(now), now);
+        const quota::TokenGrant granted = grant(ask);
         granterAnswered();
-        applyGrant(grant);
-        boost::asio::post(m_loop, [done = std::move(done), returns = grant.returns] {
+        applyGrant(granted);
+        writeShortage(ask, granted);
+        boost::asio::post(m_loop, [done = std::move(done), returns = granted.returns] {
             done(returns);
         });
     } else if (m_log.ownerAddress().empty() || m_log.ownership().owner().empty()) {
@@ -251,7 +252,7 @@
                             answer->body += data;
                         },
                     .onEnd =
-                        [this, answer, owner = *owner, done = std::move(done)](const net::CallEnd &end) {
+                        [this, answer, ask, owner = *owner, done = std::move(done)](const net::CallEnd &end) {
                             if (end.failure != net::CallFailure::None || answer->status != Ok) {
                                 m_failedAt = BootClock::now();
                                 m_client.dropIdle(owner);
@@ -259,14 +260,15 @@
                                     end.detail.empty() ? "status " + std::to_string(answer->status) : end.detail, done);
                                 return;
                             }
-                            const Result<quota::TokenGrant> grant = quota::parseGrant(answer->body);
-                            if (!grant) {
-                                granterFailed(grant.error().message, done);
+                            const Result<quota::TokenGrant> granted = quota::parseGrant(answer->body);
+                            if (!granted) {
+                                granterFailed(granted.error().message, done);
                                 return;
                             }
                             granterAnswered();
-                            applyGrant(*grant);
-                            done(grant->returns);
+                            applyGrant(*granted);
+                            writeShortage(ask, *granted);
+                            done(granted->returns);
                         }});
 }
 
@@ -313,8 +315,54 @@
         m_eventLog.write(EventKind::State, "token-request-unreadable", {{"reason", ask.error().message}});
         return {.status = BadRequest, .body = ask.error().message};
     }
+    return {.body = quota::grantMessage(grant(*ask))};
+}
+
+quota::TokenGrant QuotaExchange::grant(const quota::TokenAsk &ask)
+{
     const TimePoint now = BootClock::now();
-    return {.body = quota::grantMessage(m_granter.grant(*ask, share(now), now))};
+    quota::TokenGrant granted = m_granter.grant(ask, share(now), now);
+    std::uint32_t tokens = 0;
+    for (const quota::GrantedTokens &entry : granted.granted) {
+        tokens += entry.tokens;
+    }
+    m_grantedTokens += tokens;
+    m_refusedTokens += ask.wanted[0] + ask.wanted[1] - tokens;
+    return granted;
+}
+
+void QuotaExchange::writeShortage(const quota::TokenAsk &ask, const quota::TokenGrant &grant)
+{
+    std::uint32_t tokens = 0;
+    for (const quota::GrantedTokens &entry : grant.granted) {
+        tokens += entry.tokens;
+    }
+    if (tokens == ask.wanted[0] + ask.wanted[1]) {
+        return;
+    }
+    double perSecond = 0;
+    for (const quota::LimitedEndpoint &endpoint : ask.endpoints) {
+        perSecond += endpoint.perSecond;
+    }
+    const auto milliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    m_eventLog.write(EventKind::Request,
+                     "tokens-short",
+                     {{"granter", m_log.ownership().owner()},
+                      {"endpoints", std::to_string(ask.endpoints.size())},
+                      {"per_second", decimal(perSecond)},
+                      {"callers", std::to_string(ask.wanted[0])},
+                      {"owed", std::to_string(ask.wanted[1])},
+                      {"granted", std::to_string(tokens)},
+                      {"callers_return_ms", milliseconds(grant.returns[0].first)},
+                      {"owed_return_ms", milliseconds(grant.returns[1].first)}});
+}
+
+QuotaExchange::Counts QuotaExchange::counts() const
+{
+    return {
+        .limitedEndpoints = m_limits.all().size(), .grantedTokens = m_grantedTokens, .refusedTokens = m_refusedTokens};
 }
 
 } // namespace bergamot::node
--- a/bergamot/node/quota_exchange.h
+++ b/bergamot/node/quota_exchange.h
@@ -64,7 +64,7 @@
 
     /// Takes a token of one of the processes for a scoring call of the owner. Returns false if all of them are limited
     /// and none has a token. Scoring calls then wait in the order in which their results are wanted.
-    bool takeForScoring(const std::vector<EndpointProcess> &processes, TimePoint now);
+    bool takeForScoring(const std::vector<EndpointProcess> &processes);
 
     /// The head of an answer arrived; `limit` is the value of its header field, empty without one.
     void heardAnswer(const EndpointProcess &process, int status, std::string_view limit);
@@ -77,6 +77,14 @@
 
     /// Requests tokens; `done` runs later, when those that were granted can be used.
     void request(const TokenRequest &request, std::function<void(const Returns &)> done);
+    struct Counts
+    {
+        std::size_t limitedEndpoints = 0;
+        std::uint64_t grantedTokens = 0; // by this instance, to all instances, since its start
+        std::uint64_t refusedTokens = 0;
+    };
+    Counts counts() const;
+
     /// Answers the request of another instance for tokens.
     net::Response answer(const std::string &body);
 
@@ -85,6 +93,10 @@
 
     quota::GrantShare share(TimePoint now) const;
     std::optional<quota::LimitedEndpoint> limited(const EndpointProcess &process) const;
+    /// Grants tokens to this or another instance.
+    quota::TokenGrant grant(const quota::TokenAsk &ask);
+    /// Logs why requests of this instance get no token.
+    void writeShortage(const quota::TokenAsk &ask, const quota::TokenGrant &grant);
     void askOwner(const quota::TokenAsk &ask, std::function<void(const Returns &)> done);
     void applyGrant(const quota::TokenGrant &grant);
     /// Nobody grants for now; `reason` goes to the log.
@@ -101,6 +113,8 @@
     quota::TokenPurse m_purse;
     std::unique_ptr<SampleGate> m_sampleGate;
     TimePoint m_failedAt{}; // the last ask that was not answered
+    std::uint64_t m_grantedTokens = 0;
+    std::uint64_t m_refusedTokens = 0;
     bool m_granterLost = false;
 };
 
