dispatch: while engines are limited, groups that have begun go first

Change: while any endpoint names a limit, waiting items are taken group by group. Otherwise the order stays. GroupsThatHaveBegunAreStartedFirst fails without the order.

--- a/bergamot/dispatch/sample_limit_test.cpp
+++ b/bergamot/dispatch/sample_limit_test.cpp
@@ -106,6 +106,30 @@
     EXPECT_EQ(startsByEngine(), (std::map<std::string, int>{{"e2", 6}}));
 }
 
+// The engines take a third of a step. Without whole groups its trainer would get nothing.
+TEST_F(SampleLimitTest, GroupsThatHaveBegunAreStartedFirst)
+{
+    m_gate.tokens = {{"e1", 0}, {"e2", 0}};
+    batch::Batch batch{.id = "b", .host = "h", .model = "m", .minVersion = 4};
+    for (std::uint32_t index = 0; index < 12; ++index) {
+        batch.items.push_back({.id = std::to_string(index),
+                               .path = "/p",
+                               .maxTotalTokens = 10,
+                               .group = "g" + std::to_string(index / 4),
+                               .expectedOutput = 100 - index % 4}); // the longest items of all groups would go first
+    }
+    m_scheduler.addBatch(batch, {}, m_itemPolicy, m_now);
+    collectActions();
+    std::map<std::uint32_t, int> startsByGroup;
+    for (int tick = 0; tick < 4; ++tick) {
+        m_gate.tokens["e1"] = 1;
+        advance(50ms);
+        ASSERT_EQ(m_starts.size(), static_cast<std::size_t>(tick + 1));
+        ++startsByGroup[m_starts.back().key.item / 4];
+    }
+    EXPECT_EQ(startsByGroup.size(), 1U);
+}
+
 TEST_F(SampleLimitTest, WholeGroupsAreScoredFirst)
 {
     completeAll({0, 4, 8, 1, 5, 9, 2, 6, 10, 3, 7, 11});
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -356,6 +356,9 @@
     /// result or were part of an earlier batch, then those with the shortest longest item. Among them the longest items
     /// start first.
     void orderItems(BatchState &batch);
+    /// The waiting item to start next. While engines are limited, groups that have begun go first, as the trainer waits
+    /// for whole groups and not all will be complete.
+    std::uint32_t nextToStart(const BatchState &batch) const;
     /// Starts waiting items at free engines, in the order of `batchesByUrgency`.
     void assign(TimePoint now);
     /// Starts waiting items in the free slots of one engine.
--- a/bergamot/dispatch/sample_scheduler_assignment.cpp
+++ b/bergamot/dispatch/sample_scheduler_assignment.cpp
@@ -112,6 +112,30 @@
     return best;
 }
 
+std::uint32_t SampleScheduler::nextToStart(const BatchState &batch) const
+{
+    if (m_options.gate == nullptr || !m_options.gate->limitsAny()) {
+        return batch.startOrder[*batch.waiting.begin()];
+    }
+    std::set<std::string_view> begun;
+    std::map<std::string_view, std::size_t> waiting; // items by group
+    for (std::uint32_t index = 0; index < batch.items.size(); ++index) {
+        if (batch.items[index].stage == Stage::Waiting) {
+            ++waiting[batch.groups[index]];
+        } else {
+            begun.insert(batch.groups[index]);
+        }
+    }
+    const auto rank = [&](std::uint32_t position) {
+        const std::string &group = batch.groups[batch.startOrder[position]];
+        return std::tuple(!begun.contains(group), waiting[group], position);
+    };
+    const auto first = std::min_element(batch.waiting.begin(), batch.waiting.end(), [&](auto left, auto right) {
+        return rank(left) < rank(right);
+    });
+    return batch.startOrder[*first];
+}
+
 void SampleScheduler::assign(TimePoint now)
 {
     if (m_startsHeld || m_freeEngines.empty()) {
@@ -119,7 +143,7 @@
     }
     for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
         while (!batch->waiting.empty()) {
-            const std::uint32_t index = batch->startOrder[*batch->waiting.begin()];
+            const std::uint32_t index = nextToStart(*batch);
             EngineState *engine = bestEngine(*batch, batch->items[index], now);
             if (engine == nullptr) {
                 break;
@@ -136,7 +160,7 @@
     }
     for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
         while (!batch->waiting.empty() && canStartRun(engine, *batch, now)) {
-            const std::uint32_t index = batch->startOrder[*batch->waiting.begin()];
+            const std::uint32_t index = nextToStart(*batch);
             if (!hasMemoryFor(engine, batch->items[index])) {
                 break;
             }
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -189,7 +189,7 @@
     bool callEngine(const std::string &engine,
                     std::string_view kind,
                     const net::Request &request,
-                    bool urgent,
+                    CallPriority priority,
                     std::function<void(int status, const std::string &body, const net::CallEnd &end)> done);
 
     boost::asio::io_context &m_loop;
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -78,7 +78,7 @@
 bool EnginePool::callEngine(const std::string &engine,
                             std::string_view kind,
                             const net::Request &request,
-                            bool urgent,
+                            CallPriority priority,
                             std::function<void(int status, const std::string &body, const net::CallEnd &end)> done)
 {
     const auto endpoint = m_view.endpoints().find(engine);
@@ -91,7 +91,7 @@
         return true;
     }
     const EndpointProcess process{EndpointId(engine), endpoint->second.incarnation};
-    if (!m_quota.takeForCall(process, urgent, BootClock::now())) {
+    if (!m_quota.takeForCall(process, priority, BootClock::now())) {
         m_eventLog.write(EventKind::State,
                          "engine-call-delayed",
                          {{"engine", engine}, {"call", std::string(kind)}, {"reason", "limit"}});
@@ -148,7 +148,7 @@
     const bool called = callEngine(engine,
                                    "report",
                                    m_codec.reportRequest(),
-                                   true,
+                                   CallPriority::AheadOfRequests,
                                    [this, engine](int status, const std::string &body, const net::CallEnd &end) {
                                        const auto found = m_loads.find(engine);
                                        if (found == m_loads.end()) {
@@ -201,7 +201,7 @@
         engine,
         "report",
         m_codec.reportRequest(),
-        false,
+        CallPriority::AsRequests,
         [this, engine](int status, const std::string &body, const net::CallEnd &end) {
             const auto found = m_loads.find(engine);
             if (found == m_loads.end()) {
@@ -249,7 +249,7 @@
     const bool called = callEngine(engine,
                                    "order",
                                    m_codec.loadOrderRequest(order),
-                                   true,
+                                   CallPriority::AheadOfRequests,
                                    [this, engine](int status, const std::string &, const net::CallEnd &end) {
                                        if (m_loads.contains(engine)) {
                                            handleOrderResponse(engine, status, end);
--- a/bergamot/node/owner_probe.cpp
+++ b/bergamot/node/owner_probe.cpp
@@ -1,6 +1,7 @@
 #include "bergamot/node/owner_probe.h"
 
 #include "bergamot/net/status.h"
+#include "bergamot/net/whole_answer.h"
 
 namespace bergamot::node
 {
@@ -23,12 +24,6 @@
                 const std::string &instance,
                 std::function<void(ProbeOutcome)> done)
 {
-    struct Answer
-    {
-        int status = 0;
-        std::string body;
-    };
-    auto answer = std::make_shared<Answer>();
     net::ClientRequest request{.to = address,
                                .target = "/instance",
                                .newConnection = true,
@@ -39,25 +34,15 @@
                                .maxBodyBytes = MaxAnswerBytes};
     request.headers.add("Host", toString(address));
     request.headers.add("Connection", "close");
-    client.start(std::move(request),
-                 {.onHead =
-                      [answer](const net::ResponseHead &head) {
-                          answer->status = head.status;
-                      },
-                  .onData =
-                      [answer](std::string_view data) {
-                          answer->body += data;
-                      },
-                  .onEnd =
-                      [answer, instance, done = std::move(done)](const net::CallEnd &end) {
-                          const bool answered =
-                              end.failure == net::CallFailure::None && answer->status == net::status::Ok;
-                          if (!answered) {
-                              done(end.refused ? ProbeOutcome::Gone : ProbeOutcome::NoAnswer);
-                          } else {
-                              done(answer->body == instance ? ProbeOutcome::Alive : ProbeOutcome::Gone);
-                          }
-                      }});
+    net::startForWholeAnswer(
+        client, std::move(request), [instance, done = std::move(done)](const net::WholeAnswer &answer) {
+            const bool answered = answer.end.failure == net::CallFailure::None && answer.status == net::status::Ok;
+            if (!answered) {
+                done(answer.end.refused ? ProbeOutcome::Gone : ProbeOutcome::NoAnswer);
+            } else {
+                done(answer.body == instance ? ProbeOutcome::Alive : ProbeOutcome::Gone);
+            }
+        });
 }
 
 } // namespace bergamot::node
--- a/bergamot/node/quota_exchange.cpp
+++ b/bergamot/node/quota_exchange.cpp
@@ -106,14 +106,14 @@
     return *m_sampleGate;
 }
 
-bool QuotaExchange::takeForCall(const EndpointProcess &process, bool urgent, TimePoint now)
+bool QuotaExchange::takeForCall(const EndpointProcess &process, CallPriority priority, TimePoint now)
 {
     const std::optional<quota::LimitedEndpoint> limit = limited(process);
     if (!limit) {
         return true;
     }
-    return urgent ? m_granter.takeUrgent(*limit, share(now), now)
-                  : m_granter.take(*limit, quota::TokenUse::Owed, share(now), now);
+    return priority == CallPriority::AheadOfRequests ? m_granter.takeUrgent(*limit, share(now), now)
+                                                     : m_granter.take(*limit, quota::TokenUse::Owed, share(now), now);
 }
 
 bool QuotaExchange::takeForScoring(const std::vector<EndpointProcess> &processes)
@@ -226,12 +226,6 @@
         granterFailed(owner.error().message, done);
         return;
     }
-    struct Answer
-    {
-        int status = 0;
-        std::string body;
-    };
-    auto answer = std::make_shared<Answer>();
     net::ClientRequest request{.to = *owner,
                                .method = "POST",
                                .target = std::string(TokensPath),
@@ -242,34 +236,33 @@
                                .answerTimeout = m_options.askTimeout,
                                .maxBodyBytes = MaxAnswerBytes};
     request.headers.add("Host", m_log.ownerAddress());
-    m_client.start(std::move(request),
-                   {.onHead =
-                        [answer](const net::ResponseHead &head) {
-                            answer->status = head.status;
-                        },
-                    .onData =
-                        [answer](std::string_view data) {
-                            answer->body += data;
-                        },
-                    .onEnd =
-                        [this, answer, ask, owner = *owner, done = std::move(done)](const net::CallEnd &end) {
-                            if (end.failure != net::CallFailure::None || answer->status != Ok) {
-                                m_failedAt = BootClock::now();
-                                m_client.dropIdle(owner);
-                                granterFailed(
-                                    end.detail.empty() ? "status " + std::to_string(answer->status) : end.detail, done);
-                                return;
-                            }
-                            const Result<quota::TokenGrant> granted = quota::parseGrant(answer->body);
-                            if (!granted) {
-                                granterFailed(granted.error().message, done);
-                                return;
-                            }
-                            granterAnswered();
-                            applyGrant(*granted);
-                            writeShortage(ask, *granted);
-                            done(granted->returns);
-                        }});
+    net::startForWholeAnswer(m_client,
+                             std::move(request),
+                             [this, ask, owner = *owner, done = std::move(done)](const net::WholeAnswer &answer) {
+                                 handleOwnerAnswer(owner, ask, answer, done);
+                             });
+}
+
+void QuotaExchange::handleOwnerAnswer(const Address &owner,
+                                      const quota::TokenAsk &ask,
+                                      const net::WholeAnswer &answer,
+                                      const std::function<void(const Returns &)> &done)
+{
+    if (answer.end.failure != net::CallFailure::None || answer.status != Ok) {
+        m_failedAt = BootClock::now();
+        m_client.dropIdle(owner); // the connection may have gone silent
+        granterFailed(answer.end.detail.empty() ? "status " + std::to_string(answer.status) : answer.end.detail, done);
+        return;
+    }
+    const Result<quota::TokenGrant> granted = quota::parseGrant(answer.body);
+    if (!granted) {
+        granterFailed(granted.error().message, done);
+        return;
+    }
+    granterAnswered();
+    applyGrant(*granted);
+    writeShortage(ask, *granted);
+    done(granted->returns);
 }
 
 void QuotaExchange::applyGrant(const quota::TokenGrant &grant)
--- a/bergamot/node/quota_exchange.h
+++ b/bergamot/node/quota_exchange.h
@@ -18,7 +18,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "bergamot/base/event_log.h"
-#include "bergamot/net/http_client.h"
+#include "bergamot/net/whole_answer.h"
 #include "bergamot/node/batch_log.h"
 #include "bergamot/quota/dispatch_gate.h"
 #include "bergamot/quota/named_limits.h"
@@ -39,6 +39,12 @@
     quota::TokenPurseOptions purse;
 };
 
+/// Of the owner's calls to an engine about its load.
+enum class CallPriority {
+    AsRequests,
+    AheadOfRequests,
+};
+
 /// As a gate, it admits the requests of this instance's router. Not thread-safe.
 class QuotaExchange final : public quota::DispatchGate
 {
@@ -58,9 +64,8 @@
     void dispatched(const EndpointProcess &process, TimePoint now) override;
     /// The gate for samples, which only the owner of the pool sends.
     quota::DispatchGate &sampleGate();
-    /// Takes a token for an order or a report request of the owner. Urgent ones go ahead of all requests. Returns false
-    /// if the engine may not be called now.
-    bool takeForCall(const EndpointProcess &process, bool urgent, TimePoint now);
+    /// Takes a token for an order or a report request of the owner. Returns false if the engine may not be called now.
+    bool takeForCall(const EndpointProcess &process, CallPriority priority, TimePoint now);
 
     /// Takes a token of one of the processes for a scoring call of the owner. Returns false if all of them are limited
     /// and none has a token. Scoring calls then wait in the order in which their results are wanted.
@@ -98,6 +103,10 @@
     /// Logs why requests of this instance get no token.
     void writeShortage(const quota::TokenAsk &ask, const quota::TokenGrant &grant);
     void askOwner(const quota::TokenAsk &ask, std::function<void(const Returns &)> done);
+    void handleOwnerAnswer(const Address &owner,
+                           const quota::TokenAsk &ask,
+                           const net::WholeAnswer &answer,
+                           const std::function<void(const Returns &)> &done);
     void applyGrant(const quota::TokenGrant &grant);
     /// Nobody grants for now; `reason` goes to the log.
     void granterFailed(std::string_view reason, const std::function<void(const Returns &)> &done);
--- a/bergamot/quota/token_purse.cpp
+++ b/bergamot/quota/token_purse.cpp
@@ -38,7 +38,7 @@
     }
     const Endpoint &endpoint = found->second;
     const bool granted = !endpoint.grantedAt.empty() && now - endpoint.grantedAt.back() <= m_options.validity;
-    return granted || (m_alone && ownTokens(endpoint, now) >= OneToken);
+    return granted || (alone(now) && ownTokens(endpoint, now) >= OneToken);
 }
 
 void TokenPurse::spend(const EndpointProcess &process, TimePoint now)
@@ -54,7 +54,7 @@
     if (!endpoint.grantedAt.empty()) {
         endpoint.grantedAt.pop_front();
         endpoint.spentAt.push_back(now);
-    } else if (m_alone) {
+    } else if (alone(now)) {
         endpoint.ownTokens = ownTokens(endpoint, now) - 1;
         endpoint.countedAt = now;
     }
@@ -70,6 +70,7 @@
 
 void TokenPurse::granterFailed(TimePoint now)
 {
+    m_failedAt = now;
     if (m_alone) {
         return;
     }
@@ -87,6 +88,11 @@
     }
 }
 
+bool TokenPurse::alone(TimePoint now) const
+{
+    return m_alone && now - m_failedAt <= m_options.aloneFor;
+}
+
 double TokenPurse::ownTokens(const Endpoint &endpoint, TimePoint now) const
 {
     const double arisen = endpoint.ownRate * seconds(now - endpoint.countedAt);
--- a/bergamot/quota/token_purse.h
+++ b/bergamot/quota/token_purse.h
@@ -23,6 +23,7 @@
 struct TokenPurseOptions
 {
     Duration validity = std::chrono::seconds(1); // of a granted token
+    Duration aloneFor = std::chrono::seconds(1); // after an ask failed, until the next one is needed
     Duration history = std::chrono::seconds(10); // over which the rate without a granter is measured
 };
 
@@ -53,11 +54,14 @@
         TimePoint countedAt{};
     };
 
+    /// Whether the own rate may be used.
+    bool alone(TimePoint now) const;
     double ownTokens(const Endpoint &endpoint, TimePoint now) const;
 
     TokenPurseOptions m_options;
     std::map<EndpointId, Endpoint> m_endpoints;
-    bool m_alone = false; // nobody grants
+    bool m_alone = false; // nobody has granted since the last ask that failed
+    TimePoint m_failedAt{}; // of that ask
 };
 
 } // namespace bergamot::quota
--- a/bergamot/quota/token_sharing_test.cpp
+++ b/bergamot/quota/token_sharing_test.cpp
@@ -255,6 +255,28 @@
     EXPECT_LE(served - Start, 30s); // 20 s at the limit
 }
 
+// An instance with few requests must not go on at its own rate beside a granter that has returned.
+TEST(TokenPurseTest, TheOwnRateHoldsOnlyUntilTheNextAsk)
+{
+    const EndpointProcess process{EndpointId("d1"), 1};
+    TokenPurse purse;
+    TimePoint now{1h};
+    for (int second = 0; second < 10; ++second, now += 1s) {
+        purse.add({.process = process, .tokens = 1}, now);
+        purse.spend(process, now);
+    }
+    purse.granterFailed(now);
+    EXPECT_FALSE(purse.has(process, now));
+    EXPECT_TRUE(purse.has(process, now + 1s));
+    EXPECT_FALSE(purse.has(process, now + 1100ms)) << "the granter has to be asked again";
+    purse.granterFailed(now + 1100ms);
+    EXPECT_TRUE(purse.has(process, now + 1100ms));
+    purse.spend(process, now + 1100ms);
+    EXPECT_FALSE(purse.has(process, now + 1200ms));
+    purse.granterAnswered();
+    EXPECT_FALSE(purse.has(process, now + 2100ms));
+}
+
 TEST(UrgentTokens, AreTakenAheadButFew)
 {
     const LimitedEndpoint endpoint{.process = {EndpointId("e1"), 1}, .perSecond = 2};
