--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -141,6 +141,32 @@
                              return test.param.name;
                          });
 
+class LostRunTest : public SampleSchedulerTest, public testing::WithParamInterface<RunOutcome>
+{ };
+
+// Engines crash under an item, then it fails once. It has another attempt left.
+TEST_P(LostRunTest, ARunThatWasLostIsNoFailureOfItsItem)
+{
+    ASSERT_EQ(m_itemPolicy.maxAttempts, 2U);
+    addBatch("b", 1);
+    for (int lost = 0; lost < 3; ++lost) {
+        endRun(m_starts.back().run, GetParam());
+        advance(5s); // longer than the longest back-off of an engine
+    }
+    endRun(m_starts.back().run, RunOutcome::Failed);
+    advance(5s);
+    EXPECT_EQ(m_starts.size(), 5U);
+    EXPECT_TRUE(m_results.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Losses,
+                         LostRunTest,
+                         testing::Values(RunOutcome::StreamInterrupted,
+                                         RunOutcome::TimedOut,
+                                         RunOutcome::StaleConnection,
+                                         RunOutcome::NotExecuted,
+                                         RunOutcome::WrongEndpoint));
+
 struct EventOrderCase
 {
     const char *name;
