lint: findings of clang-tidy in the code of limits

A structured binding in a lambda, an implicit widening, a move of a trivial type, vectors without reserve.

--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -328,12 +328,14 @@
     if (route == nullptr) {
         return true;
     }
-    std::vector<EndpointProcess> processes;
-    for (const auto &[id, endpoint] : m_view.endpoints()) {
-        const bool serves = std::any_of(route->services.begin(), route->services.end(), [&](const auto &service) {
+    const auto scores = [route](const fleet::Endpoint &endpoint) {
+        return std::any_of(route->services.begin(), route->services.end(), [&](const fleet::WeightedService &service) {
             return service.service == endpoint.service;
         });
-        if (serves && !endpoint.leaving()) {
+    };
+    std::vector<EndpointProcess> processes;
+    for (const auto &[id, endpoint] : m_view.endpoints()) {
+        if (scores(endpoint) && !endpoint.leaving()) {
             processes.push_back({.endpoint = EndpointId(id), .incarnation = endpoint.incarnation});
         }
     }
--- a/bergamot/node/quota_exchange.cpp
+++ b/bergamot/node/quota_exchange.cpp
@@ -17,7 +17,7 @@
 {
 
 constexpr std::string_view TokensPath = "/tokens";
-constexpr std::size_t MaxAnswerBytes = 64 * 1024;
+constexpr std::size_t MaxAnswerBytes = std::size_t{64} * 1024;
 
 /// The value of the header field; nothing if it is not a number, 0 or more.
 std::optional<double> parseLimit(std::string_view text)
@@ -75,7 +75,7 @@
     , m_client(client)
     , m_log(log)
     , m_eventLog(eventLog)
-    , m_options(std::move(options))
+    , m_options(options)
     , m_limits(m_options.limits, seed)
     , m_granter(m_options.granter)
     , m_purse(m_options.purse)
--- a/bergamot/routing/router_limit_test.cpp
+++ b/bergamot/routing/router_limit_test.cpp
@@ -87,6 +87,7 @@
 TEST_F(RouterLimitTest, RequestsWaitForTokensAndTheOthersAreRefusedAtOnceWithTheirTimes)
 {
     std::vector<RequestId> ids;
+    ids.reserve(5);
     for (int count = 0; count < 5; ++count) {
         ids.push_back(sendRepeatable());
     }
@@ -123,6 +124,7 @@
 {
     m_gate.tokens.erase("endpoint-2");
     std::vector<RequestId> ids;
+    ids.reserve(5);
     for (int count = 0; count < 3; ++count) {
         ids.push_back(sendRepeatable());
     }
