dispatch: runs are not moved to an engine that names a limit

Cause: several slow runs counted the one token of a faster engine for themselves; all of them were cancelled and one started there. The token was missing for an item that waits, too. Change: DispatchGate::limits tells a limited process; runs are not moved there. RunsAreNotMovedToALimitedEngine fails without it.

--- a/bergamot/dispatch/sample_limit_test.cpp
+++ b/bergamot/dispatch/sample_limit_test.cpp
@@ -16,6 +16,10 @@
     {
         return true;
     }
+    bool limits(const EndpointProcess &process) const override
+    {
+        return tokens.contains(process.endpoint.value());
+    }
     bool admits(const EndpointProcess &process, TimePoint) const override
     {
         const auto found = tokens.find(process.endpoint.value());
@@ -106,6 +110,30 @@
     EXPECT_EQ(startsByEngine(), (std::map<std::string, int>{{"e2", 6}}));
 }
 
+// The runs of a step are at engines that have become several times slower than one that takes few requests.
+TEST_F(SampleLimitTest, RunsAreNotMovedToALimitedEngine)
+{
+    setEngines({engine("e1", 5, 1), engine("e2", 5, 2)});
+    addBatch("b", 2);
+    ASSERT_NE(m_starts[0].engine, m_starts[1].engine);
+    const StartRun slow = m_starts[m_starts[0].engine == "e1" ? 0 : 1];
+    const StartRun fast = m_starts[m_starts[0].engine == "e1" ? 1 : 0];
+    for (std::uint64_t id = 1; id <= 8; ++id) {
+        m_now += 30ms;
+        receiveEvent(fast.run, id);
+    }
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        m_now += 200ms;
+        receiveEvent(slow.run, id);
+    }
+    m_gate.tokens["e2"] = 1;
+    advance(50ms);
+    EXPECT_FALSE(m_cancelled.contains(slow.run));
+    m_gate.tokens.erase("e2"); // its limit has ended
+    advance(50ms);
+    EXPECT_TRUE(m_cancelled.contains(slow.run));
+}
+
 // The engines take a third of a step. Without whole groups its trainer would get nothing.
 TEST_F(SampleLimitTest, GroupsThatHaveBegunAreStartedFirst)
 {
--- a/bergamot/dispatch/sample_scheduler_assignment.cpp
+++ b/bergamot/dispatch/sample_scheduler_assignment.cpp
@@ -360,7 +360,11 @@
                 continue;
             }
             const EngineState *other = bestEngine(*batch, *item, now);
-            if (other != nullptr && current > m_options.minSpeedupToMove * secondsPerEventWithLoad(*other)) {
+            const bool limited =
+                other != nullptr && m_options.gate != nullptr && m_options.gate->limits(processOf(*other));
+            // At a limited engine, another item could use the place.
+            if (other != nullptr && !limited
+                && current > m_options.minSpeedupToMove * secondsPerEventWithLoad(*other)) {
                 slow.push_back(run);
             }
         }
--- a/bergamot/node/quota_exchange.cpp
+++ b/bergamot/node/quota_exchange.cpp
@@ -49,6 +49,10 @@
     {
         return m_exchange.limitsAny();
     }
+    bool limits(const EndpointProcess &process) const override
+    {
+        return m_exchange.limits(process);
+    }
     bool admits(const EndpointProcess &process, TimePoint now) const override
     {
         const std::optional<quota::LimitedEndpoint> limited = m_exchange.limited(process);
@@ -89,14 +93,19 @@
     return !m_limits.empty();
 }
 
+bool QuotaExchange::limits(const EndpointProcess &process) const
+{
+    return m_limits.limitOf(process).has_value();
+}
+
 bool QuotaExchange::admits(const EndpointProcess &process, TimePoint now) const
 {
-    return !m_limits.limitOf(process) || m_purse.has(process, now);
+    return !limits(process) || m_purse.has(process, now);
 }
 
 void QuotaExchange::dispatched(const EndpointProcess &process, TimePoint now)
 {
-    if (m_limits.limitOf(process)) {
+    if (limits(process)) {
         m_purse.spend(process, now);
     }
 }
--- a/bergamot/node/quota_exchange.h
+++ b/bergamot/node/quota_exchange.h
@@ -60,6 +60,7 @@
     ~QuotaExchange() override;
 
     bool limitsAny() const override;
+    bool limits(const EndpointProcess &process) const override;
     bool admits(const EndpointProcess &process, TimePoint now) const override;
     void dispatched(const EndpointProcess &process, TimePoint now) override;
     /// The gate for samples, which only the owner of the pool sends.
--- a/bergamot/quota/dispatch_gate.h
+++ b/bergamot/quota/dispatch_gate.h
@@ -19,6 +19,8 @@
 
     /// Whether any process is limited. If not, all are admitted.
     virtual bool limitsAny() const = 0;
+    /// Whether the process is limited.
+    virtual bool limits(const EndpointProcess &process) const = 0;
     /// Whether one more request may be sent to the process.
     virtual bool admits(const EndpointProcess &process, TimePoint now) const = 0;
     /// A request is being sent to the process.
--- a/bergamot/routing/router_limit_test.cpp
+++ b/bergamot/routing/router_limit_test.cpp
@@ -19,6 +19,10 @@
     {
         return !tokens.empty();
     }
+    bool limits(const EndpointProcess &process) const override
+    {
+        return tokens.contains(process.endpoint.value());
+    }
     bool admits(const EndpointProcess &process, TimePoint) const override
     {
         const auto found = tokens.find(process.endpoint.value());
