base: the process of an endpoint has a header of its own

Reading the change as a newcomer: quota included the header of crash reports only for EndpointProcess, and the internal port told requests for tokens by their method instead of their path. No change of behaviour otherwise; quota, router and node tests of limits hold.

--- a/bergamot/base/crash_report.h
+++ b/bergamot/base/crash_report.h
@@ -4,24 +4,14 @@
 //
 //     CrashReport report{.fingerprint = 7, .crashes = {{.process = {EndpointId("e1"), 4}, .alone = true}}};
 
-#include <compare>
 #include <cstdint>
 #include <vector>
 
-#include "bergamot/base/ids.h"
+#include "bergamot/base/endpoint_process.h"
 
 namespace bergamot
 {
 
-/// A process of an endpoint. An endpoint that starts again under its id has another incarnation.
-struct EndpointProcess
-{
-    EndpointId endpoint;
-    std::uint64_t incarnation = 0; // 0: not known
-
-    auto operator<=>(const EndpointProcess &) const = default;
-};
-
 /// A crash during a request.
 struct CrashUnderRequest
 {
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -190,7 +190,7 @@
                       })
     , m_peerServer(loop,
                    [this](std::shared_ptr<net::Exchange> exchange) {
-                       const bool asksForTokens = exchange->request().method == "POST";
+                       const bool asksForTokens = exchange->request().path() == TokensPath;
                        exchange->respond(asksForTokens ? m_quota.answer(exchange->request().body)
                                                        : probeResponse(m_options.instance));
                    })
--- a/bergamot/node/quota_exchange.cpp
+++ b/bergamot/node/quota_exchange.cpp
@@ -16,7 +16,6 @@
 namespace
 {
 
-constexpr std::string_view TokensPath = "/tokens";
 constexpr std::size_t MaxAnswerBytes = std::size_t{64} * 1024;
 
 /// The value of the header field; nothing if it is not a number, 0 or more.
--- a/bergamot/node/quota_exchange.h
+++ b/bergamot/node/quota_exchange.h
@@ -39,6 +39,9 @@
     quota::TokenPurseOptions purse;
 };
 
+/// Path of the requests for tokens that one instance sends to another.
+inline constexpr std::string_view TokensPath = "/tokens";
+
 /// Of the owner's calls to an engine about its load.
 enum class CallPriority {
     AsRequests,
--- a/bergamot/quota/dispatch_gate.h
+++ b/bergamot/quota/dispatch_gate.h
@@ -6,7 +6,7 @@
 //     if (gate.admits(process, now)) { ... send ...; gate.dispatched(process, now); }
 
 #include "bergamot/base/clock.h"
-#include "bergamot/base/crash_report.h"
+#include "bergamot/base/endpoint_process.h"
 
 namespace bergamot::quota
 {
--- a/bergamot/quota/named_limits.h
+++ b/bergamot/quota/named_limits.h
@@ -19,7 +19,7 @@
 #include <vector>
 
 #include "bergamot/base/clock.h"
-#include "bergamot/base/crash_report.h"
+#include "bergamot/base/endpoint_process.h"
 
 namespace bergamot::quota
 {
