--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -44,6 +44,7 @@
     bool draining = false;
     std::uint64_t incarnation = 0; // changes with each start of the engine
     std::map<std::string, std::uint64_t> versions; // weight version by model name, as registered
+    std::string softwareVersion; // empty: not known
 };
 
 /// The bounds and services that the configuration gives for the items of a batch.
--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -50,6 +50,7 @@
     Duration coldStartRemaining{}; // time until its cold start ends
     std::uint64_t incarnation = 0; // changes with each start, also if the id stays the same
     std::vector<ModelVersion> models; // for engines only
+    std::string softwareVersion; // what different versions generate must not be joined; empty: not known
     bool saidLeaving = false; // an answer of this incarnation said so
 
     /// Whether the endpoint takes no new requests.
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -271,7 +271,9 @@
                                                     std::max(1U, endpoint.slots > 0 ? endpoint.slots : traits.slots),
                                                 .memoryTokens = traits.memoryTokens,
                                                 .draining = endpoint.leaving(),
-                                                .incarnation = endpoint.incarnation};
+                                                .incarnation = endpoint.incarnation,
+                                                .versions = {},
+                                                .softwareVersion = endpoint.softwareVersion};
         for (const fleet::ModelVersion &model : endpoint.models) {
             description.versions[model.model] = model.version;
         }
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -109,18 +109,21 @@
     if (action.expectedVersion) {
         request.headers.set(names.expectedVersion, std::to_string(*action.expectedVersion));
     }
+    const auto endpoint = m_view.endpoints().find(action.engine);
+    const bool listed = endpoint != m_view.endpoints().end();
     m_eventLog.write(EventKind::Request,
                      "sample-run",
                      {{"item", item->id},
                       {"batch", action.key.batch},
                       {"engine", action.engine},
+                      {"incarnation", std::to_string(listed ? endpoint->second.incarnation : 0)},
+                      {"software", listed ? endpoint->second.softwareVersion : std::string()},
                       {"after_event", action.resumeAfter ? std::to_string(*action.resumeAfter) : "start"}});
     const dispatch::RunId id = action.run;
     ActiveRun &run = m_runs[id];
     run.key = action.key;
     run.engine = action.engine;
-    const auto endpoint = m_view.endpoints().find(action.engine);
-    run.incarnation = endpoint == m_view.endpoints().end() ? 0 : endpoint->second.incarnation;
+    run.incarnation = listed ? endpoint->second.incarnation : 0;
     run.model = action.model;
     run.expectsVersion = action.expectedVersion.has_value();
     run.resumed = action.resumeAfter.has_value();
