dispatch: a text goes on only at engines of the software version that began it

Callers saw: trainers got texts whose events came from engines of two software versions, which do not fit together. Cause: the version in an engine's entry was read nowhere; a broken or moved run was resumed at any engine, also by a new owner of the pool. Class: a fact that one instance knows (which software began a text) and all who act on the text need. Ruled out: that engines refuse it themselves (they do not check). Change: the version travels with the text: from the entry of the incarnation that the run was sent to, into the item, moves, saved progress (new fields of ItemProgress) and the next owner. A text waits for a busy engine of its version no longer than generating it again would take, at most 2 s; without one, or when the version is not known, it starts from its beginning, and so do its weight versions and its score. When an engine starts again under its id, texts that the new process may have answered, by the time of the last heartbeat of the old one, start anew if the software differs. Saved progress whose predecessor could not be read is not used. An existing test (ProgressOfARestartedRun...) now saves the version that every current program writes; it expects the same.

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -143,6 +143,8 @@
     record.last_event = progress.lastEvent;
     record.text = progress.text;
     record.versions = progress.versions;
+    record.software_version = progress.softwareVersion;
+    record.continued = progress.continued;
     return serializeRecord(std::move(record));
 }
 
@@ -279,7 +281,10 @@
                           .item = record.item(),
                           .firstEvent = record.first_event(),
                           .lastEvent = record.last_event(),
-                          .text = stringOrEmpty(record.text())};
+                          .text = stringOrEmpty(record.text()),
+                          .versions = {},
+                          .softwareVersion = stringOrEmpty(record.software_version()),
+                          .continued = record.continued()};
     if (record.versions() != nullptr) {
         progress.versions.assign(record.versions()->begin(), record.versions()->end());
     }
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -82,6 +82,8 @@
     std::uint64_t lastEvent = 0;
     std::string text; // data of these events
     std::vector<std::uint64_t> versions; // weight versions that generated the text so far
+    std::string softwareVersion; // of the engines that generated the text; empty: not known
+    bool continued = false; // the text before `firstEvent` was saved earlier
 };
 
 struct RecordLimits
--- a/bergamot/dispatch/internal/scheduler_fixture.h
+++ b/bergamot/dispatch/internal/scheduler_fixture.h
@@ -25,7 +25,8 @@
                 .service = "llm",
                 .address = {"10.0.0.1", static_cast<std::uint16_t>(id.back())},
                 .slots = slots,
-                .versions = {{"m", version}}};
+                .versions = {{"m", version}},
+                .softwareVersion = "v1"};
     }
 
     void setEngines(const std::vector<EngineDescription> &engines)
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -26,10 +26,13 @@
     }
     for (const EngineDescription &description : engines) {
         EngineState &engine = m_engines[description.id];
+        // A process keeps its software, so an entry with another version comes from another process.
         const bool restarted = engine.description.incarnation != description.incarnation
-            || engine.description.address != description.address;
+            || engine.description.address != description.address
+            || engine.description.softwareVersion != description.softwareVersion;
         if (restarted) {
             cancelRunsOf(engine);
+            discardDoubtfulTexts(description);
             engine = {};
         }
         for (const auto &[model, version] : description.versions) {
@@ -55,6 +58,13 @@
         cancelRunsOf(engine);
         entry = m_engines.erase(entry);
     }
+    std::erase_if(m_alive, [&](const auto &entry) {
+        return !m_engines.contains(entry.first) && now - entry.second.at > m_options.aliveRetention;
+    });
+    m_enginesBySoftware.clear();
+    for (const auto &[id, engine] : m_engines) {
+        m_enginesBySoftware[engine.description.softwareVersion].push_back(&engine);
+    }
     assign(now);
 }
 
@@ -223,6 +233,10 @@
         item->text += '\n';
     } else {
         item->firstEvent = eventId;
+        item->softwareVersion = found->second.softwareVersion;
+    }
+    if (found->second.events == 0) {
+        recordSource(*item, found->second, now);
     }
     item->text += data;
     item->lastEvent = eventId;
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -12,6 +12,10 @@
 // times longer than others; engines differ in speed, become slow, crash or load weights. Older batches go first; within
 // a batch the groups that its trainer waits for, and of these the longest items first. A run that breaks off or is slow
 // resumes at another engine after the last event that was received.
+//
+// Load pattern: during a release, engines of two software versions serve side by side and runs break off as engines
+// leave. A text goes on only at an engine of the software version that began it. It waits for one that is busy no
+// longer than generating it again would take; without one it starts from its beginning.
 
 #include <cstdint>
 #include <functional>
@@ -78,6 +82,8 @@
     std::string model;
     std::optional<std::uint64_t> resumeAfter; // id of the last received event; none: start from the beginning
     std::optional<std::uint64_t> expectedVersion; // set while the engine's version is unconfirmed
+    std::uint64_t discardedEvents = 0; // of a text that cannot go on at this engine
+    std::string discardedSoftware; // version of the engines that generated that text; empty: not known
 };
 
 /// Abort the run. Its item is scheduled again if it still needs a result.
@@ -148,6 +154,8 @@
     /// Whether the scoring call of the item may be sent now; takes what it needs beyond load. None: always.
     std::function<bool(const batch::Item &item)> mayScore;
     quota::DispatchGate *gate = nullptr; // limits beyond slots and memory; null: none. Must outlive the scheduler
+    Duration maxVersionWait = std::chrono::seconds(2); // of a text, for an engine of its software version
+    Duration aliveRetention = std::chrono::minutes(1); // of what is known of an engine that was removed
     double maxMemoryShare = 0.95; // share of an engine's memory that the declared tokens of its runs may fill
 };
 
@@ -159,6 +167,8 @@
 
     /// Replaces the set of engines. Runs at engines that were removed or restarted are cancelled and resume at others.
     void setEngines(const std::vector<EngineDescription> &engines, TimePoint now);
+    /// The engine's process with this incarnation was alive at `aliveAt`, so no later process had answered before.
+    void engineAlive(const std::string &engine, std::uint64_t incarnation, TimePoint aliveAt);
     /// Opens a batch; `committed` marks the items that have a result already. Without a policy its items wait.
     void addBatch(const batch::Batch &batch,
                   const std::vector<bool> &committed,
@@ -257,6 +267,14 @@
         Done,
     };
 
+    /// A run that generated events of a text.
+    struct TextSource
+    {
+        std::string engine;
+        std::uint64_t incarnation = 0; // that the engine was registered with when the run started
+        TimePoint beganAt{}; // first event of the run
+    };
+
     struct ItemState
     {
         batch::Item item;
@@ -272,6 +290,9 @@
         TimePoint savedAt{};
         bool complete = false;
         std::vector<std::uint64_t> versions;
+        std::string softwareVersion; // of the engines that generated the text; empty: not known
+        std::vector<TextSource> unproven; // sources that another process of the engine may have answered
+        TimePoint keepTextUntil{}; // end of the wait for an engine of that version; zero: not waiting
         std::uint32_t failures = 0;
         std::uint32_t scoringFailures = 0;
         TimePoint nextScoringAt{}; // earliest time of the next scoring call
@@ -300,6 +321,8 @@
     {
         ItemKey key;
         std::string engine;
+        std::uint64_t incarnation = 0; // of the engine
+        std::string softwareVersion; // of the engine
         TimePoint startedAt{};
         TimePoint lastEventAt{};
         std::uint64_t events = 0;
@@ -320,6 +343,18 @@
         bool registered = true; // part of the newest list of engines
     };
 
+    struct AliveProcess
+    {
+        std::uint64_t incarnation = 0;
+        TimePoint at{};
+    };
+
+    /// Whether a run goes on after the text of its item, or starts from the beginning.
+    enum class TextUse {
+        Continue,
+        Discard,
+    };
+
     struct EngineIdLess
     {
         bool operator()(const EngineState *left, const EngineState *right) const
@@ -348,7 +383,19 @@
     double secondsPerEventWithLoad(const EngineState &engine) const;
     void updateMedianSecondsPerEvent();
     /// The free engine with the lowest time per event that can run the item; null if there is none.
-    EngineState *bestEngine(const BatchState &batch, const ItemState &item, TimePoint now);
+    EngineState *bestEngine(const BatchState &batch, const ItemState &item, TextUse use, TimePoint now);
+    /// The engine at which a waiting item starts now; null if there is none. A text that cannot go on waits as long as
+    /// `waitsForItsVersion`.
+    EngineState *place(const BatchState &batch, ItemState &item, TimePoint now);
+    /// Whether a run of the item at the engine may go on after its text.
+    static bool continuesAt(const ItemState &item, const EngineState &engine);
+    /// Whether the text of the item is worth waiting for a busy engine of its software version.
+    bool waitsForItsVersion(const BatchState &batch, ItemState &item, TimePoint now) const;
+    void recordSource(ItemState &item, const Run &run, TimePoint now) const;
+    bool provenAlive(const TextSource &source) const;
+    /// Discards the texts that earlier processes of the engine are assumed to have generated and the registered one,
+    /// with other software, may have.
+    void discardDoubtfulTexts(const EngineDescription &registered);
     /// The batches for which `wanted` returns true. Those before their result deadline go first, then the late ones;
     /// each in the order of acceptance.
     std::vector<BatchState *> batchesByUrgency(TimePoint now, bool (*wanted)(const BatchState &batch));
@@ -358,8 +405,8 @@
     /// start first.
     void orderItems(BatchState &batch);
     /// The waiting item to start next. While engines are limited, groups that have begun go first, as the trainer waits
-    /// for whole groups and not all will be complete.
-    std::uint32_t nextToStart(const BatchState &batch) const;
+    /// for whole groups and not all will be complete. None if all are in `passedOver`, which holds start positions.
+    std::optional<std::uint32_t> nextToStart(const BatchState &batch, const std::set<std::uint32_t> &passedOver) const;
     /// Starts waiting items at free engines, in the order of `batchesByUrgency`.
     void assign(TimePoint now);
     /// Starts waiting items in the free slots of one engine.
@@ -375,8 +422,9 @@
     void cancel(RunId run);
     /// The next run of the item starts from the beginning.
     static void discardText(ItemState &item);
-    /// If the policy requires a single version, the text restarts from the beginning at an engine with another version.
-    void discardTextOfOtherVersion(const BatchState &batch, ItemState &item, const EngineState &engine);
+    /// Whether the text cannot go on at the engine: its software has another version, or its weights have and the
+    /// policy requires a single version.
+    static bool mustDiscardText(const BatchState &batch, const ItemState &item, const EngineState &engine);
     /// Moves runs to free engines that would be much faster.
     void moveSlowRuns(TimePoint now);
     void saveProgress(TimePoint now);
@@ -400,6 +448,9 @@
 
     SampleSchedulerOptions m_options;
     std::map<std::string, EngineState> m_engines;
+    std::map<std::string, std::vector<const EngineState *>>
+        m_enginesBySoftware; // registered engines by software version
+    std::map<std::string, AliveProcess> m_alive; // newest proof, by engine; kept when an engine is removed
     std::set<EngineState *, EngineIdLess> m_freeEngines; // engines with a free slot
     double m_medianSecondsPerEvent = 1; // assumed for engines without an estimate
     std::uint64_t m_enginesExamined = 0;
--- a/bergamot/dispatch/sample_scheduler_assignment.cpp
+++ b/bergamot/dispatch/sample_scheduler_assignment.cpp
@@ -98,11 +98,15 @@
     return secondsPerEvent * (1 + m_options.slowdownPerRun * static_cast<double>(engine.runs.size()));
 }
 
-SampleScheduler::EngineState *SampleScheduler::bestEngine(const BatchState &batch, const ItemState &item, TimePoint now)
+SampleScheduler::EngineState *
+SampleScheduler::bestEngine(const BatchState &batch, const ItemState &item, TextUse use, TimePoint now)
 {
     EngineState *best = nullptr;
     double lowest = std::numeric_limits<double>::max();
     for (EngineState *engine : m_freeEngines) {
+        if (use == TextUse::Continue && !continuesAt(item, *engine)) {
+            continue;
+        }
         const double seconds = secondsPerEventWithLoad(*engine);
         if (seconds < lowest && canStartRun(*engine, batch, now) && hasMemoryFor(*engine, item)) {
             lowest = seconds;
@@ -112,10 +116,24 @@
     return best;
 }
 
-std::uint32_t SampleScheduler::nextToStart(const BatchState &batch) const
+SampleScheduler::EngineState *SampleScheduler::place(const BatchState &batch, ItemState &item, TimePoint now)
+{
+    EngineState *engine = bestEngine(batch, item, TextUse::Continue, now);
+    if (engine != nullptr || !item.hasEvents || waitsForItsVersion(batch, item, now)) {
+        return engine;
+    }
+    return bestEngine(batch, item, TextUse::Discard, now);
+}
+
+std::optional<std::uint32_t> SampleScheduler::nextToStart(const BatchState &batch,
+                                                          const std::set<std::uint32_t> &passedOver) const
 {
     if (m_options.gate == nullptr || !m_options.gate->limitsAny()) {
-        return batch.startOrder[*batch.waiting.begin()];
+        const auto next =
+            std::find_if_not(batch.waiting.begin(), batch.waiting.end(), [&passedOver](std::uint32_t position) {
+                return passedOver.contains(position);
+            });
+        return next == batch.waiting.end() ? std::nullopt : std::optional(batch.startOrder[*next]);
     }
     std::set<std::string_view> begun;
     std::map<std::string_view, std::size_t> waiting; // items by group
@@ -130,10 +148,13 @@
         const std::string &group = batch.groups[batch.startOrder[position]];
         return std::tuple(!begun.contains(group), waiting[group], position);
     };
-    const auto first = std::min_element(batch.waiting.begin(), batch.waiting.end(), [&](auto left, auto right) {
-        return rank(left) < rank(right);
-    });
-    return batch.startOrder[*first];
+    std::optional<std::uint32_t> first;
+    for (const std::uint32_t position : batch.waiting) {
+        if (!passedOver.contains(position) && (!first || rank(position) < rank(*first))) {
+            first = position;
+        }
+    }
+    return first ? std::optional(batch.startOrder[*first]) : std::nullopt;
 }
 
 void SampleScheduler::assign(TimePoint now)
@@ -142,13 +163,17 @@
         return;
     }
     for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
-        while (!batch->waiting.empty()) {
-            const std::uint32_t index = nextToStart(*batch);
-            EngineState *engine = bestEngine(*batch, batch->items[index], now);
-            if (engine == nullptr) {
+        std::set<std::uint32_t> passedOver; // texts that wait for an engine of their version
+        while (const std::optional<std::uint32_t> index = nextToStart(*batch, passedOver)) {
+            ItemState &item = batch->items[*index];
+            EngineState *engine = place(*batch, item, now);
+            if (engine != nullptr) {
+                start({batch->id, *index}, *batch, item, *engine, now);
+            } else if (item.hasEvents) {
+                passedOver.insert(item.startPosition);
+            } else {
                 break;
             }
-            start({batch->id, index}, *batch, batch->items[index], *engine, now);
         }
     }
 }
@@ -159,12 +184,21 @@
         return;
     }
     for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
-        while (!batch->waiting.empty() && canStartRun(engine, *batch, now)) {
-            const std::uint32_t index = nextToStart(*batch);
-            if (!hasMemoryFor(engine, batch->items[index])) {
+        std::set<std::uint32_t> passedOver;
+        while (canStartRun(engine, *batch, now)) {
+            const std::optional<std::uint32_t> index = nextToStart(*batch, passedOver);
+            if (!index) {
                 break;
             }
-            start({batch->id, index}, *batch, batch->items[index], engine, now);
+            ItemState &item = batch->items[*index];
+            if (!continuesAt(item, engine) && waitsForItsVersion(*batch, item, now)) {
+                passedOver.insert(item.startPosition);
+                continue;
+            }
+            if (!hasMemoryFor(engine, item)) {
+                break;
+            }
+            start({batch->id, *index}, *batch, item, engine, now);
         }
     }
 }
@@ -246,8 +280,18 @@
 
 void SampleScheduler::start(const ItemKey &key, BatchState &batch, ItemState &item, EngineState &engine, TimePoint now)
 {
-    discardTextOfOtherVersion(batch, item, engine);
     const RunId run = ++m_lastRun;
+    StartRun action{.run = run,
+                    .key = key,
+                    .engine = engine.description.id,
+                    .address = engine.description.address,
+                    .model = batch.model};
+    if (mustDiscardText(batch, item, engine)) {
+        action.discardedEvents = item.lastEvent - item.firstEvent + 1;
+        action.discardedSoftware = item.softwareVersion;
+        discardText(item);
+    }
+    item.keepTextUntil = {};
     setStage(batch, item, Stage::Running);
     item.run = run;
     engine.runs.insert(run);
@@ -256,12 +300,13 @@
     if (m_options.gate != nullptr) {
         m_options.gate->dispatched(processOf(engine), now);
     }
-    m_runs.emplace(run, Run{.key = key, .engine = engine.description.id, .startedAt = now, .lastEventAt = now});
-    StartRun action{.run = run,
-                    .key = key,
-                    .engine = engine.description.id,
-                    .address = engine.description.address,
-                    .model = batch.model};
+    m_runs.emplace(run,
+                   Run{.key = key,
+                       .engine = engine.description.id,
+                       .incarnation = engine.description.incarnation,
+                       .softwareVersion = engine.description.softwareVersion,
+                       .startedAt = now,
+                       .lastEventAt = now});
     if (item.hasEvents) {
         action.resumeAfter = item.lastEvent;
     }
@@ -272,21 +317,14 @@
     m_actions.emplace_back(std::move(action));
 }
 
-void SampleScheduler::discardTextOfOtherVersion(const BatchState &batch, ItemState &item, const EngineState &engine)
-{
-    const std::uint64_t version = versionOf(engine.versions, batch.model);
-    const bool hasOtherVersion =
-        batch.policy->singleVersion && !item.versions.empty() && item.versions.back() != version;
-    if (hasOtherVersion) {
-        discardText(item);
-    }
-}
-
 void SampleScheduler::discardText(ItemState &item)
 {
     item.text.clear();
     item.versions.clear();
+    item.softwareVersion.clear();
+    item.unproven.clear();
     item.hasEvents = false;
+    item.complete = false;
     item.lastEvent = 0;
     item.savedEvent = 0;
     item.savedBytes = 0;
@@ -359,7 +397,7 @@
                 || runState.events < m_options.minEventsBeforeMove) {
                 continue;
             }
-            const EngineState *other = bestEngine(*batch, *item, now);
+            const EngineState *other = bestEngine(*batch, *item, TextUse::Continue, now);
             const bool limited =
                 other != nullptr && m_options.gate != nullptr && m_options.gate->limits(processOf(*other));
             // At a limited engine, another item could use the place.
--- a/bergamot/dispatch/sample_scheduler_progress.cpp
+++ b/bergamot/dispatch/sample_scheduler_progress.cpp
@@ -20,10 +20,17 @@
     if (item == nullptr || item->stage != Stage::Waiting || progress.text.empty()) {
         return;
     }
-    if (!item->hasEvents || progress.firstEvent != item->lastEvent + 1) {
+    const bool follows = item->hasEvents && progress.firstEvent == item->lastEvent + 1
+        && progress.softwareVersion == item->softwareVersion;
+    if (progress.continued && !follows) {
+        return; // the progress before it could not be read
+    }
+    if (!follows) {
         // The first events of the item, or of a run that restarted from the beginning.
         item->text = progress.text;
         item->versions = progress.versions;
+        item->firstEvent = progress.firstEvent;
+        item->softwareVersion = progress.softwareVersion;
     } else {
         item->text += '\n' + progress.text;
         for (const std::uint64_t version : progress.versions) {
@@ -68,7 +75,9 @@
                                      .firstEvent = first ? item.firstEvent : item.savedEvent + 1,
                                      .lastEvent = item.lastEvent,
                                      .text = item.text.substr(first ? 0 : item.savedBytes + 1),
-                                     .versions = item.versions}};
+                                     .versions = item.versions,
+                                     .softwareVersion = item.softwareVersion,
+                                     .continued = !first}};
     item.savedEvent = item.lastEvent;
     item.savedBytes = item.text.size();
     m_actions.emplace_back(std::move(action));
--- a/bergamot/dispatch/sample_scheduler_test.cpp
+++ b/bergamot/dispatch/sample_scheduler_test.cpp
@@ -457,9 +457,9 @@
     m_scheduler.holdStarts();
     addBatch("b", 1);
     m_scheduler.restoreProgress(
-        {.batch = "b", .item = 0, .firstEvent = 1, .lastEvent = 3, .text = "a\nb\nc", .versions = {4}});
+        {.batch = "b", .firstEvent = 1, .lastEvent = 3, .text = "a\nb\nc", .versions = {4}, .softwareVersion = "v1"});
     m_scheduler.restoreProgress(
-        {.batch = "b", .item = 0, .firstEvent = 1, .lastEvent = 1, .text = "x", .versions = {5}});
+        {.batch = "b", .firstEvent = 1, .lastEvent = 1, .text = "x", .versions = {5}, .softwareVersion = "v1"});
     m_scheduler.releaseStarts(m_now);
     collectActions();
     ASSERT_EQ(m_starts.size(), 1U);
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -246,6 +246,13 @@
     m_endpointsChanged = true; // with many engines the list changes constantly: it is applied once per tick
 }
 
+void EnginePool::endpointAlive(const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt)
+{
+    if (m_active) {
+        m_scheduler.engineAlive(endpoint, incarnation, aliveAt);
+    }
+}
+
 void EnginePool::endpointLeaving()
 {
     if (m_active) {
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -74,6 +74,8 @@
     /// A record that changed a batch has been applied to the index.
     void batchChanged(batch::BatchChange change, const batch::log::Record &record);
     void endpointsChanged();
+    /// The process of the endpoint with this incarnation was alive at `aliveAt`.
+    void endpointAlive(const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt);
     /// An endpoint said that it is leaving. An engine gets no run, order or report request from now on.
     void endpointLeaving();
     void configurationChanged();
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -109,6 +109,14 @@
     if (action.expectedVersion) {
         request.headers.set(names.expectedVersion, std::to_string(*action.expectedVersion));
     }
+    if (action.discardedEvents > 0) {
+        m_eventLog.write(EventKind::Request,
+                         "sample-text-discarded",
+                         {{"item", item->id},
+                          {"events", std::to_string(action.discardedEvents)},
+                          {"software", action.discardedSoftware},
+                          {"engine", action.engine}});
+    }
     const auto endpoint = m_view.endpoints().find(action.engine);
     const bool listed = endpoint != m_view.endpoints().end();
     m_eventLog.write(EventKind::Request,
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -246,6 +246,7 @@
     });
     m_view.onHeartbeat([this](const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt) {
         m_forwarder.recordHeartbeat(endpoint, incarnation, aliveAt);
+        m_pool.endpointAlive(endpoint, incarnation, aliveAt);
     });
     m_view.onNamedVersion([this] {
         m_pool.tick(BootClock::now());
