routing: a stream that breaks off after it began makes its request no crash suspect

Cause: each lost connection counted as a crash under the request. A request that crashes endpoints does so when they begin to run it; a stream that has begun to answer has passed that point. Change: losses of begun streams count only once streams of the request have broken off at three processes, or when it ran alone. Ruled out: leaving them out for good, as then nothing bounds a request that crashes endpoints in the middle of its stream. Figures: crash_quarantine_test, four new cases; the case of one broken stream fails with the old rule.

--- a/bergamot/routing/crash_quarantine.cpp
+++ b/bergamot/routing/crash_quarantine.cpp
@@ -104,6 +104,27 @@
     scheduleReport(fingerprint, alone ? now : now + m_options.reportDelay);
 }
 
+void CrashQuarantine::recordBrokenStream(std::uint64_t fingerprint,
+                                         const EndpointProcess &process,
+                                         RunMode mode,
+                                         TimePoint now)
+{
+    if (m_brokenStreams.size() >= m_options.maxSuspects) {
+        std::erase_if(m_brokenStreams, [&](const auto &item) {
+            return now - item.second.at > m_options.firstRefusal;
+        });
+    }
+    if (m_brokenStreams.size() >= m_options.maxSuspects) {
+        m_brokenStreams.clear();
+    }
+    BrokenStreams &broken = m_brokenStreams[fingerprint];
+    broken.processes.insert(process);
+    broken.at = now;
+    if (mode == RunMode::Alone || broken.processes.size() >= m_options.brokenStreamsToSuspect) {
+        recordEndpointLoss(fingerprint, process, mode, now);
+    }
+}
+
 bool CrashQuarantine::recordAlive(const EndpointProcess &process, TimePoint aliveAt, TimePoint now)
 {
     return retractCrashes(
@@ -151,6 +172,7 @@
 
 void CrashQuarantine::recordFinished(std::uint64_t fingerprint, TimePoint now)
 {
+    m_brokenStreams.erase(fingerprint);
     if (m_entries.empty()) {
         return;
     }
--- a/bergamot/routing/crash_quarantine.h
+++ b/bergamot/routing/crash_quarantine.h
@@ -55,6 +55,7 @@
 {
     std::size_t endpointsToRefuse = 2; // crashes, at least one of them alone
     std::size_t maxCrashes = 4; // crashes that refuse a request although it never ran alone
+    std::size_t brokenStreamsToSuspect = 3; // processes at which streams of a request broke off
     Duration firstRefusal = std::chrono::seconds(15); // after `endpointsToRefuse` crashes; then the request runs alone
     Duration retention = std::chrono::minutes(10); // of a suspect, and of a refusal after more crashes
     Duration
@@ -78,6 +79,10 @@
     /// Records that the connection to `process` broke while the request ran there. A further loss counts only if the
     /// request ran alone: a request that was twice in flight beside one that crashes endpoints stays a suspect.
     void recordEndpointLoss(std::uint64_t fingerprint, const EndpointProcess &process, RunMode mode, TimePoint now);
+    /// Records that a stream broke off after the request had begun to run. A request that crashes endpoints does so
+    /// when they begin to run it, so this counts as a loss only once streams of the request have broken off at
+    /// `brokenStreamsToSuspect` processes.
+    void recordBrokenStream(std::uint64_t fingerprint, const EndpointProcess &process, RunMode mode, TimePoint now);
     /// The process was alive at `aliveAt`, so it had not crashed before. Returns whether that changed a suspect.
     bool recordAlive(const EndpointProcess &process, TimePoint aliveAt, TimePoint now);
     /// The process has answered a request that it received at `since`, so it has not crashed since. Returns whether
@@ -110,6 +115,12 @@
         bool reported = false; // other instances know the suspect
     };
 
+    struct BrokenStreams
+    {
+        std::set<EndpointProcess> processes;
+        TimePoint at{}; // of the newest one
+    };
+
     /// Time until the request may run again, counted from its newest crash; zero if it is not to be refused.
     Duration refusal(const Entry &entry) const;
     /// Whether a crash has no other suspect that may have caused it.
@@ -121,6 +132,7 @@
 
     QuarantineOptions m_options;
     std::unordered_map<std::uint64_t, Entry> m_entries;
+    std::unordered_map<std::uint64_t, BrokenStreams> m_brokenStreams; // by fingerprint
     std::map<std::uint64_t, TimePoint> m_reportsDue; // by fingerprint
 };
 
--- a/bergamot/routing/crash_quarantine_test.cpp
+++ b/bergamot/routing/crash_quarantine_test.cpp
@@ -19,6 +19,7 @@
     enum Kind {
         LostShared,
         LostAlone,
+        StreamBroken, // after the request had begun to run
         Finished,
         Reported, // by another instance, where the request ran alone
         ReportedCleared,
@@ -56,6 +57,9 @@
         case Event::LostAlone:
             quarantine.recordEndpointLoss(Fingerprint, process, RunMode::Alone, now);
             break;
+        case Event::StreamBroken:
+            quarantine.recordBrokenStream(Fingerprint, process, RunMode::Shared, now);
+            break;
         case Event::Finished:
             quarantine.recordFinished(Fingerprint, now);
             break;
@@ -89,6 +93,17 @@
     testing::Values(
         StatusCase{"NoEvents", {}, QuarantineStatus::Clear},
         StatusCase{"OneLoss", {{Event::LostShared, "a"}}, QuarantineStatus::Suspect},
+        StatusCase{"OneBrokenStream", {{Event::StreamBroken, "a"}}, QuarantineStatus::Clear},
+        StatusCase{"StreamsBrokenAtTheSameProcess",
+                   {{Event::StreamBroken, "a"}, {Event::StreamBroken, "a"}, {Event::StreamBroken, "a"}},
+                   QuarantineStatus::Clear},
+        StatusCase{"StreamsBrokenAtThreeProcesses",
+                   {{Event::StreamBroken, "a"}, {Event::StreamBroken, "b"}, {Event::StreamBroken, "c"}},
+                   QuarantineStatus::Suspect},
+        StatusCase{
+            "StreamsBrokenBeforeAndAfterAWholeOne",
+            {{Event::StreamBroken, "a"}, {Event::StreamBroken, "b"}, {Event::Finished}, {Event::StreamBroken, "c"}},
+            QuarantineStatus::Clear},
         StatusCase{"TwiceInFlightBesideACrash",
                    {{Event::LostShared, "a"}, {Event::LostShared, "b"}},
                    QuarantineStatus::Suspect},
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -193,8 +193,7 @@
     void cancelAttempts(Pending &pending, TimePoint now);
     void retryOrGiveUp(Pending &pending, FailureStep step, const Attempt &attempt, TimePoint now);
     void giveUp(Pending &pending, RefusalReason reason);
-    void
-    recordFailure(const Attempt &attempt, const AttemptFailure &failure, const CallerRequest &request, TimePoint now);
+    void recordFailure(const Attempt &attempt, const AttemptFailure &failure, const Pending &pending, TimePoint now);
     void recordKey(const Pending &pending, RequestOutcome outcome, AttemptId attempt);
 
     RouterOptions m_options;
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -104,7 +104,7 @@
     }
     const bool mayBeResent = m_options.clientResendsOnPooled && attempt->connection == Connection::Pooled;
     const DeliveryProof proof = mayBeResent ? DeliveryProof::MaybeRan : failure.proof;
-    recordFailure(*attempt, {.proof = proof, .timedOut = failure.timedOut}, pending->request, now);
+    recordFailure(*attempt, {.proof = proof, .timedOut = failure.timedOut}, *pending, now);
     std::erase(pending->attempts, id);
     pending->outcome = afterFailure(pending->outcome, proof);
     pending->timedOut = failure.timedOut;
@@ -208,7 +208,7 @@
 
 void Router::recordFailure(const Attempt &attempt,
                            const AttemptFailure &failure,
-                           const CallerRequest &request,
+                           const Pending &pending,
                            TimePoint now)
 {
     EndpointPool &pool = attempt.target->pool;
@@ -217,9 +217,11 @@
         return;
     }
     if (!failure.timedOut) {
-        if (!request.owed) {
-            m_quarantine.recordEndpointLoss(
-                request.fingerprint, {pool.endpoint(attempt.slot), attempt.incarnation}, attempt.mode, now);
+        const EndpointProcess process{pool.endpoint(attempt.slot), attempt.incarnation};
+        if (pending.streamStarted) {
+            m_quarantine.recordBrokenStream(pending.request.fingerprint, process, attempt.mode, now);
+        } else if (!pending.request.owed) {
+            m_quarantine.recordEndpointLoss(pending.request.fingerprint, process, attempt.mode, now);
         }
         pool.failed(attempt.slot, EndpointFailure::Lost, now, m_random);
         return;
