node: streams that callers take up go on at the software version that began them

Cause: 'Resumes' and an engine's software version were read nowhere. Class: a fact that one instance knows and all must act on, also when that instance is gone. While a service has one version, a stream's version follows from the service and nothing is written; while it has several, each instance reports the streams that begin there, many to an append. A stream that is taken up is looked up after a read of the log's end; the router then sends it only to that version, ahead of new requests and waiting at most one second. What is unknown, doubtful or without an engine is refused at once as not run. Streams begin only at versions that the log names, so no instance can take a version for the only one while another begins streams at a second one. When an endpoint starts again under its id, streams that the new process may have begun are reported as doubtful. Weighed: records of all streams (at 28,000 requests/s more appends than the store takes); a table of shares by attempt id (ids whose share moves stay in doubt for as long as streams last); holding the first event back until the record is written (later answers; what is not recorded yet is refused anyway); copies at other instances (a replicated store of ours).

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -219,6 +219,23 @@
     return record;
 }
 
+std::string softwareRecord(const StreamOrigin &origin)
+{
+    log::SoftwareVersionSeenT record;
+    record.service = origin.service;
+    record.version = origin.softwareVersion;
+    return serializeRecord(std::move(record));
+}
+
+std::string streamsRecord(const std::vector<StreamReport> &reports)
+{
+    log::StreamsBeganT record;
+    for (const StreamReport &report : reports) {
+        record.groups.push_back(std::make_unique<log::BegunStreamsT>(toRecord(report)));
+    }
+    return serializeRecord(std::move(record));
+}
+
 std::string limitRecord(const quota::LimitReport &report)
 {
     return serializeRecord(toRecord(report));
@@ -304,6 +321,33 @@
     return report;
 }
 
+StreamOrigin toStreamOrigin(const log::SoftwareVersionSeen &record)
+{
+    return {.service = stringOrEmpty(record.service()), .softwareVersion = stringOrEmpty(record.version())};
+}
+
+log::BegunStreamsT toRecord(const StreamReport &report)
+{
+    log::BegunStreamsT record;
+    record.service = report.origin.service;
+    record.version = report.origin.softwareVersion;
+    record.streams = report.streams;
+    record.doubtful = report.doubtful;
+    return record;
+}
+
+StreamReport toStreamReport(const log::BegunStreams &record)
+{
+    StreamReport report{
+        .origin = {.service = stringOrEmpty(record.service()), .softwareVersion = stringOrEmpty(record.version())},
+        .streams = {},
+        .doubtful = record.doubtful()};
+    if (record.streams() != nullptr) {
+        report.streams.assign(record.streams()->begin(), record.streams()->end());
+    }
+    return report;
+}
+
 quota::LimitReport toLimitReport(const log::LimitReported &record)
 {
     const bool named = !record.ended() && record.per_second() >= 0;
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -16,6 +16,7 @@
 #include "bergamot/base/crash_report.h"
 #include "bergamot/base/error.h"
 #include "bergamot/batch/generated/records_generated.h"
+#include "bergamot/batch/stream_origins.h"
 #include "bergamot/quota/named_limits.h"
 
 namespace bergamot::batch
@@ -111,6 +112,8 @@
 
 std::string suspectRecord(const CrashReport &report);
 std::string limitRecord(const quota::LimitReport &report);
+std::string softwareRecord(const StreamOrigin &origin);
+std::string streamsRecord(const std::vector<StreamReport> &reports);
 
 /// Verifies `bytes`; null if they are not a record of this log. The result points into `bytes`.
 const log::Record *parseRecord(const std::string &bytes);
@@ -121,6 +124,9 @@
 CrashReport toCrashReport(const log::SuspectReported &record);
 log::SuspectReportedT toRecord(const CrashReport &report);
 quota::LimitReport toLimitReport(const log::LimitReported &record);
+StreamOrigin toStreamOrigin(const log::SoftwareVersionSeen &record);
+log::BegunStreamsT toRecord(const StreamReport &report);
+StreamReport toStreamReport(const log::BegunStreams &record);
 log::LimitReportedT toRecord(const quota::LimitReport &report);
 
 /// The string of an optional field; empty if it is absent.
--- a/bergamot/batch/snapshot.cpp
+++ b/bergamot/batch/snapshot.cpp
@@ -79,6 +79,50 @@
     return entry;
 }
 
+std::uint64_t toMilliseconds(Duration age)
+{
+    const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(0, count));
+}
+
+void addStreams(log::SnapshotT &snapshot, const StreamOriginsState &streams)
+{
+    for (const StreamOriginsState::Software &software : streams.software) {
+        auto known = std::make_unique<log::KnownSoftwareT>();
+        known->service = software.origin.service;
+        known->version = software.origin.softwareVersion;
+        known->age_ms = toMilliseconds(software.age);
+        snapshot.software.push_back(std::move(known));
+    }
+    for (const StreamOriginsState::Streams &group : streams.streams) {
+        auto known = std::make_unique<log::KnownStreamsT>();
+        known->began = std::make_unique<log::BegunStreamsT>(toRecord(group.report));
+        known->age_ms = toMilliseconds(group.age);
+        snapshot.streams.push_back(std::move(known));
+    }
+}
+
+StreamOriginsState toStreams(const log::Snapshot &record)
+{
+    StreamOriginsState streams;
+    if (record.software() != nullptr) {
+        for (const log::KnownSoftware *known : *record.software()) {
+            streams.software.push_back({.origin = {.service = stringOrEmpty(known->service()),
+                                                   .softwareVersion = stringOrEmpty(known->version())},
+                                        .age = std::chrono::milliseconds(known->age_ms())});
+        }
+    }
+    if (record.streams() != nullptr) {
+        for (const log::KnownStreams *known : *record.streams()) {
+            if (known->began() != nullptr) {
+                streams.streams.push_back(
+                    {.report = toStreamReport(*known->began()), .age = std::chrono::milliseconds(known->age_ms())});
+            }
+        }
+    }
+    return streams;
+}
+
 std::string serializePart(log::SnapshotPartT part)
 {
     flatbuffers::FlatBufferBuilder builder;
@@ -154,6 +198,7 @@
     for (const quota::LimitReport &limit : header.limits) {
         snapshot.limits.push_back(std::make_unique<log::LimitReportedT>(toRecord(limit)));
     }
+    addStreams(snapshot, header.streams);
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(log::Snapshot::Pack(builder, &snapshot));
     const std::string_view bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
@@ -192,7 +237,8 @@
                                     .ownerAddress = stringOrEmpty(record.owner_address()),
                                     .recentOrders = {},
                                     .suspects = {},
-                                    .limits = {}},
+                                    .limits = {},
+                                    .streams = toStreams(record)},
                          .batches = {}};
     if (record.orders() != nullptr) {
         for (const log::RecentOrder *order : *record.orders()) {
--- a/bergamot/batch/snapshot.h
+++ b/bergamot/batch/snapshot.h
@@ -18,6 +18,7 @@
 #include "bergamot/base/clock.h"
 #include "bergamot/base/error.h"
 #include "bergamot/batch/batch_index.h"
+#include "bergamot/batch/stream_origins.h"
 
 namespace bergamot::batch
 {
@@ -31,6 +32,7 @@
     std::map<std::string, std::uint64_t> recentOrders; // epoch of the newest load order, by engine
     std::vector<CrashReport> suspects; // requests under which endpoints crashed
     std::vector<quota::LimitReport> limits; // that endpoints have named
+    StreamOriginsState streams;
 };
 
 struct LogSnapshot
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -63,6 +63,7 @@
                   [this](Duration outage) {
                       writeStoreReturned(m_log, "batches", outage);
                       m_ownership.logRecovered(BootClock::now());
+                      m_streamOrigins.logRecovered(outage);
                   }},
              seed + 2)
     , m_writer(
@@ -202,6 +203,43 @@
     appendReport(batch::limitRecord(report), "limit of " + report.process.endpoint.value());
 }
 
+void BatchLog::reportSoftware(const batch::StreamOrigin &origin)
+{
+    appendReport(batch::softwareRecord(origin), "software " + origin.service + " " + origin.softwareVersion);
+}
+
+void BatchLog::reportStreams(const std::vector<batch::StreamReport> &reports, std::function<void()> done)
+{
+    m_reportWriter.write(0,
+                         batch::streamsRecord(reports),
+                         [this, count = reports.size(), done = std::move(done)](std::optional<std::uint64_t> offset) {
+                             if (!offset) {
+                                 m_log.write(EventKind::State,
+                                             "not-reported",
+                                             {{"about", std::to_string(count) + " groups of streams"},
+                                              {"reason", "the store refused it"}});
+                             }
+                             done();
+                         });
+}
+
+const batch::StreamOrigins &BatchLog::streamOrigins() const
+{
+    return m_streamOrigins;
+}
+
+void BatchLog::onSoftware(std::function<void()> handler)
+{
+    m_softwareHandler = std::move(handler);
+}
+
+void BatchLog::softwareChanged()
+{
+    if (m_softwareHandler) {
+        m_softwareHandler();
+    }
+}
+
 void BatchLog::appendReport(std::string record, const std::string &about)
 {
     if (m_reportWriter.pendingRecords() >= m_options.maxUnwrittenReports) {
@@ -328,6 +366,9 @@
 {
     m_index.expire(now);
     m_suspects.expire(now);
+    if (!m_tail.unavailable() && m_streamOrigins.expire(now)) {
+        softwareChanged();
+    }
     m_ownership.tick(now, m_tail.confirmedAt());
     readEnd();
     reportConfirmations();
@@ -445,6 +486,26 @@
         }
         break;
     }
+    case batch::log::Payload::SoftwareVersionSeen: {
+        const batch::StreamOrigin seen = batch::toStreamOrigin(*record->payload_as_SoftwareVersionSeen());
+        if (m_streamOrigins.applySoftware(seen, now)) {
+            m_log.write(
+                EventKind::State,
+                "software-seen",
+                {{"service", seen.service}, {"software", seen.softwareVersion}, {"offset", std::to_string(offset)}});
+            softwareChanged();
+        }
+        break;
+    }
+    case batch::log::Payload::StreamsBegan: {
+        const batch::log::StreamsBegan &began = *record->payload_as_StreamsBegan();
+        if (began.groups() != nullptr) {
+            for (const batch::log::BegunStreams *group : *began.groups()) {
+                m_streamOrigins.applyStreams(batch::toStreamReport(*group), now);
+            }
+        }
+        break;
+    }
     default:
         break;
     }
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -110,6 +110,11 @@
     void reportSuspect(const CrashReport &report);
     /// Reports a limit that an endpoint has named to all instances; bounded in the same way.
     void reportLimit(const quota::LimitReport &report);
+    /// Reports a software version of a service to all instances; bounded in the same way.
+    void reportSoftware(const batch::StreamOrigin &origin);
+    /// Reports where streams began to all instances; `done` runs when the log has the report or the store refused it.
+    void reportStreams(const std::vector<batch::StreamReport> &reports, std::function<void()> done);
+    const batch::StreamOrigins &streamOrigins() const;
     /// Partition that holds the payloads of a batch.
     std::uint32_t payloadPartition(const std::string &batch) const;
     /// Reads the payloads at `offsets`, which must be ascending.
@@ -128,6 +133,8 @@
     void onCrashReport(std::function<void(const CrashReport &)> handler);
     /// `handler` receives what instances report about limits that endpoints have named, this instance included.
     void onLimitReport(std::function<void(const quota::LimitReport &)> handler);
+    /// `handler` runs when the software versions that `streamOrigins` knows have changed.
+    void onSoftware(std::function<void()> handler);
     /// Forgets the limits of endpoints for which `present` returns false.
     void retainLimits(const std::function<bool(const EndpointId &)> &present);
     /// `handler` runs after all records of one read have been applied to the index.
@@ -168,6 +175,7 @@
     void applyRecord(std::uint64_t offset, const std::string &bytes);
     /// Appends a report, unless too many wait for the store. `about` names its subject in logs.
     void appendReport(std::string record, const std::string &about);
+    void softwareChanged();
     void readEnd();
     void reportConfirmations();
     void claim();
@@ -183,6 +191,7 @@
     duties::PoolOwnership m_ownership;
     batch::SuspectIndex m_suspects;
     quota::NamedLimits m_limits; // as all instances have been told
+    batch::StreamOrigins m_streamOrigins;
     logstore::KeyedReader m_snapshotReader;
     logstore::TopicTail m_tail;
     logstore::FencedWriter m_writer;
@@ -191,6 +200,7 @@
     std::function<void(batch::BatchChange, const batch::log::Record &)> m_batchChangeHandler;
     std::function<void(const CrashReport &)> m_crashReportHandler;
     std::function<void(const quota::LimitReport &)> m_limitReportHandler;
+    std::function<void()> m_softwareHandler;
     std::function<void()> m_recordsAppliedHandler;
     std::function<void(bool)> m_ownershipHandler;
     std::function<void(const std::string &, const std::string &)> m_probeHandler;
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -82,6 +82,8 @@
             m_limitReportHandler(limit);
         }
     }
+    m_streamOrigins.restore(snapshot.header.streams, BootClock::now());
+    softwareChanged();
     follow(next, "snapshot");
     return true;
 }
@@ -194,7 +196,8 @@
                               .ownerAddress = m_ownerAddress,
                               .recentOrders = std::move(ownership.recentOrders),
                               .suspects = m_suspects.suspects(),
-                              .limits = m_limits.all()},
+                              .limits = m_limits.all(),
+                              .streams = m_streamOrigins.state(now)},
                              m_index.batches(),
                              {.maxPartBytes = m_options.maxRecordBytes - PartOverhead},
                              now);
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -104,7 +104,7 @@
     request.headers.set(names.expectedEndpoint, action.engine);
     request.headers.set(names.urgency, std::to_string(m_options.sampleUrgency));
     if (action.resumeAfter) {
-        request.headers.set("Last-Event-Id", std::to_string(*action.resumeAfter));
+        request.headers.set(names.lastEvent, std::to_string(*action.resumeAfter));
     }
     if (action.expectedVersion) {
         request.headers.set(names.expectedVersion, std::to_string(*action.expectedVersion));
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -24,7 +24,6 @@
 constexpr Duration MinDrainTime =
     std::chrono::milliseconds(2600); // the platform reacts to two failed readiness checks, a second apart
 constexpr Duration GraceMargin = std::chrono::milliseconds(700); // left before the process is killed
-constexpr Duration RetryAfter = std::chrono::milliseconds(300); // another instance may respond at once
 constexpr Duration OrderLeaseMargin = std::chrono::milliseconds(400); // orders reach their engine within this time
 constexpr Duration DefaultCallerWait = std::chrono::seconds(30); // for a caller that sends no deadline
 constexpr Duration CrashReportDelay =
@@ -88,6 +87,15 @@
         {{"source", std::string(source)}, {"fingerprint", std::to_string(report.fingerprint)}, {"crashes", crashes}});
 }
 
+std::vector<std::string> serviceNames(const fleet::Route &route)
+{
+    std::vector<std::string> names;
+    for (const fleet::WeightedService &service : route.services) {
+        names.push_back(service.service);
+    }
+    return names;
+}
+
 std::string seconds(Duration duration)
 {
     std::array<char, 32> text{};
@@ -170,6 +178,7 @@
     , m_view(loop, store, codec, log, m_options.followInterval, m_random())
     , m_batchLog(loop, store, batchLogOptions(m_options), log, m_random())
     , m_quota(loop, m_client, m_batchLog, log, {}, m_random())
+    , m_streams(m_batchLog, log, {}, m_random())
     , m_forwarder(loop, m_client, codec.headers(), log, routerOptions(m_options, m_quota), m_random())
     , m_batchService(loop, m_batchLog, codec, log, {}, m_random())
     , m_pool(loop, m_client, m_forwarder, m_batchLog, m_view, m_quota, codec, log, poolOptions(m_options), m_random())
@@ -247,6 +256,7 @@
     m_view.onHeartbeat([this](const std::string &endpoint, std::uint64_t incarnation, TimePoint aliveAt) {
         m_forwarder.recordHeartbeat(endpoint, incarnation, aliveAt);
         m_pool.endpointAlive(endpoint, incarnation, aliveAt);
+        m_streams.endpointAlive({EndpointId(endpoint), incarnation}, aliveAt);
     });
     m_view.onNamedVersion([this] {
         m_pool.tick(BootClock::now());
@@ -265,6 +275,15 @@
     m_batchLog.onLimitReport([this](const quota::LimitReport &report) {
         m_quota.applyReport(report);
     });
+    m_batchLog.onSoftware([this] {
+        updateRoutingTable();
+    });
+    m_forwarder.onStreamBegan([this](const StreamBeginning &stream) {
+        m_streams.began({.attempt = stream.request,
+                         .services = serviceNames(stream.route),
+                         .origin = {stream.service, stream.softwareVersion},
+                         .process = stream.process});
+    });
     m_batchLog.onRecordsApplied([this] {
         m_batchService.answerReadyReaders();
     });
@@ -375,8 +394,12 @@
         refuse(*exchange, stale ? Unavailable : NotFound, stale ? "no route in a stale configuration" : "no route");
         return;
     }
-    if (route->kind != fleet::RouteKind::Batch) {
-        forwardRequest(*route, std::move(exchange));
+    const HeaderNames &names = m_codec.headers();
+    const bool resumes = request.headers.has(names.resumes) || request.headers.has(names.lastEvent);
+    if (route->kind == fleet::RouteKind::Streaming && resumes) {
+        resumeStream(*route, std::move(exchange));
+    } else if (route->kind != fleet::RouteKind::Batch) {
+        forwardRequest(*route, chooseService(*route, m_random), {}, std::move(exchange));
     } else if (request.method == "POST") {
         m_batchService.submit(std::move(exchange));
     } else {
@@ -384,7 +407,30 @@
     }
 }
 
-void Node::forwardRequest(const fleet::Route &route, std::shared_ptr<net::Exchange> exchange)
+void Node::resumeStream(const fleet::Route &route, std::shared_ptr<net::Exchange> exchange)
+{
+    const auto disconnected = std::make_shared<bool>(false);
+    exchange->onCallerDisconnected([disconnected] {
+        *disconnected = true;
+    });
+    const std::string attempt(exchange->request().headers.find(m_codec.headers().resumes).value_or(""));
+    m_streams.find(attempt, serviceNames(route), [this, route, exchange, disconnected](const auto &origin) {
+        if (*disconnected) {
+            return;
+        }
+        if (origin) {
+            forwardRequest(route, origin->service, origin->softwareVersion, exchange);
+        } else {
+            // The caller may begin the stream anew at once.
+            refuse(*exchange, Unavailable, "the software version that began the stream is unknown", Duration::zero());
+        }
+    });
+}
+
+void Node::forwardRequest(const fleet::Route &route,
+                          const std::string &service,
+                          const std::string &softwareVersion,
+                          std::shared_ptr<net::Exchange> exchange)
 {
     const net::Request &request = exchange->request();
     const std::string_view wait = request.headers.find(m_codec.headers().deadline).value_or("");
@@ -393,8 +439,9 @@
     ForwardRequest forwarded{.id = std::string(request.headers.find(m_codec.headers().requestId).value_or("")),
                              .request = request,
                              .route = route,
-                             .service = chooseService(route, m_random),
+                             .service = service,
                              .receivedAt = exchange->receivedAt(),
+                             .softwareVersion = softwareVersion,
                              .callerTimeout = hasDeadline
                                  ? Duration(std::chrono::milliseconds(std::max<std::int64_t>(0, milliseconds)))
                                  : DefaultCallerWait};
@@ -421,7 +468,7 @@
     return !m_stopping && m_view.complete() && m_batchLog.started() && m_view.timeSinceResponse(now) <= MaxStoreSilence;
 }
 
-void Node::refuse(net::Exchange &exchange, int status, std::string_view reason)
+void Node::refuse(net::Exchange &exchange, int status, std::string_view reason, Duration retryAfter)
 {
     m_log.write(EventKind::Request,
                 "refused",
@@ -433,7 +480,7 @@
     net::Response response{.status = status, .body = std::string(reason)};
     response.headers.add("Content-Type", "text/plain");
     if (status == Unavailable) {
-        response.headers.add("Retry-After", seconds(RetryAfter));
+        response.headers.add("Retry-After", seconds(retryAfter));
     }
     exchange.respond(std::move(response));
 }
@@ -448,6 +495,7 @@
 
 void Node::updateRoutingTable()
 {
+    m_streams.setEndpoints(m_view.endpoints(), BootClock::now());
     RoutingTable table;
     table.configVersion = m_view.configuration().version();
     for (const auto &[name, service] : m_view.configuration().services()) {
@@ -464,7 +512,9 @@
                                             .leaving = endpoint.leaving(),
                                             .slots = endpoint.slots,
                                             .loadAge = std::chrono::hours(1),
-                                            .incarnation = endpoint.incarnation});
+                                            .incarnation = endpoint.incarnation,
+                                            .softwareVersion = endpoint.softwareVersion,
+                                            .beginsStreams = m_streams.mayBegin(endpoint)});
     }
     m_forwarder.updateEndpoints(table);
     const auto listed = [this](const EndpointId &endpoint) {
@@ -502,6 +552,7 @@
     m_batchLog.allowClaims(m_view.complete());
     m_batchLog.setResultAwaited(m_batchService.waitingReaders() > 0);
     m_batchLog.tick(now);
+    m_streams.tick(now);
     m_batchService.tick(now);
     m_pool.tick(now);
     shareCrashReports();
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -26,6 +26,7 @@
 #include "bergamot/node/platform_codec.h"
 #include "bergamot/node/quota_exchange.h"
 #include "bergamot/node/request_forwarder.h"
+#include "bergamot/node/stream_registry.h"
 
 namespace bergamot::node
 {
@@ -78,11 +79,19 @@
 private:
     class CallerSink;
 
+    static constexpr Duration RetryElsewhere = std::chrono::milliseconds(300); // another instance may respond at once
+
     void handleCall(std::shared_ptr<net::Exchange> exchange);
     void routeRequest(std::shared_ptr<net::Exchange> exchange);
-    void forwardRequest(const fleet::Route &route, std::shared_ptr<net::Exchange> exchange);
+    /// Forwards a request; one that resumes a stream goes only to endpoints of `softwareVersion`.
+    void forwardRequest(const fleet::Route &route,
+                        const std::string &service,
+                        const std::string &softwareVersion,
+                        std::shared_ptr<net::Exchange> exchange);
+    /// Forwards a request that takes up a stream to the service and software version that began it, or refuses it.
+    void resumeStream(const fleet::Route &route, std::shared_ptr<net::Exchange> exchange);
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
-    void refuse(net::Exchange &exchange, int status, std::string_view reason);
+    void refuse(net::Exchange &exchange, int status, std::string_view reason, Duration retryAfter = RetryElsewhere);
     /// Reports what this instance has learned about requests that crash endpoints.
     void shareCrashReports();
     void updateRoutingTable();
@@ -102,6 +111,7 @@
     FleetView m_view;
     BatchLog m_batchLog;
     QuotaExchange m_quota;
+    StreamRegistry m_streams;
     RequestForwarder m_forwarder;
     BatchService m_batchService;
     EnginePool m_pool;
--- a/bergamot/node/platform_codec.h
+++ b/bergamot/node/platform_codec.h
@@ -34,6 +34,8 @@
     std::string weightVersionField; // field of the event at which the weight version changes
     std::string expectedVersion; // an engine with another weight version refuses the request
     std::string urgency; // 0 (first) to 9
+    std::string resumes; // identifier of the attempt in which the stream began that the caller takes up
+    std::string lastEvent; // the last event of that stream that the caller has
 };
 
 /// The only value of `HeaderNames::leaving` that says so.
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -55,6 +55,11 @@
     m_tokensHandler = std::move(handler);
 }
 
+void RequestForwarder::onStreamBegan(std::function<void(const StreamBeginning &)> handler)
+{
+    m_streamHandler = std::move(handler);
+}
+
 void RequestForwarder::requestTokens()
 {
     if (!m_tokensHandler) {
@@ -106,6 +111,8 @@
                          .fingerprint = requestFingerprint(
                              request.service, request.request.method, request.request.target, request.request.body),
                          .mostAttempts = std::max(1U, route.maxAttempts),
+                         .softwareVersion = request.softwareVersion,
+                         .beginsStream = streaming && route.resumable && request.softwareVersion.empty(),
                          .owed = request.owed};
     m_pending.emplace(
         id, Pending{.request = std::move(request), .sink = std::move(sink), .fingerprint = caller.fingerprint});
@@ -217,6 +224,7 @@
     attempt.request = action.request;
     attempt.endpoint = action.endpoint.value();
     attempt.incarnation = action.incarnation;
+    attempt.softwareVersion = action.softwareVersion;
     attempt.call = m_client.start(std::move(outgoing),
                                   {.onHead =
                                        [this, id](const net::ResponseHead &head) {
@@ -254,6 +262,13 @@
     if (pending != m_pending.end() && net::isEventStream(head)) {
         attempt.streaming = true;
         m_router.onStreamStarted(id);
+        if (pending->second.request.route.resumable && m_streamHandler) {
+            m_streamHandler({.request = pending->second.request.id,
+                             .route = pending->second.request.route,
+                             .service = pending->second.request.service,
+                             .softwareVersion = attempt.softwareVersion,
+                             .process = {EndpointId(attempt.endpoint), attempt.incarnation}});
+        }
         pending->second.sink->beginStream({.status = head.status, .headers = attempt.response.headers});
     }
 }
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -48,10 +48,21 @@
     fleet::Route route;
     std::string service; // chosen among the services of the route
     TimePoint receivedAt{};
+    std::string softwareVersion; // of the endpoints that may resume the stream; empty: it is not resumed
     Duration callerTimeout{}; // time from `receivedAt` for which the caller waits
     bool owed = false; // sent again until it is answered; never held or refused because endpoints crashed under it
 };
 
+/// An endpoint began to answer with a stream that its caller may resume.
+struct StreamBeginning
+{
+    std::string request; // identifier of the caller's attempt
+    fleet::Route route;
+    std::string service;
+    std::string softwareVersion; // of the endpoint; empty: not known
+    EndpointProcess process;
+};
+
 /// Repeats failed attempts as the router decides. Not thread-safe.
 class RequestForwarder
 {
@@ -69,6 +80,8 @@
     void onLeaving(std::function<void(const std::string &endpoint, std::uint64_t incarnation)> handler);
     /// `handler` receives the head of each answer of an endpoint.
     void onAnswerHead(std::function<void(const EndpointProcess &process, const net::ResponseHead &head)> handler);
+    /// `handler` runs before the first event of a stream is passed on.
+    void onStreamBegan(std::function<void(const StreamBeginning &)> handler);
     /// `handler` requests tokens for requests to limited endpoints, and calls `done` later.
     using TokensGranted = std::function<void(const std::array<quota::ReturnTimes, quota::TokenUses> &returns)>;
     void onTokensNeeded(std::function<void(const TokenRequest &request, TokensGranted done)> handler);
@@ -101,6 +114,7 @@
         RequestId request = 0;
         std::string endpoint;
         std::uint64_t incarnation = 0; // of the endpoint
+        std::string softwareVersion; // of the endpoint
         std::shared_ptr<net::ClientCall> call;
         net::Response response;
         bool streaming = false;
@@ -128,6 +142,7 @@
     std::function<void(const std::string &, std::uint64_t)> m_leavingHandler;
     std::function<void(const EndpointProcess &, const net::ResponseHead &)> m_answerHeadHandler;
     std::function<void(const TokenRequest &, TokensGranted)> m_tokensHandler;
+    std::function<void(const StreamBeginning &)> m_streamHandler;
     std::map<RequestId, Pending> m_pending;
     std::map<AttemptId, Attempt> m_attempts;
     RequestId m_lastRequest = 0;
--- a/bergamot/routing/endpoint_pool.cpp
+++ b/bergamot/routing/endpoint_pool.cpp
@@ -218,6 +218,11 @@
     return m_states[slot].routed.address;
 }
 
+const std::string &EndpointPool::softwareVersion(std::size_t slot) const
+{
+    return m_states[slot].routed.softwareVersion;
+}
+
 std::uint64_t EndpointPool::incarnation(std::size_t slot) const
 {
     return m_states[slot].routed.incarnation;
--- a/bergamot/routing/endpoint_pool.h
+++ b/bergamot/routing/endpoint_pool.h
@@ -57,6 +57,8 @@
     TrafficClass trafficClass = TrafficClass::Interactive;
     std::uint64_t prefix = 0; // 0: no affinity
     std::span<const std::size_t> excluded{}; // slots that the request has tried
+    std::string_view softwareVersion{}; // empty: any
+    bool beginsStream = false; // only endpoints at which streams may begin
 };
 
 /// Not thread-safe. An endpoint is addressed by a slot index, which stays valid while a request is in flight there.
@@ -78,6 +80,11 @@
     bool gateAdmits(std::size_t slot, TimePoint now) const;
     /// Whether any endpoint, busy or not, may take requests now. If not, waiting does not help before the next probe.
     bool serviceable(TimePoint now) const;
+    /// The same for endpoints that suit the request.
+    bool serviceableFor(const PickRequest &request, TimePoint now) const;
+    /// Whether the endpoint has the properties that the request needs.
+    bool suits(std::size_t slot, const PickRequest &request) const;
+    bool suits(const EndpointId &endpoint, const PickRequest &request) const;
 
     void dispatched(std::size_t slot, TimePoint now);
     /// Records an answer. The latency is divided by `work`, the request's size, before endpoints are compared.
@@ -112,6 +119,7 @@
     const EndpointId &endpoint(std::size_t slot) const;
     const Address &address(std::size_t slot) const;
     std::uint64_t incarnation(std::size_t slot) const;
+    const std::string &softwareVersion(std::size_t slot) const;
     std::uint32_t inFlight(std::size_t slot) const;
     std::uint32_t inFlight() const;
     /// The number of endpoints in use: present, not leaving, and in this instance's subset.
--- a/bergamot/routing/endpoint_pool_choice.cpp
+++ b/bergamot/routing/endpoint_pool_choice.cpp
@@ -41,7 +41,7 @@
         const std::size_t slot = m_memberSlots[index];
         const bool excluded =
             std::find(m_request.excluded.begin(), m_request.excluded.end(), slot) != m_request.excluded.end();
-        return !excluded && m_pool.hasRoom(m_pool.m_states[slot], m_share, m_now);
+        return !excluded && m_pool.suits(slot, m_request) && m_pool.hasRoom(m_pool.m_states[slot], m_share, m_now);
     }
 
     double cost(std::size_t index) const override
@@ -72,7 +72,8 @@
             return m_local.memberSlots[*owner];
         }
     }
-    const PickRequest plain{.trafficClass = request.trafficClass, .prefix = 0, .excluded = request.excluded};
+    PickRequest plain = request;
+    plain.prefix = 0;
     const bool maySpill =
         !m_remote.memberSlots.empty() && (!ownDomainServes() || m_remote.inFlight < m_spill.allowed());
     if (maySpill) {
@@ -87,15 +88,33 @@
 }
 
 bool EndpointPool::serviceable(TimePoint now) const
+{
+    return serviceableFor({}, now);
+}
+
+bool EndpointPool::serviceableFor(const PickRequest &request, TimePoint now) const
 {
     const auto serves = [&](std::size_t slot) {
         const State &state = m_states[slot];
-        return usable(state, now) && (!state.health.ejected() || state.health.admits(now));
+        return suits(slot, request) && usable(state, now) && (!state.health.ejected() || state.health.admits(now));
     };
     return std::any_of(m_local.memberSlots.begin(), m_local.memberSlots.end(), serves)
         || std::any_of(m_remote.memberSlots.begin(), m_remote.memberSlots.end(), serves);
 }
 
+bool EndpointPool::suits(std::size_t slot, const PickRequest &request) const
+{
+    const RoutedEndpoint &routed = m_states[slot].routed;
+    return (request.softwareVersion.empty() || routed.softwareVersion == request.softwareVersion)
+        && (!request.beginsStream || routed.beginsStreams);
+}
+
+bool EndpointPool::suits(const EndpointId &endpoint, const PickRequest &request) const
+{
+    const auto slot = m_slots.find(endpoint);
+    return slot != m_slots.end() && suits(slot->second, request);
+}
+
 std::optional<std::size_t> EndpointPool::reserveExclusive(const std::function<bool(const EndpointId &)> &avoid,
                                                           TimePoint now)
 {
--- a/bergamot/routing/request.cpp
+++ b/bergamot/routing/request.cpp
@@ -7,7 +7,7 @@
 
 std::string_view refusalReasonName(RefusalReason reason)
 {
-    static constexpr std::array<std::string_view, 13> Names{
+    static constexpr std::array<std::string_view, 14> Names{
         "unknown-target",
         "shutting-down",
         "queue-full",
@@ -20,6 +20,7 @@
         "crash-suspect",
         "attempt-failed",
         "deadline-passed",
+        "no-such-software",
         "limit-reached",
     };
     return Names.at(static_cast<std::size_t>(reason));
--- a/bergamot/routing/request.h
+++ b/bergamot/routing/request.h
@@ -34,6 +34,8 @@
     std::uint64_t prefix = 0; // hash of the prompt's prefix; 0: no affinity
     double work = 1; // expected size, in units of the target's smallest request
     std::uint32_t mostAttempts = std::numeric_limits<std::uint32_t>::max(); // maximum number of dispatches
+    std::string softwareVersion; // of the endpoints that may run it, as it resumes a stream of theirs; empty: of any
+    bool beginsStream = false; // the answer is a stream that the caller may resume
     bool owed = false; // sent again until it is answered; never held or refused because endpoints crashed under it
 };
 
@@ -51,6 +53,7 @@
     CrashSuspect,
     AttemptFailed,
     DeadlinePassed,
+    NoSuchSoftware, // no endpoint of the software version that began the stream can resume it now
     LimitReached, // the endpoints take no more requests a second from all instances together
 };
 
@@ -92,6 +95,7 @@
     AttemptId attempt = 0;
     EndpointId endpoint;
     std::uint64_t incarnation = 0; // of the endpoint; 0: not known
+    std::string softwareVersion; // of the endpoint; empty: not known
     Address address;
     Connection connection = Connection::Pooled;
     Duration timeout{}; // of the whole attempt, or between two chunks of a stream
--- a/bergamot/routing/router.cpp
+++ b/bergamot/routing/router.cpp
@@ -172,7 +172,7 @@
 {
     std::size_t total = 0;
     for (const auto &[name, target] : m_targets) {
-        total += target->queue.size();
+        total += target->queue.size() + target->resumptions.size();
     }
     return total;
 }
@@ -199,7 +199,11 @@
     case QuarantineStatus::Clear:
         break;
     }
-    if (!pending.target->pool.serviceable(now)) {
+    if (!pending.request.softwareVersion.empty()) {
+        admitResumption(pending, now);
+        return;
+    }
+    if (!pending.target->pool.serviceableFor(pickRequest(pending), now)) {
         refuse(pending, {RefusalReason::NoEndpoint, "No endpoint of the target serves now.", MinRetryAfter});
         return;
     }
@@ -210,6 +214,22 @@
     enqueue(pending, now);
 }
 
+void Router::admitResumption(Pending &pending, TimePoint now)
+{
+    TargetState &target = *pending.target;
+    if (!target.pool.serviceableFor(pickRequest(pending), now)) {
+        refuseResumption(pending);
+        return;
+    }
+    if (tryDispatch(pending, now)) {
+        return;
+    }
+    pending.stage = Stage::Queued;
+    pending.tried.clear();
+    target.resumptions.push_back(pending.request.id);
+    m_timers.push({now + m_options.maxResumptionWait, pending.request.id, TimerKind::ResumptionWait});
+}
+
 void Router::enqueue(Pending &pending, TimePoint now)
 {
     TargetState &target = *pending.target;
@@ -261,6 +281,15 @@
             m_quarantine.refusedFor(pending.request.fingerprint, now)});
 }
 
+void Router::refuseResumption(Pending &pending)
+{
+    // The caller may begin the stream anew at once.
+    refuse(pending,
+           {RefusalReason::NoSuchSoftware,
+            "No endpoint of the software version that began this stream can resume it. Begin it anew.",
+            Duration::zero()});
+}
+
 void Router::refuseQueue(TargetState &target)
 {
     while (const std::optional<WaitingRequest> waiting = target.queue.front()) {
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -38,6 +38,7 @@
     // Whether the HTTP client sends a request again by itself when a pooled connection breaks. A failure to connect on
     // a pooled connection then does not prove that the request was never sent.
     bool clientResendsOnPooled = true;
+    Duration maxResumptionWait = std::chrono::seconds(1); // for an endpoint of the stream's software version
     Duration deadlineMargin = std::chrono::milliseconds(5); // reserved for delivering the answer to the caller
     Duration minStall = std::chrono::milliseconds(500); // an earlier timeout is no failure of the endpoint
 };
@@ -134,6 +135,7 @@
         Deadline,
         Retry,
         Hedge,
+        ResumptionWait,
     };
 
     struct Timer
@@ -160,6 +162,11 @@
     void enqueue(Pending &pending, TimePoint now);
     void refuse(Pending &pending, const Refusal &refusal);
     void refuseQueue(TargetState &target);
+    /// Refuses a request that resumes a stream: no endpoint of its software version can run it.
+    void refuseResumption(Pending &pending);
+    /// Admits a request that only endpoints of one software version may run. It does not wait in the queue, where it
+    /// would hold up the requests behind it.
+    void admitResumption(Pending &pending, TimePoint now);
     void finish(RequestId id);
     Pending *find(RequestId id);
     Duration retryAfter(const TargetState &target, Duration expectedWait);
@@ -170,6 +177,8 @@
     /// Whether an attempt of the request that times out can be followed by a retry.
     bool mayRetryAfterTimeout(const Pending &pending) const;
     void dispatchQueued(TargetState &target, TimePoint now);
+    void dispatchResumptions(TargetState &target, TimePoint now);
+    static PickRequest pickRequest(const Pending &pending);
     void dispatchQuarantined(TargetState &target, TimePoint now);
     void quarantine(Pending &pending, TimePoint now);
     QuarantineStatus quarantineStatus(const CallerRequest &request, TimePoint now) const;
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -8,14 +8,22 @@
 
 constexpr Duration QuarantineRetryAfter = std::chrono::seconds(5);
 constexpr Duration MinHedgeDelay = std::chrono::milliseconds(5);
+constexpr Duration MinRetryAfter = std::chrono::seconds(1);
 
 } // namespace
 
+PickRequest Router::pickRequest(const Pending &pending)
+{
+    return {.trafficClass = pending.request.trafficClass,
+            .prefix = pending.request.prefix,
+            .excluded = pending.tried,
+            .softwareVersion = pending.request.softwareVersion,
+            .beginsStream = pending.request.beginsStream};
+}
+
 bool Router::tryDispatch(Pending &pending, TimePoint now)
 {
-    const PickRequest pick{
-        .trafficClass = pending.request.trafficClass, .prefix = pending.request.prefix, .excluded = pending.tried};
-    const std::optional<std::size_t> slot = pending.target->pool.pick(pick, now, m_random);
+    const std::optional<std::size_t> slot = pending.target->pool.pick(pickRequest(pending), now, m_random);
     if (!slot) {
         return false;
     }
@@ -57,6 +65,7 @@
                                           .attempt = id,
                                           .endpoint = target.pool.endpoint(slot),
                                           .incarnation = target.pool.incarnation(slot),
+                                          .softwareVersion = target.pool.softwareVersion(slot),
                                           .address = target.pool.address(slot),
                                           .connection = connection,
                                           .timeout = timeout,
@@ -82,6 +91,7 @@
 void Router::dispatchQueued(TargetState &target, TimePoint now)
 {
     dispatchQuarantined(target, now);
+    dispatchResumptions(target, now);
     if (target.queue.size() == 0) {
         return;
     }
@@ -106,12 +116,32 @@
             continue;
         }
         if (pending != nullptr && !tryDispatch(*pending, now)) {
-            return;
+            if (target.pool.serviceableFor(pickRequest(*pending), now)) {
+                return;
+            }
+            refuse(*pending, {RefusalReason::NoEndpoint, "No endpoint of the target serves now.", MinRetryAfter});
         }
         target.queue.popFront();
     }
 }
 
+void Router::dispatchResumptions(TargetState &target, TimePoint now)
+{
+    for (const RequestId id : std::exchange(target.resumptions, {})) {
+        Pending *pending = find(id);
+        if (pending == nullptr || pending->stage != Stage::Queued) {
+            continue;
+        }
+        if (quarantineStatus(pending->request, now) != QuarantineStatus::Clear) {
+            admit(*pending, now);
+        } else if (!target.pool.serviceableFor(pickRequest(*pending), now)) {
+            refuseResumption(*pending);
+        } else if (!tryDispatch(*pending, now)) {
+            target.resumptions.push_back(id);
+        }
+    }
+}
+
 void Router::quarantine(Pending &pending, TimePoint now)
 {
     TargetState &target = *pending.target;
@@ -159,7 +189,8 @@
         }
         const std::uint64_t fingerprint = pending->request.fingerprint;
         const auto avoid = [&](const EndpointId &endpoint) {
-            return m_quarantine.hasCrashed(fingerprint, endpoint);
+            return m_quarantine.hasCrashed(fingerprint, endpoint)
+                || !target.pool.suits(endpoint, pickRequest(*pending));
         };
         const std::optional<std::size_t> slot = target.pool.reserveExclusive(avoid, now);
         if (!slot && target.reservations.empty()) {
@@ -188,7 +219,8 @@
         if (!target.pool.idle(reservation.slot)) {
             return false;
         }
-        if (reservation.running || pending == nullptr || !target.pool.admits(reservation.slot, now)) {
+        if (reservation.running || pending == nullptr || !target.pool.admits(reservation.slot, now)
+            || !target.pool.suits(reservation.slot, pickRequest(*pending))) {
             if (!reservation.running && pending != nullptr) {
                 target.suspects.push_front(reservation.request);
             }
@@ -276,6 +308,11 @@
         case TimerKind::Hedge:
             hedge(*pending, now);
             break;
+        case TimerKind::ResumptionWait:
+            if (pending->stage == Stage::Queued) {
+                refuseResumption(*pending);
+            }
+            break;
         }
     }
 }
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -183,6 +183,7 @@
     ++m_retries;
     ++pending.retries;
     if (step == FailureStep::RetryFresh && attempt.target->pool.takesRequests(attempt.slot, now)
+        && attempt.target->pool.suits(attempt.slot, pickRequest(pending))
         && attempt.target->pool.gateAdmits(attempt.slot, now)
         && quarantineStatus(pending.request, now) == QuarantineStatus::Clear) {
         dispatch(pending, attempt.slot, Connection::Fresh, RunMode::Shared, now);
@@ -206,10 +207,7 @@
             std::max(pending.retryAfter, RetryAfterFailure)});
 }
 
-void Router::recordFailure(const Attempt &attempt,
-                           const AttemptFailure &failure,
-                           const Pending &pending,
-                           TimePoint now)
+void Router::recordFailure(const Attempt &attempt, const AttemptFailure &failure, const Pending &pending, TimePoint now)
 {
     EndpointPool &pool = attempt.target->pool;
     if (failure.proof == DeliveryProof::NotRun) {
--- a/bergamot/routing/router_tokens.cpp
+++ b/bergamot/routing/router_tokens.cpp
@@ -23,7 +23,8 @@
         return requests;
     }
     for (auto &[name, target] : m_targets) {
-        if (target->tokenWait || (target->queue.size() == 0 && target->reservations.empty())) {
+        if (target->tokenWait
+            || (target->queue.size() == 0 && target->resumptions.empty() && target->reservations.empty())) {
             continue;
         }
         TokenRequest request{.id = m_lastTokenRequest + 1, .endpoints = target->pool.gatedEndpoints(now)};
--- a/bergamot/routing/routing_table.h
+++ b/bergamot/routing/routing_table.h
@@ -31,6 +31,8 @@
     std::uint32_t slots = 0; // requests that the endpoint runs at once; 0: unknown
     Duration loadAge{}; // age of `load`
     std::uint64_t incarnation = 0; // changes with each start of the endpoint; 0: not known
+    std::string softwareVersion; // empty: not known
+    bool beginsStreams = true; // whether streams that callers may resume may begin here
 
     /// Whether the endpoint reports its load and the report is recent enough to use.
     bool reportsLoad() const;
--- a/bergamot/routing/target_state.h
+++ b/bergamot/routing/target_state.h
@@ -68,6 +68,7 @@
     ShareBudget hedges;
     LatencyQuantile unitLatencyQuantile;
     std::deque<RequestId> suspects;
+    std::deque<RequestId> resumptions; // wait for an endpoint of their software version; some may have ended
     std::vector<QuarantineReservation> reservations;
     std::optional<TokenWait> tokenWait; // while tokens are requested
 };
