node: requests that an instance cannot send go through an instance that can

Cause: an instance refuses what it cannot send itself. Class: a fact that one instance knows and all must act on (who reaches endpoints). A request that would be refused unsent goes to an announced instance, of the own failure domain first, once and no further: FlatBuffers over the internal port, the endpoint's response unchanged, events as they come, the caller's leaving passed on, the deadline and the attempts that are left handed on. It goes to a second instance only if the first proves that it did not run, or if it may be repeated. While an instance is cut off, its lost connections are not reported as crash suspects. Weighed: readiness 503 (with most of a domain stranded the platform uses all of it); redirects (callers do not follow them); probing all the time (priced, and the first request finds out within 0.8 s); a relay chosen by the owner (a further hop and a further dependency).

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -227,6 +227,11 @@
     return serializeRecord(std::move(record));
 }
 
+std::string instanceRecord(const Instance &instance)
+{
+    return serializeRecord(toRecord(instance));
+}
+
 std::string streamsRecord(const std::vector<StreamReport> &reports)
 {
     log::StreamsBeganT record;
@@ -326,6 +331,26 @@
     return {.service = stringOrEmpty(record.service()), .softwareVersion = stringOrEmpty(record.version())};
 }
 
+log::InstanceAnnouncedT toRecord(const Instance &instance)
+{
+    log::InstanceAnnouncedT record;
+    record.instance = instance.name;
+    record.zone = instance.zone;
+    record.address = instance.address;
+    record.reaches = instance.reaches;
+    record.stopping = instance.stopping;
+    return record;
+}
+
+Instance toInstance(const log::InstanceAnnounced &record)
+{
+    return {.name = stringOrEmpty(record.instance()),
+            .zone = stringOrEmpty(record.zone()),
+            .address = stringOrEmpty(record.address()),
+            .reaches = record.reaches(),
+            .stopping = record.stopping()};
+}
+
 log::BegunStreamsT toRecord(const StreamReport &report)
 {
     log::BegunStreamsT record;
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -16,6 +16,7 @@
 #include "bergamot/base/crash_report.h"
 #include "bergamot/base/error.h"
 #include "bergamot/batch/generated/records_generated.h"
+#include "bergamot/batch/instance_index.h"
 #include "bergamot/batch/stream_origins.h"
 #include "bergamot/quota/named_limits.h"
 
@@ -113,6 +114,7 @@
 std::string suspectRecord(const CrashReport &report);
 std::string limitRecord(const quota::LimitReport &report);
 std::string softwareRecord(const StreamOrigin &origin);
+std::string instanceRecord(const Instance &instance);
 std::string streamsRecord(const std::vector<StreamReport> &reports);
 
 /// Verifies `bytes`; null if they are not a record of this log. The result points into `bytes`.
@@ -125,6 +127,8 @@
 log::SuspectReportedT toRecord(const CrashReport &report);
 quota::LimitReport toLimitReport(const log::LimitReported &record);
 StreamOrigin toStreamOrigin(const log::SoftwareVersionSeen &record);
+log::InstanceAnnouncedT toRecord(const Instance &instance);
+Instance toInstance(const log::InstanceAnnounced &record);
 log::BegunStreamsT toRecord(const StreamReport &report);
 StreamReport toStreamReport(const log::BegunStreams &record);
 log::LimitReportedT toRecord(const quota::LimitReport &report);
--- a/bergamot/batch/snapshot.cpp
+++ b/bergamot/batch/snapshot.cpp
@@ -199,6 +199,12 @@
         snapshot.limits.push_back(std::make_unique<log::LimitReportedT>(toRecord(limit)));
     }
     addStreams(snapshot, header.streams);
+    for (const KnownInstance &instance : header.instances) {
+        auto known = std::make_unique<log::KnownInstanceT>();
+        known->announced = std::make_unique<log::InstanceAnnouncedT>(toRecord(instance.instance));
+        known->age_ms = toMilliseconds(instance.age);
+        snapshot.instances.push_back(std::move(known));
+    }
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(log::Snapshot::Pack(builder, &snapshot));
     const std::string_view bytes(reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize());
@@ -238,7 +244,8 @@
                                     .recentOrders = {},
                                     .suspects = {},
                                     .limits = {},
-                                    .streams = toStreams(record)},
+                                    .streams = toStreams(record),
+                                    .instances = {}},
                          .batches = {}};
     if (record.orders() != nullptr) {
         for (const log::RecentOrder *order : *record.orders()) {
@@ -264,6 +271,14 @@
             snapshot.header.limits.push_back(toLimitReport(*limit));
         }
     }
+    if (record.instances() != nullptr) {
+        for (const log::KnownInstance *known : *record.instances()) {
+            if (known->announced() != nullptr) {
+                snapshot.header.instances.push_back(
+                    {.instance = toInstance(*known->announced()), .age = std::chrono::milliseconds(known->age_ms())});
+            }
+        }
+    }
     return snapshot;
 }
 
--- a/bergamot/batch/snapshot.h
+++ b/bergamot/batch/snapshot.h
@@ -33,6 +33,7 @@
     std::vector<CrashReport> suspects; // requests under which endpoints crashed
     std::vector<quota::LimitReport> limits; // that endpoints have named
     StreamOriginsState streams;
+    std::vector<KnownInstance> instances;
 };
 
 struct LogSnapshot
--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -145,6 +145,7 @@
         switch (m_stage) {
         case Stage::Connecting:
             if (now - m_startedAt > m_request.connectTimeout) {
+                m_client.reportConnect(m_request.to, false);
                 end({.failure = CallFailure::NotConnected,
                      .detail = "the connection was not established within the timeout"});
             }
@@ -180,6 +181,7 @@
         if (m_stage == Stage::Ended) {
             return;
         }
+        m_client.reportConnect(m_request.to, !error);
         if (error) {
             end({.failure = CallFailure::NotConnected,
                  .refused = error == asio::error::connection_refused,
@@ -499,6 +501,18 @@
     return m_calls.size();
 }
 
+void HttpClient::onConnect(std::function<void(const Address &, bool)> handler)
+{
+    m_connectHandler = std::move(handler);
+}
+
+void HttpClient::reportConnect(const Address &address, bool established)
+{
+    if (m_connectHandler) {
+        m_connectHandler(address, established);
+    }
+}
+
 std::uint64_t HttpClient::connectionsOpened() const
 {
     return m_connectionsOpened;
--- a/bergamot/net/http_client.h
+++ b/bergamot/net/http_client.h
@@ -102,6 +102,8 @@
 
     /// Sends `request` on an idle connection or a new one. The client keeps the call alive until its last event.
     std::shared_ptr<ClientCall> start(ClientRequest request, CallEvents events);
+    /// `handler` runs with each outcome of opening a connection, before the events of its call.
+    void onConnect(std::function<void(const Address &address, bool established)> handler);
     /// Closes the idle connections to `address`.
     void dropIdle(const Address &address);
     /// Number of calls that have not ended.
@@ -118,8 +120,11 @@
     void scheduleSweep();
     void sweep();
 
+    void reportConnect(const Address &address, bool established);
+
     boost::asio::io_context &m_loop;
     HttpClientOptions m_options;
+    std::function<void(const Address &, bool)> m_connectHandler;
     std::map<Address, std::vector<std::shared_ptr<Connection>>> m_idle;
     std::unordered_set<std::shared_ptr<Call>> m_calls;
     boost::asio::steady_timer m_sweepTimer;
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -51,6 +51,13 @@
         return m_request;
     }
 
+    std::string callerIp() const override
+    {
+        error_code error;
+        const tcp::endpoint caller = m_socket.remote_endpoint(error);
+        return error ? std::string() : caller.address().to_string();
+    }
+
     TimePoint receivedAt() const override
     {
         return m_receivedAt;
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -49,6 +49,8 @@
     virtual ~Exchange() = default;
 
     virtual const Request &request() const = 0;
+    /// IP address of the caller; empty if it is not known.
+    virtual std::string callerIp() const = 0;
     /// The time at which the request had been read completely.
     virtual TimePoint receivedAt() const = 0;
     /// Sets the handler for a caller that disconnects before the exchange ends. It runs at most once.
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -64,6 +64,7 @@
                       writeStoreReturned(m_log, "batches", outage);
                       m_ownership.logRecovered(BootClock::now());
                       m_streamOrigins.logRecovered(outage);
+                      m_instances.logRecovered(outage);
                   }},
              seed + 2)
     , m_writer(
@@ -223,6 +224,16 @@
                          });
 }
 
+void BatchLog::announce(const batch::Instance &instance)
+{
+    appendReport(batch::instanceRecord(instance), "instance " + instance.name);
+}
+
+const std::map<std::string, batch::Instance> &BatchLog::instances() const
+{
+    return m_instances.instances();
+}
+
 const batch::StreamOrigins &BatchLog::streamOrigins() const
 {
     return m_streamOrigins;
@@ -366,8 +377,11 @@
 {
     m_index.expire(now);
     m_suspects.expire(now);
-    if (!m_tail.unavailable() && m_streamOrigins.expire(now)) {
-        softwareChanged();
+    if (!m_tail.unavailable()) {
+        m_instances.expire(now);
+        if (m_streamOrigins.expire(now)) {
+            softwareChanged();
+        }
     }
     m_ownership.tick(now, m_tail.confirmedAt());
     readEnd();
@@ -410,6 +424,11 @@
     m_peerAddress = std::move(address);
 }
 
+const std::string &BatchLog::peerAddress() const
+{
+    return m_peerAddress;
+}
+
 void BatchLog::onProbeOwner(std::function<void(const std::string &, const std::string &)> handler)
 {
     m_probeHandler = std::move(handler);
@@ -428,6 +447,11 @@
     m_claimsAllowed = allowed;
 }
 
+void BatchLog::yieldOwnership()
+{
+    m_releasePending = m_owned;
+}
+
 void BatchLog::stopClaiming()
 {
     m_ownership.stopClaiming();
@@ -497,6 +521,9 @@
         }
         break;
     }
+    case batch::log::Payload::InstanceAnnounced:
+        m_instances.apply(batch::toInstance(*record->payload_as_InstanceAnnounced()), now);
+        break;
     case batch::log::Payload::StreamsBegan: {
         const batch::log::StreamsBegan &began = *record->payload_as_StreamsBegan();
         if (began.groups() != nullptr) {
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -112,6 +112,9 @@
     void reportLimit(const quota::LimitReport &report);
     /// Reports a software version of a service to all instances; bounded in the same way.
     void reportSoftware(const batch::StreamOrigin &origin);
+    /// Announces this instance to all others; bounded in the same way.
+    void announce(const batch::Instance &instance);
+    const std::map<std::string, batch::Instance> &instances() const;
     /// Reports where streams began to all instances; `done` runs when the log has the report or the store refused it.
     void reportStreams(const std::vector<batch::StreamReport> &reports, std::function<void()> done);
     const batch::StreamOrigins &streamOrigins() const;
@@ -142,6 +145,7 @@
     void onOwnership(std::function<void(bool owns)> handler);
     /// Address at which other instances probe this one; part of its claims.
     void setPeerAddress(std::string address);
+    const std::string &peerAddress() const;
     /// `handler` asks the process `instance` at `address` whether it still runs, and calls `ownerGone` if it does not.
     void onProbeOwner(std::function<void(const std::string &instance, const std::string &address)> handler);
     /// The process of the owner `instance` has ended.
@@ -151,6 +155,8 @@
     void tick(TimePoint now);
     /// Allows this instance to claim the ownership; it must have a complete view of the fleet.
     void allowClaims(bool allowed);
+    /// Releases the ownership, if this instance has it, once all payloads are written.
+    void yieldOwnership();
     /// Releases the ownership once all payloads are written. From now on this instance makes no claims.
     void stopClaiming();
     const BatchLogOptions &options() const;
@@ -192,6 +198,7 @@
     batch::SuspectIndex m_suspects;
     quota::NamedLimits m_limits; // as all instances have been told
     batch::StreamOrigins m_streamOrigins;
+    batch::InstanceIndex m_instances;
     logstore::KeyedReader m_snapshotReader;
     logstore::TopicTail m_tail;
     logstore::FencedWriter m_writer;
--- a/bergamot/node/batch_log_snapshot.cpp
+++ b/bergamot/node/batch_log_snapshot.cpp
@@ -83,6 +83,7 @@
         }
     }
     m_streamOrigins.restore(snapshot.header.streams, BootClock::now());
+    m_instances.restore(snapshot.header.instances, BootClock::now());
     softwareChanged();
     follow(next, "snapshot");
     return true;
@@ -197,7 +198,8 @@
                               .recentOrders = std::move(ownership.recentOrders),
                               .suspects = m_suspects.suspects(),
                               .limits = m_limits.all(),
-                              .streams = m_streamOrigins.state(now)},
+                              .streams = m_streamOrigins.state(now),
+                              .instances = m_instances.state(now)},
                              m_index.batches(),
                              {.maxPartBytes = m_options.maxRecordBytes - PartOverhead},
                              now);
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -6,6 +6,7 @@
 #include "bergamot/net/status.h"
 #include "bergamot/node/owner_probe.h"
 #include "bergamot/node/service_choice.h"
+#include "bergamot/relay/relay_messages.h"
 
 namespace bergamot::node
 {
@@ -24,6 +25,9 @@
 constexpr Duration MinDrainTime =
     std::chrono::milliseconds(2600); // the platform reacts to two failed readiness checks, a second apart
 constexpr Duration GraceMargin = std::chrono::milliseconds(700); // left before the process is killed
+constexpr Duration AnnounceInterval = std::chrono::seconds(40); // others forget an instance after two minutes
+constexpr Duration AnnounceJitter = std::chrono::seconds(10);
+constexpr Duration FirstAnnounceJitter = std::chrono::milliseconds(800); // hundreds of instances start at once
 constexpr Duration OrderLeaseMargin = std::chrono::milliseconds(400); // orders reach their engine within this time
 constexpr Duration DefaultCallerWait = std::chrono::seconds(30); // for a caller that sends no deadline
 constexpr Duration CrashReportDelay =
@@ -179,7 +183,11 @@
     , m_batchLog(loop, store, batchLogOptions(m_options), log, m_random())
     , m_quota(loop, m_client, m_batchLog, log, {}, m_random())
     , m_streams(m_batchLog, log, {}, m_random())
+    , m_reach(loop, m_client, log, m_random())
     , m_forwarder(loop, m_client, codec.headers(), log, routerOptions(m_options, m_quota), m_random())
+    , m_relayClient(
+          loop, m_client, m_batchLog, log, {.instance = m_options.instance, .zone = m_options.zone}, m_random())
+    , m_relayService(m_forwarder, m_reach, m_batchLog, log, {})
     , m_batchService(loop, m_batchLog, codec, log, {}, m_random())
     , m_pool(loop, m_client, m_forwarder, m_batchLog, m_view, m_quota, codec, log, poolOptions(m_options), m_random())
     , m_callerServer(loop,
@@ -199,9 +207,7 @@
                       })
     , m_peerServer(loop,
                    [this](std::shared_ptr<net::Exchange> exchange) {
-                       const bool asksForTokens = exchange->request().path() == TokensPath;
-                       exchange->respond(asksForTokens ? m_quota.answer(exchange->request().body)
-                                                       : probeResponse(m_options.instance));
+                       handlePeerCall(exchange);
                    })
     , m_tickTimer(loop)
     , m_drainTimer(loop)
@@ -231,6 +237,16 @@
             probePoolOwner(owner, address);
         });
     }
+    m_announceAt = BootClock::now() + drawUpTo(FirstAnnounceJitter);
+    m_reach.onChange([this] {
+        reachChanged();
+    });
+    m_forwarder.onUnserved([this](const UnservedRequest &unserved) {
+        return relayRequest(unserved);
+    });
+    m_forwarder.onTakenOverCallerLeft([this](RequestId id) {
+        m_relayClient.callerDisconnected(id);
+    });
     m_view.onConfiguration([this] {
         applyLimits();
         updateRoutingTable();
@@ -317,6 +333,8 @@
     m_stoppedHandler = std::move(stopped);
     m_stopRequestedAt = BootClock::now();
     m_callerServer.drain();
+    m_relayService.stop();
+    announce(m_stopRequestedAt, true);
     m_pool.save();
     m_batchLog.stopClaiming();
     continueDrain();
@@ -379,6 +397,57 @@
     }
 }
 
+void Node::handlePeerCall(const std::shared_ptr<net::Exchange> &exchange)
+{
+    const std::string_view path = exchange->request().path();
+    if (path == TokensPath) {
+        exchange->respond(m_quota.answer(exchange->request().body));
+    } else if (path == relay::RelayPath) {
+        m_relayService.handleRelay(exchange);
+    } else if (path == relay::ReachPath) {
+        m_relayService.handleReach(exchange);
+    } else {
+        exchange->respond(probeResponse(m_options.instance));
+    }
+}
+
+bool Node::relayRequest(const UnservedRequest &unserved)
+{
+    const bool unsent = unserved.refusal.reason == RefusalReason::NoEndpoint
+        || unserved.refusal.reason == RefusalReason::NoSuchSoftware
+        || unserved.refusal.reason == RefusalReason::RetriesExhausted
+        || unserved.refusal.reason == RefusalReason::AttemptFailed;
+    return unsent && (m_reach.cutOff() || m_reach.suspects())
+        && m_relayClient.start(unserved.id, unserved.request, unserved.refusal, unserved.attemptsLeft, unserved.sink);
+}
+
+void Node::reachChanged()
+{
+    m_forwarder.setCutOff(m_reach.cutOff());
+    announce(BootClock::now(), false);
+}
+
+void Node::announce(TimePoint now, bool stopping)
+{
+    const bool reaches = !m_reach.cutOff();
+    if (!m_options.peerAddress || !m_batchLog.started()
+        || (now < m_announceAt && reaches == m_announcedReach && !stopping)) {
+        return;
+    }
+    m_announcedReach = reaches;
+    m_announceAt = now + AnnounceInterval + drawUpTo(AnnounceJitter);
+    m_batchLog.announce({.name = m_options.instance,
+                         .zone = m_options.zone,
+                         .address = m_batchLog.peerAddress(),
+                         .reaches = reaches,
+                         .stopping = stopping});
+}
+
+Duration Node::drawUpTo(Duration most)
+{
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, most.count())(m_random));
+}
+
 void Node::routeRequest(std::shared_ptr<net::Exchange> exchange)
 {
     const net::Request &request = exchange->request();
@@ -487,6 +556,9 @@
 
 void Node::shareCrashReports()
 {
+    if (m_reach.cutOff()) {
+        return; // connections that broke with this instance's links prove nothing about a request
+    }
     for (const CrashReport &report : m_forwarder.takeCrashReports()) {
         writeCrashReport(m_log, "observed", report);
         m_batchLog.reportSuspect(report);
@@ -496,6 +568,11 @@
 void Node::updateRoutingTable()
 {
     m_streams.setEndpoints(m_view.endpoints(), BootClock::now());
+    std::set<Address> addresses;
+    for (const auto &[id, endpoint] : m_view.endpoints()) {
+        addresses.insert(endpoint.address);
+    }
+    m_reach.setEndpoints(addresses);
     RoutingTable table;
     table.configVersion = m_view.configuration().version();
     for (const auto &[name, service] : m_view.configuration().services()) {
@@ -549,6 +626,8 @@
 {
     const TimePoint now = BootClock::now();
     m_view.tick(now);
+    m_reach.tick(now);
+    announce(now, false);
     m_batchLog.allowClaims(m_view.complete());
     m_batchLog.setResultAwaited(m_batchService.waitingReaders() > 0);
     m_batchLog.tick(now);
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -20,11 +20,14 @@
 #include "bergamot/net/http_server.h"
 #include "bergamot/node/batch_log.h"
 #include "bergamot/node/batch_service.h"
+#include "bergamot/node/endpoint_reach.h"
 #include "bergamot/node/engine_pool.h"
 #include "bergamot/node/fleet_view.h"
 #include "bergamot/node/node_metrics.h"
 #include "bergamot/node/platform_codec.h"
 #include "bergamot/node/quota_exchange.h"
+#include "bergamot/node/relay_client.h"
+#include "bergamot/node/relay_service.h"
 #include "bergamot/node/request_forwarder.h"
 #include "bergamot/node/stream_registry.h"
 
@@ -82,6 +85,7 @@
     static constexpr Duration RetryElsewhere = std::chrono::milliseconds(300); // another instance may respond at once
 
     void handleCall(std::shared_ptr<net::Exchange> exchange);
+    void handlePeerCall(const std::shared_ptr<net::Exchange> &exchange);
     void routeRequest(std::shared_ptr<net::Exchange> exchange);
     /// Forwards a request; one that resumes a stream goes only to endpoints of `softwareVersion`.
     void forwardRequest(const fleet::Route &route,
@@ -95,6 +99,12 @@
     /// Reports what this instance has learned about requests that crash endpoints.
     void shareCrashReports();
     void updateRoutingTable();
+    /// Sends a request through another instance if this one is cut off from the endpoints, or seems to be.
+    bool relayRequest(const UnservedRequest &unserved);
+    void reachChanged();
+    Duration drawUpTo(Duration most);
+    /// Announces this instance when something about it changes, and from time to time.
+    void announce(TimePoint now, bool stopping);
     void applyLimits();
     void scheduleTick();
     void tick();
@@ -112,7 +122,10 @@
     BatchLog m_batchLog;
     QuotaExchange m_quota;
     StreamRegistry m_streams;
+    EndpointReach m_reach;
     RequestForwarder m_forwarder;
+    RelayClient m_relayClient;
+    RelayService m_relayService;
     BatchService m_batchService;
     EnginePool m_pool;
     net::HttpServer m_callerServer;
@@ -123,6 +136,8 @@
     boost::asio::steady_timer m_drainTimer;
     std::function<void()> m_stoppedHandler;
     TimePoint m_stopRequestedAt{};
+    TimePoint m_announceAt{}; // time of the next announcement
+    bool m_announcedReach = true;
     bool m_wasReady = false;
     bool m_stopping = false;
 };
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -104,7 +104,8 @@
     const TimePoint deadline = request.receivedAt + std::min(request.callerTimeout, route.timeout);
     CallerRequest caller{.id = id,
                          .target = request.service,
-                         .trafficClass = TrafficClass::Interactive,
+                         // The requests of this instance's own callers go first.
+                         .trafficClass = request.relayed ? TrafficClass::Internal : TrafficClass::Interactive,
                          .deadline = deadline,
                          .repeatable = route.kind == fleet::RouteKind::Idempotent || (streaming && route.resumable),
                          .streaming = streaming,
@@ -123,9 +124,46 @@
     return id;
 }
 
+bool RequestForwarder::takeOver(RequestId id, const Pending &pending, const RefuseAction &refusal)
+{
+    const fleet::Route &route = pending.request.route;
+    const bool mayRepeat =
+        route.kind == fleet::RouteKind::Idempotent || (route.kind == fleet::RouteKind::Streaming && route.resumable);
+    const bool notRun = refusal.outcome == RequestOutcome::RefusedNotRun;
+    const std::uint32_t used = notRun ? 0 : pending.attempts;
+    const std::uint32_t maxAttempts = std::max(1U, route.maxAttempts);
+    if (!m_unservedHandler || pending.request.relayed || (!notRun && !mayRepeat) || used >= maxAttempts) {
+        return false;
+    }
+    return m_unservedHandler({.id = id,
+                              .request = pending.request,
+                              .refusal = refusal,
+                              .attemptsLeft = maxAttempts - used,
+                              .sink = pending.sink});
+}
+
+void RequestForwarder::onUnserved(std::function<bool(const UnservedRequest &)> handler)
+{
+    m_unservedHandler = std::move(handler);
+}
+
+void RequestForwarder::onTakenOverCallerLeft(std::function<void(RequestId)> handler)
+{
+    m_takenOverCallerLeftHandler = std::move(handler);
+}
+
+void RequestForwarder::setCutOff(bool cutOff)
+{
+    m_router.setCutOff(cutOff, BootClock::now());
+    performActions();
+}
+
 void RequestForwarder::callerDisconnected(RequestId id)
 {
     if (m_pending.erase(id) == 0) {
+        if (m_takenOverCallerLeftHandler) {
+            m_takenOverCallerLeftHandler(id);
+        }
         return;
     }
     m_router.onCallerDisconnected(id, BootClock::now());
@@ -161,7 +199,9 @@
                 }
             } else if (const auto *refuse = std::get_if<RefuseAction>(&action)) {
                 const auto pending = m_pending.find(refuse->request);
-                if (pending != m_pending.end()) {
+                if (pending != m_pending.end() && takeOver(refuse->request, pending->second, *refuse)) {
+                    finishRequest(refuse->request, 0, "handed to another instance");
+                } else if (pending != m_pending.end()) {
                     const std::shared_ptr<ForwardSink> sink = pending->second.sink;
                     finishRequest(refuse->request, refuse->status, refusalReasonName(refuse->reason));
                     sink->refuse(*refuse);
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -51,6 +51,17 @@
     std::string softwareVersion; // of the endpoints that may resume the stream; empty: it is not resumed
     Duration callerTimeout{}; // time from `receivedAt` for which the caller waits
     bool owed = false; // sent again until it is answered; never held or refused because endpoints crashed under it
+    bool relayed = false; // for an instance that is cut off from the endpoints
+};
+
+/// A request that ends without an answer of an endpoint.
+struct UnservedRequest
+{
+    RequestId id = 0;
+    const ForwardRequest &request;
+    const RefuseAction &refusal;
+    std::uint32_t attemptsLeft = 0; // further endpoints that it may be sent to
+    const std::shared_ptr<ForwardSink> &sink;
 };
 
 /// An endpoint began to answer with a stream that its caller may resume.
@@ -85,6 +96,12 @@
     /// `handler` requests tokens for requests to limited endpoints, and calls `done` later.
     using TokensGranted = std::function<void(const std::array<quota::ReturnTimes, quota::TokenUses> &returns)>;
     void onTokensNeeded(std::function<void(const TokenRequest &request, TokensGranted done)> handler);
+    /// `handler` may take over a request that would be refused; then it returns true and uses the sink from now on.
+    void onUnserved(std::function<bool(const UnservedRequest &)> handler);
+    /// `handler` runs when the caller of a request that was taken over has left.
+    void onTakenOverCallerLeft(std::function<void(RequestId)> handler);
+    /// While this instance is cut off from the endpoints, requests are not sent to any.
+    void setCutOff(bool cutOff);
     /// Replaces the endpoints that requests may go to.
     void updateEndpoints(const RoutingTable &table);
     /// Records that the store has a heartbeat of the endpoint that was written after `aliveAt`.
@@ -131,6 +148,7 @@
     /// Holds back the streams whose receivers are behind.
     void adjustFlow(Attempt &attempt, const ForwardSink &sink);
     void scheduleTick();
+    bool takeOver(RequestId id, const Pending &pending, const RefuseAction &refusal);
     void finishRequest(RequestId id, int status, std::string_view reason);
 
     boost::asio::io_context &m_loop;
@@ -143,6 +161,8 @@
     std::function<void(const EndpointProcess &, const net::ResponseHead &)> m_answerHeadHandler;
     std::function<void(const TokenRequest &, TokensGranted)> m_tokensHandler;
     std::function<void(const StreamBeginning &)> m_streamHandler;
+    std::function<bool(const UnservedRequest &)> m_unservedHandler;
+    std::function<void(RequestId)> m_takenOverCallerLeftHandler;
     std::map<RequestId, Pending> m_pending;
     std::map<AttemptId, Attempt> m_attempts;
     RequestId m_lastRequest = 0;
--- /dev/null
+++ b/bergamot/relay/relay_messages.h
@@ -0,0 +1,44 @@
+#pragma once
+
+// The messages between an instance that is cut off from the endpoints and one that sends requests for it.
+//
+//     Result<RelayedRequest> request = parseRelayed(relayMessage(sent));
+//
+// The response to a message is the endpoint's own response, or the refusal of the relaying instance. `OutcomeHeader`
+// tells which: a response without it proves nothing.
+
+#include <string>
+
+#include "bergamot/base/error.h"
+#include "bergamot/fleet/configuration.h"
+#include "bergamot/net/message.h"
+
+namespace bergamot::relay
+{
+
+constexpr std::string_view RelayPath = "/relay";
+constexpr std::string_view ReachPath = "/reach"; // whether the asked instance reaches endpoints
+constexpr std::string_view ReachesAnswer = "reaches";
+constexpr std::string_view OutcomeHeader = "Bergamot-Relay-Outcome";
+constexpr std::string_view ReasonHeader = "Bergamot-Relay-Reason"; // of a refusal
+constexpr std::string_view Answered = "answered"; // the response is that of the endpoint
+constexpr std::string_view NotRun = "not-run";
+constexpr std::string_view MaybeRan = "maybe-ran";
+
+struct RelayedRequest
+{
+    std::string instance; // that relays it
+    std::string id; // for logs
+    net::Request request;
+    std::string service;
+    fleet::Route route; // name, kind, `resumable` and `maxAttempts`, which counts the endpoints that are left
+    Duration deadlineLeft{};
+    std::string softwareVersion; // of the endpoints that may resume the stream; empty: it is not resumed
+    bool owed = false;
+};
+
+std::string relayMessage(const RelayedRequest &request);
+/// Fails with `InvalidArgument` if the bytes are no relayed request.
+Result<RelayedRequest> parseRelayed(const std::string &bytes);
+
+} // namespace bergamot::relay
--- a/bergamot/routing/router.cpp
+++ b/bergamot/routing/router.cpp
@@ -133,6 +133,27 @@
     }
 }
 
+void Router::setCutOff(bool cutOff, TimePoint now)
+{
+    m_cutOff = cutOff;
+    if (!cutOff) {
+        return;
+    }
+    for (auto &[name, target] : m_targets) {
+        refuseQueue(*target);
+        for (const RequestId id : std::exchange(target->resumptions, {})) {
+            if (Pending *pending = find(id)) {
+                admit(*pending, now);
+            }
+        }
+        for (const RequestId id : std::exchange(target->suspects, {})) {
+            if (Pending *pending = find(id)) {
+                admit(*pending, now);
+            }
+        }
+    }
+}
+
 void Router::stopAccepting()
 {
     m_accepting = false;
@@ -194,11 +215,18 @@
         refuseSuspect(pending, now);
         return;
     case QuarantineStatus::Suspect:
-        quarantine(pending, now);
-        return;
+        if (!m_cutOff) {
+            quarantine(pending, now);
+            return;
+        }
+        break;
     case QuarantineStatus::Clear:
         break;
     }
+    if (m_cutOff) {
+        refuse(pending, {RefusalReason::NoEndpoint, "This instance reaches no endpoint now.", MinRetryAfter});
+        return;
+    }
     if (!pending.request.softwareVersion.empty()) {
         admitResumption(pending, now);
         return;
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -71,6 +71,8 @@
     void onCallerDisconnected(RequestId id, TimePoint now);
     /// New requests are refused as not run from now on; requests that were accepted finish.
     void stopAccepting();
+    /// While this instance is cut off from the endpoints, requests are refused as not sent; those that were sent go on.
+    void setCutOff(bool cutOff, TimePoint now);
     /// The process of the endpoint was alive at `aliveAt`, so it had not crashed before then.
     void onHeartbeat(const EndpointProcess &process, TimePoint aliveAt, TimePoint now);
     /// Reports of other instances on requests that crash endpoints.
@@ -217,6 +219,7 @@
     std::uint64_t m_lastTokenRequest = 0;
     TimePoint m_reviewAt{};
     bool m_accepting = true;
+    bool m_cutOff = false;
     std::uint64_t m_retries = 0;
     std::uint64_t m_hedges = 0;
 };
