node: an owner that is cut off from the endpoints gives the pool up, and claims of such instances are put off

Cause: reaching the store was taken for being able to do the owner's work. Change: an owner that is cut off asks up to three instances whether they reach endpoints; each opens connections to find out. If one does, the owner saves its texts and releases the pool. An instance claims only if it has just reached an endpoint, or when nobody has claimed for 4 s. Nobody reaches any: the pool stays. Ruled out: releasing without asking (the pool would wander while engines are gone for all).

--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -28,6 +28,8 @@
 constexpr Duration AnnounceInterval = std::chrono::seconds(40); // others forget an instance after two minutes
 constexpr Duration AnnounceJitter = std::chrono::seconds(10);
 constexpr Duration FirstAnnounceJitter = std::chrono::milliseconds(800); // hundreds of instances start at once
+constexpr Duration ReachAskInterval = std::chrono::milliseconds(1100); // longer than an answer takes
+constexpr Duration ClaimPutOff = std::chrono::seconds(4); // by then, an instance that reaches endpoints has claimed
 constexpr Duration OrderLeaseMargin = std::chrono::milliseconds(400); // orders reach their engine within this time
 constexpr Duration DefaultCallerWait = std::chrono::seconds(30); // for a caller that sends no deadline
 constexpr Duration CrashReportDelay =
@@ -448,6 +450,41 @@
     return Duration(std::uniform_int_distribution<Duration::rep>(0, most.count())(m_random));
 }
 
+bool Node::mayClaimPool(TimePoint now)
+{
+    if (m_batchLog.ownership().isOwner() || !m_batchLog.ownership().shouldClaim(now) || m_reach.reaches(now)) {
+        m_claimWantedAt = {};
+        return true;
+    }
+    if (m_claimWantedAt == TimePoint{}) {
+        m_claimWantedAt = now;
+        m_log.write(EventKind::State, "pool-claim-put-off", {{"cut_off", m_reach.cutOff() ? "yes" : "not known"}});
+    }
+    return now - m_claimWantedAt >= ClaimPutOff;
+}
+
+void Node::yieldPoolIfCutOff(TimePoint now)
+{
+    if (!m_pool.active() || !m_reach.cutOff()) {
+        m_yielding = false;
+        return;
+    }
+    if (m_yielding || now - m_reachAskedAt < ReachAskInterval) {
+        return;
+    }
+    m_reachAskedAt = now;
+    m_relayClient.askReach([this](bool othersReach) {
+        m_log.write(EventKind::State,
+                    othersReach ? "pool-yielded" : "pool-kept",
+                    {{"reason", othersReach ? "another instance reaches endpoints" : "nobody reaches endpoints"}});
+        if (othersReach && m_pool.active() && m_reach.cutOff()) {
+            m_yielding = true;
+            m_pool.save();
+            m_batchLog.yieldOwnership();
+        }
+    });
+}
+
 void Node::routeRequest(std::shared_ptr<net::Exchange> exchange)
 {
     const net::Request &request = exchange->request();
@@ -628,7 +665,8 @@
     m_view.tick(now);
     m_reach.tick(now);
     announce(now, false);
-    m_batchLog.allowClaims(m_view.complete());
+    m_batchLog.allowClaims(m_view.complete() && mayClaimPool(now));
+    yieldPoolIfCutOff(now);
     m_batchLog.setResultAwaited(m_batchService.waitingReaders() > 0);
     m_batchLog.tick(now);
     m_streams.tick(now);
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -105,6 +105,10 @@
     Duration drawUpTo(Duration most);
     /// Announces this instance when something about it changes, and from time to time.
     void announce(TimePoint now, bool stopping);
+    /// Whether this instance may claim the engine pool: it reaches endpoints, or nobody who does has claimed it.
+    bool mayClaimPool(TimePoint now);
+    /// Gives the engine pool up if this instance is cut off from the endpoints and another one is not.
+    void yieldPoolIfCutOff(TimePoint now);
     void applyLimits();
     void scheduleTick();
     void tick();
@@ -137,7 +141,10 @@
     std::function<void()> m_stoppedHandler;
     TimePoint m_stopRequestedAt{};
     TimePoint m_announceAt{}; // time of the next announcement
+    TimePoint m_reachAskedAt{}; // others were asked whether they reach endpoints
+    TimePoint m_claimWantedAt{}; // since when a claim is put off; zero: not
     bool m_announcedReach = true;
+    bool m_yielding = false; // the pool is being given up
     bool m_wasReady = false;
     bool m_stopping = false;
 };
