node: a peer whose endpoints refuse one request still gets the others

Cause: RelayClient avoided a peer for a second whatever it had refused for. A refusal by endpoints (busy, retries exhausted) says nothing of the peer. Change: an instance that takes no requests of others answers 'declined'; only that, or no answer, makes it avoided.

--- a/bergamot/node/relay_client.cpp
+++ b/bergamot/node/relay_client.cpp
@@ -199,17 +199,21 @@
         sink->answer(std::move(response));
         return;
     }
-    const bool refused = whole && relay.response.headers.find(relay::OutcomeHeader) == relay::NotRun;
-    const bool mayHaveRun = !refused && end.failure != net::CallFailure::NotConnected;
+    const std::string_view outcome = relay.response.headers.find(relay::OutcomeHeader).value_or("");
+    const bool declined = whole && outcome == relay::Declined;
+    const bool notRun = declined || (whole && outcome == relay::NotRun);
+    const bool mayHaveRun = !notRun && end.failure != net::CallFailure::NotConnected;
     const std::string reason(relay.response.headers.find(relay::ReasonHeader).value_or(""));
-    handleRefusal(id, mayHaveRun, whole ? reason : end.detail);
+    handleRefusal(id, mayHaveRun, declined || !whole, whole ? reason : end.detail);
 }
 
-void RelayClient::handleRefusal(RequestId id, bool mayHaveRun, const std::string &reason)
+void RelayClient::handleRefusal(RequestId id, bool mayHaveRun, bool unhelpful, const std::string &reason)
 {
     Relay &relay = m_relays.at(id);
     writeRelay("relay-failed", relay, (mayHaveRun ? "may have run: " : "not run: ") + reason);
-    m_peers.failed(relay.peer, BootClock::now());
+    if (unhelpful) {
+        m_peers.failed(relay.peer, BootClock::now());
+    }
     if (mayHaveRun) {
         relay.refusal.outcome = RequestOutcome::MaybeRan;
         relay.refusal.status = timeLeft(relay) <= Duration::zero() ? GatewayTimeout : BadGateway;
--- a/bergamot/node/relay_client.h
+++ b/bergamot/node/relay_client.h
@@ -84,8 +84,8 @@
     void handleHead(RequestId id, const net::ResponseHead &head);
     void handleData(RequestId id, std::string_view data);
     void handleEnd(RequestId id, const net::CallEnd &end);
-    /// The peer has not answered for an endpoint.
-    void handleRefusal(RequestId id, bool mayHaveRun, const std::string &reason);
+    /// The peer has not passed on an endpoint's response. `unhelpful`: it cannot send other requests either.
+    void handleRefusal(RequestId id, bool mayHaveRun, bool unhelpful, const std::string &reason);
     void adjustFlow(RequestId id);
     static Duration timeLeft(const Relay &relay);
     void writeRelay(std::string_view event, const Relay &relay, const std::string &detail);
--- a/bergamot/node/relay_service.cpp
+++ b/bergamot/node/relay_service.cpp
@@ -93,7 +93,7 @@
     m_eventLog.write(
         EventKind::Request, "relay-refused", {{"caller", exchange.callerIp()}, {"reason", std::string(reason)}});
     net::Response response{.status = status, .body = std::string(reason)};
-    response.headers.add(relay::OutcomeHeader, relay::NotRun);
+    response.headers.add(relay::OutcomeHeader, relay::Declined);
     response.headers.add(relay::ReasonHeader, reason);
     exchange.respond(std::move(response));
 }
--- a/bergamot/relay/relay_messages.h
+++ b/bergamot/relay/relay_messages.h
@@ -22,7 +22,8 @@
 constexpr std::string_view OutcomeHeader = "Bergamot-Relay-Outcome";
 constexpr std::string_view ReasonHeader = "Bergamot-Relay-Reason"; // of a refusal
 constexpr std::string_view Answered = "answered"; // the response is that of the endpoint
-constexpr std::string_view NotRun = "not-run";
+constexpr std::string_view NotRun = "not-run"; // no endpoint accepted it
+constexpr std::string_view Declined = "declined"; // not run: the instance sends no requests for others now
 constexpr std::string_view MaybeRan = "maybe-ran";
 
 struct RelayedRequest
