--- a/bergamot/node/relay_service.cpp
+++ b/bergamot/node/relay_service.cpp
@@ -75,6 +75,11 @@
     , m_options(options)
 { }
 
+std::size_t RelayService::pending() const
+{
+    return *m_requests;
+}
+
 void RelayService::stop()
 {
     m_stopped = true;
--- a/bergamot/node/relay_service.h
+++ b/bergamot/node/relay_service.h
@@ -35,6 +35,8 @@
     /// if this instance is cut off as well: a request is never handed on twice.
     void handleRelay(const std::shared_ptr<net::Exchange> &exchange);
     void handleReach(const std::shared_ptr<net::Exchange> &exchange);
+    /// Requests of others that have no complete response yet.
+    std::size_t pending() const;
     /// From now on all requests are refused.
     void stop();
 
