node: the process that resumes a stream is proved before its events are passed on

Callers saw (stand-ins): a stream that broke off as its engine started again under its id with other software was taken up at once at the same engine, whose entry still named the old version, and held events of both. Cause: the newest entry under an id was taken for that of the process that answers. Class: evidence that proves less than it is taken for. Change: the head and the events of a taken-up stream wait for the engine's report, asked for after the head arrived; it names the process (born). If it is another one, or none is named, nothing is passed on and another endpoint is tried. Weighed: waiting for the next heartbeat (up to 1.2 s); proving streams that begin as well (a report for each, priced).

--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "bergamot/net/status.h"
+#include "bergamot/net/whole_answer.h"
 #include "bergamot/node/owner_probe.h"
 #include "bergamot/node/service_choice.h"
 #include "bergamot/relay/relay_messages.h"
@@ -25,6 +26,7 @@
 constexpr Duration MinDrainTime =
     std::chrono::milliseconds(2600); // the platform reacts to two failed readiness checks, a second apart
 constexpr Duration GraceMargin = std::chrono::milliseconds(700); // left before the process is killed
+constexpr Duration ProofTimeout = std::chrono::milliseconds(500); // hundreds of times the round trip within a region
 constexpr Duration AnnounceInterval = std::chrono::seconds(40); // others forget an instance after two minutes
 constexpr Duration AnnounceJitter = std::chrono::seconds(10);
 constexpr Duration FirstAnnounceJitter = std::chrono::milliseconds(800); // hundreds of instances start at once
@@ -246,6 +248,10 @@
     m_forwarder.onUnserved([this](const UnservedRequest &unserved) {
         return relayRequest(unserved);
     });
+    m_forwarder.onProcessDoubted(
+        [this](const EndpointProcess &process, const Address &address, const RequestForwarder::ProcessProven &done) {
+            proveProcess(process, address, done);
+        });
     m_forwarder.onTakenOverCallerLeft([this](RequestId id) {
         m_relayClient.callerDisconnected(id);
     });
@@ -348,8 +354,8 @@
     if (elapsed >= MinDrainTime) {
         m_callerServer.closeIdle();
     }
-    const bool idle =
-        m_callerServer.pending() == 0 && m_callerServer.connections() == 0 && m_batchLog.unwrittenRecords() == 0;
+    const bool idle = m_callerServer.pending() == 0 && m_callerServer.connections() == 0
+        && m_relayService.pending() == 0 && m_batchLog.unwrittenRecords() == 0;
     const bool outOfTime = elapsed >= m_options.gracePeriod - GraceMargin;
     if ((elapsed >= MinDrainTime && idle) || outOfTime) {
         m_callerServer.stopListening();
@@ -413,6 +419,28 @@
     }
 }
 
+void Node::proveProcess(const EndpointProcess &process,
+                        const Address &address,
+                        const RequestForwarder::ProcessProven &done)
+{
+    const net::Request report = m_codec.reportRequest();
+    net::ClientRequest request{.to = address,
+                               .method = report.method,
+                               .target = report.target,
+                               .headers = report.headers,
+                               .connectTimeout = ProofTimeout,
+                               .headTimeout = ProofTimeout,
+                               .bodyGapTimeout = ProofTimeout,
+                               .answerTimeout = ProofTimeout};
+    request.headers.set("Host", toString(address));
+    request.headers.set(m_codec.headers().expectedEndpoint, process.endpoint.value());
+    net::startForWholeAnswer(m_client, std::move(request), [this, process, done](const net::WholeAnswer &answer) {
+        const bool answered = answer.end.failure == net::CallFailure::None && answer.status == Ok;
+        const Result<EngineReport> read = m_codec.report(answer.body);
+        done(answered && read && read->incarnation == process.incarnation);
+    });
+}
+
 bool Node::relayRequest(const UnservedRequest &unserved)
 {
     const bool unsent = unserved.refusal.reason == RefusalReason::NoEndpoint
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -99,6 +99,9 @@
     /// Reports what this instance has learned about requests that crash endpoints.
     void shareCrashReports();
     void updateRoutingTable();
+    /// Asks the endpoint for its report, which names its process.
+    void
+    proveProcess(const EndpointProcess &process, const Address &address, const RequestForwarder::ProcessProven &done);
     /// Sends a request through another instance if this one is cut off from the endpoints, or seems to be.
     bool relayRequest(const UnservedRequest &unserved);
     void reachChanged();
--- a/bergamot/node/platform_codec.h
+++ b/bergamot/node/platform_codec.h
@@ -98,6 +98,7 @@
 {
     bool busy = false; // an order is being executed
     std::uint64_t acceptedOrders = 0; // orders accepted since its start
+    std::uint64_t incarnation = 0; // of the process that wrote the report; 0: not known
     std::map<std::string, std::uint64_t> versions; // weight version by model
 };
 
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -265,6 +265,7 @@
     attempt.endpoint = action.endpoint.value();
     attempt.incarnation = action.incarnation;
     attempt.softwareVersion = action.softwareVersion;
+    attempt.address = action.address;
     attempt.call = m_client.start(std::move(outgoing),
                                   {.onHead =
                                        [this, id](const net::ResponseHead &head) {
@@ -299,20 +300,77 @@
     attempt.response.status = head.status;
     attempt.response.headers = net::withoutHopByHopFields(head.headers);
     const auto pending = m_pending.find(attempt.request);
-    if (pending != m_pending.end() && net::isEventStream(head)) {
-        attempt.streaming = true;
-        m_router.onStreamStarted(id);
-        if (pending->second.request.route.resumable && m_streamHandler) {
-            m_streamHandler({.request = pending->second.request.id,
-                             .route = pending->second.request.route,
-                             .service = pending->second.request.service,
-                             .softwareVersion = attempt.softwareVersion,
-                             .process = {EndpointId(attempt.endpoint), attempt.incarnation}});
-        }
-        pending->second.sink->beginStream({.status = head.status, .headers = attempt.response.headers});
+    if (pending == m_pending.end() || !net::isEventStream(head)) {
+        return;
+    }
+    if (pending->second.request.softwareVersion.empty() || !m_doubtHandler) {
+        passStreamOn(id);
+        return;
+    }
+    attempt.unproven = true;
+    m_doubtHandler({EndpointId(attempt.endpoint), attempt.incarnation}, attempt.address, [this, id](bool proven) {
+        handleProof(id, proven);
+    });
+}
+
+void RequestForwarder::passStreamOn(AttemptId id)
+{
+    Attempt &attempt = m_attempts.at(id);
+    const auto pending = m_pending.find(attempt.request);
+    attempt.streaming = true;
+    m_router.onStreamStarted(id);
+    if (pending->second.request.route.resumable && m_streamHandler) {
+        m_streamHandler({.request = pending->second.request.id,
+                         .route = pending->second.request.route,
+                         .service = pending->second.request.service,
+                         .softwareVersion = attempt.softwareVersion,
+                         .process = {EndpointId(attempt.endpoint), attempt.incarnation}});
+    }
+    const std::shared_ptr<ForwardSink> sink = pending->second.sink;
+    sink->beginStream({.status = attempt.response.status, .headers = attempt.response.headers});
+    const std::string held = std::exchange(attempt.response.body, {});
+    if (!held.empty()) {
+        sink->write(held);
+    }
+}
+
+void RequestForwarder::handleProof(AttemptId id, bool proven)
+{
+    const auto found = m_attempts.find(id);
+    if (found == m_attempts.end() || !found->second.unproven) {
+        return;
+    }
+    found->second.unproven = false;
+    const auto pending = m_pending.find(found->second.request);
+    if (pending == m_pending.end()) {
+        return;
+    }
+    if (proven) {
+        passStreamOn(id);
+    } else {
+        m_log.write(EventKind::Request,
+                    "process-unproven",
+                    {{"request", pending->second.request.id},
+                     {"endpoint", found->second.endpoint},
+                     {"incarnation", std::to_string(found->second.incarnation)},
+                     {"software", found->second.softwareVersion}});
+        found->second.call->cancel();
+        m_router.onFailed(id, {.proof = DeliveryProof::MaybeRan, .timedOut = true}, BootClock::now());
+        m_attempts.erase(id);
+        performActions();
+        return;
+    }
+    if (const std::optional<net::CallEnd> end = std::exchange(found->second.heldEnd, std::nullopt)) {
+        handleAttemptEnd(id, *end);
     }
 }
 
+void RequestForwarder::onProcessDoubted(
+    std::function<void(const EndpointProcess &, const Address &, ProcessProven)> handler)
+{
+    m_doubtHandler = std::move(handler);
+}
+
 void RequestForwarder::handleAttemptData(AttemptId id, std::string_view data)
 {
     const auto found = m_attempts.find(id);
@@ -346,6 +404,10 @@
         return;
     }
     Attempt &attempt = found->second;
+    if (attempt.unproven) {
+        attempt.heldEnd = end;
+        return;
+    }
     const TimePoint now = BootClock::now();
     const auto pending = m_pending.find(attempt.request);
     if (end.failure == net::CallFailure::None) {
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -102,6 +102,11 @@
     void onTakenOverCallerLeft(std::function<void(RequestId)> handler);
     /// While this instance is cut off from the endpoints, requests are not sent to any.
     void setCutOff(bool cutOff);
+    /// `handler` finds out whether the process, which has begun to answer, is the one at the address, and calls `done`.
+    /// The events of a stream that is taken up wait for that.
+    using ProcessProven = std::function<void(bool proven)>;
+    void onProcessDoubted(
+        std::function<void(const EndpointProcess &process, const Address &address, ProcessProven done)> handler);
     /// Replaces the endpoints that requests may go to.
     void updateEndpoints(const RoutingTable &table);
     /// Records that the store has a heartbeat of the endpoint that was written after `aliveAt`.
@@ -132,10 +137,12 @@
         std::string endpoint;
         std::uint64_t incarnation = 0; // of the endpoint
         std::string softwareVersion; // of the endpoint
+        Address address;
         std::shared_ptr<net::ClientCall> call;
         net::Response response;
         bool streaming = false;
-        bool complete = false;
+        bool unproven = false; // another process of the endpoint may answer; what it sends is kept in `response`
+        std::optional<net::CallEnd> heldEnd; // the call ended while its process was not proven
         bool paused = false; // the receiver of the stream is behind
     };
 
@@ -145,6 +152,9 @@
     void handleAttemptHead(AttemptId id, const net::ResponseHead &head);
     void handleAttemptData(AttemptId id, std::string_view data);
     void handleAttemptEnd(AttemptId id, const net::CallEnd &end);
+    /// Begins the caller's stream with what an attempt has sent so far.
+    void passStreamOn(AttemptId id);
+    void handleProof(AttemptId id, bool proven);
     /// Holds back the streams whose receivers are behind.
     void adjustFlow(Attempt &attempt, const ForwardSink &sink);
     void scheduleTick();
@@ -161,6 +171,7 @@
     std::function<void(const EndpointProcess &, const net::ResponseHead &)> m_answerHeadHandler;
     std::function<void(const TokenRequest &, TokensGranted)> m_tokensHandler;
     std::function<void(const StreamBeginning &)> m_streamHandler;
+    std::function<void(const EndpointProcess &, const Address &, ProcessProven)> m_doubtHandler;
     std::function<bool(const UnservedRequest &)> m_unservedHandler;
     std::function<void(RequestId)> m_takenOverCallerLeftHandler;
     std::map<RequestId, Pending> m_pending;
