--- a/bergamot/batch/instance_index.cpp
+++ b/bergamot/batch/instance_index.cpp
@@ -5,9 +5,13 @@
 
 void InstanceIndex::apply(const Instance &instance, TimePoint now)
 {
+    std::erase_if(m_instances, [&](const auto &entry) {
+        return entry.first == instance.name || entry.second.address == instance.address;
+    });
+    std::erase_if(m_seenAt, [this](const auto &entry) {
+        return !m_instances.contains(entry.first);
+    });
     if (instance.stopping) {
-        m_instances.erase(instance.name);
-        m_seenAt.erase(instance.name);
         return;
     }
     m_instances[instance.name] = instance;
--- a/bergamot/batch/instance_index.h
+++ b/bergamot/batch/instance_index.h
@@ -48,6 +48,7 @@
         : m_options(options)
     { }
 
+    /// The newest instance at an address replaces earlier ones there, which must have ended.
     void apply(const Instance &instance, TimePoint now);
     void expire(TimePoint now);
     /// The log was not available for this long; nobody could write meanwhile.
--- a/bergamot/node/relay_client.cpp
+++ b/bergamot/node/relay_client.cpp
@@ -217,6 +217,7 @@
     if (mayHaveRun) {
         relay.refusal.outcome = RequestOutcome::MaybeRan;
         relay.refusal.status = timeLeft(relay) <= Duration::zero() ? GatewayTimeout : BadGateway;
+        relay.refusal.message = "The instance that sent the request gave no complete answer; the request may have run.";
         relay.attemptsLeft -= 1;
     }
     if ((!mayHaveRun || mayRepeat(relay.request.route)) && sendToNextPeer(id)) {
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -102,8 +102,8 @@
     void onTakenOverCallerLeft(std::function<void(RequestId)> handler);
     /// While this instance is cut off from the endpoints, requests are not sent to any.
     void setCutOff(bool cutOff);
-    /// `handler` finds out whether the process, which has begun to answer, is the one at the address, and calls `done`.
-    /// The events of a stream that is taken up wait for that.
+    /// `handler` finds out whether it is `process` that has begun to answer at the address, and calls `done`. The
+    /// events of a stream that is taken up wait for that.
     using ProcessProven = std::function<void(bool proven)>;
     void onProcessDoubted(
         std::function<void(const EndpointProcess &process, const Address &address, ProcessProven done)> handler);
