node: instances that have lost the store do not prepare claims

Change: claims are prepared only while the log can be read; the probe runs 300 ms before a claim is due, so that it delays none.

--- a/bergamot/node/node_reach.cpp
+++ b/bergamot/node/node_reach.cpp
@@ -17,6 +17,7 @@
 constexpr Duration AnnounceInterval = std::chrono::seconds(40); // others forget an instance after two minutes
 constexpr Duration AnnounceJitter = std::chrono::seconds(10);
 constexpr Duration ReachAskInterval = std::chrono::milliseconds(1100); // longer than an answer takes
+constexpr Duration ProbeLead = std::chrono::milliseconds(300); // before a claim is due; a probe takes as long
 constexpr Duration ClaimPutOff = std::chrono::seconds(4); // by then, an instance that reaches endpoints has claimed
 
 } // namespace
@@ -82,7 +83,10 @@
 
 bool Node::mayClaimPool(TimePoint now)
 {
-    if (m_batchLog.ownership().isOwner() || !m_batchLog.ownership().shouldClaim(now) || m_reach.reaches(now)) {
+    // Without the log, silence says nothing about the owner, and no claim can be made.
+    const bool claimsSoon = m_batchLog.mayConfirm() && !m_batchLog.ownership().isOwner()
+        && m_batchLog.ownership().shouldClaim(now + ProbeLead);
+    if (!claimsSoon || m_reach.reaches(now) || !m_batchLog.ownership().shouldClaim(now)) {
         m_claimWantedAt = {};
         return true;
     }
