--- a/bergamot/reach/reach_monitor.cpp
+++ b/bergamot/reach/reach_monitor.cpp
@@ -27,6 +27,7 @@
         return;
     }
     m_connectedAt = now;
+    m_probeRequested = false;
     m_failed.clear();
     if (!m_cutOff) {
         return;
--- a/bergamot/reach/reach_monitor.h
+++ b/bergamot/reach/reach_monitor.h
@@ -46,7 +46,7 @@
     void connected(const Address &address, TimePoint now);
     /// A new connection to the address was refused or not established in time.
     void failed(const Address &address);
-    /// Asks for a round of probes, whatever is known.
+    /// Asks for a round of probes, unless a connection is established before.
     void requestProbe();
 
     bool cutOff() const;
--- a/bergamot/reach/reach_monitor_test.cpp
+++ b/bergamot/reach/reach_monitor_test.cpp
@@ -78,8 +78,11 @@
     EXPECT_TRUE(monitor.takeProbes(now + 1s).empty());
     monitor.requestProbe();
     EXPECT_EQ(monitor.takeProbes(now + 1s).size(), 3U);
+    monitor.requestProbe();
+    monitor.connected(address(3), now + 1s); // answers the request
+    EXPECT_TRUE(monitor.takeProbes(now + 2s).empty());
     EXPECT_TRUE(monitor.reachedSince(now + 500ms));
-    EXPECT_FALSE(monitor.reachedSince(now + 501ms));
+    EXPECT_FALSE(monitor.reachedSince(now + 1001ms));
 }
 
 TEST(ReachMonitorTest, WithoutEndpointsNobodyIsCutOff)
