--- a/bergamot/fleet/endpoint_directory.cpp
+++ b/bergamot/fleet/endpoint_directory.cpp
@@ -14,53 +14,77 @@
     return left == 0 || right == 0 || left == right;
 }
 
+EntryOutcome outcomeOf(const Endpoint *before, const Endpoint &after)
+{
+    if (before != nullptr && *before == after) {
+        return EntryOutcome::Unchanged;
+    }
+    const bool wasDraining = before != nullptr && before->draining;
+    if (after.draining && !wasDraining) {
+        return EntryOutcome::Draining;
+    }
+    if (before == nullptr) {
+        return EntryOutcome::Listed;
+    }
+    if (before->incarnation != after.incarnation) {
+        return EntryOutcome::Restarted;
+    }
+    return wasDraining && !after.draining ? EntryOutcome::ReadyAgain : EntryOutcome::Updated;
+}
+
 } // namespace
 
-bool EndpointDirectory::put(Endpoint endpoint)
+EntryOutcome EndpointDirectory::put(EndpointEntry entry)
 {
+    Endpoint &endpoint = entry.endpoint;
     m_missingUntil.erase(endpoint.id);
     endpoint.saidLeaving = saidLeaving(endpoint.id, endpoint.incarnation);
     const auto found = m_endpoints.find(endpoint.id);
-    if (found != m_endpoints.end() && found->second == endpoint) {
-        return false;
+    const EntryOutcome outcome = outcomeOf(found == m_endpoints.end() ? nullptr : &found->second, endpoint);
+    if (outcome != EntryOutcome::Unchanged) {
+        const std::string id = endpoint.id;
+        m_endpoints.insert_or_assign(id, std::move(endpoint));
     }
-    const std::string id = endpoint.id;
-    m_endpoints.insert_or_assign(id, std::move(endpoint));
-    return true;
+    return outcome;
 }
 
-bool EndpointDirectory::remove(const std::string &id, TimePoint now)
+EntryOutcome EndpointDirectory::remove(const std::string &id, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found == m_endpoints.end()) {
-        return false;
+        return EntryOutcome::Unchanged;
     }
     if (now < m_keepMissingUntil && !found->second.draining) {
         m_missingUntil.emplace(id, m_keepMissingUntil);
-        return false;
+        return EntryOutcome::Kept;
     }
     m_missingUntil.erase(id);
     m_endpoints.erase(found);
     entryGone(id, now);
-    return true;
+    return EntryOutcome::Removed;
 }
 
-bool EndpointDirectory::replace(std::map<std::string, Endpoint> endpoints, TimePoint now)
+std::vector<EntryChange> EndpointDirectory::replace(std::map<std::string, EndpointEntry> entries, TimePoint now)
 {
-    bool changed = false;
     std::vector<std::string> unregistered;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (!endpoints.contains(id)) {
+        if (!entries.contains(id)) {
             unregistered.push_back(id);
         }
     }
+    std::vector<EntryChange> changes;
+    const auto add = [&changes](const std::string &id, EntryOutcome outcome) {
+        if (outcome != EntryOutcome::Unchanged) {
+            changes.push_back({.id = id, .outcome = outcome});
+        }
+    };
     for (const std::string &id : unregistered) {
-        changed = remove(id, now) || changed;
+        add(id, remove(id, now));
     }
-    for (auto &[id, endpoint] : endpoints) {
-        changed = put(std::move(endpoint)) || changed;
+    for (auto &[id, entry] : entries) {
+        add(id, put(std::move(entry)));
     }
-    return changed;
+    return changes;
 }
 
 bool EndpointDirectory::markLeaving(const std::string &id, std::uint64_t incarnation, TimePoint now)
@@ -117,15 +141,17 @@
     m_keepMissingUntil = now + m_options.reregistrationTime;
 }
 
-bool EndpointDirectory::expire(TimePoint confirmedAt)
+std::vector<std::string> EndpointDirectory::expire(TimePoint confirmedAt)
 {
-    bool changed = false;
+    std::vector<std::string> dropped;
     for (auto missing = m_missingUntil.begin(); missing != m_missingUntil.end();) {
         if (missing->second > confirmedAt) {
             ++missing;
             continue;
         }
-        changed = m_endpoints.erase(missing->first) > 0 || changed;
+        if (m_endpoints.erase(missing->first) > 0) {
+            dropped.push_back(missing->first);
+        }
         entryGone(missing->first, confirmedAt);
         missing = m_missingUntil.erase(missing);
     }
@@ -133,7 +159,7 @@
         const std::optional<TimePoint> &since = known.second.unregisteredSince;
         return since && confirmedAt - *since > m_options.leavingMemory;
     });
-    return changed;
+    return dropped;
 }
 
 } // namespace bergamot::fleet
--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -4,10 +4,10 @@
 // the time come in, the usable endpoints come out; it does no I/O.
 //
 //     EndpointDirectory directory;
-//     directory.put(endpoint);
+//     directory.put({.endpoint = endpoint, .sequence = 7});
 //     directory.markLeaving("i-1", incarnation, now); // an answer of the endpoint said so
 //     directory.remove("i-1", now);
-//     directory.expire(confirmedAt); // true if the set of endpoints changed
+//     for (const std::string &id : directory.expire(confirmedAt)) { ... } // was not registered again
 //
 // Load pattern: the store recovers from an outage during which every entry expired. Running endpoints register again
 // within two seconds, so an endpoint whose entry disappears right after an outage stays in use for that time;
@@ -62,6 +62,38 @@
     bool operator==(const Endpoint &) const = default;
 };
 
+/// An entry as it was read from the store.
+struct EndpointEntry
+{
+    Endpoint endpoint;
+    std::uint64_t sequence = 0; // number of the heartbeat that wrote it, counted from the start; 0: not known
+};
+
+/// What an entry, or its removal, changes.
+enum class EntryOutcome {
+    Unchanged,
+    Listed, // a new endpoint
+    Restarted, // another incarnation of a known endpoint
+    Draining, // takes no new requests from now on
+    ReadyAgain, // the same incarnation takes requests again
+    Updated, // anything else
+    Removed,
+    Kept, // the entry is gone, but the endpoint stays in use, since it may register again
+};
+
+/// Whether the set of endpoints, or what is known of one, has changed.
+constexpr bool changesEndpoints(EntryOutcome outcome)
+{
+    return outcome != EntryOutcome::Unchanged && outcome != EntryOutcome::Kept;
+}
+
+/// An endpoint whose entry has changed.
+struct EntryChange
+{
+    std::string id;
+    EntryOutcome outcome = EntryOutcome::Unchanged;
+};
+
 struct EndpointDirectoryOptions
 {
     // Endpoints register again within about 2 s of the recovery of the store.
@@ -79,23 +111,21 @@
         : m_options(options)
     { }
 
-    // The functions that return a bool return whether the set of endpoints changed.
-
     /// Adds or replaces an endpoint.
-    bool put(Endpoint endpoint);
+    EntryOutcome put(EndpointEntry entry);
     /// The entry of the endpoint was removed or has expired.
-    bool remove(const std::string &id, TimePoint now);
-    /// Replaces all endpoints by those of a complete read of the store.
-    bool replace(std::map<std::string, Endpoint> endpoints, TimePoint now);
+    EntryOutcome remove(const std::string &id, TimePoint now);
+    /// Replaces all endpoints by those of a complete read of the store. Returns the changes.
+    std::vector<EntryChange> replace(std::map<std::string, EndpointEntry> entries, TimePoint now);
     /// An answer of this incarnation of the endpoint said that it is leaving; 0: not known. This holds until another
     /// incarnation registers, whatever the entries of this one say. Returns false if nothing changes: it is known
     /// already, another incarnation is registered by now, or neither entry nor incarnation is known.
     bool markLeaving(const std::string &id, std::uint64_t incarnation, TimePoint now);
     /// The store is available again after an outage.
     void storeRecovered(TimePoint now);
-    /// Drops endpoints that did not register again in time after an outage. The entries that were put and removed so
-    /// far are those that were in the store at `confirmedAt`.
-    bool expire(TimePoint confirmedAt);
+    /// Drops endpoints that did not register again in time after an outage, and returns their ids. The entries that
+    /// were put and removed so far are those that were in the store at `confirmedAt`.
+    std::vector<std::string> expire(TimePoint confirmedAt);
 
     const std::map<std::string, Endpoint> &endpoints() const
     {
--- a/bergamot/fleet/endpoint_directory_test.cpp
+++ b/bergamot/fleet/endpoint_directory_test.cpp
@@ -26,14 +26,14 @@
 {
     EndpointDirectory directory;
     const TimePoint start{std::chrono::hours(1)};
-    const Endpoint endpoint{.id = "i-1", .service = "desk", .draining = GetParam().draining};
-    directory.put(endpoint);
+    const EndpointEntry entry{.endpoint = {.id = "i-1", .service = "desk", .draining = GetParam().draining}};
+    directory.put(entry);
     if (GetParam().afterOutage) {
         directory.storeRecovered(start);
     }
     directory.remove("i-1", start + milliseconds(100));
     if (GetParam().registersAgain) {
-        directory.put(endpoint);
+        directory.put(entry);
     }
     directory.expire(start + GetParam().after);
     EXPECT_EQ(directory.endpoints().contains("i-1"), GetParam().registered);
@@ -60,9 +60,9 @@
     bool leaving; // whether the endpoint that is registered in the end is leaving
 };
 
-Endpoint entryOf(std::uint64_t incarnation)
+EndpointEntry entryOf(std::uint64_t incarnation)
 {
-    return {.id = "i-1", .service = "desk", .incarnation = incarnation};
+    return {.endpoint = {.id = "i-1", .service = "desk", .incarnation = incarnation}};
 }
 
 class LeavingEndpointTest : public testing::TestWithParam<LeavingCase>
@@ -88,7 +88,7 @@
                                          LeavingCase{"Heartbeat",
                                                      5,
                                                      [](EndpointDirectory &directory, TimePoint) {
-                                                         EXPECT_FALSE(directory.put(entryOf(5)));
+                                                         EXPECT_EQ(directory.put(entryOf(5)), EntryOutcome::Unchanged);
                                                      },
                                                      true},
                                          LeavingCase{"CompleteRead",
@@ -130,7 +130,7 @@
                                          LeavingCase{"AnotherIncarnation",
                                                      5,
                                                      [](EndpointDirectory &directory, TimePoint) {
-                                                         EXPECT_TRUE(directory.put(entryOf(6)));
+                                                         EXPECT_EQ(directory.put(entryOf(6)), EntryOutcome::Restarted);
                                                      },
                                                      false},
                                          LeavingCase{"EntryGoneAndAnotherIncarnation",
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -6,6 +6,7 @@
 
 #include "bergamot/net/status.h"
 #include "bergamot/node/service_choice.h"
+#include "bergamot/node/store_events.h"
 
 namespace bergamot::node
 {
@@ -130,6 +131,7 @@
                       {"engine", action.engine},
                       {"incarnation", std::to_string(listed ? endpoint->second.incarnation : 0)},
                       {"software", listed ? endpoint->second.softwareVersion : std::string()},
+                      {"endpoints_age_ms", milliseconds(m_view.endpointsAge(BootClock::now()))},
                       {"after_event", action.resumeAfter ? std::to_string(*action.resumeAfter) : "start"}});
     const dispatch::RunId id = action.run;
     ActiveRun &run = m_runs[id];
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -1,5 +1,8 @@
 #include "bergamot/node/fleet_view.h"
 
+#include <algorithm>
+#include <array>
+
 #include <boost/asio/post.hpp>
 
 #include "bergamot/node/store_events.h"
@@ -12,6 +15,26 @@
 
 constexpr std::size_t MaxConfirmations = 1000; // calls that wait for the newest configuration
 
+constexpr std::size_t MaxNamedEndpoints = 20; // in one log line
+
+/// The event that reports what an entry has changed; empty if it is not reported.
+constexpr std::array<std::pair<fleet::EntryOutcome, std::string_view>, 6> EntryEvents{{
+    {fleet::EntryOutcome::Listed, "endpoint-listed"},
+    {fleet::EntryOutcome::Restarted, "endpoint-restarted"},
+    {fleet::EntryOutcome::Draining, "endpoint-draining"},
+    {fleet::EntryOutcome::ReadyAgain, "endpoint-ready-again"},
+    {fleet::EntryOutcome::Removed, "endpoint-gone"},
+    {fleet::EntryOutcome::Kept, "endpoint-kept"},
+}};
+
+std::string_view eventName(fleet::EntryOutcome outcome)
+{
+    const auto found = std::find_if(EntryEvents.begin(), EntryEvents.end(), [outcome](const auto &event) {
+        return event.first == outcome;
+    });
+    return found == EntryEvents.end() ? std::string_view() : found->second;
+}
+
 void notify(const std::function<void()> &handler)
 {
     if (handler) {
@@ -147,6 +170,17 @@
     return m_directory.endpoints();
 }
 
+Duration FleetView::endpointsAge(TimePoint now) const
+{
+    const TimePoint confirmedAt = endpointsConfirmedAt();
+    return confirmedAt == TimePoint() ? Duration::max() : now - confirmedAt;
+}
+
+TimePoint FleetView::endpointsConfirmedAt() const
+{
+    return m_endpointReader.reading() ? TimePoint() : m_endpointTail->confirmedAt();
+}
+
 void FleetView::onConfiguration(std::function<void()> handler)
 {
     m_configurationHandler = std::move(handler);
@@ -190,9 +224,9 @@
         m_confirmation.advance(m_operatorTail->nextOffset(), now);
     }
     // An endpoint may have registered again in records that have not arrived.
-    const TimePoint confirmedAt = m_endpointReader.reading() ? TimePoint() : m_endpointTail->confirmedAt();
-    if (m_directory.expire(std::min(now, confirmedAt))) {
-        m_log.write(EventKind::State, "endpoints-not-back", {{"listed", std::to_string(endpoints().size())}});
+    const std::vector<std::string> dropped = m_directory.expire(std::min(now, endpointsConfirmedAt()));
+    if (!dropped.empty()) {
+        writeDropped("endpoints-not-back", dropped);
         notify(m_endpointsHandler);
     }
 }
@@ -221,22 +255,30 @@
     m_followedEndpoints.clear();
     m_endpointReader.read([this, startedAt = BootClock::now()](const logstore::KeyedContent &content) {
         writeTopicRead("endpoints", content, startedAt);
-        std::map<std::string, fleet::Endpoint> registered;
+        std::map<std::string, fleet::EndpointEntry> registered;
         for (const logstore::KeyedRecord &record : content.records) {
-            if (std::optional<fleet::Endpoint> endpoint = parseEndpoint(record)) {
-                registered.emplace(record.key, std::move(*endpoint));
+            if (std::optional<fleet::EndpointEntry> entry = parseEndpoint(record)) {
+                registered.emplace(record.key, std::move(*entry));
             }
         }
         for (const std::string &id : m_followedEndpoints) {
             // The follower has read a newer record than the one that was read here, or will read it.
             registered.erase(id);
             if (const auto current = endpoints().find(id); current != endpoints().end()) {
-                registered.emplace(id, current->second);
+                registered.emplace(id, fleet::EndpointEntry{.endpoint = current->second});
             }
         }
-        m_directory.replace(std::move(registered), BootClock::now());
+        std::map<std::string, EntryVersion> versions;
+        for (const auto &[id, entry] : registered) {
+            versions[id] = {.incarnation = entry.endpoint.incarnation, .sequence = entry.sequence};
+        }
+        const std::vector<fleet::EntryChange> changes = m_directory.replace(std::move(registered), BootClock::now());
         if (!std::exchange(m_endpointsRead, true)) {
             m_endpointTail->start(content.end);
+        } else {
+            for (const fleet::EntryChange &change : changes) {
+                writeEntryOutcome(change.id, versions[change.id], "page", change.outcome);
+            }
         }
         notify(m_endpointsHandler);
     });
@@ -285,40 +327,70 @@
     }
 }
 
-std::optional<fleet::Endpoint> FleetView::parseEndpoint(const logstore::KeyedRecord &record)
+std::optional<fleet::EndpointEntry> FleetView::parseEndpoint(const logstore::KeyedRecord &record)
 {
     if (record.value.empty()) {
         return std::nullopt;
     }
-    Result<fleet::Endpoint> endpoint = m_codec.endpoint(record.key, record.value);
-    if (!endpoint) {
+    Result<fleet::EndpointEntry> entry = m_codec.endpoint(record.key, record.value);
+    if (!entry) {
         m_log.write(EventKind::State,
                     "endpoint-entry-unreadable",
-                    {{"endpoint", record.key}, {"reason", endpoint.error().message}});
+                    {{"endpoint", record.key}, {"reason", entry.error().message}});
         return std::nullopt;
     }
-    return std::move(*endpoint);
+    return std::move(*entry);
 }
 
 void FleetView::applyEndpointRecord(const logstore::KeyedRecord &record)
 {
-    std::optional<fleet::Endpoint> endpoint = parseEndpoint(record);
+    std::optional<fleet::EndpointEntry> entry = parseEndpoint(record);
     m_followedEndpoints.insert(record.key);
     const auto before = m_directory.endpoints().find(record.key);
-    const bool wasDraining = before != m_directory.endpoints().end() && before->second.draining;
-    const bool isDraining = endpoint && endpoint->draining;
-    if (endpoint && before != m_directory.endpoints().end() && before->second.incarnation == endpoint->incarnation
+    EntryVersion version{.offset = record.offset};
+    if (entry) {
+        version.incarnation = entry->endpoint.incarnation;
+        version.sequence = entry->sequence;
+    }
+    if (entry && before != m_directory.endpoints().end() && before->second.incarnation == version.incarnation
         && m_heartbeatHandler) {
-        m_heartbeatHandler(record.key, endpoint->incarnation, m_endpointTail->recordsAppendedAfter());
+        m_heartbeatHandler(record.key, version.incarnation, m_endpointTail->recordsAppendedAfter());
     }
-    const bool changed =
-        endpoint ? m_directory.put(std::move(*endpoint)) : m_directory.remove(record.key, BootClock::now());
-    m_endpointsChanged = m_endpointsChanged || changed;
-    if (changed && (record.value.empty() || (isDraining && !wasDraining))) {
-        m_log.write(EventKind::State,
-                    isDraining ? "endpoint-draining" : "endpoint-gone",
-                    {{"endpoint", record.key}, {"offset", std::to_string(record.offset)}});
+    const fleet::EntryOutcome outcome =
+        entry ? m_directory.put(std::move(*entry)) : m_directory.remove(record.key, BootClock::now());
+    m_endpointsChanged = m_endpointsChanged || fleet::changesEndpoints(outcome);
+    writeEntryOutcome(record.key, version, "follower", outcome);
+}
+
+void FleetView::writeDropped(std::string_view event, const std::vector<std::string> &dropped)
+{
+    std::string ids;
+    for (std::size_t index = 0; index < std::min(dropped.size(), MaxNamedEndpoints); ++index) {
+        ids += index == 0 ? dropped[index] : "," + dropped[index];
     }
+    m_log.write(EventKind::State,
+                event,
+                {{"endpoints", ids},
+                 {"count", std::to_string(dropped.size())},
+                 {"listed", std::to_string(endpoints().size())}});
+}
+
+void FleetView::writeEntryOutcome(const std::string &endpoint,
+                                  const EntryVersion &version,
+                                  std::string_view source,
+                                  fleet::EntryOutcome outcome)
+{
+    const std::string_view event = eventName(outcome);
+    if (event.empty()) {
+        return;
+    }
+    m_log.write(EventKind::State,
+                event,
+                {{"endpoint", endpoint},
+                 {"incarnation", std::to_string(version.incarnation)},
+                 {"sequence", std::to_string(version.sequence)},
+                 {"offset", std::to_string(version.offset)},
+                 {"source", std::string(source)}});
 }
 
 } // namespace bergamot::node
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -55,6 +55,8 @@
     void confirmConfiguration(std::function<void(bool confirmed)> done);
     const std::map<std::string, std::uint64_t> &namedVersions() const;
     const std::map<std::string, fleet::Endpoint> &endpoints() const;
+    /// Upper bound of the age of the endpoints' entries; the maximum while records are missing.
+    Duration endpointsAge(TimePoint now) const;
     void onConfiguration(std::function<void()> handler);
     void onEndpoints(std::function<void()> handler);
     /// `handler` runs when an endpoint takes no new requests any more because one of its answers said so.
@@ -72,12 +74,28 @@
     void setTopicReadPause(Duration topicReadPause);
 
 private:
+    /// Which entry of an endpoint was read. Zeros: not known, or the entry was removed.
+    struct EntryVersion
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t offset = 0; // of the record
+    };
+
+    TimePoint endpointsConfirmedAt() const;
     void readOperatorTopic();
     void readEndpointTopic();
     void writeTopicRead(std::string_view view, const logstore::KeyedContent &content, TimePoint startedAt);
     void applyOperatorRecord(const logstore::KeyedRecord &record);
     void applyEndpointRecord(const logstore::KeyedRecord &record);
-    std::optional<fleet::Endpoint> parseEndpoint(const logstore::KeyedRecord &record);
+    std::optional<fleet::EndpointEntry> parseEndpoint(const logstore::KeyedRecord &record);
+    void writeDropped(std::string_view event, const std::vector<std::string> &dropped);
+    /// Logs what a record of an endpoint, or a complete read without one, has changed. `source` names where it was
+    /// read.
+    void writeEntryOutcome(const std::string &endpoint,
+                           const EntryVersion &version,
+                           std::string_view source,
+                           fleet::EntryOutcome outcome);
 
     boost::asio::io_context &m_loop;
     const PlatformCodec &m_codec;
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -269,6 +269,9 @@
         updateRoutingTable();
         m_pool.configurationChanged();
     });
+    m_forwarder.setEndpointsAge([this](TimePoint now) {
+        return m_view.endpointsAge(now);
+    });
     m_view.onEndpoints([this] {
         updateRoutingTable();
         m_pool.endpointsChanged();
--- a/bergamot/node/platform_codec.h
+++ b/bergamot/node/platform_codec.h
@@ -152,7 +152,7 @@
     /// `monostate` for records of other kinds.
     virtual Result<OperatorRecord> operatorRecord(const std::string &key, const std::string &value) const = 0;
     /// Parses the entry of an endpoint.
-    virtual Result<fleet::Endpoint> endpoint(const std::string &key, const std::string &value) const = 0;
+    virtual Result<fleet::EndpointEntry> endpoint(const std::string &key, const std::string &value) const = 0;
 
     virtual net::Request loadOrderRequest(const LoadOrder &order) const = 0;
     /// Nothing if the endpoint reports none, or something that cannot be read.
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -87,6 +87,11 @@
     }
 }
 
+void RequestForwarder::setEndpointsAge(std::function<Duration(TimePoint now)> age)
+{
+    m_endpointsAge = std::move(age);
+}
+
 void RequestForwarder::updateEndpoints(const RoutingTable &table)
 {
     m_router.onView(table, BootClock::now());
@@ -342,6 +347,9 @@
     Attempt &attempt = m_attempts[id];
     attempt.request = action.request;
     attempt.startedAt = BootClock::now();
+    pending.last = {.endpoint = action.endpoint.value(),
+                    .startedAfter = attempt.startedAt - pending.request.receivedAt,
+                    .endpointsAge = m_endpointsAge ? m_endpointsAge(attempt.startedAt) : Duration::zero()};
     attempt.endpoint = action.endpoint.value();
     attempt.incarnation = action.incarnation;
     attempt.softwareVersion = action.softwareVersion;
@@ -569,6 +577,9 @@
                  {"status", std::to_string(status)},
                  {"reason", std::string(reason)},
                  {"attempts", std::to_string(pending.attempts)},
+                 {"endpoint", pending.last.endpoint},
+                 {"sent_after_ms", milliseconds(pending.last.startedAfter)},
+                 {"endpoints_age_ms", milliseconds(pending.last.endpointsAge)},
                  {"took_ms", milliseconds(elapsed)}});
     m_pending.erase(found);
 }
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -128,6 +128,8 @@
     using ProcessProven = std::function<void(bool proven)>;
     void onProcessDoubted(
         std::function<void(const EndpointProcess &process, const Address &address, ProcessProven done)> handler);
+    /// `age` returns an upper bound of the age of what `updateEndpoints` was told; for logs.
+    void setEndpointsAge(std::function<Duration(TimePoint now)> age);
     /// Replaces the endpoints that requests may go to.
     void updateEndpoints(const RoutingTable &table);
     /// Records that the store has a heartbeat of the endpoint that was written after `aliveAt`.
@@ -144,12 +146,21 @@
     std::size_t pending() const;
 
 private:
+    /// The newest attempt of a request, for logs.
+    struct LastAttempt
+    {
+        std::string endpoint; // empty: there was none
+        Duration startedAfter{}; // from the receipt of the request
+        Duration endpointsAge{}; // of what was known of the endpoints then
+    };
+
     struct Pending
     {
         ForwardRequest request;
         std::shared_ptr<ForwardSink> sink;
         std::uint64_t fingerprint = 0; // the same for the same request at every instance
         std::uint32_t attempts = 0;
+        LastAttempt last;
         bool began = false; // an endpoint began to run it
         cost::RequestKind kind;
     };
@@ -206,6 +217,7 @@
     std::function<void(const EndpointProcess &, const Address &, ProcessProven)> m_doubtHandler;
     std::function<bool(const UnservedRequest &)> m_unservedHandler;
     std::function<void(RequestId)> m_takenOverCallerLeftHandler;
+    std::function<Duration(TimePoint)> m_endpointsAge;
     std::map<RequestId, Pending> m_pending;
     std::map<AttemptId, Attempt> m_attempts;
     RequestId m_lastRequest = 0;
