fleet: an endpoint that left while only this instance had lost the store is dropped at once

Cause: for 2.3 s after the endpoints' topic is read again, removals were put off, as entries expire while the store is down. An outage of the instance's own link looked the same. The 2.3 s count from the return that the instance notices, up to a second after the link is back, and a read more passes until the endpoint is dropped. Ruled out: counting the heartbeats that others wrote meanwhile (the log has a record only when an entry changes), a shorter time (endpoints would be lost that register again late), health checks of the endpoints in doubt (an endpoint that leaves without a word may say it is well). Change: once all entries are read, a missing endpoint whose service has kept at least half of its entries is dropped: an outage of the store takes them all, an endpoint that leaves only its own. What is missing after the loss of most entries stays as before. Conclusion: fixed for services that keep half of their entries; when most of one are removed during such a cut, the 2.3 s remain.

--- a/bergamot/fleet/endpoint_directory.cpp
+++ b/bergamot/fleet/endpoint_directory.cpp
@@ -141,20 +141,54 @@
     m_keepMissingUntil = now + m_options.reregistrationTime;
 }
 
-std::vector<std::string> EndpointDirectory::expire(TimePoint confirmedAt)
+std::vector<std::string>
+EndpointDirectory::dropMissing(const std::function<bool(const std::string &, TimePoint)> &dropped, TimePoint now)
 {
-    std::vector<std::string> dropped;
-    for (auto missing = m_missingUntil.begin(); missing != m_missingUntil.end();) {
-        if (missing->second > confirmedAt) {
-            ++missing;
-            continue;
-        }
-        if (m_endpoints.erase(missing->first) > 0) {
-            dropped.push_back(missing->first);
+    std::vector<std::string> ids;
+    std::erase_if(m_missingUntil, [&](const auto &missing) {
+        const auto &[id, until] = missing;
+        if (!dropped(id, until)) {
+            return false;
         }
-        entryGone(missing->first, confirmedAt);
-        missing = m_missingUntil.erase(missing);
+        m_endpoints.erase(id);
+        entryGone(id, now);
+        ids.push_back(id);
+        return true;
+    });
+    return ids;
+}
+
+std::vector<std::string> EndpointDirectory::confirmRemovals(TimePoint now)
+{
+    if (m_missingUntil.empty()) {
+        return {};
     }
+    struct Entries
+    {
+        std::size_t all = 0;
+        std::size_t missing = 0;
+    };
+    std::map<std::string, Entries> services;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        Entries &entries = services[endpoint.service];
+        ++entries.all;
+        entries.missing += m_missingUntil.contains(id) ? 1 : 0;
+    }
+    return dropMissing(
+        [&](const std::string &id, TimePoint) {
+            const Entries &entries = services.at(m_endpoints.at(id).service);
+            return 2 * entries.missing <= entries.all;
+        },
+        now);
+}
+
+std::vector<std::string> EndpointDirectory::expire(TimePoint confirmedAt)
+{
+    std::vector<std::string> dropped = dropMissing(
+        [confirmedAt](const std::string &, TimePoint missingUntil) {
+            return missingUntil <= confirmedAt;
+        },
+        confirmedAt);
     std::erase_if(m_leaving, [this, confirmedAt](const auto &known) {
         const std::optional<TimePoint> &since = known.second.unregisteredSince;
         return since && confirmedAt - *since > m_options.leavingMemory;
--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -10,14 +10,18 @@
 //     for (const std::string &id : directory.expire(confirmedAt)) { ... } // was not registered again
 //
 // Load pattern: the store recovers from an outage during which every entry expired. Running endpoints register again
-// within two seconds, so an endpoint whose entry disappears right after an outage stays in use for that time;
-// otherwise the whole fleet would be lost at once.
+// within two seconds, so endpoints whose entries disappear right after an outage stay in use for that time; otherwise
+// the whole fleet would be lost at once.
+//
+// Load pattern: only this instance loses the store, and meanwhile an endpoint leaves and removes its entry. After the
+// return, a service that has kept at least half of its entries did not lose the others by an outage of the store.
 //
 // Load pattern: an endpoint says in an answer that it is leaving while its entry is ready and keeps being written, or
 // while the store is unreachable and the entry stays as it is. Nothing that the store says of this incarnation brings
 // it back.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -123,6 +127,9 @@
     bool markLeaving(const std::string &id, std::uint64_t incarnation, TimePoint now);
     /// The store is available again after an outage.
     void storeRecovered(TimePoint now);
+    /// The entries that were put and removed so far are all that are in the store. Drops the endpoints whose entries
+    /// are gone while their service has kept at least half of its entries, and returns their ids.
+    std::vector<std::string> confirmRemovals(TimePoint now);
     /// Drops endpoints that did not register again in time after an outage, and returns their ids. The entries that
     /// were put and removed so far are those that were in the store at `confirmedAt`.
     std::vector<std::string> expire(TimePoint confirmedAt);
@@ -142,6 +149,9 @@
     /// Whether the incarnation said that it is leaving; drops the mark of another one.
     bool saidLeaving(const std::string &id, std::uint64_t incarnation);
     void entryGone(const std::string &id, TimePoint now);
+    /// Drops the endpoints whose entries are gone and for which `dropped` returns true, and returns their ids.
+    std::vector<std::string>
+    dropMissing(const std::function<bool(const std::string &id, TimePoint missingUntil)> &dropped, TimePoint now);
 
     EndpointDirectoryOptions m_options;
     std::map<std::string, Endpoint> m_endpoints;
--- a/bergamot/fleet/endpoint_directory_test.cpp
+++ b/bergamot/fleet/endpoint_directory_test.cpp
@@ -1,5 +1,7 @@
 #include "bergamot/fleet/endpoint_directory.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 namespace bergamot::fleet
@@ -51,6 +53,80 @@
         return test.param.name;
     });
 
+struct ServiceEntries
+{
+    std::size_t registered = 0;
+    std::size_t removed = 0; // of those
+    std::size_t inUse = 0; // once the removals are confirmed
+};
+
+struct RemovalsCase
+{
+    const char *name;
+    ServiceEntries desk;
+    ServiceEntries other; // another service
+};
+
+class RemovalsAfterAnOutageTest : public testing::TestWithParam<RemovalsCase>
+{
+protected:
+    static std::string idOf(const std::string &service, std::size_t index)
+    {
+        return service + std::to_string(index);
+    }
+
+    void put(const std::string &service, const ServiceEntries &entries)
+    {
+        for (std::size_t index = 0; index < entries.registered; ++index) {
+            m_directory.put({.endpoint = {.id = idOf(service, index), .service = service}});
+        }
+    }
+
+    void remove(const std::string &service, const ServiceEntries &entries, TimePoint now)
+    {
+        for (std::size_t index = 0; index < entries.removed; ++index) {
+            EXPECT_EQ(m_directory.remove(idOf(service, index), now), EntryOutcome::Kept);
+        }
+    }
+
+    std::size_t inUse(const std::string &service) const
+    {
+        return std::count_if(m_directory.endpoints().begin(), m_directory.endpoints().end(), [&](const auto &known) {
+            return known.second.service == service;
+        });
+    }
+
+    EndpointDirectory m_directory;
+};
+
+TEST_P(RemovalsAfterAnOutageTest, EndpointsStayInUseOnlyIfTheirServiceHasLostMostOfItsEntries)
+{
+    const TimePoint recovered{std::chrono::hours(1)};
+    const TimePoint read = recovered + milliseconds(10);
+    put("desk", GetParam().desk);
+    put("other", GetParam().other);
+    m_directory.storeRecovered(recovered);
+    remove("desk", GetParam().desk, read);
+    remove("other", GetParam().other, read);
+    m_directory.confirmRemovals(read);
+    EXPECT_EQ(inUse("desk"), GetParam().desk.inUse);
+    EXPECT_EQ(inUse("other"), GetParam().other.inUse);
+    m_directory.expire(recovered + milliseconds(2400));
+    EXPECT_EQ(inUse("desk"), GetParam().desk.registered - GetParam().desk.removed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Services,
+                         RemovalsAfterAnOutageTest,
+                         testing::Values(RemovalsCase{"OneOfThree", {3, 1, 2}, {9, 0, 9}},
+                                         RemovalsCase{"OneOfTwo", {2, 1, 1}, {9, 0, 9}},
+                                         RemovalsCase{"HalfOfTen", {10, 5, 5}, {9, 2, 7}},
+                                         RemovalsCase{"MostOfTen", {10, 6, 10}, {9, 4, 5}},
+                                         RemovalsCase{"TheOnlyOne", {1, 1, 1}, {9, 0, 9}},
+                                         RemovalsCase{"AllOfAllServices", {3, 3, 3}, {9, 9, 9}}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 /// What happens to the entry of endpoint "i-1" after an answer of it said that it is leaving.
 struct LeavingCase
 {
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -48,16 +48,22 @@
                      logstore::LogStore &store,
                      const PlatformCodec &codec,
                      EventLog &log,
-                     Duration topicReadPause,
+                     FleetViewOptions options,
                      std::uint64_t seed)
     : m_loop(loop)
     , m_codec(codec)
     , m_log(log)
     , m_operatorReader(loop, store, {.topic = codec.operatorTopic()}, seed)
     , m_endpointReader(loop, store, {.topic = codec.endpointTopic()}, seed + 1)
-    , m_confirmation(store, codec.operatorTopic(), {}, [this](const std::string &reason) {
-        m_log.write(EventKind::State, "log-end-unknown", {{"topic", m_codec.operatorTopic()}, {"reason", reason}});
-    })
+    , m_confirmation(store,
+                     codec.operatorTopic(),
+                     {},
+                     [this](const std::string &reason) {
+                         m_log.write(EventKind::State,
+                                     "log-end-unknown",
+                                     {{"topic", m_codec.operatorTopic()}, {"reason", reason}});
+                     })
+    , m_directory(options.endpoints)
 {
     logstore::TopicTailEvents operators;
     operators.onRecord = [this](std::uint64_t offset, const std::string &bytes) {
@@ -80,7 +86,7 @@
     m_operatorTail = std::make_unique<logstore::TopicTail>(
         loop,
         store,
-        logstore::TopicTailOptions{.topic = codec.operatorTopic(), .reads = {.readPause = topicReadPause}},
+        logstore::TopicTailOptions{.topic = codec.operatorTopic(), .reads = {.readPause = options.topicReadPause}},
         std::move(operators),
         seed + 2);
 
@@ -91,6 +97,7 @@
         }
     };
     endpoints.onReadEnd = [this] {
+        confirmRemovals();
         if (std::exchange(m_endpointsChanged, false)) {
             notify(m_endpointsHandler);
         }
@@ -108,7 +115,7 @@
     m_endpointTail = std::make_unique<logstore::TopicTail>(
         loop,
         store,
-        logstore::TopicTailOptions{.topic = codec.endpointTopic(), .reads = {.readPause = topicReadPause}},
+        logstore::TopicTailOptions{.topic = codec.endpointTopic(), .reads = {.readPause = options.topicReadPause}},
         std::move(endpoints),
         seed + 3);
 }
@@ -279,6 +286,7 @@
             for (const fleet::EntryChange &change : changes) {
                 writeEntryOutcome(change.id, versions[change.id], "page", change.outcome);
             }
+            confirmRemovals();
         }
         notify(m_endpointsHandler);
     });
@@ -362,6 +370,18 @@
     writeEntryOutcome(record.key, version, "follower", outcome);
 }
 
+void FleetView::confirmRemovals()
+{
+    if (!m_endpointTail->caughtUp() || m_endpointReader.reading()) {
+        return;
+    }
+    const std::vector<std::string> dropped = m_directory.confirmRemovals(BootClock::now());
+    if (!dropped.empty()) {
+        writeDropped("endpoints-gone", dropped);
+        m_endpointsChanged = true;
+    }
+}
+
 void FleetView::writeDropped(std::string_view event, const std::vector<std::string> &dropped)
 {
     std::string ids;
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -3,7 +3,7 @@
 // This instance's view of the configuration, the named weight versions and the registered endpoints, followed from the
 // platform's store. The version of the configuration never decreases.
 //
-//     FleetView view(loop, store, codec, log, topicReadPause, seed);
+//     FleetView view(loop, store, codec, log, {.topicReadPause = pause}, seed);
 //     view.onEndpoints([&] { forwarder.updateEndpoints(...); });
 //     view.start();
 
@@ -26,6 +26,12 @@
 namespace bergamot::node
 {
 
+struct FleetViewOptions
+{
+    Duration topicReadPause = std::chrono::milliseconds(200); // delay after a read of a topic that returned records
+    fleet::EndpointDirectoryOptions endpoints;
+};
+
 /// Reads both topics in full, then follows them. Not thread-safe.
 class FleetView
 {
@@ -34,7 +40,7 @@
               logstore::LogStore &store,
               const PlatformCodec &codec,
               EventLog &log,
-              Duration topicReadPause,
+              FleetViewOptions options,
               std::uint64_t seed);
     ~FleetView();
 
@@ -89,6 +95,8 @@
     void applyOperatorRecord(const logstore::KeyedRecord &record);
     void applyEndpointRecord(const logstore::KeyedRecord &record);
     std::optional<fleet::EndpointEntry> parseEndpoint(const logstore::KeyedRecord &record);
+    /// Drops endpoints whose removal was put off and turns out not to come from an outage of the store.
+    void confirmRemovals();
     void writeDropped(std::string_view event, const std::vector<std::string> &dropped);
     /// Logs what a record of an endpoint, or a complete read without one, has changed. `source` names where it was
     /// read.
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -189,7 +189,7 @@
     , m_options(std::move(options))
     , m_random(m_options.seed)
     , m_client(loop, clientOptions())
-    , m_view(loop, store, codec, log, m_options.followInterval, m_random())
+    , m_view(loop, store, codec, log, {.topicReadPause = m_options.followInterval}, m_random())
     , m_batchLog(loop, store, batchLogOptions(m_options), log, m_random())
     , m_quota(loop, m_client, m_batchLog, log, {}, m_random())
     , m_streams(m_batchLog, log, {}, m_options.seed)
