fleet: a removal that was put off is not forgotten when all endpoints are read again

Callers would see: requests to an endpoint that was removed, for as long as it accepts them, and refused connections after that. Cause: after a gap in the log all entries are read again. For endpoints whose records were followed meanwhile, what was known was put again, and putting an endpoint clears the mark that its entry is gone. An endpoint that was removed right after an outage, while all entries were read, stayed in use for good: no further record names it. Ruled out: an old page that brings an endpoint back (it is read after the gap was noticed, and the store's answers are linearizable). Change: replace() leaves out the endpoints of which newer records are known, instead of putting them again.

--- a/bergamot/fleet/endpoint_directory.cpp
+++ b/bergamot/fleet/endpoint_directory.cpp
@@ -64,11 +64,13 @@
     return EntryOutcome::Removed;
 }
 
-std::vector<EntryChange> EndpointDirectory::replace(std::map<std::string, EndpointEntry> entries, TimePoint now)
+std::vector<EntryChange> EndpointDirectory::replace(std::map<std::string, EndpointEntry> entries,
+                                                    const std::set<std::string> &except,
+                                                    TimePoint now)
 {
     std::vector<std::string> unregistered;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (!entries.contains(id)) {
+        if (!entries.contains(id) && !except.contains(id)) {
             unregistered.push_back(id);
         }
     }
@@ -82,7 +84,9 @@
         add(id, remove(id, now));
     }
     for (auto &[id, entry] : entries) {
-        add(id, put(std::move(entry)));
+        if (!except.contains(id)) {
+            add(id, put(std::move(entry)));
+        }
     }
     return changes;
 }
--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -119,8 +120,10 @@
     EntryOutcome put(EndpointEntry entry);
     /// The entry of the endpoint was removed or has expired.
     EntryOutcome remove(const std::string &id, TimePoint now);
-    /// Replaces all endpoints by those of a complete read of the store. Returns the changes.
-    std::vector<EntryChange> replace(std::map<std::string, EndpointEntry> entries, TimePoint now);
+    /// Replaces all endpoints by those of a complete read of the store, but for those in `except`, of which newer
+    /// entries or removals are known. Returns the changes.
+    std::vector<EntryChange>
+    replace(std::map<std::string, EndpointEntry> entries, const std::set<std::string> &except, TimePoint now);
     /// An answer of this incarnation of the endpoint said that it is leaving; 0: not known. This holds until another
     /// incarnation registers, whatever the entries of this one say. Returns false if nothing changes: it is known
     /// already, another incarnation is registered by now, or neither entry nor incarnation is known.
--- a/bergamot/fleet/endpoint_directory_test.cpp
+++ b/bergamot/fleet/endpoint_directory_test.cpp
@@ -170,7 +170,7 @@
                                          LeavingCase{"CompleteRead",
                                                      5,
                                                      [](EndpointDirectory &directory, TimePoint now) {
-                                                         directory.replace({{"i-1", entryOf(5)}}, now);
+                                                         directory.replace({{"i-1", entryOf(5)}}, {}, now);
                                                      },
                                                      true},
                                          LeavingCase{"MissingAfterAnOutageAndRegisteredAgain",
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -268,18 +268,13 @@
                 registered.emplace(record.key, std::move(*entry));
             }
         }
-        for (const std::string &id : m_followedEndpoints) {
-            // The follower has read a newer record than the one that was read here, or will read it.
-            registered.erase(id);
-            if (const auto current = endpoints().find(id); current != endpoints().end()) {
-                registered.emplace(id, fleet::EndpointEntry{.endpoint = current->second});
-            }
-        }
         std::map<std::string, EntryVersion> versions;
         for (const auto &[id, entry] : registered) {
             versions[id] = {.incarnation = entry.endpoint.incarnation, .sequence = entry.sequence};
         }
-        const std::vector<fleet::EntryChange> changes = m_directory.replace(std::move(registered), BootClock::now());
+        // Of endpoints that changed meanwhile, the follower has read a newer record than this one, or will read it.
+        const std::vector<fleet::EntryChange> changes =
+            m_directory.replace(std::move(registered), m_followedEndpoints, BootClock::now());
         if (!std::exchange(m_endpointsRead, true)) {
             m_endpointTail->start(content.end);
         } else {
