fleet: an older entry of an endpoint does not replace a newer one

Callers would see: requests to an endpoint that has written "draining", or that was removed, for as long as its older entry is the newest record of the log: records are appended only when an entry changes, so no later heartbeat puts it right. Cause: entries were taken in the order of the log, but the store may carry out a write seconds after it was sent. sequence was not read and born not compared; a heartbeat that was appended late also retracted the loss of a process. Ruled out: comparing the start times of processes (clocks may be set back, and an endpoint that was refused for that would stay unused), keeping "draining" for good (a newer "ready" of the same process counts). Change: EntryOrder admits entries by process and sequence; a process that another one has followed is an earlier one. What is older is logged as endpoint-entry-outdated and changes nothing. Entries without the two fields are taken in the order of the log, as before. Conclusion: fixed as a hazard; that it was the cause of the users' report is not shown.

--- a/bergamot/fleet/endpoint_directory.cpp
+++ b/bergamot/fleet/endpoint_directory.cpp
@@ -37,6 +37,9 @@
 EntryOutcome EndpointDirectory::put(EndpointEntry entry)
 {
     Endpoint &endpoint = entry.endpoint;
+    if (!m_order[endpoint.id].admit({.incarnation = endpoint.incarnation, .sequence = entry.sequence})) {
+        return EntryOutcome::Outdated;
+    }
     m_missingUntil.erase(endpoint.id);
     endpoint.saidLeaving = saidLeaving(endpoint.id, endpoint.incarnation);
     const auto found = m_endpoints.find(endpoint.id);
@@ -54,6 +57,7 @@
     if (found == m_endpoints.end()) {
         return EntryOutcome::Unchanged;
     }
+    m_order[id].remove(now);
     if (now < m_keepMissingUntil && !found->second.draining) {
         m_missingUntil.emplace(id, m_keepMissingUntil);
         return EntryOutcome::Kept;
@@ -197,6 +201,10 @@
         const std::optional<TimePoint> &since = known.second.unregisteredSince;
         return since && confirmedAt - *since > m_options.leavingMemory;
     });
+    std::erase_if(m_order, [this, confirmedAt](const auto &known) {
+        const std::optional<TimePoint> since = known.second.removedAt();
+        return since && confirmedAt - *since > m_options.leavingMemory;
+    });
     return dropped;
 }
 
--- a/bergamot/fleet/endpoint_directory.h
+++ b/bergamot/fleet/endpoint_directory.h
@@ -30,6 +30,7 @@
 
 #include "bergamot/base/address.h"
 #include "bergamot/base/clock.h"
+#include "bergamot/fleet/entry_order.h"
 
 namespace bergamot::fleet
 {
@@ -71,7 +72,7 @@
 struct EndpointEntry
 {
     Endpoint endpoint;
-    std::uint64_t sequence = 0; // number of the heartbeat that wrote it, counted from the start; 0: not known
+    std::optional<std::uint64_t> sequence; // number of the heartbeat that wrote it, counted from the start
 };
 
 /// What an entry, or its removal, changes.
@@ -82,6 +83,7 @@
     Draining, // takes no new requests from now on
     ReadyAgain, // the same incarnation takes requests again
     Updated, // anything else
+    Outdated, // the entry is older than what is known, and is ignored
     Removed,
     Kept, // the entry is gone, but the endpoint stays in use, since it may register again
 };
@@ -89,7 +91,7 @@
 /// Whether the set of endpoints, or what is known of one, has changed.
 constexpr bool changesEndpoints(EntryOutcome outcome)
 {
-    return outcome != EntryOutcome::Unchanged && outcome != EntryOutcome::Kept;
+    return outcome != EntryOutcome::Unchanged && outcome != EntryOutcome::Outdated && outcome != EntryOutcome::Kept;
 }
 
 /// An endpoint whose entry has changed.
@@ -103,8 +105,8 @@
 {
     // Endpoints register again within about 2 s of the recovery of the store.
     Duration reregistrationTime = std::chrono::milliseconds(2300);
-    // How long the word of an endpoint that is leaving is kept after its entry disappeared. A leaving endpoint serves
-    // for seconds; its entry may reappear after an outage of the store.
+    // How long it is kept after the entry of an endpoint disappeared that the endpoint is leaving, and which entry was
+    // its newest. A leaving endpoint serves for seconds; its entry may reappear after an outage of the store.
     Duration leavingMemory = std::chrono::minutes(30);
 };
 
@@ -116,7 +118,7 @@
         : m_options(options)
     { }
 
-    /// Adds or replaces an endpoint.
+    /// Adds or replaces an endpoint, unless the entry is older than what is known of it.
     EntryOutcome put(EndpointEntry entry);
     /// The entry of the endpoint was removed or has expired.
     EntryOutcome remove(const std::string &id, TimePoint now);
@@ -160,6 +162,7 @@
     std::map<std::string, Endpoint> m_endpoints;
     std::map<std::string, TimePoint> m_missingUntil; // when to drop endpoints whose entry disappeared
     std::map<std::string, LeavingMark> m_leaving;
+    std::map<std::string, EntryOrder> m_order;
     TimePoint m_keepMissingUntil{}; // end of the time to register again after an outage
 };
 
--- a/bergamot/node/fleet_view.cpp
+++ b/bergamot/node/fleet_view.cpp
@@ -18,11 +18,12 @@
 constexpr std::size_t MaxNamedEndpoints = 20; // in one log line
 
 /// The event that reports what an entry has changed; empty if it is not reported.
-constexpr std::array<std::pair<fleet::EntryOutcome, std::string_view>, 6> EntryEvents{{
+constexpr std::array<std::pair<fleet::EntryOutcome, std::string_view>, 7> EntryEvents{{
     {fleet::EntryOutcome::Listed, "endpoint-listed"},
     {fleet::EntryOutcome::Restarted, "endpoint-restarted"},
     {fleet::EntryOutcome::Draining, "endpoint-draining"},
     {fleet::EntryOutcome::ReadyAgain, "endpoint-ready-again"},
+    {fleet::EntryOutcome::Outdated, "endpoint-entry-outdated"},
     {fleet::EntryOutcome::Removed, "endpoint-gone"},
     {fleet::EntryOutcome::Kept, "endpoint-kept"},
 }};
@@ -263,15 +264,15 @@
     m_endpointReader.read([this, startedAt = BootClock::now()](const logstore::KeyedContent &content) {
         writeTopicRead("endpoints", content, startedAt);
         std::map<std::string, fleet::EndpointEntry> registered;
+        std::map<std::string, EntryRead> reads;
         for (const logstore::KeyedRecord &record : content.records) {
+            EntryRead &read = reads[record.key];
+            read.offset = record.offset;
             if (std::optional<fleet::EndpointEntry> entry = parseEndpoint(record)) {
+                read.version = {.incarnation = entry->endpoint.incarnation, .sequence = entry->sequence};
                 registered.emplace(record.key, std::move(*entry));
             }
         }
-        std::map<std::string, EntryVersion> versions;
-        for (const auto &[id, entry] : registered) {
-            versions[id] = {.incarnation = entry.endpoint.incarnation, .sequence = entry.sequence};
-        }
         // Of endpoints that changed meanwhile, the follower has read a newer record than this one, or will read it.
         const std::vector<fleet::EntryChange> changes =
             m_directory.replace(std::move(registered), m_followedEndpoints, BootClock::now());
@@ -279,7 +280,9 @@
             m_endpointTail->start(content.end);
         } else {
             for (const fleet::EntryChange &change : changes) {
-                writeEntryOutcome(change.id, versions[change.id], "page", change.outcome);
+                EntryRead &read = reads[change.id];
+                read.source = "page";
+                writeEntryOutcome(change.id, read, change.outcome);
             }
             confirmRemovals();
         }
@@ -349,20 +352,20 @@
 {
     std::optional<fleet::EndpointEntry> entry = parseEndpoint(record);
     m_followedEndpoints.insert(record.key);
-    const auto before = m_directory.endpoints().find(record.key);
-    EntryVersion version{.offset = record.offset};
+    EntryRead read{.offset = record.offset, .source = "follower"};
     if (entry) {
-        version.incarnation = entry->endpoint.incarnation;
-        version.sequence = entry->sequence;
-    }
-    if (entry && before != m_directory.endpoints().end() && before->second.incarnation == version.incarnation
-        && m_heartbeatHandler) {
-        m_heartbeatHandler(record.key, version.incarnation, m_endpointTail->recordsAppendedAfter());
+        read.version = {.incarnation = entry->endpoint.incarnation, .sequence = entry->sequence};
     }
+    const auto before = m_directory.endpoints().find(record.key);
+    const bool sameProcess =
+        entry && before != m_directory.endpoints().end() && before->second.incarnation == read.version.incarnation;
     const fleet::EntryOutcome outcome =
         entry ? m_directory.put(std::move(*entry)) : m_directory.remove(record.key, BootClock::now());
+    if (sameProcess && outcome != fleet::EntryOutcome::Outdated && m_heartbeatHandler) {
+        m_heartbeatHandler(record.key, read.version.incarnation, m_endpointTail->recordsAppendedAfter());
+    }
     m_endpointsChanged = m_endpointsChanged || fleet::changesEndpoints(outcome);
-    writeEntryOutcome(record.key, version, "follower", outcome);
+    writeEntryOutcome(record.key, read, outcome);
 }
 
 void FleetView::confirmRemovals()
@@ -390,10 +393,7 @@
                  {"listed", std::to_string(endpoints().size())}});
 }
 
-void FleetView::writeEntryOutcome(const std::string &endpoint,
-                                  const EntryVersion &version,
-                                  std::string_view source,
-                                  fleet::EntryOutcome outcome)
+void FleetView::writeEntryOutcome(const std::string &endpoint, const EntryRead &entry, fleet::EntryOutcome outcome)
 {
     const std::string_view event = eventName(outcome);
     if (event.empty()) {
@@ -402,10 +402,10 @@
     m_log.write(EventKind::State,
                 event,
                 {{"endpoint", endpoint},
-                 {"incarnation", std::to_string(version.incarnation)},
-                 {"sequence", std::to_string(version.sequence)},
-                 {"offset", std::to_string(version.offset)},
-                 {"source", std::string(source)}});
+                 {"incarnation", std::to_string(entry.version.incarnation)},
+                 {"sequence", entry.version.sequence ? std::to_string(*entry.version.sequence) : "unknown"},
+                 {"offset", std::to_string(entry.offset)},
+                 {"source", std::string(entry.source)}});
 }
 
 } // namespace bergamot::node
--- a/bergamot/node/fleet_view.h
+++ b/bergamot/node/fleet_view.h
@@ -80,12 +80,12 @@
     void setTopicReadPause(Duration topicReadPause);
 
 private:
-    /// Which entry of an endpoint was read. Zeros: not known, or the entry was removed.
-    struct EntryVersion
+    /// Where an entry was read, and which one it was; without a version if it was removed.
+    struct EntryRead
     {
-        std::uint64_t incarnation = 0;
-        std::uint64_t sequence = 0;
+        fleet::EntryVersion version;
         std::uint64_t offset = 0; // of the record
+        std::string_view source;
     };
 
     TimePoint endpointsConfirmedAt() const;
@@ -98,12 +98,8 @@
     /// Drops endpoints whose removal was put off and turns out not to come from an outage of the store.
     void confirmRemovals();
     void writeDropped(std::string_view event, const std::vector<std::string> &dropped);
-    /// Logs what a record of an endpoint, or a complete read without one, has changed. `source` names where it was
-    /// read.
-    void writeEntryOutcome(const std::string &endpoint,
-                           const EntryVersion &version,
-                           std::string_view source,
-                           fleet::EntryOutcome outcome);
+    /// Logs what reading the entry of an endpoint, or its removal, has changed.
+    void writeEntryOutcome(const std::string &endpoint, const EntryRead &entry, fleet::EntryOutcome outcome);
 
     boost::asio::io_context &m_loop;
     const PlatformCodec &m_codec;
