--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cstdio>
 
+#include "bergamot/base/outer_duration.h"
 #include "bergamot/net/status.h"
 #include "bergamot/node/owner_probe.h"
 #include "bergamot/node/request_host.h"
@@ -498,9 +499,8 @@
                              .service = service,
                              .receivedAt = exchange->receivedAt(),
                              .softwareVersion = softwareVersion,
-                             .callerTimeout = hasDeadline
-                                 ? Duration(std::chrono::milliseconds(std::max<std::int64_t>(0, milliseconds)))
-                                 : DefaultCallerWait};
+                             .callerTimeout =
+                                 hasDeadline ? durationOf(std::chrono::milliseconds(milliseconds)) : DefaultCallerWait};
     if (caller.known) {
         nameTenant(m_codec.headers(), caller.tenant, forwarded.request.headers);
         forwarded.tenant = caller.tenant;
