routing: once one attempt streams its answer, the other attempts of the request end

Operators of similar systems saw the text of an error, at times its whole head, in the middle of a stream. Cause: it can happen here. An idempotent request is hedged; if an endpoint answers it with an event stream, its events go out as they arrive and the other attempt went on. Its answer, also a 500, was then written into the stream, head and all. Ruled out: streams of streaming routes (they are not hedged, and nothing is tried again once they have begun), samples (texts are taken from answers with status 200 only), the operators' programs (they stream on streaming routes only). Change: Router::onStreamStarted cancels the other attempts. An event stream that says that it was not run is no stream for the caller: the request goes elsewhere.

--- a/bergamot/entry/data_path.cpp
+++ b/bergamot/entry/data_path.cpp
@@ -73,7 +73,7 @@
                                                     .started =
                                                         [postToLoop](AttemptId id) {
                                                             postToLoop([id](Impl &impl) {
-                                                                impl.router.onStreamStarted(id);
+                                                                impl.router.onStreamStarted(id, impl.clock.now());
                                                             });
                                                         },
                                                     .callerLost =
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -387,11 +387,12 @@
     Attempt &attempt = found->second;
     attempt.response.status = head.status;
     attempt.response.headers = net::withoutHopByHopFields(head.headers);
-    if (!head.headers.has(m_headers.notExecuted) && head.status != MisdirectedRequest) {
+    const bool notRun = head.headers.has(m_headers.notExecuted) || head.status == MisdirectedRequest;
+    if (!notRun) {
         recordBegan(attempt);
     }
     const auto pending = m_pending.find(attempt.request);
-    if (pending == m_pending.end() || !net::isEventStream(head)) {
+    if (pending == m_pending.end() || !net::isEventStream(head) || notRun) {
         return;
     }
     if (pending->second.request.softwareVersion.empty() || !m_doubtHandler) {
@@ -409,7 +410,7 @@
     Attempt &attempt = m_attempts.at(id);
     const auto pending = m_pending.find(attempt.request);
     attempt.streaming = true;
-    m_router.onStreamStarted(id);
+    m_router.onStreamStarted(id, BootClock::now());
     if (pending->second.request.route.resumable && m_streamHandler) {
         const ForwardRequest &request = pending->second.request;
         m_streamHandler({.name = request.streamName.empty() ? request.id : request.streamName,
@@ -424,6 +425,7 @@
     if (!held.empty()) {
         sink->write(held);
     }
+    performActions(); // ends other attempts of the request
 }
 
 void RequestForwarder::handleProof(AttemptId id, bool proven)
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -63,8 +63,9 @@
     void onView(const RoutingTable &table, TimePoint now);
     void onRequest(CallerRequest request, TimePoint now);
     void onKeyState(RequestId id, KeyState state, Duration retryAfter, TimePoint now);
-    /// The attempt's answer is being streamed to the caller; no other attempt's answer can be used from then on.
-    void onStreamStarted(AttemptId id);
+    /// The attempt's answer is being streamed to the caller; no other attempt's answer can be used from then on, so the
+    /// others are cancelled.
+    void onStreamStarted(AttemptId id, TimePoint now);
     void onAnswered(AttemptId id, const AttemptAnswer &answer, TimePoint now);
     void onFailed(AttemptId id, const AttemptFailure &failure, TimePoint now);
     /// The caller has disconnected: its attempts are cancelled and no answer is produced.
@@ -212,7 +213,8 @@
 
     // router_outcome.cpp: answers and failures
     std::optional<Attempt> takeAttempt(AttemptId id);
-    void cancelAttempts(Pending &pending, TimePoint now);
+    /// Cancels the attempts of a request, but for `kept` (0: none).
+    void cancelAttempts(Pending &pending, TimePoint now, AttemptId kept = 0);
     void retryOrGiveUp(Pending &pending, FailureStep step, const Attempt &attempt, TimePoint now);
     void giveUp(Pending &pending, RefusalReason reason);
     void recordFailure(const Attempt &attempt, const AttemptFailure &failure, const Pending &pending, TimePoint now);
--- a/bergamot/routing/router_outcome.cpp
+++ b/bergamot/routing/router_outcome.cpp
@@ -25,7 +25,7 @@
 
 } // namespace
 
-void Router::onStreamStarted(AttemptId id)
+void Router::onStreamStarted(AttemptId id, TimePoint now)
 {
     const auto attempt = m_attempts.find(id);
     if (attempt == m_attempts.end()) {
@@ -33,6 +33,7 @@
     }
     if (Pending *pending = find(attempt->second.request)) {
         pending->streamStarted = true;
+        cancelAttempts(*pending, now, id);
     }
 }
 
@@ -150,15 +151,18 @@
     return attempt;
 }
 
-void Router::cancelAttempts(Pending &pending, TimePoint now)
+void Router::cancelAttempts(Pending &pending, TimePoint now, AttemptId kept)
 {
-    for (const AttemptId id : pending.attempts) {
+    std::erase_if(pending.attempts, [this, now, kept](AttemptId id) {
+        if (id == kept) {
+            return false;
+        }
         if (const std::optional<Attempt> attempt = takeAttempt(id)) {
             attempt->target->pool.endedInconclusively(attempt->slot, now);
             m_actions.emplace_back(CancelAction{id});
         }
-    }
-    pending.attempts.clear();
+        return true;
+    });
 }
 
 void Router::retryOrGiveUp(Pending &pending, FailureStep step, const Attempt &attempt, TimePoint now)
--- a/bergamot/routing/router_test.cpp
+++ b/bergamot/routing/router_test.cpp
@@ -281,7 +281,7 @@
     const RequestId id = send([](CallerRequest &request) {
         request.streaming = true;
     });
-    m_router.onStreamStarted(m_dispatches[0].attempt);
+    m_router.onStreamStarted(m_dispatches[0].attempt, m_now);
     m_router.onCallerDisconnected(id, m_now);
     collect();
     EXPECT_EQ(m_cancelled, std::vector<AttemptId>{m_dispatches[0].attempt});
@@ -295,7 +295,7 @@
         request.streaming = true;
         request.repeatable = true;
     });
-    m_router.onStreamStarted(m_dispatches[0].attempt);
+    m_router.onStreamStarted(m_dispatches[0].attempt, m_now);
     fail(m_dispatches[0].attempt, ConnectionLost);
     EXPECT_EQ(m_aborted, std::vector<RequestId>{id});
     EXPECT_EQ(m_dispatches.size(), 1U);
--- a/bergamot/routing/router_trouble_test.cpp
+++ b/bergamot/routing/router_trouble_test.cpp
@@ -315,6 +315,37 @@
     EXPECT_EQ(m_cancelled, std::vector<AttemptId>{m_dispatches[before].attempt});
 }
 
+class HedgedStreamTest : public RouterTest, public testing::WithParamInterface<std::size_t>
+{ };
+
+// An endpoint of a route without streams answers with one. The answer of the other attempt must not follow its events.
+TEST_P(HedgedStreamTest, TheOtherAttemptEndsOnceOneHasBegunToStream)
+{
+    const auto interactive = [](CallerRequest &request) {
+        request.repeatable = true;
+    };
+    for (int count = 0; count < 100; ++count) {
+        send(interactive);
+        m_now += 10ms;
+        answer(m_dispatches.back().attempt);
+    }
+    const std::size_t first = m_dispatches.size();
+    const RequestId id = send(interactive);
+    pass(100ms);
+    ASSERT_EQ(m_dispatches.size(), first + 2);
+    const AttemptId streaming = m_dispatches[first + GetParam()].attempt;
+    const AttemptId other = m_dispatches[first + 1 - GetParam()].attempt;
+    m_router.onStreamStarted(streaming, m_now);
+    collect();
+    EXPECT_EQ(m_cancelled, std::vector<AttemptId>{other});
+    answer(other, {.status = 500});
+    EXPECT_FALSE(m_forwarded.contains(id));
+    fail(streaming, ConnectionLost);
+    EXPECT_EQ(m_aborted, std::vector<RequestId>{id});
+}
+
+INSTANTIATE_TEST_SUITE_P(Attempts, HedgedStreamTest, testing::Values(0U, 1U));
+
 TEST_F(RouterTest, RetriesStayWithinTheBudget)
 {
     for (int count = 0; count < 200; ++count) {
