net: a second answer to a request whose stream has begun closes the connection

Cause: the server wrote any answer that a handler gave, also behind the head and pieces of a stream: a caller would read a second head as a part of its stream. Ruled out: ignoring the second answer (the stream would never end). Change: respond() and a second beginStream() on a stream close the connection, which no caller takes for an end. Evidence: AnAnswerAfterAStreamHasBegunBreaksTheStreamOff failed before (the 500 was sent).

--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -73,6 +73,10 @@
         if (m_stage != Stage::Handling) {
             return;
         }
+        if (m_streaming) {
+            close(); // a second head would be read as part of the stream
+            return;
+        }
         m_closeAfter = m_closeAfter || m_server.m_draining;
         std::string head = internal::responseHead(response.status, response.headers, m_closeAfter);
         head += "Content-Length: " + std::to_string(response.body.size()) + "\r\n\r\n";
@@ -88,6 +92,10 @@
         if (m_stage != Stage::Handling) {
             return;
         }
+        if (std::exchange(m_streaming, true)) {
+            close();
+            return;
+        }
         m_closeAfter = m_closeAfter || m_server.m_draining;
         m_outgoing.push_back(internal::responseHead(head.status, head.headers, m_closeAfter)
                              + "Transfer-Encoding: chunked\r\n\r\n");
@@ -307,6 +315,7 @@
     void endResponse()
     {
         m_stage = Stage::Responding;
+        m_streaming = false;
         m_onCallerDisconnected = nullptr;
         flush();
     }
@@ -369,6 +378,7 @@
     std::vector<std::string> m_writing;
     Stage m_stage = Stage::Idle;
     bool m_closeAfter = false;
+    bool m_streaming = false; // the response to the current request has begun as a stream
     bool m_watchingForDisconnect = false;
 };
 
--- a/bergamot/net/http_server_test.cpp
+++ b/bergamot/net/http_server_test.cpp
@@ -239,5 +239,19 @@
     EXPECT_TRUE(m_connectionEnded);
 }
 
+TEST_F(HttpServerTest, AnAnswerAfterAStreamHasBegunBreaksTheStreamOff)
+{
+    send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    awaitRequests(1);
+    m_exchanges[0]->beginStream({.status = 200});
+    m_exchanges[0]->write("first");
+    EXPECT_NE(receive("first").find("first"), std::string::npos);
+    m_exchanges[0]->respond({.status = 500, .body = "failed"});
+    const std::string received = receive("never sent");
+    EXPECT_TRUE(m_connectionEnded);
+    EXPECT_EQ(received.find("HTTP/1.1 500"), std::string::npos);
+    EXPECT_EQ(received.find("0\r\n\r\n"), std::string::npos);
+}
+
 } // namespace
 } // namespace bergamot::net
