net: an event stream without a length that ends within an event is not complete

Operators of similar systems saw streams that broke off and looked complete, and a 200 with a short body after a cut head. Cause: an answer may have no length and end with its connection. For event streams a close within an event, or before the first one, was taken for the end, and the caller got the end of a complete stream. Change: such a stream is complete only behind an event.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -339,7 +339,11 @@
             return;
         }
         if (error == asio::error::eof && m_stage == Stage::ReadingBody && m_untilClose) {
-            complete();
+            if (m_eventMeter && !m_eventMeter->endsBehindEvent()) {
+                end({.failure = CallFailure::Lost, .detail = "the connection was closed within an event"});
+            } else {
+                complete();
+            }
             return;
         }
         end({.failure = CallFailure::Lost, .detail = error.message()});
--- a/bergamot/net/http_client_test.cpp
+++ b/bergamot/net/http_client_test.cpp
@@ -201,6 +201,66 @@
         return test.param.name;
     });
 
+struct CutCase
+{
+    const char *name;
+    std::string answer;
+    std::size_t wholeFrom; // bytes after which a close ends the answer properly
+};
+
+using CutParam = std::tuple<CutCase, bool>; // whether the connection is reset
+
+class CutAnswerTest : public HttpClientTest, public testing::WithParamInterface<CutParam>
+{ };
+
+TEST_P(CutAnswerTest, AnAnswerThatIsCutAfterAnyByteIsNoSuccess)
+{
+    const auto &[cut, reset] = GetParam();
+    for (std::size_t sent = 1; sent <= cut.answer.size(); ++sent) {
+        m_peer.replies = {cut.answer.substr(0, sent)};
+        m_peer.closeAfterReply = !reset;
+        m_peer.resetAfterReply = reset;
+        Observed observed;
+        start(observed, {.newConnection = true});
+        finish(observed);
+        if (observed.end->failure == CallFailure::None) {
+            EXPECT_GE(sent, cut.wholeFrom) << "cut after " << sent;
+            EXPECT_FALSE(reset && sent < cut.answer.size()) << "reset after " << sent;
+        }
+    }
+}
+
+const std::string Length = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 6\r\n\r\nanswer";
+const std::string Chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nans\r\n3\r\nwer\r\n0\r\n\r\n";
+const std::string UntilCloseHead = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+const std::string EventHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+const std::string Event = "id: 1\ndata: a\n\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Framings,
+    CutAnswerTest,
+    testing::Combine(testing::Values(CutCase{"Length", Length, Length.size()},
+                                     CutCase{"Chunks", Chunks, Chunks.size()},
+                                     CutCase{"UntilClose", UntilCloseHead + "answer", UntilCloseHead.size()}),
+                     testing::Bool()),
+    [](const auto &test) {
+        return std::get<0>(test.param).name + std::string(std::get<1>(test.param) ? "Reset" : "Closed");
+    });
+
+TEST_F(HttpClientTest, AStreamWithoutLengthThatEndsWithinAnEventIsNotComplete)
+{
+    const std::string answer = EventHead + Event + "id: 2\ndata: b\n\n";
+    for (std::size_t sent = 1; sent <= answer.size(); ++sent) {
+        m_peer.replies = {answer.substr(0, sent)};
+        m_peer.closeAfterReply = true;
+        Observed observed;
+        start(observed, {.newConnection = true});
+        finish(observed);
+        const bool behindEvent = sent == EventHead.size() + Event.size() || sent == answer.size();
+        EXPECT_EQ(observed.end->failure == CallFailure::None, behindEvent) << "cut after " << sent;
+    }
+}
+
 TEST_F(HttpClientTest, ABodyLargerThanOneReadArrivesWithoutWaiting)
 {
     // The body exceeds one read: the rest must be read without waiting for another epoll edge.
--- a/bergamot/net/internal/event_meter.h
+++ b/bergamot/net/internal/event_meter.h
@@ -29,6 +29,7 @@
             }
             if (m_lineEmpty) {
                 ended = true;
+                m_anyEvent = true;
                 m_openBytes = 0;
             }
             m_lineEmpty = true;
@@ -42,8 +43,15 @@
         return m_openBytes;
     }
 
+    /// Whether a stream that ends here may be complete: it has events, and ends behind one.
+    bool endsBehindEvent() const
+    {
+        return m_anyEvent && m_openBytes == 0;
+    }
+
 private:
     std::size_t m_openBytes = 0;
+    bool m_anyEvent = false;
     bool m_lineEmpty = true;
     bool m_afterReturn = false;
 };
--- a/bergamot/standins/faulty_tcp_server.cpp
+++ b/bergamot/standins/faulty_tcp_server.cpp
@@ -188,6 +188,9 @@
     case TcpFault::HalfAnswer:
         sendAll(descriptor, answerHead(m_options) + m_options.body.substr(0, m_options.body.size() / 2));
         return Next::Close;
+    case TcpFault::CutAnswer:
+        sendAll(descriptor, wholeAnswer().substr(0, m_options.answerBytes));
+        return Next::Close;
     case TcpFault::LateAnswer:
         return waitForRelease() ? answer(descriptor) : Next::Close;
     case TcpFault::Silent:
@@ -199,10 +202,15 @@
 
 FaultyTcpServer::Next FaultyTcpServer::answer(int descriptor) const
 {
-    sendAll(descriptor, answerHead(m_options) + m_options.body);
+    sendAll(descriptor, wholeAnswer());
     return Next::GoOn;
 }
 
+std::string FaultyTcpServer::wholeAnswer() const
+{
+    return answerHead(m_options) + m_options.body;
+}
+
 void FaultyTcpServer::record(std::string request)
 {
     {
--- a/bergamot/standins/faulty_tcp_server.h
+++ b/bergamot/standins/faulty_tcp_server.h
@@ -29,6 +29,7 @@
     CloseDuringRequest, // after the first byte
     CloseAfterRequest, // without an answer
     HalfAnswer, // the head and a part of the body, then closes
+    CutAnswer, // the first `answerBytes` of head and body, then closes
     LateAnswer, // once `releaseLateAnswers` is called
     Silent, // reads on, answers nothing for good
 };
@@ -40,6 +41,7 @@
     std::uint32_t faultyConnections = std::numeric_limits<std::uint32_t>::max(); // later ones have no fault
     int status = 200;
     std::string body = "{}";
+    std::size_t answerBytes = 0; // for `TcpFault::CutAnswer`
 };
 
 /// Thread-safe. Reads requests with Content-Length or without body.
@@ -55,6 +57,8 @@
     Address address() const;
     /// New connections are refused, open ones go on. The port stays reserved.
     void refuseConnections();
+    /// What an answer without a fault sends.
+    std::string wholeAnswer() const;
     /// Sends the answers held back by `TcpFault::LateAnswer`; later ones are not held back.
     void releaseLateAnswers();
 
--- a/bergamot/standins/faulty_tcp_server_test.cpp
+++ b/bergamot/standins/faulty_tcp_server_test.cpp
@@ -80,6 +80,21 @@
         return test.param.name;
     });
 
+TEST(FaultyTcpServer, showsThatAnAnswerThatIsCutAfterAnyByteIsNoSuccess)
+{
+    const FaultyTcpServerOptions options{.fault = TcpFault::CutAnswer, .body = R"({"whole":true})"};
+    const std::size_t whole = FaultyTcpServer(options).wholeAnswer().size();
+    for (std::size_t sent = 0; sent < whole; ++sent) {
+        FaultyTcpServerOptions cut = options;
+        cut.answerBytes = sent;
+        FaultyTcpServer server(cut);
+        HttpClient client;
+        const CallOutcome outcome = post(client, server.address(), false, Patience);
+        ASSERT_FALSE(outcome) << "cut after " << sent << " of " << whole << " bytes";
+        EXPECT_EQ(outcome.error().delivery, Delivery::MaybeRan) << "cut after " << sent;
+    }
+}
+
 TEST(FaultyTcpServer, answersLateOnceReleased)
 {
     FaultyTcpServer server({.fault = TcpFault::LateAnswer});
