--- a/bergamot/fleet/entry_order.h
+++ b/bergamot/fleet/entry_order.h
@@ -7,8 +7,8 @@
 //     order.admit({.incarnation = 100, .sequence = 6}); // false: written before
 //
 // Load pattern: the store carries out a write seconds after it was sent, so an endpoint's "ready" is appended after its
-// "draining", after its removal, or after the first entry of the process that has replaced it. An entry is appended
-// only when it changes, so no later record puts that right.
+// "draining", after its removal, or after the first entry of the process that has replaced it. Where entries are
+// appended only when they change, no later record puts that right.
 
 #include <algorithm>
 #include <cstdint>
