fleet: a late entry of an earlier process that was never seen does not put the running one out

EntryOrder took a process for an earlier one only if another was seen to follow it, so that a clock that was set back would do no harm. An instance that starts reads the running process first; the late entry of the process before it then looked like a new one, and all that the running process wrote was refused as outdated. Ruled out: the start time alone (a process whose clock was set back would stay unused). Change: a process with an earlier start time counts from its second heartbeat on; in between any entry of the newest takes the doubt back.

--- a/bergamot/fleet/entry_order.h
+++ b/bergamot/fleet/entry_order.h
@@ -10,10 +10,9 @@
 // "draining", after its removal, or after the first entry of the process that has replaced it. Where entries are
 // appended only when they change, no later record puts that right.
 
-#include <algorithm>
 #include <cstdint>
-#include <deque>
 #include <optional>
+#include <utility>
 
 #include "bergamot/base/clock.h"
 
@@ -23,7 +22,7 @@
 /// Which entry of an endpoint it is.
 struct EntryVersion
 {
-    std::uint64_t incarnation = 0; // 0: not known
+    std::uint64_t incarnation = 0; // start time of the process; 0: not known
     std::optional<std::uint64_t> sequence; // number of the heartbeat that wrote it, counted from the start
 };
 
@@ -31,28 +30,15 @@
 class EntryOrder
 {
 public:
-    /// Returns whether the entry is to be used: it is not known to be older than the newest one, or than its removal.
-    /// The start time of a process does not tell its age, since clocks may be set back; a process is an earlier one if
-    /// another one has followed it.
+    /// Returns whether the entry is to be used: it is not older than the newest one, or than its removal. An entry of
+    /// a process that started earlier counts from its second heartbeat on: a clock may have been set back.
     bool admit(const EntryVersion &version)
     {
-        if (std::find(m_earlier.begin(), m_earlier.end(), version.incarnation) != m_earlier.end()) {
+        if (isOlder(version)) {
             return false;
         }
-        if (version.incarnation == m_newest.incarnation && version.incarnation != 0 && version.sequence
-            && m_newest.sequence) {
-            const bool repeated = *version.sequence == *m_newest.sequence && m_removedAt;
-            if (*version.sequence < *m_newest.sequence || repeated) {
-                return false;
-            }
-        }
-        if (m_newest.incarnation != 0 && version.incarnation != 0 && m_newest.incarnation != version.incarnation) {
-            m_earlier.push_back(m_newest.incarnation);
-            if (m_earlier.size() > MaxEarlier) {
-                m_earlier.pop_front();
-            }
-        }
         m_newest = version;
+        m_doubted = {};
         m_removedAt.reset();
         return true;
     }
@@ -70,10 +56,23 @@
     }
 
 private:
-    static constexpr std::size_t MaxEarlier = 4; // processes that are remembered
+    bool isOlder(const EntryVersion &version)
+    {
+        const bool known =
+            version.incarnation != 0 && version.sequence && m_newest.incarnation != 0 && m_newest.sequence;
+        if (!known || version.incarnation > m_newest.incarnation) {
+            return false;
+        }
+        if (version.incarnation == m_newest.incarnation) {
+            const bool repeated = *version.sequence == *m_newest.sequence && m_removedAt;
+            return *version.sequence < *m_newest.sequence || repeated;
+        }
+        const EntryVersion doubted = std::exchange(m_doubted, version);
+        return doubted.incarnation != version.incarnation || *version.sequence <= *doubted.sequence;
+    }
 
     EntryVersion m_newest;
-    std::deque<std::uint64_t> m_earlier; // incarnations that were followed by another one
+    EntryVersion m_doubted; // the last one of a process that started earlier than the newest
     std::optional<TimePoint> m_removedAt;
 };
 
