dispatch: a model without an engine that serves it gets another one

Cause: ModelAssignments::update moved an engine only to a model that was two engines short, and only from one with a surplus. A model whose share is one engine is never two short.

Ruled out: the limit of concurrent loads (none was in progress) and the lease of orders (the owner had not changed): the logs show no load-planned of the model after endpoint-gone.

Change: each model gets its first engine before any gets a second one; a model whose samples wait 3 s without an engine that may run them gets one more. This covers planned removal, a model that is named last, a new owner, engines that back off, may not be ordered, or whose loads fail or never end, and a route that moves to another service. engine-assigned logs each decision. ModelAssignments has a file of its own; update takes the time and returns the changes, so its calls in load_planner_test have one more argument.

With fewer engines than models that all have waiting samples, the others wait.

--- a/bergamot/dispatch/load_planner.cpp
+++ b/bergamot/dispatch/load_planner.cpp
@@ -10,44 +10,6 @@
 namespace
 {
 
-/// Divides `engines` among the models in proportion to their work; each model gets at least one. A model whose work is
-/// unknown counts with the average of the others.
-std::map<std::string, std::size_t> engineCountByModel(std::size_t engines,
-                                                      const std::map<std::string, ModelDemand> &demand)
-{
-    double totalWork = 0;
-    double knownWork = 0;
-    std::size_t modelsWithKnownWork = 0;
-    for (const auto &[model, modelDemand] : demand) {
-        knownWork += modelDemand.slotSeconds;
-        modelsWithKnownWork += modelDemand.slotSeconds > 0 ? 1 : 0;
-    }
-    const double averageWork = modelsWithKnownWork == 0 ? 1 : knownWork / static_cast<double>(modelsWithKnownWork);
-    const auto work = [averageWork](const ModelDemand &modelDemand) {
-        return modelDemand.slotSeconds > 0 ? modelDemand.slotSeconds : averageWork;
-    };
-    for (const auto &[model, modelDemand] : demand) {
-        totalWork += work(modelDemand);
-    }
-    std::map<std::string, std::size_t> result;
-    std::vector<std::pair<double, std::string>> remainders;
-    std::size_t allocated = 0;
-    for (const auto &[model, modelDemand] : demand) {
-        const double exact = static_cast<double>(engines) * work(modelDemand) / totalWork;
-        result[model] = std::max<std::size_t>(1, static_cast<std::size_t>(exact));
-        allocated += result[model];
-        remainders.emplace_back(exact - std::floor(exact), model);
-    }
-    std::sort(remainders.rbegin(), remainders.rend());
-    for (const auto &[remainder, model] : remainders) {
-        if (allocated < engines) {
-            ++result[model];
-            ++allocated;
-        }
-    }
-    return result;
-}
-
 /// An engine that may load the newest version of its assigned model now.
 struct PossibleLoad
 {
@@ -114,99 +76,13 @@
 
 } // namespace
 
-void ModelAssignments::update(const std::vector<LoadCandidate> &engines,
-                              const std::map<std::string, ModelDemand> &demand,
-                              const LoadPlannerOptions &options)
-{
-    if (demand.empty() || engines.empty()) {
-        return;
-    }
-    std::map<std::string, std::vector<std::string>> assigned; // engines by model
-    std::vector<std::string> unassigned;
-    std::map<std::string, std::string> keptAssignments;
-    std::uint64_t slots = 0;
-    for (const LoadCandidate &engine : engines) {
-        slots += engine.slots;
-        if (engine.draining) {
-            continue;
-        }
-        const auto assignedModel = m_modelByEngine.find(engine.engine);
-        if (assignedModel != m_modelByEngine.end() && demand.contains(assignedModel->second)) {
-            assigned[assignedModel->second].push_back(engine.engine);
-            keptAssignments.insert(*assignedModel);
-        } else {
-            unassigned.push_back(engine.engine);
-        }
-    }
-    m_modelByEngine = std::move(keptAssignments);
-    std::map<std::string, std::size_t> targetCounts = engineCountByModel(engines.size(), demand);
-    const double averageSlots = static_cast<double>(slots) / static_cast<double>(engines.size());
-    for (auto &[model, count] : targetCounts) {
-        const double samples = demand.at(model).peakSamples;
-        if (samples > 0) {
-            count =
-                std::min(count, static_cast<std::size_t>(std::ceil(samples * options.slotsPerSample / averageSlots)));
-        }
-    }
-    const auto shortage = [&](const std::string &model) {
-        return static_cast<std::ptrdiff_t>(targetCounts.at(model))
-            - static_cast<std::ptrdiff_t>(assigned[model].size());
-    };
-    const auto modelWithLargestShortage = [&] {
-        return std::max_element(targetCounts.begin(),
-                                targetCounts.end(),
-                                [&](const auto &left, const auto &right) {
-                                    return shortage(left.first) < shortage(right.first);
-                                })
-            ->first;
-    };
-    for (const std::string &engine : unassigned) {
-        const std::string model = modelWithLargestShortage();
-        if (shortage(model) <= 0) {
-            break;
-        }
-        assigned[model].push_back(engine);
-        m_modelByEngine[engine] = model;
-    }
-    constexpr std::ptrdiff_t MinShortageToMove = 2; // each move costs a load
-    for (auto &[model, count] : targetCounts) {
-        const auto surplus = MinShortageToMove + static_cast<std::ptrdiff_t>(count / 4);
-        std::vector<std::string> &from = assigned[model];
-        while (demand.at(model).peakSamples > 0 && -shortage(model) >= surplus) {
-            m_modelByEngine.erase(from.back());
-            from.pop_back();
-        }
-    }
-    for (std::string receiver = modelWithLargestShortage(); shortage(receiver) >= MinShortageToMove;
-         receiver = modelWithLargestShortage()) {
-        const auto donor =
-            std::min_element(targetCounts.begin(), targetCounts.end(), [&](const auto &left, const auto &right) {
-                return shortage(left.first) < shortage(right.first);
-            });
-        std::vector<std::string> &from = assigned[donor->first];
-        if (shortage(donor->first) >= 0 || from.empty()) {
-            return;
-        }
-        assigned[receiver].push_back(from.back());
-        m_modelByEngine[from.back()] = receiver;
-        from.pop_back();
-    }
-}
-
-const std::string &ModelAssignments::modelOf(const std::string &engine) const
-{
-    static const std::string noModel;
-    const auto found = m_modelByEngine.find(engine);
-    return found == m_modelByEngine.end() ? noModel : found->second;
-}
-
 std::vector<PlannedLoad> nextLoads(const std::vector<LoadCandidate> &engines,
                                    const std::map<std::string, ModelDemand> &demand,
                                    const ModelAssignments &assignments,
                                    const LoadPlannerOptions &options)
 {
     auto loading = std::count_if(engines.begin(), engines.end(), [](const LoadCandidate &engine) {
-        return engine.loading;
+        return engine.loading && !engine.loadOverdue; // a load that may never end must not stop all others
     });
     const auto maxLoading = std::max(1L, std::lround(static_cast<double>(engines.size()) * options.maxLoadingShare));
     if (loading >= maxLoading) {
--- a/bergamot/dispatch/load_planner.h
+++ b/bergamot/dispatch/load_planner.h
@@ -15,9 +15,13 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "bergamot/base/clock.h"
+
 namespace bergamot::dispatch
 {
 
@@ -25,10 +29,12 @@
 struct LoadCandidate
 {
     std::string engine;
+    std::string service;
     std::map<std::string, std::uint64_t> versions; // weight version by model name
     std::uint32_t runs = 0; // samples in flight
     std::uint32_t slots = 1;
     bool loading = false;
+    bool loadOverdue = false; // its load takes much longer than a load takes
     bool acceptsRuns = false; // neither draining nor backing off after a failure
     bool mayOrderLoad = false; // no load order of an earlier pool owner can still reach the engine
     bool draining = false;
@@ -44,6 +50,7 @@
     std::size_t waitingSamples = 0; // samples that are not assigned to an engine
     // True: runs continue under the new weights. False: a load waits until they have finished.
     bool runsContinueAcrossLoads = false;
+    std::set<std::string> services; // whose engines may run its samples; empty: not known, so any
 };
 
 struct LoadPlannerOptions
@@ -54,6 +61,9 @@
     double readyShare = 0.5;
     double slotsPerSample = 1.5; // slots with new weights per sample; a third of these slots may be at engines that are
                                  // lost, slow or loading
+    // For which samples of a model wait without an engine that may run them, before the model gets another engine:
+    // longer than a load and its retry take.
+    Duration unservedModelPatience = std::chrono::seconds(3);
 };
 
 /// An order to one engine to load a weight version.
@@ -64,26 +74,54 @@
     std::uint64_t version = 0;
 };
 
+/// Why an engine was assigned to another model.
+enum class AssignmentReason {
+    FirstEngine, // the model had no engine
+    UnservedModel, // samples have waited too long and no engine may run them
+    BelowTarget, // the model has fewer engines than its share
+    Surplus, // the model before has more engines than its samples fill
+    UnusableService, // the engine's service may not run the samples of the model before
+};
+
+std::string_view assignmentReasonName(AssignmentReason reason);
+
+/// An engine that has another assignment than before.
+struct AssignmentChange
+{
+    std::string engine;
+    std::string from; // model; empty: none
+    std::string to; // model; empty: none
+    AssignmentReason reason = AssignmentReason::BelowTarget;
+    std::size_t assigned = 0; // engines of the model that `reason` is about, after the change
+    std::size_t target = 0; // its share of the engines
+};
+
 /// Assigns each engine the one model whose new versions it loads. Loading several models on every engine would take
 /// longer than the time between two versions, so each model gets a share of the engines in proportion to its work, and
 /// no more engines than its samples fill. The remaining engines load nothing.
 ///
 ///     ModelAssignments assignments;
-///     assignments.update(engines, demand, options);
+///     assignments.update(engines, demand, options, now);
 ///     assignments.modelOf("engine-1"); // the name of a model, or empty if the engine is unassigned
+///
+/// Each model gets its first engine before any model gets a second one. With fewer engines than models, a model with
+/// waiting samples takes the engine of a model without any; among models with waiting samples, the one that has an
+/// engine keeps it.
 class ModelAssignments
 {
 public:
-    /// Assigns new engines and removes draining ones. Other assignments change only if a model is at least two engines
-    /// short, or has about a quarter more than it needs: each move costs a load.
-    void update(const std::vector<LoadCandidate> &engines,
-                const std::map<std::string, ModelDemand> &demand,
-                const LoadPlannerOptions &options);
+    /// Assigns new engines and removes draining ones. Other assignments change only if a model has no engine that can
+    /// serve it, is at least two engines short, or has about a quarter more than it needs: each move costs a load.
+    std::vector<AssignmentChange> update(const std::vector<LoadCandidate> &engines,
+                                         const std::map<std::string, ModelDemand> &demand,
+                                         const LoadPlannerOptions &options,
+                                         TimePoint now);
     /// The model that the engine is assigned to; empty if there is none.
     const std::string &modelOf(const std::string &engine) const;
 
 private:
     std::map<std::string, std::string> m_modelByEngine; // model name by engine id
+    std::map<std::string, TimePoint> m_unservedSince; // by model
 };
 
 /// Returns the loads to start now, the most urgent first.
--- a/bergamot/dispatch/load_planner_test.cpp
+++ b/bergamot/dispatch/load_planner_test.cpp
@@ -39,7 +39,7 @@
 TEST_P(PlanTest, EnginesWithTooOldWeightsLoadFirstAndOthersOnlyWhenNoSampleWaits)
 {
     ModelAssignments assignments;
-    assignments.update(GetParam().engines, {{"m", GetParam().demand}}, {});
+    assignments.update(GetParam().engines, {{"m", GetParam().demand}}, {}, TimePoint{});
     const std::vector<PlannedLoad> loads = nextLoads(GetParam().engines, {{"m", GetParam().demand}}, assignments, {});
     EXPECT_EQ(loads.empty() ? "" : loads[0].engine, GetParam().engine);
     EXPECT_LE(loads.size(), 1U) << "at most a fifth of the engines, but at least one, may load at once";
@@ -111,7 +111,7 @@
     const std::map<std::string, ModelDemand> demand{
         {"m", {.newestVersion = 5, .minVersion = GetParam().oldestAllowed}}};
     ModelAssignments assignments;
-    assignments.update(engines, demand, {});
+    assignments.update(engines, demand, {}, TimePoint{});
     EXPECT_EQ(nextLoads(engines, demand, assignments, {.maxLoadingShare = 1}).size(), GetParam().loads);
 }
 
@@ -152,7 +152,7 @@
         {"b", {.newestVersion = 3, .minVersion = 2, .waitingSamples = GetParam().waitingB}},
         {"c", {.newestVersion = 3, .minVersion = 2}}};
     ModelAssignments assignments;
-    assignments.update(engines, demand, {});
+    assignments.update(engines, demand, {}, TimePoint{});
     std::map<std::string, std::size_t> loads;
     for (const PlannedLoad &load : nextLoads(engines, demand, assignments, {})) {
         EXPECT_EQ(assignments.modelOf(load.engine), load.model);
@@ -199,7 +199,7 @@
         demand[model].slotSeconds = slotSeconds;
     }
     ModelAssignments assignments;
-    assignments.update(engines, demand, {});
+    assignments.update(engines, demand, {}, TimePoint{});
     std::map<std::string, std::size_t> counted;
     for (const LoadCandidate &candidate : engines) {
         ++counted[assignments.modelOf(candidate.engine)];
@@ -237,8 +237,8 @@
         engines.push_back(engine(("e" + std::to_string(number)).c_str(), 1));
     }
     ModelAssignments assignments;
-    assignments.update(engines, {{"m", {}}}, {});
-    assignments.update(engines, {{"m", {.peakSamples = GetParam().peakSamples}}}, {});
+    assignments.update(engines, {{"m", {}}}, {}, TimePoint{});
+    assignments.update(engines, {{"m", {.peakSamples = GetParam().peakSamples}}}, {}, TimePoint{});
     const auto count = std::count_if(engines.begin(), engines.end(), [&](const LoadCandidate &candidate) {
         return !assignments.modelOf(candidate.engine).empty();
     });
@@ -261,11 +261,11 @@
     std::vector<LoadCandidate> engines = makeTwelveEngines();
     ModelAssignments assignments;
     const std::map<std::string, ModelDemand> demand{{"m", {.peakSamples = 16}}};
-    assignments.update(engines, demand, {});
+    assignments.update(engines, demand, {}, TimePoint{});
     for (LoadCandidate &candidate : engines) {
         candidate.draining = !assignments.modelOf(candidate.engine).empty();
     }
-    assignments.update(engines, demand, {});
+    assignments.update(engines, demand, {}, TimePoint{});
     const auto assignedCount = std::count_if(engines.begin(), engines.end(), [&](const LoadCandidate &candidate) {
         return !candidate.draining && assignments.modelOf(candidate.engine) == "m";
     });
@@ -276,12 +276,12 @@
 {
     const std::vector<LoadCandidate> engines = makeTwelveEngines();
     ModelAssignments assignments;
-    assignments.update(engines, {{"a", {.slotSeconds = 10}}, {"b", {.slotSeconds = 10}}}, {});
+    assignments.update(engines, {{"a", {.slotSeconds = 10}}, {"b", {.slotSeconds = 10}}}, {}, TimePoint{});
     const std::string before = assignments.modelOf("e0");
-    assignments.update(engines, {{"a", {.slotSeconds = 10}}, {"b", {.slotSeconds = 12}}}, {});
+    assignments.update(engines, {{"a", {.slotSeconds = 10}}, {"b", {.slotSeconds = 12}}}, {}, TimePoint{});
     EXPECT_EQ(assignments.modelOf("e0"), before);
     std::size_t assignedToB = 0;
-    assignments.update(engines, {{"a", {.slotSeconds = 10}}, {"b", {.slotSeconds = 30}}}, {});
+    assignments.update(engines, {{"a", {.slotSeconds = 10}}, {"b", {.slotSeconds = 30}}}, {}, TimePoint{});
     for (const LoadCandidate &candidate : engines) {
         assignedToB += assignments.modelOf(candidate.engine) == "b" ? 1U : 0U;
     }
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -87,6 +87,9 @@
     state.addedAt = now;
     state.items.reserve(batch.items.size());
     ModelStatistics &statistics = m_modelStatistics[batch.model];
+    if (state.policy) {
+        statistics.services = state.policy->services;
+    }
     const auto size = static_cast<double>(batch.items.size());
     statistics.itemsPerBatch = statistics.itemsPerBatch == 0
         ? size
@@ -148,6 +151,9 @@
     }
     state->policy = std::move(policy);
     state->routeRemoved = false;
+    if (state->policy) {
+        m_modelStatistics[state->model].services = state->policy->services;
+    }
 }
 
 void SampleScheduler::routeRemoved(const std::string &batch)
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -267,6 +267,9 @@
     std::uint64_t requiredVersion(const std::string &model) const;
     /// Whether every open batch of `model` allows texts that several versions generated.
     bool allowsMixedVersions(const std::string &model) const;
+    /// The services that may run the samples of the open batches of `model`; without an open batch, those of the last
+    /// one. Empty: not known.
+    std::set<std::string> services(const std::string &model) const;
     bool hasBatch(const std::string &batch) const;
     /// Number of checks whether an engine can run a sample, since the start: a measure of the cost of the assignment.
     std::uint64_t enginesExamined() const
@@ -394,6 +397,7 @@
         double peakOpenItems = 0; // decays with each new batch
         double eventsPerText = 0; // of complete texts; 0: none was complete
         double eventsPerExpectedToken = 0; // of those whose trainer estimated their length
+        std::vector<std::string> services; // that may run the samples of the last batch with a policy
     };
 
     static void addVersion(ItemState &item, std::uint64_t version);
--- a/bergamot/dispatch/sample_scheduler_queries.cpp
+++ b/bergamot/dispatch/sample_scheduler_queries.cpp
@@ -87,6 +87,21 @@
     });
 }
 
+std::set<std::string> SampleScheduler::services(const std::string &model) const
+{
+    std::set<std::string> result;
+    for (const auto &[id, batch] : m_batches) {
+        if (batch.model == model && batch.policy) {
+            result.insert(batch.policy->services.begin(), batch.policy->services.end());
+        }
+    }
+    const auto known = m_modelStatistics.find(model);
+    if (result.empty() && known != m_modelStatistics.end()) {
+        result.insert(known->second.services.begin(), known->second.services.end());
+    }
+    return result;
+}
+
 bool SampleScheduler::hasBatch(const std::string &batch) const
 {
     return m_batches.contains(batch);
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -39,6 +39,7 @@
     std::size_t maxBytesWithoutEvent = std::size_t{256} * 1024; // of the response to a run; an event is a few tokens
     Duration expectedLoadTime = std::chrono::milliseconds(920); // a load is assumed to be done after this time
     Duration confirmInterval = std::chrono::milliseconds(250); // reports lag by some hundred milliseconds
+    Duration loadOverdueAfter = std::chrono::seconds(4); // then the load may never end: others need not wait for it
     Duration loadTimeout = std::chrono::seconds(6); // an order without visible effect is repeated after this time
     Duration orderTimeout = std::chrono::milliseconds(700);
     Duration retryPause = std::chrono::milliseconds(250); // before a report request or a read of a batch is repeated
@@ -132,6 +133,7 @@
         std::string model;
         std::uint64_t version = 0;
         LoadPhase phase = LoadPhase::WritingIntent;
+        TimePoint beganAt{}; // of the first order, if it is repeated
         TimePoint phaseStart{};
         TimePoint intentAt{}; // start of writing the intent; once written, when the acknowledged call was sent
         bool assumedLoaded = false; // expected to be done; waits for confirmation by a report
--- a/bergamot/node/engine_pool_loads.cpp
+++ b/bergamot/node/engine_pool_loads.cpp
@@ -18,24 +18,39 @@
                          .newestVersion = version,
                          .minVersion = m_scheduler.requiredVersion(model),
                          .waitingSamples = m_scheduler.waitingItems(model),
-                         .runsContinueAcrossLoads = m_scheduler.allowsMixedVersions(model)};
+                         .runsContinueAcrossLoads = m_scheduler.allowsMixedVersions(model),
+                         .services = m_scheduler.services(model)};
     }
     std::vector<dispatch::LoadCandidate> candidates;
     for (dispatch::SampleScheduler::EngineStatus &engine : m_scheduler.engineStatuses(now)) {
         const auto earliestNextLoad = m_earliestNextLoad.find(engine.id);
         const bool paused = earliestNextLoad != m_earliestNextLoad.end() && now < earliestNextLoad->second;
+        const auto load = m_loads.find(engine.id);
         candidates.push_back(
             {.engine = engine.id,
+             .service = std::move(engine.service),
              .versions = std::move(engine.versions),
              .runs = engine.runs,
              .slots = engine.slots,
              // An engine counts as loading until its load is confirmed: concurrent loads slow each other down.
-             .loading = engine.loading || m_loads.contains(engine.id),
+             .loading = engine.loading || load != m_loads.end(),
+             .loadOverdue = load != m_loads.end() && now - load->second.beganAt > m_options.loadOverdueAfter,
              .acceptsRuns = engine.acceptsRuns && !paused,
              .mayOrderLoad = m_log.ownership().mayOrderLoad(engine.id, now),
              .draining = engine.draining});
     }
-    m_modelAssignments.update(candidates, demand, m_options.loads);
+    for (const dispatch::AssignmentChange &change :
+         m_modelAssignments.update(candidates, demand, m_options.loads, now)) {
+        m_eventLog.write(EventKind::State,
+                         "engine-assigned",
+                         {{"engine", change.engine},
+                          {"from", change.from},
+                          {"model", change.to},
+                          {"assigned", std::to_string(change.assigned)},
+                          {"target", std::to_string(change.target)},
+                          {"engines", std::to_string(candidates.size())},
+                          {"reason", std::string(dispatch::assignmentReasonName(change.reason))}});
+    }
     for (const dispatch::PlannedLoad &planned : nextLoads(candidates, demand, m_modelAssignments, m_options.loads)) {
         beginLoad(planned);
     }
@@ -44,10 +59,13 @@
 void EnginePool::beginLoad(const dispatch::PlannedLoad &planned)
 {
     m_scheduler.loadStarted(planned.engine, planned.model);
+    const auto earlier = m_loads.find(planned.engine);
+    const TimePoint beganAt = earlier == m_loads.end() ? BootClock::now() : earlier->second.beganAt;
     Load &load = m_loads[planned.engine];
     load = {.engine = planned.engine,
             .model = planned.model,
             .version = planned.version,
+            .beganAt = beganAt,
             .phaseStart = BootClock::now(),
             .intentAt = BootClock::now()};
     m_eventLog.write(
