node: a stopping instance takes only calls that can end in time, and answers the rest

Other operators report the same of requests that may not be repeated, in a calm stop.

Cause: Node::stop refused nothing and Node::continueDrain ended the process with whatever was pending; Router::stopAccepting had no caller in the node.

Ruled out: readiness (the node is not ready from the signal on; the platform uses all nodes when fewer than half are ready), and passing calls on through a peer (its answer comes back through the connection that ends).

Change: StopPolicy takes a call if its budget ends before the process; in the first 2.6 s also a longer one, unless calls of its route have lasted longer than the time left. Others get 503 as not run, with Retry-After 0 while another instance serves. At the end every call gets an answer: not run if it never left, 502 or 504 otherwise; readers wait no longer than the time that is left.

Streams read in the first 3 s that still run at the end are cut off, as before; so are bytes that a slow caller has not read (docs/incidents/late-calls-of-a-stop.md).

--- a/bergamot/dispatch/model_assignments.cpp
+++ b/bergamot/dispatch/model_assignments.cpp
@@ -206,8 +206,9 @@
 
     void releaseSurplus()
     {
-        for (const auto &[model, target] : m_targets) {
-            const auto surplus = MinShortageToMove + static_cast<std::ptrdiff_t>(target / 4);
+        for (const auto &entry : m_targets) {
+            const std::string &model = entry.first;
+            const auto surplus = MinShortageToMove + static_cast<std::ptrdiff_t>(entry.second / 4);
             std::vector<const LoadCandidate *> &from = m_assigned[model];
             while (m_demand.at(model).peakSamples > 0 && -shortage(model) >= surplus) {
                 const auto unable = std::find_if(from.rbegin(), from.rend(), [&](const LoadCandidate *engine) {
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -446,6 +446,15 @@
     }
 }
 
+void HttpServer::answerPending(const Response &response)
+{
+    drain(); // else a later response of an exchange would answer the next request on its connection
+    const std::vector<std::shared_ptr<Connection>> connections(m_connections.begin(), m_connections.end());
+    for (const std::shared_ptr<Connection> &connection : connections) {
+        connection->respond(response); // no effect without a request; ends a stream that has begun
+    }
+}
+
 void HttpServer::stopListening()
 {
     error_code ignored; // a failure to close cannot be handled
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -87,6 +87,9 @@
     void drain();
     /// Closes the connections that are waiting for a request.
     void closeIdle();
+    /// Drains, and sends the response to every request that has none yet; later responses of their exchanges have no
+    /// effect. A stream that has begun is aborted.
+    void answerPending(const Response &response);
     /// Stops listening.
     void stopListening();
     std::size_t connections() const;
--- a/bergamot/net/http_server_test.cpp
+++ b/bergamot/net/http_server_test.cpp
@@ -231,6 +231,19 @@
     EXPECT_EQ(m_server.connections(), 0U);
 }
 
+TEST_F(HttpServerTest, APendingRequestIsAnsweredOnceForAll)
+{
+    send("GET /1 HTTP/1.1\r\n\r\n");
+    awaitRequests(1);
+    m_server.answerPending({.status = 504, .body = "the last"});
+    m_exchanges.front()->respond({.body = "too late"});
+    std::string received = receive("the last");
+    EXPECT_NE(received.find("HTTP/1.1 504"), std::string::npos);
+    received += receive("never");
+    EXPECT_TRUE(m_connectionEnded);
+    EXPECT_EQ(received.find("too late"), std::string::npos);
+}
+
 TEST_F(HttpServerTest, AnIncompleteRequestHeadTimesOut)
 {
     m_server.setLimits({.requestTimeout = 50ms});
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -25,10 +25,8 @@
 constexpr Duration MaxConfigurationAge =
     std::chrono::milliseconds(1500); // with an older configuration, a route that is not in it may still exist
 constexpr Duration MaxStoreSilence = std::chrono::milliseconds(1500); // two long polls without a response
-constexpr Duration MinDrainTime =
-    std::chrono::milliseconds(2600); // the platform reacts to two failed readiness checks, a second apart
-constexpr Duration MaxTellTime = std::chrono::seconds(2); // in which a stop waits for an owner to tell its usage
-constexpr Duration GraceMargin = std::chrono::milliseconds(700); // left before the process is killed
+constexpr Duration MaxTellTime =
+    std::chrono::milliseconds(4600); // from the stop request, in which an owner has to tell its usage
 constexpr Duration FirstAnnounceJitter = std::chrono::milliseconds(800); // hundreds of instances start at once
 constexpr Duration OrderLeaseMargin = std::chrono::milliseconds(400); // orders reach their engine within this time
 constexpr Duration DefaultCallerWait = std::chrono::seconds(30); // for a caller that sends no deadline
@@ -171,7 +169,10 @@
 private:
     void count(int status)
     {
-        m_node.m_metrics.recordRequest(m_route, status, BootClock::now() - m_exchange->receivedAt());
+        const TimePoint now = BootClock::now();
+        const Duration duration = now - m_exchange->receivedAt();
+        m_node.m_metrics.recordRequest(m_route, status, duration);
+        m_node.m_stopPolicy.recordCall(m_route, duration, now);
     }
 
     Node &m_node;
@@ -224,6 +225,7 @@
                    })
     , m_tickTimer(loop)
     , m_drainTimer(loop)
+    , m_stopPolicy({.grace = m_options.gracePeriod})
 { }
 
 Node::~Node() = default;
@@ -364,17 +366,17 @@
 
 void Node::stop(std::function<void()> stopped)
 {
-    if (m_stopping) {
+    if (m_stopPolicy.stopping()) {
         return;
     }
+    const TimePoint now = BootClock::now();
     m_log.write(EventKind::State, "stop-requested", {{"pending", std::to_string(m_callerServer.pending())}});
-    m_stopping = true;
+    m_stopPolicy.stopRequested(now);
     m_stoppedHandler = std::move(stopped);
-    m_stopRequestedAt = BootClock::now();
     m_callerServer.drain();
     m_relayService.stop();
     m_usage.stop();
-    announce(m_stopRequestedAt, true);
+    announce(now, true);
     m_pool.save();
     m_batchLog.stopClaiming();
     continueDrain();
@@ -382,15 +384,17 @@
 
 void Node::continueDrain()
 {
-    const Duration elapsed = BootClock::now() - m_stopRequestedAt;
-    if (elapsed >= MinDrainTime) {
+    const TimePoint now = BootClock::now();
+    if (m_stopPolicy.mayCloseIdle(now)) {
         m_callerServer.closeIdle();
     }
+    if (m_stopPolicy.mustEndCalls(now) && !std::exchange(m_callsEnded, true)) {
+        endCalls();
+    }
     const bool idle = m_callerServer.pending() == 0 && m_callerServer.connections() == 0
         && m_relayService.pending() == 0 && m_batchLog.unwrittenRecords() == 0;
-    const bool told = m_usage.told() || elapsed >= MinDrainTime + MaxTellTime;
-    const bool outOfTime = elapsed >= m_options.gracePeriod - GraceMargin;
-    if ((elapsed >= MinDrainTime && idle && told) || outOfTime) {
+    const bool told = m_usage.told() || m_stopPolicy.elapsed(now) >= MaxTellTime;
+    if ((m_stopPolicy.mayCloseIdle(now) && idle && told) || m_stopPolicy.mustEnd(now)) {
         m_callerServer.stopListening();
         m_log.write(EventKind::State, "stop", {{"pending", std::to_string(m_callerServer.pending())}});
         m_stoppedHandler();
@@ -404,6 +408,54 @@
     });
 }
 
+void Node::endCalls()
+{
+    m_log.write(EventKind::State,
+                "stop-ends-calls",
+                {{"pending", std::to_string(m_callerServer.pending())},
+                 {"forwarded", std::to_string(m_forwarder.pending())},
+                 {"relayed", std::to_string(m_relayService.pending())}});
+    m_callerServer.stopListening();
+    m_forwarder.stop();
+    // What has become of the others is not known here.
+    m_callerServer.answerPending({.status = GatewayTimeout, .body = "the instance stops"});
+}
+
+bool Node::takesCall(const fleet::Route &route, net::Exchange &exchange)
+{
+    const TimePoint now = BootClock::now();
+    const Duration budget = std::min(callerWait(exchange.request()), route.timeout) - (now - exchange.receivedAt());
+    if (m_stopPolicy.mayTake(route.name, budget, now)) {
+        return true;
+    }
+    const auto milliseconds = [](Duration duration) {
+        return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+    };
+    refuse(exchange,
+           Unavailable,
+           "stopping in " + milliseconds(m_stopPolicy.timeLeft(now)) + " ms; the call may take " + milliseconds(budget)
+               + " ms",
+           retryAfterStop());
+    return false;
+}
+
+Duration Node::retryAfterStop() const
+{
+    const auto &instances = m_batchLog.instances();
+    const bool othersServe = std::any_of(instances.begin(), instances.end(), [this](const auto &entry) {
+        return entry.first != m_options.instance && !entry.second.stopping;
+    });
+    return othersServe ? Duration::zero() : RetryElsewhere;
+}
+
+Duration Node::callerWait(const net::Request &request) const
+{
+    const std::string_view wait = request.headers.find(m_codec.headers().deadline).value_or("");
+    std::int64_t milliseconds = 0;
+    const bool hasDeadline = std::from_chars(wait.data(), wait.data() + wait.size(), milliseconds).ec == std::errc();
+    return hasDeadline ? durationOf(std::chrono::milliseconds(milliseconds)) : DefaultCallerWait;
+}
+
 void Node::probePoolOwner(const std::string &owner, const std::string &address)
 {
     const Result<Address> parsed = parseAddress(address);
@@ -455,6 +507,8 @@
         resumeStream(*route, caller, std::move(exchange));
     } else if (route->kind != fleet::RouteKind::Batch) {
         forwardRequest(*route, chooseService(*route, m_random), {}, caller, std::move(exchange));
+    } else if (request.method == "POST" && !takesCall(*route, *exchange)) {
+        return; // refused
     } else if (request.method == "POST") {
         m_batchService.submit(caller.tenant, caller.known, std::move(exchange));
     } else {
@@ -489,18 +543,17 @@
                           const Caller &caller,
                           std::shared_ptr<net::Exchange> exchange)
 {
+    if (!takesCall(route, *exchange)) {
+        return;
+    }
     const net::Request &request = exchange->request();
-    const std::string_view wait = request.headers.find(m_codec.headers().deadline).value_or("");
-    std::int64_t milliseconds = 0;
-    const bool hasDeadline = std::from_chars(wait.data(), wait.data() + wait.size(), milliseconds).ec == std::errc();
     ForwardRequest forwarded{.id = std::string(request.headers.find(m_codec.headers().requestId).value_or("")),
                              .request = request,
                              .route = route,
                              .service = service,
                              .receivedAt = exchange->receivedAt(),
                              .softwareVersion = softwareVersion,
-                             .callerTimeout =
-                                 hasDeadline ? durationOf(std::chrono::milliseconds(milliseconds)) : DefaultCallerWait};
+                             .callerTimeout = callerWait(request)};
     if (caller.known) {
         nameTenant(m_codec.headers(), caller.tenant, forwarded.request.headers);
         forwarded.tenant = caller.tenant;
@@ -526,7 +579,8 @@
 bool Node::ready() const
 {
     const TimePoint now = BootClock::now();
-    return !m_stopping && m_view.complete() && m_batchLog.started() && m_view.timeSinceResponse(now) <= MaxStoreSilence;
+    return !m_stopPolicy.stopping() && m_view.complete() && m_batchLog.started()
+        && m_view.timeSinceResponse(now) <= MaxStoreSilence;
 }
 
 void Node::refuse(net::Exchange &exchange, int status, std::string_view reason, Duration retryAfter)
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -29,6 +29,7 @@
 #include "bergamot/node/relay_client.h"
 #include "bergamot/node/relay_service.h"
 #include "bergamot/node/request_forwarder.h"
+#include "bergamot/node/stop_policy.h"
 #include "bergamot/node/stream_registry.h"
 #include "bergamot/node/usage_reporter.h"
 
@@ -89,8 +90,8 @@
     bool ready() const;
     /// Whether this instance owns the engines.
     bool ownsPool() const;
-    /// Stops gracefully: reports not ready, releases the pool, serves until no caller is left, at most for the grace
-    /// period, and closes; then `stopped` runs.
+    /// Stops gracefully: reports not ready, releases the pool, and serves until no caller is left, but for calls that
+    /// may not end within the grace period. At its end every call gets an answer; then `stopped` runs.
     void stop(std::function<void()> stopped);
 
 private:
@@ -148,6 +149,14 @@
     void scheduleTick();
     void tick();
     void continueDrain();
+    /// Gives every call that still waits its last answer.
+    void endCalls();
+    /// Whether a call on the route is taken, as far as a stop allows it; else it is refused as not run.
+    bool takesCall(const fleet::Route &route, net::Exchange &exchange);
+    /// How long the caller waits for the answer to its request.
+    Duration callerWait(const net::Request &request) const;
+    /// When a caller that is refused because of a stop may come again.
+    Duration retryAfterStop() const;
     void probePoolOwner(const std::string &owner, const std::string &address);
 
     boost::asio::io_context &m_loop;
@@ -175,8 +184,8 @@
     cost::OutlookSharing m_outlookSharing;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_drainTimer;
+    StopPolicy m_stopPolicy;
     std::function<void()> m_stoppedHandler;
-    TimePoint m_stopRequestedAt{};
     TimePoint m_announceAt{}; // time of the next announcement
     TimePoint m_reachAskedAt{}; // others were asked whether they reach endpoints
     TimePoint m_claimWantedAt{}; // since when a claim is put off; zero: not
@@ -185,7 +194,7 @@
     bool m_slownessReported = false; // an endpoint has reported how slow it is
     bool m_placesByCompletion = false;
     bool m_wasReady = false;
-    bool m_stopping = false;
+    bool m_callsEnded = false;
 };
 
 } // namespace bergamot::node
--- a/bergamot/node/node_admission.cpp
+++ b/bergamot/node/node_admission.cpp
@@ -86,11 +86,15 @@
     const auto scoped = [&caller](const std::string &batch) {
         return caller.known ? tenants::scopedId(caller.tenant, batch) : batch;
     };
-    if (std::holds_alternative<RoutedCall>(call)) {
+    const Duration timeLeft = m_stopPolicy.timeLeft(BootClock::now());
+    if (timeLeft == Duration::zero()) {
+        refuse(*exchange, Unavailable, "stopping", retryAfterStop());
+    } else if (std::holds_alternative<RoutedCall>(call)) {
         routeRequest(caller, std::move(exchange));
     } else if (const auto *read = std::get_if<ReadResultsCall>(&call)) {
-        m_batchService.readResults({.batch = scoped(read->batch), .after = read->after, .wait = read->wait},
-                                   std::move(exchange));
+        m_batchService.readResults(
+            {.batch = scoped(read->batch), .after = read->after, .wait = std::min(read->wait, timeLeft)},
+            std::move(exchange));
     } else if (const auto *item = std::get_if<ReadItemCall>(&call)) {
         m_batchService.readItem({.batch = scoped(item->batch), .item = item->item}, std::move(exchange));
     } else if (const auto *end = std::get_if<EndBatchCall>(&call)) {
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -254,6 +254,12 @@
     performActions();
 }
 
+void RequestForwarder::stop()
+{
+    m_router.stop(BootClock::now());
+    performActions();
+}
+
 std::size_t RequestForwarder::pending() const
 {
     return m_pending.size();
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -142,6 +142,9 @@
     RequestId forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink);
     /// Cancels a request; its sink is not called any more. No effect if the request has ended.
     void callerDisconnected(RequestId id);
+    /// Ends every request now: one that was not sent is refused as not run, any other as one that may have run. Later
+    /// requests are refused as not run.
+    void stop();
     /// Requests without a complete response.
     std::size_t pending() const;
 
--- a/bergamot/routing/router.cpp
+++ b/bergamot/routing/router.cpp
@@ -203,6 +203,21 @@
     m_accepting = false;
 }
 
+void Router::stop(TimePoint now)
+{
+    stopAccepting();
+    std::vector<RequestId> ids;
+    ids.reserve(m_pending.size());
+    for (const auto &[id, pending] : m_pending) {
+        ids.push_back(id);
+    }
+    for (const RequestId id : ids) {
+        if (Pending *pending = find(id)) {
+            endUnanswered(*pending, RefusalReason::ShuttingDown, "This instance is shutting down.", now);
+        }
+    }
+}
+
 void Router::tick(TimePoint now)
 {
     runTimers(now);
--- a/bergamot/routing/router.h
+++ b/bergamot/routing/router.h
@@ -72,6 +72,9 @@
     void onCallerDisconnected(RequestId id, TimePoint now);
     /// New requests are refused as not run from now on; requests that were accepted finish.
     void stopAccepting();
+    /// As `stopAccepting`, and every request that was accepted ends now: one that was not sent is refused as not run,
+    /// any other as one that may have run.
+    void stop(TimePoint now);
     /// While this instance is cut off from the endpoints, requests are refused as not sent; those that were sent go on.
     void setCutOff(bool cutOff, TimePoint now);
     /// From now on requests whose work is known go where they are expected to be complete first, whatever the domain.
@@ -210,6 +213,8 @@
     void refuseForLimit(Pending &pending, Duration retryAfter, TimePoint now);
     void runTimers(TimePoint now);
     void deadlinePassed(Pending &pending, TimePoint now);
+    /// Cancels the attempts of a request and refuses it.
+    void endUnanswered(Pending &pending, RefusalReason reason, const std::string &message, TimePoint now);
 
     // router_outcome.cpp: answers and failures
     std::optional<Attempt> takeAttempt(AttemptId id);
--- a/bergamot/routing/router_dispatch.cpp
+++ b/bergamot/routing/router_dispatch.cpp
@@ -324,6 +324,11 @@
 }
 
 void Router::deadlinePassed(Pending &pending, TimePoint now)
+{
+    endUnanswered(pending, RefusalReason::DeadlinePassed, "The deadline passed.", now);
+}
+
+void Router::endUnanswered(Pending &pending, RefusalReason reason, const std::string &message, TimePoint now)
 {
     if (!pending.attempts.empty()) {
         pending.outcome = RequestOutcome::MaybeRan;
@@ -332,7 +337,7 @@
     const RequestId id = pending.request.id;
     cancelAttempts(pending, now);
     target.queue.remove(id);
-    refuse(pending, {RefusalReason::DeadlinePassed, "The deadline passed.", retryAfter(target, Duration::zero())});
+    refuse(pending, {reason, message, retryAfter(target, Duration::zero())});
 }
 
 } // namespace bergamot
--- a/bergamot/routing/router_test.cpp
+++ b/bergamot/routing/router_test.cpp
@@ -145,6 +145,75 @@
     EXPECT_EQ(m_router.pending(), 0U);
 }
 
+struct StopCase
+{
+    const char *name;
+    void (*prepare)(Router &router, AttemptId attempt, TimePoint now);
+    std::optional<RequestOutcome> refusedAs; // none: its stream is aborted
+};
+
+class RouterStop : public RouterTest, public testing::WithParamInterface<StopCase>
+{ };
+
+// Guards against requests that have no answer when the process ends, and against a "not run" that is not true.
+TEST_P(RouterStop, EveryRequestEndsOnceAndTruly)
+{
+    const RequestId id = send();
+    ASSERT_EQ(m_dispatches.size(), 1U);
+    GetParam().prepare(m_router, m_dispatches[0].attempt, m_now);
+    collect();
+    m_router.stop(m_now);
+    collect();
+    EXPECT_EQ(m_ends[id], 1);
+    EXPECT_EQ(m_router.pending(), 0U);
+    EXPECT_EQ(m_refusals.contains(id), GetParam().refusedAs.has_value());
+    if (GetParam().refusedAs) {
+        EXPECT_EQ(m_refusals[id].outcome, *GetParam().refusedAs);
+        EXPECT_EQ(m_refusals[id].status == 503, *GetParam().refusedAs == RequestOutcome::RefusedNotRun);
+    } else {
+        EXPECT_EQ(m_aborted, std::vector<RequestId>{id});
+    }
+    pass(std::chrono::seconds(5));
+    EXPECT_EQ(m_dispatches.size(), 1U) << "nothing is sent after the stop";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Stages,
+    RouterStop,
+    testing::Values(StopCase{"InFlight", [](Router &, AttemptId, TimePoint) {}, RequestOutcome::MaybeRan},
+                    StopCase{"NotExecutedAtAnyEndpoint",
+                             [](Router &router, AttemptId attempt, TimePoint now) {
+                                 router.onView({.targets = {{"service/stock", {}}}}, now);
+                                 router.onAnswered(attempt, {.status = 503, .notRun = true}, now);
+                             },
+                             RequestOutcome::RefusedNotRun},
+                    StopCase{"StreamHasBegun",
+                             [](Router &router, AttemptId attempt, TimePoint now) {
+                                 router.onStreamStarted(attempt, now);
+                             },
+                             std::nullopt}),
+    [](const auto &test) {
+        return test.param.name;
+    });
+
+TEST_F(RouterTest, AStopRefusesWaitingRequestsAsNotRun)
+{
+    constexpr int Requests = 400; // more than the endpoints take at once
+    for (int count = 0; count < Requests; ++count) {
+        send();
+    }
+    const std::size_t sent = m_dispatches.size();
+    ASSERT_LT(sent + m_refusals.size(), static_cast<std::size_t>(Requests));
+    m_router.stop(m_now);
+    collect();
+    EXPECT_EQ(m_router.pending(), 0U);
+    EXPECT_EQ(m_router.queued(), 0U);
+    for (const auto &[id, refusal] : m_refusals) {
+        EXPECT_EQ(refusal.outcome == RequestOutcome::RefusedNotRun, dispatchesOf(id) == 0) << id;
+    }
+    EXPECT_EQ(m_refusals.size(), static_cast<std::size_t>(Requests));
+}
+
 TEST_F(RouterTest, LeavingEndpointGetsNoNewWork)
 {
     const RequestId running = send();
