dispatch: a large item passes others on, and gets an engine that is kept free for it

Cause: SampleScheduler::assign and assignTo left a batch at its first item that fits nowhere, and hasMemoryFor lets such an item start only at an engine without runs, which the items of younger batches prevented for as long as they came.

Ruled out: slots (half were free), versions (none was named), refusals by engines (no run of these items was sent).

Change: items that fit nowhere are passed over; an engine is reserved for the first ones, the one expected to have the memory first, for a quarter of the engines at most. A later item starts there only if it fits beside the reserved memory. An item larger than the memory of every engine is not tried any more. engine-reserved logs the decision.

--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -433,8 +433,10 @@
         engine.loadingModel.clear();
         engine.unconfirmedModel.clear();
         engine.probe = 0;
+        engine.reservedFor.reset();
         updateFreeEngines(engine);
     }
+    m_reservations.clear();
 }
 
 void SampleScheduler::commitResult(const ItemKey &key, ItemState &item, bool completed)
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -13,12 +13,17 @@
 // a batch the groups that its trainer waits for, and of these the longest items first. A run that breaks off or is slow
 // resumes at another engine after the last event that was received.
 //
+// Load pattern: few samples need most of an engine's memory, and others arrive all the time that fit beside the runs of
+// every engine. Samples behind one that fits nowhere may pass it; one engine is reserved for it meanwhile, the one that
+// is expected to have the memory first. No later sample starts there unless it fits beside the reserved memory.
+//
 // Load pattern: during a release, engines of two software versions serve side by side and runs break off as engines
 // leave. A text goes on only at an engine of the software version that began it. It waits for one that is busy no
 // longer than generating it again would take; without one it starts from its beginning.
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -129,7 +134,17 @@
     batch::ItemProgress progress;
 };
 
-using SchedulerAction = std::variant<StartRun, CancelRun, StartScoring, CancelScoring, CommitResult, SaveProgress>;
+/// From now on the engine is reserved for an item that needs much of its memory. For logs: nothing has to be done.
+struct EngineReserved
+{
+    ItemKey key;
+    std::string engine;
+    std::uint64_t itemTokens = 0;
+    std::uint64_t usedTokens = 0; // of the runs of the engine
+};
+
+using SchedulerAction =
+    std::variant<StartRun, CancelRun, StartScoring, CancelScoring, CommitResult, SaveProgress, EngineReserved>;
 
 /// How a run ended.
 enum class RunOutcome {
@@ -173,6 +188,7 @@
     Duration maxVersionWait = std::chrono::seconds(2); // of a text, for an engine of its software version
     Duration aliveRetention = std::chrono::minutes(1); // of what is known of an engine that was removed
     double maxMemoryShare = 0.95; // share of an engine's memory that the declared tokens of its runs may fill
+    double maxReservedShare = 0.25; // share of the engines that may be reserved for large items; at least one engine
 };
 
 /// Not thread-safe. Every call may add actions; collect them with `takeActions`.
@@ -367,6 +383,19 @@
         std::string unconfirmedModel; // the model whose version is not confirmed by the engine; empty: none
         RunId probe = 0; // run that will confirm the version; no other run of that model starts meanwhile
         bool registered = true; // part of the newest list of engines
+        std::optional<ItemKey> reservedFor; // a waiting item that needs much of its memory
+    };
+
+    /// The waiting items of a batch that do not start now.
+    struct PassedOver
+    {
+        std::set<std::uint32_t> positions; // texts that wait for an engine of their version
+        std::uint64_t tooManyTokens = std::numeric_limits<std::uint64_t>::max(); // items with so many fit nowhere
+
+        bool contains(std::uint32_t position, const ItemState &item) const
+        {
+            return item.item.maxTotalTokens >= tooManyTokens || positions.contains(position);
+        }
     };
 
     struct AliveProcess
@@ -405,17 +434,30 @@
     static EndpointProcess processOf(const EngineState &engine);
     /// Whether the engine can start a further run of the batch.
     bool canStartRun(const EngineState &engine, const BatchState &batch, TimePoint now);
-    /// Whether the memory of the engine holds the item beside its runs. An engine without runs takes any item.
-    bool hasMemoryFor(const EngineState &engine, const ItemState &item) const;
+    /// Whether the memory of the engine holds the item beside its runs and beside an earlier item that it is reserved
+    /// for. An engine without runs takes any item that its memory holds.
+    bool hasMemoryFor(const EngineState &engine, const BatchState &batch, const ItemState &item) const;
+    /// Whether the engine could run items of the batch if it had free slots and memory.
+    bool suits(const EngineState &engine, const BatchState &batch) const;
+    /// Drops the reservations of items that do not wait any more and of engines that do not suit them any more.
+    void reviewReservations();
+    /// Starts the items whose reserved engines have the memory now.
+    void startReserved(TimePoint now);
+    /// Reserves an engine for an item that fits nowhere, unless it has one or too many engines are reserved.
+    void reserveEngine(const ItemKey &key, const BatchState &batch, const ItemState &item, TimePoint now);
+    /// Estimated time until the runs of the engine leave enough memory for the item.
+    double secondsUntilFree(const EngineState &engine, const ItemState &item, TimePoint now) const;
     bool serves(const EngineState &engine, const BatchState &batch) const;
     /// Estimated time per event of a run, with the runs that the engine has now.
     double secondsPerEventWithLoad(const EngineState &engine) const;
     void updateMedianSecondsPerEvent();
-    /// The free engine with the lowest time per event that can run the item; null if there is none.
-    EngineState *bestEngine(const BatchState &batch, const ItemState &item, TextUse use, TimePoint now);
+    /// The free engine with the lowest time per event that can run the item; null if there is none. Sets `lacksMemory`
+    /// if a free engine could run it but for its memory.
+    EngineState *
+    bestEngine(const BatchState &batch, const ItemState &item, TextUse use, TimePoint now, bool *lacksMemory = nullptr);
     /// The engine at which a waiting item starts now; null if there is none. A text that cannot go on waits as long as
     /// `waitsForItsVersion`.
-    EngineState *place(const BatchState &batch, ItemState &item, TimePoint now);
+    EngineState *place(const BatchState &batch, ItemState &item, TimePoint now, bool &lacksMemory);
     /// Whether a run of the item at the engine may go on after its text.
     static bool continuesAt(const ItemState &item, const EngineState &engine);
     /// Whether the text of the item is worth waiting for a busy engine of its software version.
@@ -434,8 +476,8 @@
     /// start first.
     void orderItems(BatchState &batch);
     /// The waiting item to start next. While engines are limited, groups that have begun go first, as the trainer waits
-    /// for whole groups and not all will be complete. None if all are in `passedOver`, which holds start positions.
-    std::optional<std::uint32_t> nextToStart(const BatchState &batch, const std::set<std::uint32_t> &passedOver) const;
+    /// for whole groups and not all will be complete. None if all are passed over.
+    std::optional<std::uint32_t> nextToStart(const BatchState &batch, const PassedOver &passedOver) const;
     /// Starts waiting items at free engines, in the order of `batchesByUrgency`.
     void assign(TimePoint now);
     /// Starts waiting items in the free slots of one engine.
@@ -496,6 +538,7 @@
     std::map<std::string, BatchState> m_batches;
     std::map<std::uint64_t, std::string> m_batchByAcceptance; // batch id by order of acceptance
     std::map<RunId, Run> m_runs;
+    std::map<ItemKey, std::string> m_reservations; // engine by item
     std::map<std::string, ModelStatistics> m_modelStatistics; // by model name
     std::set<std::string> m_seenGroups; // groups of earlier batches; the trainer waits for those that it submits again
     std::vector<SchedulerAction> m_actions;
--- a/bergamot/dispatch/sample_scheduler_assignment.cpp
+++ b/bergamot/dispatch/sample_scheduler_assignment.cpp
@@ -70,14 +70,6 @@
     return {.endpoint = EndpointId(engine.description.id), .incarnation = engine.description.incarnation};
 }
 
-bool SampleScheduler::hasMemoryFor(const EngineState &engine, const ItemState &item) const
-{
-    const auto maxTokens = static_cast<double>(engine.description.memoryTokens) * m_options.maxMemoryShare;
-    const bool alone = engine.runs.empty();
-    return engine.description.memoryTokens == 0 || alone
-        || static_cast<double>(engine.tokens + item.item.maxTotalTokens) <= maxTokens;
-}
-
 void SampleScheduler::updateMedianSecondsPerEvent()
 {
     std::vector<double> eventTimes;
@@ -106,8 +98,8 @@
     return secondsPerEvent * (1 + m_options.slowdownPerRun * static_cast<double>(engine.runs.size()));
 }
 
-SampleScheduler::EngineState *
-SampleScheduler::bestEngine(const BatchState &batch, const ItemState &item, TextUse use, TimePoint now)
+SampleScheduler::EngineState *SampleScheduler::bestEngine(
+    const BatchState &batch, const ItemState &item, TextUse use, TimePoint now, bool *lacksMemory)
 {
     EngineState *best = nullptr;
     double lowest = std::numeric_limits<double>::max();
@@ -116,31 +108,36 @@
             continue;
         }
         const double seconds = secondsPerEventWithLoad(*engine);
-        if (seconds < lowest && canStartRun(*engine, batch, now) && hasMemoryFor(*engine, item)) {
+        if (seconds >= lowest || !canStartRun(*engine, batch, now)) {
+            continue;
+        }
+        if (hasMemoryFor(*engine, batch, item)) {
             lowest = seconds;
             best = engine;
+        } else if (lacksMemory != nullptr) {
+            *lacksMemory = true;
         }
     }
     return best;
 }
 
-SampleScheduler::EngineState *SampleScheduler::place(const BatchState &batch, ItemState &item, TimePoint now)
+SampleScheduler::EngineState *
+SampleScheduler::place(const BatchState &batch, ItemState &item, TimePoint now, bool &lacksMemory)
 {
-    EngineState *engine = bestEngine(batch, item, TextUse::Continue, now);
+    EngineState *engine = bestEngine(batch, item, TextUse::Continue, now, &lacksMemory);
     if (engine != nullptr || !item.hasEvents || waitsForItsVersion(batch, item, now)) {
         return engine;
     }
-    return bestEngine(batch, item, TextUse::Discard, now);
+    return bestEngine(batch, item, TextUse::Discard, now, &lacksMemory);
 }
 
-std::optional<std::uint32_t> SampleScheduler::nextToStart(const BatchState &batch,
-                                                          const std::set<std::uint32_t> &passedOver) const
+std::optional<std::uint32_t> SampleScheduler::nextToStart(const BatchState &batch, const PassedOver &passedOver) const
 {
+    const auto isPassedOver = [&](std::uint32_t position) {
+        return passedOver.contains(position, batch.items[batch.startOrder[position]]);
+    };
     if (m_options.gate == nullptr || !m_options.gate->limitsAny()) {
-        const auto next =
-            std::find_if_not(batch.waiting.begin(), batch.waiting.end(), [&passedOver](std::uint32_t position) {
-                return passedOver.contains(position);
-            });
+        const auto next = std::find_if_not(batch.waiting.begin(), batch.waiting.end(), isPassedOver);
         return next == batch.waiting.end() ? std::nullopt : std::optional(batch.startOrder[*next]);
     }
     std::set<std::string_view> begun;
@@ -158,7 +155,7 @@
     };
     std::optional<std::uint32_t> first;
     for (const std::uint32_t position : batch.waiting) {
-        if (!passedOver.contains(position) && (!first || rank(position) < rank(*first))) {
+        if (!isPassedOver(position) && (!first || rank(position) < rank(*first))) {
             first = position;
         }
     }
@@ -170,18 +167,26 @@
     if (m_startsHeld || m_freeEngines.empty()) {
         return;
     }
+    reviewReservations();
+    startReserved(now);
     for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
-        std::set<std::uint32_t> passedOver; // texts that wait for an engine of their version
+        PassedOver passedOver;
         while (const std::optional<std::uint32_t> index = nextToStart(*batch, passedOver)) {
             ItemState &item = batch->items[*index];
-            EngineState *engine = place(*batch, item, now);
+            bool lacksMemory = false;
+            EngineState *engine = place(*batch, item, now, lacksMemory);
             if (engine != nullptr) {
                 start({batch->id, *index}, *batch, item, *engine, now);
             } else if (item.hasEvents) {
-                passedOver.insert(item.startPosition);
+                passedOver.positions.insert(item.startPosition);
+            } else if (lacksMemory) {
+                passedOver.tooManyTokens = item.item.maxTotalTokens;
             } else {
                 break;
             }
+            if (engine == nullptr && lacksMemory) {
+                reserveEngine({batch->id, *index}, *batch, item, now);
+            }
         }
     }
 }
@@ -191,8 +196,10 @@
     if (m_startsHeld) {
         return;
     }
+    reviewReservations();
+    startReserved(now);
     for (BatchState *batch : batchesByUrgency(now, hasWaitingItems)) {
-        std::set<std::uint32_t> passedOver;
+        PassedOver passedOver;
         while (canStartRun(engine, *batch, now)) {
             const std::optional<std::uint32_t> index = nextToStart(*batch, passedOver);
             if (!index) {
@@ -200,13 +207,12 @@
             }
             ItemState &item = batch->items[*index];
             if (!continuesAt(item, engine) && waitsForItsVersion(*batch, item, now)) {
-                passedOver.insert(item.startPosition);
-                continue;
-            }
-            if (!hasMemoryFor(engine, item)) {
-                break;
+                passedOver.positions.insert(item.startPosition);
+            } else if (!hasMemoryFor(engine, *batch, item)) {
+                passedOver.tooManyTokens = item.item.maxTotalTokens;
+            } else {
+                start({batch->id, *index}, *batch, item, engine, now);
             }
-            start({batch->id, *index}, *batch, item, engine, now);
         }
     }
 }
@@ -301,6 +307,12 @@
     }
     item.keepTextUntil = {};
     setStage(batch, item, Stage::Running);
+    if (const auto reservation = m_reservations.find(key); reservation != m_reservations.end()) {
+        if (const auto reserved = m_engines.find(reservation->second); reserved != m_engines.end()) {
+            reserved->second.reservedFor.reset();
+        }
+        m_reservations.erase(reservation);
+    }
     item.run = run;
     engine.runs.insert(run);
     engine.tokens += item.item.maxTotalTokens;
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -364,6 +364,15 @@
                 commitResult(list->result);
             } else if (const auto *save = std::get_if<dispatch::SaveProgress>(&action)) {
                 saveProgress(save->progress);
+            } else if (const auto *reserved = std::get_if<dispatch::EngineReserved>(&action)) {
+                const batch::Item *item = m_scheduler.item(reserved->key);
+                m_eventLog.write(EventKind::State,
+                                 "engine-reserved",
+                                 {{"engine", reserved->engine},
+                                  {"batch", reserved->key.batch},
+                                  {"item", item == nullptr ? std::string() : item->id},
+                                  {"item_tokens", std::to_string(reserved->itemTokens)},
+                                  {"used_tokens", std::to_string(reserved->usedTokens)}});
             }
         }
     }
