node: items run only at services that take traffic of their route

Cause: EnginePool::itemPolicyOf copied the names of all services of the route without their weights. Callers' requests hold to them.

Ruled out: an old configuration at the owner: runs of one batch began at both services at once.

Change: fleet::activeServices names the services that take traffic; itemPolicy, a pure function, and chooseService use it. Room for scoring calls is summed over them (it was that of the first service in the list). Weights stay as they are written: 0.3 and 0.7 became 0 and 1. With all weights 0 callers get 503 as not run, where the first service was used; a stream is taken up only at a service that takes traffic.

--- a/bergamot/fleet/configuration.cpp
+++ b/bergamot/fleet/configuration.cpp
@@ -48,4 +48,28 @@
     });
 }
 
+std::vector<std::string> activeServices(const Route &route)
+{
+    std::vector<std::string> names;
+    for (const WeightedService &service : route.services) {
+        if (service.weight > 0) {
+            names.push_back(service.service);
+        }
+    }
+    return names;
+}
+
+std::optional<std::uint64_t> Configuration::largestMemory(const Route &route) const
+{
+    std::optional<std::uint64_t> largest;
+    for (const std::string &name : activeServices(route)) {
+        const auto service = m_services.find(name);
+        if (service == m_services.end() || !service->second.engine || service->second.engine->memoryTokens == 0) {
+            return std::nullopt;
+        }
+        largest = std::max(largest.value_or(0), service->second.engine->memoryTokens);
+    }
+    return largest;
+}
+
 } // namespace bergamot::fleet
--- a/bergamot/fleet/configuration.h
+++ b/bergamot/fleet/configuration.h
@@ -26,11 +26,12 @@
     Batch, // batches of samples
 };
 
-/// A service and its share of the traffic of a route, relative to the weights of the other services.
+/// A service and its share of the traffic of a route, relative to the weights of the other services. With a weight of 0
+/// it takes none.
 struct WeightedService
 {
     std::string service;
-    std::uint32_t weight = 1;
+    double weight = 1;
 
     bool operator==(const WeightedService &) const = default;
 };
@@ -66,6 +67,9 @@
     bool operator==(const EngineTraits &) const = default;
 };
 
+/// The names of the services that take traffic of the route. Empty if all weights are 0: nothing may be sent then.
+std::vector<std::string> activeServices(const Route &route);
+
 /// A set of interchangeable endpoints.
 struct Service
 {
@@ -123,6 +127,8 @@
     bool takesPublicBatches(std::string_view host) const;
     /// The route of `host` whose `pathPrefix` is the longest prefix of `path`; null if there is none.
     const Route *findRoute(std::string_view host, std::string_view path) const;
+    /// Tokens that the largest engine for the route holds; nothing if that is not known.
+    std::optional<std::uint64_t> largestMemory(const Route &route) const;
 
 private:
     std::uint64_t m_version = 0;
--- a/bergamot/fleet/configuration_test.cpp
+++ b/bergamot/fleet/configuration_test.cpp
@@ -44,5 +44,39 @@
                              return test.param.name;
                          });
 
+struct MemoryCase
+{
+    const char *name;
+    std::vector<WeightedService> services;
+    std::optional<std::uint64_t> largest;
+};
+
+class LargestMemoryTest : public testing::TestWithParam<MemoryCase>
+{ };
+
+TEST_P(LargestMemoryTest, IsThatOfTheServicesThatTakeTraffic)
+{
+    const Configuration configuration{7,
+                                      {},
+                                      {{.name = "small", .engine = EngineTraits{.memoryTokens = 1000}},
+                                       {.name = "large", .engine = EngineTraits{.memoryTokens = 5000}},
+                                       {.name = "unsized", .engine = EngineTraits{}},
+                                       {.name = "desk"}},
+                                      {}};
+    EXPECT_EQ(configuration.largestMemory({.name = "r", .services = GetParam().services}), GetParam().largest);
+}
+
+INSTANTIATE_TEST_SUITE_P(Services,
+                         LargestMemoryTest,
+                         testing::Values(MemoryCase{"One", {{"small"}}, 1000},
+                                         MemoryCase{"Two", {{"small"}, {"large"}}, 5000},
+                                         MemoryCase{"LargeTakesNoTraffic", {{"small"}, {"large", 0}}, 1000},
+                                         MemoryCase{"NotKnown", {{"small"}, {"unsized"}}, std::nullopt},
+                                         MemoryCase{"NoEngines", {{"desk"}}, std::nullopt},
+                                         MemoryCase{"NotConfigured", {{"gone"}}, std::nullopt}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 } // namespace
 } // namespace bergamot::fleet
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -1,5 +1,7 @@
 #include "bergamot/node/engine_pool.h"
 
+#include "bergamot/node/item_policy.h"
+
 namespace bergamot::node
 {
 
@@ -229,16 +231,7 @@
         return std::nullopt;
     }
     const fleet::Route *scoring = m_view.configuration().findRoute(routeKey.scoringHost, routeKey.scoringPath);
-    dispatch::ItemPolicy policy{.maxAttempts = std::max(1U, route->maxAttempts),
-                                .maxScoringFailures =
-                                    std::max(route->maxAttempts, scoring == nullptr ? 1U : scoring->maxAttempts),
-                                .singleVersion = route->singleVersion,
-                                .resultDeadline = route->resultDeadline,
-                                .retention = route->retention};
-    for (const fleet::WeightedService &service : route->services) {
-        policy.services.push_back(service.service);
-    }
-    return policy;
+    return itemPolicy(*route, scoring);
 }
 
 void EnginePool::endpointsChanged()
--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -318,7 +318,7 @@
     }
     const batch::ScoringCall &call = *item->scoring;
     const fleet::Route *route = m_view.configuration().findRoute(call.host, call.path);
-    if (route == nullptr || route->services.empty()) {
+    if (route == nullptr || fleet::activeServices(*route).empty()) {
         m_eventLog.write(EventKind::Request, "scoring-without-route", {{"item", item->id}, {"host", call.host}});
         boost::asio::post(m_loop, [this, key, generation = m_generation] {
             if (generation == m_generation) {
@@ -344,21 +344,24 @@
 bool EnginePool::mayScore(const batch::Item &item)
 {
     const fleet::Route *route = m_view.configuration().findRoute(item.scoring->host, item.scoring->path);
-    if (route == nullptr || route->services.empty()) {
+    const std::vector<std::string> services =
+        route == nullptr ? std::vector<std::string>() : fleet::activeServices(*route);
+    if (services.empty()) {
         return true;
     }
-    const std::size_t room =
-        m_forwarder.roomForOwed(route->services.front().service, route->name, m_scheduler.awaitingScoring());
+    std::size_t room = 0;
+    for (const std::string &service : services) {
+        const std::size_t roomThere = m_forwarder.roomForOwed(service, route->name, m_scheduler.awaitingScoring());
+        room += std::min(roomThere, std::numeric_limits<std::size_t>::max() - room);
+    }
     if (m_scoringRequests.size() >= room) {
         return false;
     }
     if (!m_quota.limitsAny()) {
         return true;
     }
-    const auto scores = [route](const fleet::Endpoint &endpoint) {
-        return std::any_of(route->services.begin(), route->services.end(), [&](const fleet::WeightedService &service) {
-            return service.service == endpoint.service;
-        });
+    const auto scores = [&services](const fleet::Endpoint &endpoint) {
+        return std::find(services.begin(), services.end(), endpoint.service) != services.end();
     };
     std::vector<EndpointProcess> processes;
     for (const auto &[id, endpoint] : m_view.endpoints()) {
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -505,6 +505,8 @@
     const bool resumes = request.headers.has(names.resumes) || request.headers.has(names.lastEvent);
     if (route->kind == fleet::RouteKind::Streaming && resumes) {
         resumeStream(*route, caller, std::move(exchange));
+    } else if (fleet::activeServices(*route).empty()) {
+        refuse(*exchange, Unavailable, "no service of the route takes traffic");
     } else if (route->kind != fleet::RouteKind::Batch) {
         forwardRequest(*route, chooseService(*route, m_random), {}, caller, std::move(exchange));
     } else if (request.method == "POST" && !takesCall(*route, *exchange)) {
@@ -528,7 +530,14 @@
         if (*disconnected) {
             return;
         }
-        if (origin) {
+        const std::vector<std::string> active = fleet::activeServices(route);
+        if (origin && std::find(active.begin(), active.end(), origin->service) == active.end()) {
+            // The caller may begin the stream anew at once.
+            refuse(*exchange,
+                   Unavailable,
+                   "the service that began the stream takes no traffic of the route",
+                   Duration::zero());
+        } else if (origin) {
             forwardRequest(route, origin->service, origin->softwareVersion, caller, exchange);
         } else {
             // The caller may begin the stream anew at once.
--- a/bergamot/node/service_choice.h
+++ b/bergamot/node/service_choice.h
@@ -4,30 +4,32 @@
 
 #include <random>
 #include <string>
+#include <vector>
 
 #include "bergamot/fleet/configuration.h"
 
 namespace bergamot::node
 {
 
-/// Returns the name of the chosen service, or an empty string if the route has no services.
+/// Returns the name of the chosen service, or an empty string if no service of the route takes traffic.
 inline std::string chooseService(const fleet::Route &route, std::mt19937_64 &random)
 {
-    std::uint64_t total = 0;
+    double total = 0;
     for (const fleet::WeightedService &service : route.services) {
         total += service.weight;
     }
-    if (total == 0) {
-        return route.services.empty() ? std::string() : route.services.front().service;
+    const std::vector<std::string> active = fleet::activeServices(route);
+    if (active.empty()) {
+        return {};
     }
-    std::uint64_t drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(random);
+    double drawn = std::uniform_real_distribution<double>(0, total)(random);
     for (const fleet::WeightedService &service : route.services) {
         if (drawn < service.weight) {
             return service.service;
         }
         drawn -= service.weight;
     }
-    return route.services.back().service;
+    return active.back(); // rounding
 }
 
 } // namespace bergamot::node
