batch: a batch with an item that no engine holds is refused at submission

Such an item was accepted and tried at each empty engine until its batch ended, as engines refuse what is larger than their memory as if they were full.

Cause: nothing compared the declared tokens with the memory that the configuration names.

Ruled out: giving the item up at once after the 202; the result terminated is promised only after failures or the retention.

Change: submissions get 413, naming the item, its tokens and the largest memory among the services that take traffic of the route. Where a service does not name its memory, nothing is refused. A batch that is in the log already is acknowledged as before.

Conclusion: what cannot be served is rejected before anything is kept.

--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -69,7 +69,7 @@
     , m_random(seed)
 { }
 
-void BatchService::submit(const std::string &tenant, bool scoped, std::shared_ptr<net::Exchange> exchange)
+void BatchService::submit(const Submission &submission, std::shared_ptr<net::Exchange> exchange)
 {
     Result<batch::Batch> batch = m_codec.submission(exchange->request());
     if (!batch) {
@@ -77,15 +77,25 @@
         respond(*exchange, BadRequest, batch.error().message);
         return;
     }
-    if (scoped) {
-        batch->tenant = tenant;
-        batch->id = tenants::scopedId(tenant, batch->id);
+    if (submission.scoped) {
+        batch->tenant = submission.tenant;
+        batch->id = tenants::scopedId(submission.tenant, batch->id);
     }
     if (m_log.index().find(batch->id) != nullptr) {
         m_eventLog.write(EventKind::Request, "batch-accepted-before", {{"batch", batch->id}});
         respond(*exchange, Accepted);
         return;
     }
+    const auto tooLarge = std::find_if(batch->items.begin(), batch->items.end(), [&](const batch::Item &item) {
+        return submission.maxItemTokens && item.maxTotalTokens > *submission.maxItemTokens;
+    });
+    if (tooLarge != batch->items.end()) {
+        const std::string reason = "item " + tooLarge->id + " needs " + std::to_string(tooLarge->maxTotalTokens)
+            + " tokens; the largest engine of the route holds " + std::to_string(*submission.maxItemTokens);
+        m_eventLog.write(EventKind::Request, "batch-too-large", {{"batch", batch->id}, {"reason", reason}});
+        respond(*exchange, PayloadTooLarge, reason);
+        return;
+    }
     Result<std::vector<std::string>> records =
         batch::batchPartRecords(*batch, {.maxRecordBytes = m_log.options().maxRecordBytes});
     if (!records) {
--- a/bergamot/node/batch_service.h
+++ b/bergamot/node/batch_service.h
@@ -30,6 +30,14 @@
     std::size_t maxResultBytes = 512 * 1024; // a response is complete once its texts reach this size
 };
 
+/// Who submits a batch, and what its items may need.
+struct Submission
+{
+    std::string tenant; // empty: the batch belongs to none
+    bool scoped = false; // the deployment has tenants, so batches have the names of `tenants::scopedId` in the log
+    std::optional<std::uint64_t> maxItemTokens; // that an engine of the route holds; none: not known
+};
+
 /// Responds to each exchange unless its caller has disconnected. Not thread-safe.
 class BatchService
 {
@@ -41,9 +49,8 @@
                  BatchServiceOptions options,
                  std::uint64_t seed);
 
-    /// Stores a batch that `tenant` submits (empty: it belongs to none); responds once its acceptance is in the log. If
-    /// the deployment has tenants, batches are `scoped`: their names in the log are those of `tenants::scopedId`.
-    void submit(const std::string &tenant, bool scoped, std::shared_ptr<net::Exchange> exchange);
+    /// Stores a batch; responds once its acceptance is in the log.
+    void submit(const Submission &submission, std::shared_ptr<net::Exchange> exchange);
     /// Responds with the results from `call.after` on; waits for the first one up to `call.wait`.
     void readResults(const ReadResultsCall &call, std::shared_ptr<net::Exchange> exchange);
     /// Responds with the body of an item that has no result yet.
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -512,7 +512,10 @@
     } else if (request.method == "POST" && !takesCall(*route, *exchange)) {
         return; // refused
     } else if (request.method == "POST") {
-        m_batchService.submit(caller.tenant, caller.known, std::move(exchange));
+        m_batchService.submit({.tenant = caller.tenant,
+                               .scoped = caller.known,
+                               .maxItemTokens = m_view.configuration().largestMemory(*route)},
+                              std::move(exchange));
     } else {
         refuse(*exchange, MethodNotAllowed, "a batch is submitted with POST");
     }
