dispatch: engines are ranked once for a model, not once for each assignment

Ruled out: choosing the last engine as before; a new owner then loads again what engines have already.

Change: the candidates of a model are ranked and sorted once; an engine that was taken meanwhile is skipped. The same for moves between models.

--- a/bergamot/dispatch/model_assignments.cpp
+++ b/bergamot/dispatch/model_assignments.cpp
@@ -191,17 +191,32 @@
     void assignUnassigned()
     {
         std::set<std::string> withoutCandidate;
-        while (!m_unassigned.empty()) {
+        std::map<std::string, std::vector<Ranked>> candidates; // by model; the best one is the last
+        std::set<const LoadCandidate *> taken;
+        while (taken.size() < m_unassigned.size()) {
             const std::string *model = mostShort(withoutCandidate);
             if (model == nullptr || shortage(*model) <= 0) {
-                return;
+                break;
             }
-            if (const LoadCandidate *engine = takeBest(m_unassigned, *model)) {
-                assign(*engine, *model, AssignmentReason::BelowTarget);
-            } else {
+            const auto [entry, added] = candidates.try_emplace(*model);
+            std::vector<Ranked> &ranked = entry->second;
+            if (added) {
+                ranked = rankFor(m_unassigned, *model);
+                std::sort(ranked.rbegin(), ranked.rend());
+            }
+            while (!ranked.empty() && taken.contains(ranked.back().engine)) {
+                ranked.pop_back();
+            }
+            if (ranked.empty()) {
                 withoutCandidate.insert(*model);
+                continue;
             }
+            taken.insert(ranked.back().engine);
+            assign(*ranked.back().engine, *model, AssignmentReason::BelowTarget);
         }
+        std::erase_if(m_unassigned, [&taken](const LoadCandidate *engine) {
+            return taken.contains(engine);
+        });
     }
 
     void releaseSurplus()
@@ -226,6 +241,7 @@
     void moveFromSurplus()
     {
         std::set<std::string> withoutCandidate;
+        std::map<std::pair<std::string, std::string>, std::vector<Ranked>> candidates; // by donor and receiver
         while (const std::string *receiver = mostShort(withoutCandidate)) {
             if (shortage(*receiver) < MinShortageToMove) {
                 return;
@@ -237,11 +253,22 @@
             if (shortage(donor->first) >= 0) {
                 return;
             }
-            if (const LoadCandidate *engine = takeBest(m_assigned[donor->first], *receiver)) {
-                assign(*engine, *receiver, AssignmentReason::BelowTarget);
-            } else {
+            std::vector<const LoadCandidate *> &from = m_assigned[donor->first];
+            const auto [entry, added] = candidates.try_emplace({donor->first, *receiver});
+            std::vector<Ranked> &ranked = entry->second;
+            if (added) {
+                ranked = rankFor(from, *receiver);
+                std::sort(ranked.rbegin(), ranked.rend());
+            }
+            while (!ranked.empty() && m_modelByEngine[ranked.back().engine->engine] != donor->first) {
+                ranked.pop_back();
+            }
+            if (ranked.empty()) {
                 withoutCandidate.insert(*receiver);
+                continue;
             }
+            std::erase(from, ranked.back().engine);
+            assign(*ranked.back().engine, *receiver, AssignmentReason::BelowTarget);
         }
     }
 
@@ -306,30 +333,51 @@
         return m_assigned[receiver].empty() ? takeBest(m_unassigned, receiver) : nullptr;
     }
 
+    /// An engine and how soon it serves a model; the smallest one serves it the soonest.
+    struct Ranked
+    {
+        bool unable = false;
+        bool loading = false;
+        std::uint64_t versionsBehind = 0;
+        std::uint32_t runs = 0;
+        std::size_t index = 0; // among the engines that were ranked
+        const LoadCandidate *engine = nullptr;
+
+        auto operator<=>(const Ranked &) const = default;
+    };
+
+    /// The engines that may run the samples of the model.
+    std::vector<Ranked> rankFor(const std::vector<const LoadCandidate *> &engines, const std::string &model) const
+    {
+        const ModelDemand &needs = m_demand.at(model);
+        std::vector<Ranked> ranked;
+        for (std::size_t index = 0; index < engines.size(); ++index) {
+            const LoadCandidate &engine = *engines[index];
+            if (maySample(engine, needs)) {
+                const auto version = engine.versions.find(model);
+                const std::uint64_t known = version == engine.versions.end() ? 0 : version->second;
+                ranked.push_back({.unable = !isAble(engine, model, needs),
+                                  .loading = engine.loading,
+                                  .versionsBehind = needs.newestVersion - std::min(known, needs.newestVersion),
+                                  .runs = engine.runs,
+                                  .index = index,
+                                  .engine = &engine});
+            }
+        }
+        return ranked;
+    }
+
     /// Removes the engine that serves the receiver the soonest from the list and returns it; null if none may run its
     /// samples.
     const LoadCandidate *takeBest(std::vector<const LoadCandidate *> &engines, const std::string &receiver) const
     {
-        const ModelDemand &needs = m_demand.at(receiver);
-        const auto rank = [&](const LoadCandidate *engine) {
-            const auto version = engine->versions.find(receiver);
-            const std::uint64_t known = version == engine->versions.end() ? 0 : version->second;
-            return std::tuple(!maySample(*engine, needs),
-                              !isAble(*engine, receiver, needs),
-                              engine->loading,
-                              needs.newestVersion - std::min(known, needs.newestVersion),
-                              engine->runs);
-        };
-        const auto best = std::min_element(
-            engines.begin(), engines.end(), [&rank](const LoadCandidate *left, const LoadCandidate *right) {
-                return rank(left) < rank(right);
-            });
-        if (best == engines.end() || !maySample(**best, needs)) {
+        const std::vector<Ranked> ranked = rankFor(engines, receiver);
+        const auto best = std::min_element(ranked.begin(), ranked.end());
+        if (best == ranked.end()) {
             return nullptr;
         }
-        const LoadCandidate *engine = *best;
-        engines.erase(best);
-        return engine;
+        engines.erase(engines.begin() + static_cast<std::ptrdiff_t>(best->index));
+        return best->engine;
     }
 
     void assign(const LoadCandidate &engine, const std::string &model, AssignmentReason reason)
