--- a/bergamot/dispatch/model_assignments.cpp
+++ b/bergamot/dispatch/model_assignments.cpp
@@ -113,13 +113,17 @@
             total.engines += services[service].engines;
             total.slots += services[service].slots;
         }
+        if (total.engines == 0) {
+            for (const auto &[model, needs] : models) {
+                targets[model] = 0;
+            }
+            continue;
+        }
         const double averageSlots = static_cast<double>(total.slots) / static_cast<double>(total.engines);
         for (auto &[model, count] : engineCountByModel(total.engines, models)) {
             const double samples = models.at(model).peakSamples;
             const double filled = std::ceil(samples * options.slotsPerSample / averageSlots);
-            targets[model] = total.engines == 0 ? 0
-                : samples > 0                   ? std::min(count, static_cast<std::size_t>(filled))
-                                                : count;
+            targets[model] = samples > 0 ? std::min(count, static_cast<std::size_t>(filled)) : count;
         }
     }
     return targets;
@@ -201,8 +205,7 @@
             const auto [entry, added] = candidates.try_emplace(*model);
             std::vector<Ranked> &ranked = entry->second;
             if (added) {
-                ranked = rankFor(m_unassigned, *model);
-                std::sort(ranked.rbegin(), ranked.rend());
+                ranked = candidatesFor(m_unassigned, *model);
             }
             while (!ranked.empty() && taken.contains(ranked.back().engine)) {
                 ranked.pop_back();
@@ -257,8 +260,7 @@
             const auto [entry, added] = candidates.try_emplace({donor->first, *receiver});
             std::vector<Ranked> &ranked = entry->second;
             if (added) {
-                ranked = rankFor(from, *receiver);
-                std::sort(ranked.rbegin(), ranked.rend());
+                ranked = candidatesFor(from, *receiver);
             }
             while (!ranked.empty() && m_modelByEngine[ranked.back().engine->engine] != donor->first) {
                 ranked.pop_back();
@@ -367,6 +369,14 @@
         return ranked;
     }
 
+    /// The same, sorted; the one that serves the model the soonest is the last.
+    std::vector<Ranked> candidatesFor(const std::vector<const LoadCandidate *> &engines, const std::string &model) const
+    {
+        std::vector<Ranked> candidates = rankFor(engines, model);
+        std::sort(candidates.rbegin(), candidates.rend());
+        return candidates;
+    }
+
     /// Removes the engine that serves the receiver the soonest from the list and returns it; null if none may run its
     /// samples.
     const LoadCandidate *takeBest(std::vector<const LoadCandidate *> &engines, const std::string &receiver) const
