--- a/bergamot/dispatch/model_assignments.cpp
+++ b/bergamot/dispatch/model_assignments.cpp
@@ -345,7 +345,11 @@
         std::size_t index = 0; // among the engines that were ranked
         const LoadCandidate *engine = nullptr;
 
-        auto operator<=>(const Ranked &) const = default;
+        bool operator<(const Ranked &other) const
+        {
+            return std::tie(unable, loading, versionsBehind, runs, index)
+                < std::tie(other.unable, other.loading, other.versionsBehind, other.runs, other.index);
+        }
     };
 
     /// The engines that may run the samples of the model.
