node: a claim of the engine pool counts only connections that are newer than its reason

An instance took a connection of the last two seconds for having links. All instances connect when they start; an owner that is refused releases the pool 0.4 s after the cut. So whoever drew the shortest delay claimed, links or not. Ruled out: a late announcement (claims do not go by them); the question of the owner (it counts connections after the question). Change: ClaimRule (pure) keeps when the reason to claim arose; only later connections count. A round of probes that was answered no longer delays the next by 0.4 s, so the stricter proof costs a tick. pool-kept and pool-yielded say how many instances were asked.

--- a/bergamot/node/endpoint_reach.cpp
+++ b/bergamot/node/endpoint_reach.cpp
@@ -11,7 +11,6 @@
 using boost::asio::ip::tcp;
 
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(300); // hundreds of times the round trip within a region
-constexpr Duration ReachedLately = std::chrono::seconds(2); // a new connection within this time counts
 constexpr Duration QuestionTimeout = std::chrono::milliseconds(750); // covers the pause between two rounds of probes
 
 } // namespace
@@ -57,12 +56,12 @@
     return m_monitor.suspects();
 }
 
-bool EndpointReach::reaches(TimePoint now)
+bool EndpointReach::reachesSince(TimePoint since)
 {
     if (m_monitor.cutOff()) {
         return false;
     }
-    const bool reached = m_monitor.reachedSince(now - ReachedLately);
+    const bool reached = m_monitor.reachedSince(since);
     if (!reached) {
         m_monitor.requestProbe();
     }
--- a/bergamot/node/endpoint_reach.h
+++ b/bergamot/node/endpoint_reach.h
@@ -33,8 +33,9 @@
     bool cutOff() const;
     /// Whether new connections failed, and none was established since.
     bool suspects() const;
-    /// Whether endpoints were reached a moment ago, or there are none. If it is not known, it is found out meanwhile.
-    bool reaches(TimePoint now);
+    /// Whether there are no endpoints, or a connection to one was established at `since` or later and this instance is
+    /// not cut off. If it is not known, it is found out meanwhile.
+    bool reachesSince(TimePoint since);
     /// Probes endpoints if no connection to one was established within this time.
     void probeUnlessReached(TimePoint now, Duration within);
     /// Calls `done`, with true as soon as a connection is established after this call.
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -32,6 +32,7 @@
 #include "bergamot/node/stop_policy.h"
 #include "bergamot/node/stream_registry.h"
 #include "bergamot/node/usage_reporter.h"
+#include "bergamot/reach/claim_rule.h"
 
 namespace bergamot::node
 {
@@ -140,6 +141,7 @@
     void announce(TimePoint now, bool stopping);
     /// Whether this instance may claim the engine pool: it reaches endpoints, or nobody who does has claimed it.
     bool mayClaimPool(TimePoint now);
+    reach::ClaimPhase claimPhase(TimePoint now) const;
     /// Gives the engine pool up if this instance is cut off from the endpoints and another one is not.
     void yieldPoolIfCutOff(TimePoint now);
     void applyLimits();
@@ -188,8 +190,9 @@
     std::function<void()> m_stoppedHandler;
     TimePoint m_announceAt{}; // time of the next announcement
     TimePoint m_reachAskedAt{}; // others were asked whether they reach endpoints
-    TimePoint m_claimWantedAt{}; // since when a claim is put off; zero: not
+    reach::ClaimRule m_claimRule;
     bool m_announcedReach = true;
+    bool m_claimPutOff = false;
     bool m_yielding = false; // the pool is being given up
     bool m_slownessReported = false; // an endpoint has reported how slow it is
     bool m_placesByCompletion = false;
--- a/bergamot/node/node_reach.cpp
+++ b/bergamot/node/node_reach.cpp
@@ -19,7 +19,6 @@
 constexpr Duration OwnerProbeInterval = std::chrono::seconds(1); // of the one instance that everybody waits for
 constexpr Duration ReachAskInterval = std::chrono::milliseconds(1100); // longer than an answer takes
 constexpr Duration ProbeLead = std::chrono::milliseconds(300); // before a claim is due; a probe takes as long
-constexpr Duration ClaimPutOff = std::chrono::seconds(4); // by then, an instance that reaches endpoints has claimed
 
 } // namespace
 
@@ -84,18 +83,28 @@
 
 bool Node::mayClaimPool(TimePoint now)
 {
-    // Without the log, silence says nothing about the owner, and no claim can be made.
-    const bool claimsSoon = m_batchLog.mayConfirm() && !m_batchLog.ownership().isOwner()
-        && m_batchLog.ownership().shouldClaim(now + ProbeLead);
-    if (!claimsSoon || m_reach.reaches(now) || !m_batchLog.ownership().shouldClaim(now)) {
-        m_claimWantedAt = {};
-        return true;
-    }
-    if (m_claimWantedAt == TimePoint{}) {
-        m_claimWantedAt = now;
+    const reach::ClaimVerdict verdict = m_claimRule.update(
+        claimPhase(now),
+        [this](TimePoint since) {
+            return m_reach.reachesSince(since);
+        },
+        now);
+    const bool putOff = verdict == reach::ClaimVerdict::PutOff;
+    if (putOff && !m_claimPutOff) {
         m_log.write(EventKind::State, "pool-claim-put-off", {{"cut_off", m_reach.cutOff() ? "yes" : "not known"}});
     }
-    return now - m_claimWantedAt >= ClaimPutOff;
+    m_claimPutOff = putOff;
+    return !putOff; // also allows asking whether a silent owner still runs
+}
+
+reach::ClaimPhase Node::claimPhase(TimePoint now) const
+{
+    const duties::PoolOwnership &ownership = m_batchLog.ownership();
+    // Without the log, silence says nothing about the owner, and no claim can be made.
+    if (!m_batchLog.mayConfirm() || ownership.isOwner() || !ownership.shouldClaim(now + ProbeLead)) {
+        return reach::ClaimPhase::NotDue;
+    }
+    return ownership.shouldClaim(now) ? reach::ClaimPhase::Due : reach::ClaimPhase::Soon;
 }
 
 void Node::yieldPoolIfCutOff(TimePoint now)
@@ -111,10 +120,11 @@
         return;
     }
     m_reachAskedAt = now;
-    m_relayClient.askReach([this](bool othersReach) {
+    m_relayClient.askReach([this](std::size_t asked, bool othersReach) {
         m_log.write(EventKind::State,
                     othersReach ? "pool-yielded" : "pool-kept",
-                    {{"reason", othersReach ? "another instance reaches endpoints" : "nobody reaches endpoints"}});
+                    {{"reason", othersReach ? "another instance reaches endpoints" : "nobody reaches endpoints"},
+                     {"asked", std::to_string(asked)}});
         if (othersReach && m_pool.active() && m_reach.cutOff()) {
             m_yielding = true;
             m_pool.save();
--- a/bergamot/node/relay_client.cpp
+++ b/bergamot/node/relay_client.cpp
@@ -242,18 +242,19 @@
     call->cancel();
 }
 
-void RelayClient::askReach(std::function<void(bool)> done)
+void RelayClient::askReach(std::function<void(std::size_t, bool)> done)
 {
     struct Question
     {
         std::size_t open = 0;
-        std::function<void(bool)> done;
+        std::size_t asked = 0;
+        std::function<void(std::size_t, bool)> done;
     };
     auto question = std::make_shared<Question>(Question{.open = 1, .done = std::move(done)});
     const auto answered = [question](bool reaches) {
         --question->open;
         if (question->done && (reaches || question->open == 0)) {
-            std::exchange(question->done, nullptr)(reaches);
+            std::exchange(question->done, nullptr)(question->asked, reaches);
         }
     };
     std::set<std::string> asked;
@@ -276,6 +277,7 @@
                                    .maxBodyBytes = MaxReachBytes};
         request.headers.add("Host", peer->address);
         ++question->open;
+        ++question->asked;
         net::startForWholeAnswer(
             m_client, std::move(request), [this, answered, name = peer->name](const net::WholeAnswer &answer) {
                 const bool reaches = answer.end.failure == net::CallFailure::None && answer.status == Ok
--- a/bergamot/node/relay_client.h
+++ b/bergamot/node/relay_client.h
@@ -60,8 +60,8 @@
                const std::shared_ptr<ForwardSink> &sink);
     /// Ends the work for a request; its sink is not called any more.
     void callerDisconnected(RequestId id);
-    /// Asks some instances whether they reach endpoints; `done` gets true if one does.
-    void askReach(std::function<void(bool reaches)> done);
+    /// Asks some instances whether they reach endpoints; `done` gets how many, and true if one does.
+    void askReach(std::function<void(std::size_t asked, bool reaches)> done);
     std::size_t pending() const;
 
 private:
--- a/bergamot/reach/reach_monitor.cpp
+++ b/bergamot/reach/reach_monitor.cpp
@@ -72,7 +72,8 @@
 std::vector<Address> ReachMonitor::takeProbes(TimePoint now)
 {
     const bool wanted = m_cutOff || !m_failed.empty() || m_probeRequested;
-    if (!wanted || (m_probedAt != TimePoint{} && now - m_probedAt < m_options.probeInterval)) {
+    const bool answered = !m_cutOff && m_failed.empty() && m_connectedAt >= m_probedAt;
+    if (!wanted || (!answered && now - m_probedAt < m_options.probeInterval)) {
         return {};
     }
     m_probedAt = now;
--- a/bergamot/reach/reach_monitor.h
+++ b/bergamot/reach/reach_monitor.h
@@ -31,7 +31,7 @@
     std::size_t failuresToCutOff = 3; // different endpoints without a new connection in between; all if there are fewer
     std::size_t connectionsToReturn = 2; // different endpoints without a failure in between; all if there are fewer
     std::size_t probesPerRound = 3; // endpoints that are probed at once
-    Duration probeInterval = std::chrono::milliseconds(400); // between two rounds; longer than a probe takes
+    Duration probeInterval = std::chrono::milliseconds(400); // between two rounds, unless the first one connected
 };
 
 /// Not thread-safe.
--- a/bergamot/reach/reach_monitor_test.cpp
+++ b/bergamot/reach/reach_monitor_test.cpp
@@ -85,6 +85,48 @@
     EXPECT_FALSE(monitor.reachedSince(now + 1001ms));
 }
 
+/// What happens at an instance after a round of probes, and whether the next request for one is met at once.
+struct NextRoundCase
+{
+    const char *name;
+    std::vector<int> outcomes; // as above
+    Duration after;
+    bool probes;
+};
+
+class NextRoundTest : public testing::TestWithParam<NextRoundCase>
+{ };
+
+TEST_P(NextRoundTest, WaitsOnlyForARoundThatDidNotConnect)
+{
+    ReachMonitor monitor({.probesPerRound = 3, .probeInterval = 400ms}, 1);
+    monitor.setEndpoints({address(1), address(2), address(3), address(4)});
+    const TimePoint now(1h);
+    monitor.requestProbe();
+    ASSERT_EQ(monitor.takeProbes(now).size(), 3U);
+    for (const int outcome : GetParam().outcomes) {
+        if (outcome > 0) {
+            monitor.connected(address(outcome), now + 1ms);
+        } else {
+            monitor.failed(address(-outcome));
+        }
+    }
+    monitor.requestProbe();
+    EXPECT_EQ(!monitor.takeProbes(now + GetParam().after).empty(), GetParam().probes);
+}
+
+INSTANTIATE_TEST_SUITE_P(Rounds,
+                         NextRoundTest,
+                         testing::Values(NextRoundCase{"NoOutcomeYet", {}, 100ms, false},
+                                         NextRoundCase{"NoOutcomeForLong", {}, 400ms, true},
+                                         NextRoundCase{"Connected", {1, 2, 3}, 100ms, true},
+                                         NextRoundCase{"OneConnectedAndOneFailed", {1, -2}, 100ms, false},
+                                         NextRoundCase{"CutOff", {-1, -2, -3}, 100ms, false},
+                                         NextRoundCase{"CutOffAndOneConnected", {-1, -2, -3, 4}, 100ms, false}),
+                         [](const auto &test) {
+                             return test.param.name;
+                         });
+
 TEST(ReachMonitorTest, WithoutEndpointsNobodyIsCutOff)
 {
     ReachMonitor monitor({}, 1);
