node: an instance that knows no endpoint does not say that it reaches them

Cause: found while tracing the red platform_node_all_stranded_test. An owner without links asks others whether they reach endpoints, and releases the pool if one does. An instance with an empty list of endpoints (just started, or the entries expired) said yes at once, as for its own claims "no endpoint" counts as reached. Change: questions are answered by ReachMonitor::connectedSince; claims go on as before.

--- a/bergamot/node/endpoint_reach.cpp
+++ b/bergamot/node/endpoint_reach.cpp
@@ -105,7 +105,7 @@
         return probe->ended;
     });
     for (Question &question : std::exchange(m_questions, {})) {
-        const bool reached = m_monitor.reachedSince(question.askedAt);
+        const bool reached = m_monitor.connectedSince(question.askedAt);
         if (reached || now - question.askedAt >= QuestionTimeout) {
             question.done(reached);
         } else {
--- a/bergamot/reach/reach_monitor.cpp
+++ b/bergamot/reach/reach_monitor.cpp
@@ -64,9 +64,14 @@
     return !m_failed.empty();
 }
 
+bool ReachMonitor::connectedSince(TimePoint since) const
+{
+    return m_connectedAt != TimePoint{} && m_connectedAt >= since;
+}
+
 bool ReachMonitor::reachedSince(TimePoint since) const
 {
-    return m_endpoints.empty() || (m_connectedAt != TimePoint{} && m_connectedAt >= since);
+    return m_endpoints.empty() || connectedSince(since);
 }
 
 std::vector<Address> ReachMonitor::takeProbes(TimePoint now)
--- a/bergamot/reach/reach_monitor.h
+++ b/bergamot/reach/reach_monitor.h
@@ -52,7 +52,9 @@
     bool cutOff() const;
     /// Whether connections failed and none was established since.
     bool suspects() const;
-    /// Whether there is no endpoint, or a connection was established at `since` or later.
+    /// Whether a connection was established at `since` or later.
+    bool connectedSince(TimePoint since) const;
+    /// The same, or there is no endpoint to connect to.
     bool reachedSince(TimePoint since) const;
     /// The endpoints to probe now.
     std::vector<Address> takeProbes(TimePoint now);
