samples: idle engines that crash, and suspects that prove sound, excuse the others in a burst

Trace: in the second burst nine engines crash in five waves; only the three that ran the sample were told to the crash rule, as a crash is noticed by a lost attempt. So the burst looked as if only that prompt crashed engines. Ruled out: a longer burst window (the other crashes were never recorded); excusing by probed deaths in general (two prompts that crash engines would excuse each other for ever; the table has the row). Change: an engine that becomes unreachable in the view while it runs none of our samples counts as a crash without any suspect, unless its crash was recorded already; when a suspect finishes, crashes under its probes excuse the others. A cut of links to idle engines may be taken for a crash; that delays a verdict by one more crash.

--- a/bergamot/samples/crash_rule.cpp
+++ b/bergamot/samples/crash_rule.cpp
@@ -53,6 +53,17 @@
     }
     if (finished) {
         m_suspects.erase(suspect);
+        recordSound(group);
+    }
+}
+
+void CrashRule::recordSound(const GroupKey &group)
+{
+    for (EngineDeath &death : m_deaths) {
+        if (death.probed == group) {
+            death.probed.reset();
+            excuseOthers(death);
+        }
     }
 }
 
@@ -63,19 +74,16 @@
 
 bool CrashRule::otherEngineCrashed(const GroupKey &group, TimePoint now) const
 {
-    return std::any_of(m_unprobedDeaths.begin(), m_unprobedDeaths.end(), [&](const UnprobedDeath &death) {
-        return now - death.at <= m_options.burstWindow && !death.inFlight.contains(group);
+    return std::any_of(m_deaths.begin(), m_deaths.end(), [&](const EngineDeath &death) {
+        return !death.probed && now - death.at <= m_options.burstWindow && !death.inFlight.contains(group);
     });
 }
 
-void CrashRule::recordUnprobedDeath(const std::set<GroupKey> &inFlight, TimePoint now)
+void CrashRule::excuseOthers(const EngineDeath &death)
 {
-    std::erase_if(m_unprobedDeaths, [&](const UnprobedDeath &death) {
-        return now - death.at > m_options.burstWindow;
-    });
-    m_unprobedDeaths.push_back({.at = now, .inFlight = inFlight});
     for (auto &[group, suspectState] : m_suspects) {
-        if (!inFlight.contains(group) && now - suspectState.lastDeathAt <= m_options.burstWindow) {
+        const Duration between = std::chrono::abs(death.at - suspectState.lastDeathAt);
+        if (!death.inFlight.contains(group) && between <= m_options.burstWindow) {
             suspectState.engines.clear();
             suspectState.deaths = 0;
         }
@@ -84,13 +92,18 @@
 
 void CrashRule::recordEngineDeath(const EndpointId &engine, const std::set<GroupKey> &inFlight, TimePoint now)
 {
+    std::erase_if(m_deaths, [&](const EngineDeath &death) {
+        return now - death.at > m_options.burstWindow + m_options.verdictDelay;
+    });
     const auto probe = m_probes.find(engine);
     std::set<GroupKey> suspects = inFlight;
     if (probe != m_probes.end()) {
         suspects = {probe->second};
+        m_deaths.push_back({.at = now, .inFlight = inFlight, .probed = probe->second});
         m_probes.erase(probe);
     } else {
-        recordUnprobedDeath(inFlight, now);
+        m_deaths.push_back({.at = now, .inFlight = inFlight, .probed = std::nullopt});
+        excuseOthers(m_deaths.back());
     }
     for (const GroupKey &group : suspects) {
         SuspectState &suspectState = m_suspects[group];
--- a/bergamot/samples/crash_rule.h
+++ b/bergamot/samples/crash_rule.h
@@ -4,7 +4,8 @@
 // then probed: an engine runs at most one suspect at a time, and each suspect runs on one engine at a time. A suspect
 // that finishes is cleared. If the engine crashes, only the probed suspect is blamed; it is given up after crashes of
 // two distinct engines, or after three crashes if there is only one engine, unless engines crash without it as well: in
-// a burst of crashes nothing is known against a prompt, and it runs again.
+// a burst of crashes nothing is known against a prompt, and it runs again. Idle engines that crash count as well, and
+// those that probed a suspect which turns out to be sound.
 //
 //     rule.recordStart(group, engine);
 //     rule.recordEngineDeath(engine, groupsInFlight, now);
@@ -54,7 +55,7 @@
     void recordStart(const GroupKey &group, const EndpointId &engine);
     /// Records that a sample of `group` ended on `engine` without a crash. A `finished` sample clears the group.
     void recordEnd(const GroupKey &group, const EndpointId &engine, bool finished);
-    /// Records a crash of `engine` while the groups `inFlight` ran on it.
+    /// Records a crash of `engine` while the groups `inFlight` ran on it; none if it was idle.
     void recordEngineDeath(const EndpointId &engine, const std::set<GroupKey> &inFlight, TimePoint now);
     /// Returns the groups that are given up now. Call it often.
     std::vector<GroupKey> takeGivenUp(TimePoint now);
@@ -78,11 +79,11 @@
         std::optional<TimePoint> verdictAt; // set while a verdict is pending
     };
 
-    /// A crash of an engine that probed no suspect.
-    struct UnprobedDeath
+    struct EngineDeath
     {
         TimePoint at;
         std::set<GroupKey> inFlight;
+        std::optional<GroupKey> probed; // the suspect that the engine probed
     };
 
     bool exceedsCrashLimit(const SuspectState &suspectState) const;
@@ -90,12 +91,14 @@
     /// suspect don't count: otherwise two prompts that crash engines would excuse each other for ever.
     bool otherEngineCrashed(const GroupKey &group, TimePoint now) const;
     /// Excuses the suspects that were not in flight from their crashes within the burst window.
-    void recordUnprobedDeath(const std::set<GroupKey> &inFlight, TimePoint now);
+    void excuseOthers(const EngineDeath &death);
+    /// The suspect finished, so the engines that crashed while they probed it crashed for another reason.
+    void recordSound(const GroupKey &group);
 
     CrashRuleOptions m_options;
     std::map<GroupKey, SuspectState> m_suspects;
     std::map<EndpointId, GroupKey> m_probes; // probed suspect by engine
-    std::deque<UnprobedDeath> m_unprobedDeaths; // those of the burst window, oldest first
+    std::deque<EngineDeath> m_deaths; // those on which a verdict may depend, oldest first
 };
 
 } // namespace bergamot
--- a/bergamot/samples/crash_rule_test.cpp
+++ b/bergamot/samples/crash_rule_test.cpp
@@ -99,6 +99,7 @@
     bool probed; // the engine probed another suspect
     std::set<GroupKey> inFlight;
     bool givenUp;
+    bool soundLater = false; // that other suspect finishes before the verdict
 };
 
 class OtherCrashes : public CrashRuleTest, public testing::WithParamInterface<OtherCrash>
@@ -125,6 +126,9 @@
         m_now += GetParam().after;
         crashThird();
     }
+    if (GetParam().soundLater) {
+        m_rule.recordEnd(Good, First, true);
+    }
     const std::vector<GroupKey> givenUp = m_rule.takeGivenUp(verdictAt);
     EXPECT_EQ(std::count(givenUp.begin(), givenUp.end(), Bad), GetParam().givenUp ? 1 : 0) << GetParam().name;
     if (!GetParam().givenUp) {
@@ -139,7 +143,11 @@
                                          OtherCrash{"long before", -3s, false, {}, true},
                                          OtherCrash{"soon after", 400ms, false, {Fresh}, false},
                                          OtherCrash{"with the suspect", -1s, false, {Bad}, true},
-                                         OtherCrash{"under another suspect", -1s, true, {Good}, true}));
+                                         OtherCrash{"under another suspect", -1s, true, {Good}, true},
+                                         OtherCrash{"under a sound one", -1s, true, {Good}, false, true},
+                                         OtherCrash{"under a sound one later", 400ms, true, {Good}, false, true},
+                                         OtherCrash{"under a sound one long before", -3s, true, {Good}, true, true},
+                                         OtherCrash{"with a sound one", -1s, true, {Good, Bad}, true, true}));
 
 TEST_F(CrashRuleTest, aPromptIsStillOwedHoweverManyEnginesCrashedInABurst)
 {
--- a/bergamot/samples/sample_crash_burst_test.cpp
+++ b/bergamot/samples/sample_crash_burst_test.cpp
@@ -1,4 +1,4 @@
-// Bursts of crashes in which sound samples are still given up.
+// Bursts of crashes in which no sample may be given up.
 
 #include <gtest/gtest.h>
 
@@ -9,10 +9,10 @@
 namespace
 {
 
-class OpenCrashBursts : public testing::TestWithParam<unsigned>
+class CrashBursts : public testing::TestWithParam<unsigned>
 { };
 
-TEST_P(OpenCrashBursts, loseNoSample)
+TEST_P(CrashBursts, loseNoSample)
 {
     const CrashBurstOutcome outcome = runCrashBursts(GetParam());
     EXPECT_TRUE(outcome.finished);
@@ -20,7 +20,9 @@
     EXPECT_EQ(outcome.failures, 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Seeds, OpenCrashBursts, testing::Values(45U));
+INSTANTIATE_TEST_SUITE_P(Seeds, CrashBursts, testing::Range(0U, 100U));
+// A suspect was blamed while another one that proved to be sound was probed on engines that crashed.
+INSTANTIATE_TEST_SUITE_P(FailedOnce, CrashBursts, testing::Values(1125U));
 
 } // namespace
 } // namespace bergamot
--- a/bergamot/samples/sample_failures_test.cpp
+++ b/bergamot/samples/sample_failures_test.cpp
@@ -1,6 +1,5 @@
 #include <gtest/gtest.h>
 
-#include "bergamot/samples/internal/crash_bursts.h"
 #include "bergamot/samples/internal/simulation_options.h"
 
 namespace bergamot
@@ -186,18 +185,5 @@
         return name;
     });
 
-class CrashBursts : public testing::TestWithParam<unsigned>
-{ };
-
-TEST_P(CrashBursts, loseNoSample)
-{
-    const CrashBurstOutcome outcome = runCrashBursts(GetParam());
-    EXPECT_TRUE(outcome.finished);
-    EXPECT_EQ(outcome.violations, 0U);
-    EXPECT_EQ(outcome.failures, 0U);
-}
-
-INSTANTIATE_TEST_SUITE_P(Seeds, CrashBursts, testing::Range(0U, 10U));
-
 } // namespace
 } // namespace bergamot
--- a/bergamot/samples/sample_scheduler.cpp
+++ b/bergamot/samples/sample_scheduler.cpp
@@ -35,7 +35,7 @@
     for (const auto &[model, version] : fleet.published) {
         recordPublished(model, version, now);
     }
-    setEngines(std::move(fleet.engines));
+    setEngines(std::move(fleet.engines), now);
     applySuspects(m_suspectPrompts.mergeReports(fleet.suspects));
     tick(now);
 }
@@ -48,13 +48,16 @@
     }
 }
 
-void SampleScheduler::setEngines(std::vector<EngineView> views)
+void SampleScheduler::setEngines(std::vector<EngineView> views, TimePoint now)
 {
     std::map<EndpointId, Engine> next;
     for (EngineView &view : views) {
         Engine engine;
         if (const auto known = m_engines.find(view.engine); known != m_engines.end()) {
             engine = known->second;
+            if (engine.view.reachable && !view.reachable) {
+                recordIdleEngineDeath(engine, now);
+            }
         }
         // The engine's report lags behind, so it may include any sample that was in flight since the last report.
         const std::uint32_t reported = view.running + view.waiting;
--- a/bergamot/samples/sample_scheduler.h
+++ b/bergamot/samples/sample_scheduler.h
@@ -47,6 +47,7 @@
     StepLimits limits;
     std::chrono::milliseconds sampleTimeout{600000}; // limit for one attempt
     std::chrono::milliseconds enginePause{1000}; // pause of an engine after a failed attempt
+    std::chrono::milliseconds crashViewLag{2000}; // within which the views show a crash as an unreachable engine
     std::chrono::milliseconds scoringRetryDelay{500};
     std::uint32_t scoringAttempts = 3;
     std::uint32_t maxConcurrentScorings = 64; // limit of concurrent scoring calls
@@ -193,7 +194,9 @@
 
     // Fleet and events (sample_scheduler.cpp); lost attempts (sample_scheduler_losses.cpp).
     void recordPublished(const ModelId &model, WeightVersion version, TimePoint now);
-    void setEngines(std::vector<EngineView> views);
+    void setEngines(std::vector<EngineView> views, TimePoint now);
+    /// Records the crash of an engine that ran no sample: its view says that it became unreachable.
+    void recordIdleEngineDeath(Engine &engine, TimePoint now);
     void setTrainers(const std::map<TrainerId, TrainerConfig> &configured);
     void setNewest(const FleetState &fleet, TimePoint now);
     Attempt removeAttempt(const std::string &requestId);
--- a/bergamot/samples/sample_scheduler_losses.cpp
+++ b/bergamot/samples/sample_scheduler_losses.cpp
@@ -37,6 +37,18 @@
     reportCrash(attempt.engine, inFlight);
 }
 
+void SampleScheduler::recordIdleEngineDeath(Engine &engine, TimePoint now)
+{
+    // A view lags behind, so it may show a crash that was recorded with an attempt.
+    const bool isKnown = now - engine.diedAt <= m_options.crashViewLag;
+    if (isKnown || engine.ownSamples > 0 || engine.ownSamplesPeak > 0) {
+        return;
+    }
+    engine.diedAt = now;
+    ++m_counters.engineDeaths;
+    m_crashes.recordEngineDeath(engine.view.engine, {}, now);
+}
+
 void SampleScheduler::giveUpCrashingGroups(TimePoint now)
 {
     for (const GroupKey &group : m_crashes.takeGivenUp(now)) {
