--- a/bergamot/node/endpoint_reach_test.cpp
+++ b/bergamot/node/endpoint_reach_test.cpp
@@ -38,7 +38,7 @@
     Address listen(bool refuses)
     {
         tcp::acceptor acceptor(m_loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-        const Address address{"127.0.0.1", acceptor.local_endpoint().port()};
+        Address address{"127.0.0.1", acceptor.local_endpoint().port()};
         if (!refuses) {
             m_acceptors.push_back(std::move(acceptor));
         }
