--- /dev/null
+++ b/review/standins-2/main.cpp
@@ -0,0 +1,234 @@
+// review-standins: plays the platform of a small deployment against running nodes, for one case of the review. Exits
+// with 1 if the rule of the case was broken, with 0 if it held, and with 2 if the case could not run.
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include "fleet.h"
+#include "platform/base64.h"
+
+namespace review
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr int Held = 0;
+constexpr int Broken = 1;
+constexpr int NotRun = 2;
+
+std::string routeJson(const std::string &name, const std::string &prefix, const std::string &service)
+{
+    return R"({"name":")" + name + R"(","host":")" + std::string(Host) + R"(","path_prefix":")" + prefix
+        + R"(","route_kind":"rollout","target_latency_ms":400,"result_deadline_ms":7500,"timeout_ms":10000,)"
+        + R"("priority":1,"max_attempts":3,"retention_s":60,"service":")" + service + R"("})";
+}
+
+std::string serviceJson(const std::string &name, const std::string &model)
+{
+    return R"({"name":")" + name + R"(","health_path":"/health","max_connections":282,"engine":{"slots":4,)"
+        + R"("kv_cache_tokens":40000,"models":[{"name":")" + model + R"("}]}})";
+}
+
+std::string manifest(std::uint64_t version, const std::string &routes, const std::string &services)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes + R"(],"services":[)" + services
+        + R"(],"limits":{"max_header_bytes":16384,"max_body_bytes":33554432,"header_timeout_ms":3000,)"
+        + R"("idle_timeout_ms":15000}})";
+}
+
+/// Two machines give orders to one engine within the lease: the store loses its answer to the first machine's note of
+/// the order, and that machine is stopped as planned right after its order.
+int takeTurns(Fleet &fleet)
+{
+    constexpr std::int64_t LeaseMs = 3000; // `lease_ms`
+    const std::string model = "model-reviewed";
+    fleet.addEngine({.id = "i-e1", .service = "llm", .models = {{model, 1}}});
+    fleet.configure(manifest(1, routeJson("rollouts", "/rollouts/", "llm"), serviceJson("llm", model)));
+    if (!fleet.nodesReady()) {
+        return NotRun;
+    }
+    const auto orderOf = [&fleet](std::uint64_t version) -> const SeenOrder * {
+        for (const SeenOrder &order : fleet.seen.orders) {
+            if (order.version == version) {
+                return &order;
+            }
+        }
+        return nullptr;
+    };
+    fleet.nameVersion(model, 2);
+    if (!fleet.until(
+            [&] {
+                return orderOf(2) != nullptr;
+            },
+            15s)) {
+        return NotRun;
+    }
+    fleet.sleep(4500ms);
+    if (fleet.settings.trouble) {
+        fleet.store.loseNextAnswer([&model](const net::Request &request) {
+            return request.query("topic") == "batches" && request.query("producer") == "pool"
+                && request.body.find(model) != std::string::npos;
+        });
+    }
+    fleet.nameVersion(model, 3);
+    const TimePoint namedAt = BootClock::now();
+    if (!fleet.until(
+            [&] {
+                return orderOf(3) != nullptr;
+            },
+            10s)) {
+        return NotRun;
+    }
+    if (!fleet.signal(machineOf(orderOf(3)->holder), SIGTERM)) {
+        return NotRun;
+    }
+    fleet.sleep(std::max<Duration>(Duration::zero(), namedAt + 3s - BootClock::now()));
+    fleet.nameVersion(model, 4);
+    if (!fleet.until(
+            [&] {
+                return orderOf(4) != nullptr;
+            },
+            15s)) {
+        return NotRun;
+    }
+    int outcome = Held;
+    for (std::size_t index = 1; index < fleet.seen.orders.size(); ++index) {
+        const SeenOrder &before = fleet.seen.orders[index - 1];
+        const SeenOrder &order = fleet.seen.orders[index];
+        if (machineOf(before.holder) == machineOf(order.holder)) {
+            continue;
+        }
+        const bool within = order.at - before.at < LeaseMs;
+        fleet.record.write("check: orders of " + before.holder + " and " + order.holder + " to " + order.engine
+                           + " are " + std::to_string(order.at - before.at)
+                           + " ms apart: " + (within ? "BROKEN" : "held"));
+        outcome = within ? Broken : outcome;
+    }
+    return outcome;
+}
+
+std::string itemJson(const std::string &id, const std::string &path, const std::string &model)
+{
+    return R"({"id":")" + id + R"(","path":")" + path + R"(","headers":{"Bergamotwinch-Model":")" + model
+        + R"(","Bergamotwinch-Token-Counts":"20,40","Bergamotwinch-Prompt-Prefix":"9c2e41:20"},"body":")"
+        + bergamot::platform::encodeBase64("body of " + id) + R"(","tokens":60,"group":"g1"})";
+}
+
+/// A manifest adds a route for a part of the paths of a batch job that is being processed.
+int splitRoute(Fleet &fleet)
+{
+    const std::string model = "model-reviewed";
+    const std::string oldRoute = routeJson("rollouts", "/rollouts/", "llm-a");
+    const std::string services = serviceJson("llm-a", model) + "," + serviceJson("llm-b", model);
+    fleet.addEngine({.id = "i-a1", .service = "llm-a", .models = {{model, 1}}, .slots = 2, .events = 10});
+    fleet.addEngine({.id = "i-a2", .service = "llm-a", .models = {{model, 1}}, .slots = 2, .events = 10});
+    fleet.addEngine({.id = "i-b1", .service = "llm-b", .models = {{model, 1}}, .slots = 4, .events = 10});
+    fleet.configure(manifest(1, oldRoute, services));
+    if (!fleet.nodesReady()) {
+        return NotRun;
+    }
+    std::string items = itemJson("a000000000000001", "/rollouts/new/1", model);
+    for (int index = 2; index <= 40; ++index) {
+        items += ","
+            + itemJson("a0000000000000" + std::to_string(100 + index), "/rollouts/old/" + std::to_string(index), model);
+    }
+    const Answer accepted = fleet.call("node-1",
+                                       "POST",
+                                       "/rollouts/b1",
+                                       "b000000000000001",
+                                       R"({"step":0,"model":")" + model
+                                           + R"(","min_version":1,"desired_count":1,"items":[)" + items + "]}");
+    if (accepted.status != 202
+        || !fleet.until(
+            [&] {
+                return !fleet.seen.runs.empty();
+            },
+            10s)) {
+        return NotRun;
+    }
+    fleet.sleep(300ms);
+    if (fleet.settings.trouble) {
+        fleet.configure(manifest(4, oldRoute + "," + routeJson("rollouts-new", "/rollouts/new/", "llm-b"), services));
+    }
+    std::string results;
+    for (int attempt = 0; attempt < 40; ++attempt) {
+        const Answer read = fleet.call("node-2", "GET", "/bergamotwinch/lots/b000000000000001?after=0", "", "");
+        results = read.body;
+        if (read.status == 200 && read.body.find("\"next\":40") != std::string::npos) {
+            break;
+        }
+        fleet.sleep(500ms);
+    }
+    if (results.find("\"next\":40") == std::string::npos) {
+        return NotRun;
+    }
+    int foreign = 0;
+    for (const SeenRun &run : fleet.seen.runs) {
+        foreign += run.path.starts_with("/rollouts/old/") && run.service != "llm-a" ? 1 : 0;
+    }
+    fleet.record.write("check: " + std::to_string(foreign)
+                       + " runs under /rollouts/old/ at another service than llm-a: "
+                       + (foreign > 0 ? "BROKEN" : "held"));
+    return foreign > 0 ? Broken : Held;
+}
+
+using Case = int (*)(Fleet &fleet);
+
+const std::map<std::string, Case> Cases{{"take-turns", takeTurns}, {"split-route", splitRoute}};
+
+/// Parses "NAME=IP:PORT,NAME=IP:PORT".
+bool parseNodes(std::string_view text, std::map<std::string, Address> &nodes)
+{
+    while (!text.empty()) {
+        const std::string_view entry = text.substr(0, text.find(','));
+        text.remove_prefix(std::min(entry.size() + 1, text.size()));
+        const std::size_t equals = entry.find('=');
+        const auto address = bergamot::parseAddress(entry.substr(std::min(equals + 1, entry.size())));
+        if (equals == std::string_view::npos || !address) {
+            return false;
+        }
+        nodes[std::string(entry.substr(0, equals))] = *address;
+    }
+    return true;
+}
+
+int run(const std::vector<std::string> &arguments)
+{
+    constexpr std::size_t Expected = 7;
+    if (arguments.size() != Expected) {
+        std::cerr << "usage: review-standins CASE 0|1 RECORD PIDS STORE NODES READY\n";
+        return NotRun;
+    }
+    Settings settings{
+        .name = arguments[0], .trouble = arguments[1] != "0", .recordFile = arguments[2], .pidFile = arguments[3]};
+    const auto store = bergamot::parseAddress(arguments[4]);
+    const auto chosen = Cases.find(settings.name);
+    if (!store || chosen == Cases.end() || !parseNodes(arguments[5], settings.nodes)
+        || !parseNodes(arguments[6], settings.ready)) {
+        std::cerr << "review-standins: unknown case, or malformed addresses\n";
+        return NotRun;
+    }
+    settings.store = *store;
+    boost::asio::io_context loop(1);
+    const auto work = boost::asio::make_work_guard(loop);
+    Fleet fleet(loop, settings);
+    const int outcome = fleet.listening() ? chosen->second(fleet) : NotRun;
+    fleet.record.write("exit " + std::to_string(outcome));
+    std::cout << settings.name << ": " << (outcome == Held ? "held" : outcome == Broken ? "BROKEN" : "not run") << "\n";
+    return outcome;
+}
+
+} // namespace
+
+} // namespace review
+
+int main(int argc, char **argv)
+{
+    return review::run({argv + 1, argv + argc});
+}
