review: case 7, a copied answer gives an item up too early

Cause: all runs of an item have one id, and a failed run is repeated at once on the same connection, so a second copy of an engine's answer counts as the answer to the next run. Change: a script with a faulty engine and the claim; the route case becomes case 8, with 60 items. Nothing is mended.

--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -191,6 +191,10 @@
 public:
     Fleet(boost::asio::io_context &loop, const Settings &settings);
 
+    boost::asio::io_context &loop()
+    {
+        return m_loop;
+    }
     bool listening() const
     {
         return m_listening;
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 
+#include "faulty_engine.h"
 #include "fleet.h"
 #include "platform/base64.h"
 
@@ -21,12 +22,16 @@
 constexpr int Held = 0;
 constexpr int Broken = 1;
 constexpr int NotRun = 2;
+constexpr int MaxAttempts = 3; // of the routes
+constexpr int Items = 60; // of a batch job
+const std::string BatchId = "b000000000000001";
 
 std::string routeJson(const std::string &name, const std::string &prefix, const std::string &service)
 {
     return R"({"name":")" + name + R"(","host":")" + std::string(Host) + R"(","path_prefix":")" + prefix
         + R"(","route_kind":"rollout","target_latency_ms":400,"result_deadline_ms":7500,"timeout_ms":10000,)"
-        + R"("priority":1,"max_attempts":3,"retention_s":60,"service":")" + service + R"("})";
+        + R"("priority":1,"retention_s":60,"max_attempts":)" + std::to_string(MaxAttempts) + R"(,"service":")" + service
+        + R"("})";
 }
 
 std::string serviceJson(const std::string &name, const std::string &model)
@@ -120,6 +125,31 @@
         + bergamot::platform::encodeBase64("body of " + id) + R"(","tokens":60,"group":"g1"})";
 }
 
+std::string itemId(int index)
+{
+    return "a0000000000000" + std::to_string(100 + index);
+}
+
+std::string submissionJson(const std::string &model, const std::string &items)
+{
+    return R"({"step":0,"model":")" + model + R"(","min_version":1,"desired_count":1,"items":[)" + items + "]}";
+}
+
+/// Reads the results of the batch job until all are listed. Returns the last answer; empty if they were not in time.
+std::string readResults(Fleet &fleet, int items)
+{
+    constexpr int Tries = 40;
+    const std::string all = R"("next":)" + std::to_string(items) + ",";
+    for (int attempt = 0; attempt < Tries; ++attempt) {
+        fleet.sleep(500ms);
+        const Answer read = fleet.call("node-2", "GET", "/bergamotwinch/lots/" + BatchId + "?after=0", "", "");
+        if (read.status == 200 && read.body.find(all) != std::string::npos) {
+            return read.body;
+        }
+    }
+    return {};
+}
+
 /// A manifest adds a route for a part of the paths of a batch job that is being processed.
 int splitRoute(Fleet &fleet)
 {
@@ -133,17 +163,11 @@
     if (!fleet.nodesReady()) {
         return NotRun;
     }
-    std::string items = itemJson("a000000000000001", "/rollouts/new/1", model);
-    for (int index = 2; index <= 40; ++index) {
-        items += ","
-            + itemJson("a0000000000000" + std::to_string(100 + index), "/rollouts/old/" + std::to_string(index), model);
-    }
-    const Answer accepted = fleet.call("node-1",
-                                       "POST",
-                                       "/rollouts/b1",
-                                       "b000000000000001",
-                                       R"({"step":0,"model":")" + model
-                                           + R"(","min_version":1,"desired_count":1,"items":[)" + items + "]}");
+    std::string items = itemJson(itemId(1), "/rollouts/new/1", model);
+    for (int index = 2; index <= Items; ++index) {
+        items += "," + itemJson(itemId(index), "/rollouts/old/" + std::to_string(index), model);
+    }
+    const Answer accepted = fleet.call("node-1", "POST", "/rollouts/b1", BatchId, submissionJson(model, items));
     if (accepted.status != 202
         || !fleet.until(
             [&] {
@@ -156,16 +180,7 @@
     if (fleet.settings.trouble) {
         fleet.configure(manifest(4, oldRoute + "," + routeJson("rollouts-new", "/rollouts/new/", "llm-b"), services));
     }
-    std::string results;
-    for (int attempt = 0; attempt < 40; ++attempt) {
-        const Answer read = fleet.call("node-2", "GET", "/bergamotwinch/lots/b000000000000001?after=0", "", "");
-        results = read.body;
-        if (read.status == 200 && read.body.find("\"next\":40") != std::string::npos) {
-            break;
-        }
-        fleet.sleep(500ms);
-    }
-    if (results.find("\"next\":40") == std::string::npos) {
+    if (readResults(fleet, Items).empty()) {
         return NotRun;
     }
     int foreign = 0;
@@ -178,9 +193,55 @@
     return foreign > 0 ? Broken : Held;
 }
 
+/// An engine fails the first two runs of an item, and sends the first of these answers a second time.
+int countFailures(Fleet &fleet)
+{
+    const std::string model = "model-reviewed";
+    const std::string id = itemId(1);
+    FaultyEngine engine(fleet.loop(),
+                        fleet.store,
+                        fleet.record,
+                        {.id = "i-e1",
+                         .service = "llm",
+                         .model = model,
+                         .failingItem = id,
+                         .failures = 2,
+                         .extraAnswer = fleet.settings.trouble});
+    if (!engine.listen()) {
+        return NotRun;
+    }
+    fleet.addEngine({.id = "i-e2", .service = "llm", .models = {{model, 1}}});
+    fleet.configure(manifest(1, routeJson("rollouts", "/rollouts/", "llm"), serviceJson("llm", model)));
+    if (!fleet.nodesReady()) {
+        return NotRun;
+    }
+    std::string items = itemJson(id, "/rollouts/1", model);
+    for (int index = 2; index <= Items; ++index) {
+        items += "," + itemJson(itemId(index), "/rollouts/" + std::to_string(index), model);
+    }
+    const Answer accepted = fleet.call("node-1", "POST", "/rollouts/b1", BatchId, submissionJson(model, items));
+    const std::string results = accepted.status == 202 ? readResults(fleet, Items) : std::string();
+    if (results.empty()) {
+        return NotRun;
+    }
+    const SeenAnswers seen = engine.answers().contains(id) ? engine.answers().at(id) : SeenAnswers{};
+    const bool givenUp = results.find(R"({"id":")" + id + R"(","state":"terminated")") != std::string::npos;
+    const bool broken = givenUp && seen.failures < MaxAttempts;
+    int answers = 0;
+    for (const auto &[item, answered] : engine.answers()) {
+        answers += answered.failures + answered.completed;
+    }
+    fleet.record.write("the faulty engine gave " + std::to_string(answers) + " answers");
+    fleet.record.write("check: " + std::to_string(seen.runs) + " runs, " + std::to_string(seen.failures)
+                       + " answered with 500, max_attempts " + std::to_string(MaxAttempts) + ", listed as "
+                       + (givenUp ? "terminated" : "completed") + ": " + (broken ? "BROKEN" : "held"));
+    return broken ? Broken : Held;
+}
+
 using Case = int (*)(Fleet &fleet);
 
-const std::map<std::string, Case> Cases{{"take-turns", takeTurns}, {"split-route", splitRoute}};
+const std::map<std::string, Case> Cases{
+    {"take-turns", takeTurns}, {"split-route", splitRoute}, {"count-failures", countFailures}};
 
 /// Parses "NAME=IP:PORT,NAME=IP:PORT".
 bool parseNodes(std::string_view text, std::map<std::string, Address> &nodes)
