--- a/review/standins-2/faulty_engine.cpp
+++ b/review/standins-2/faulty_engine.cpp
@@ -46,32 +46,75 @@
     , m_options(std::move(options))
     , m_acceptor(loop)
     , m_beatTimer(loop)
+    , m_restartTimer(loop)
 { }
 
 bool FaultyEngine::listen()
 {
-    const tcp::endpoint endpoint(boost::asio::ip::address_v4::loopback(), 0);
+    const bool listening = open();
+    beat();
+    return listening;
+}
+
+bool FaultyEngine::open()
+{
     error_code error;
-    m_acceptor.open(endpoint.protocol(), error);
-    m_acceptor.bind(endpoint, error);
-    m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    const auto attempt = [&error](const auto &step) {
+        if (!error) {
+            step();
+        }
+    };
+    attempt([&] {
+        m_acceptor.open(m_endpoint.protocol(), error);
+    });
+    attempt([&] {
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    });
+    attempt([&] {
+        m_acceptor.bind(m_endpoint, error);
+    });
+    attempt([&] {
+        m_acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    });
     if (error) {
         return false;
     }
-    beat();
+    m_endpoint = m_acceptor.local_endpoint();
     accept();
     return true;
 }
 
+void FaultyEngine::crash()
+{
+    error_code ignored; // a failure to close cannot be handled
+    m_acceptor.close(ignored);
+    m_beatTimer.cancel();
+    for (const std::weak_ptr<Connection> &known : std::exchange(m_connections, {})) {
+        if (const std::shared_ptr<Connection> connection = known.lock()) {
+            connection->timer.cancel();
+            connection->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            connection->socket.close(ignored);
+        }
+    }
+    m_restartTimer.expires_after(m_options.downtime);
+    m_restartTimer.async_wait([this](const error_code &error) {
+        if (!error && open()) {
+            ++m_born;
+            m_beats = 0;
+            beat();
+        }
+    });
+}
+
 void FaultyEngine::beat()
 {
     m_store.put("keyed.servers",
                 m_options.id,
-                R"({"service":")" + m_options.service + R"(","address":"127.0.0.1:)"
-                    + std::to_string(m_acceptor.local_endpoint().port())
+                R"({"service":")" + m_options.service + R"(","address":"127.0.0.1:)" + std::to_string(m_endpoint.port())
                     + R"(","zone":"a","version":"v1","slots":4,"state":"ready","cold_remaining_ms":0,)"
                     + R"("stage":"prefill_decode","models":[{"name":")" + m_options.model
-                    + R"(","version":1,"adapters":[]}],"born":1,"sequence":)" + std::to_string(++m_beats) + "}");
+                    + R"(","version":1,"adapters":[]}],"born":)" + std::to_string(m_born) + R"(,"sequence":)"
+                    + std::to_string(++m_beats) + "}");
     m_beatTimer.expires_after(BeatInterval);
     m_beatTimer.async_wait([this](const error_code &error) {
         if (!error) {
@@ -88,8 +131,10 @@
         }
         error_code ignored; // without no_delay small packets may be delayed, nothing else
         socket.set_option(tcp::no_delay(true), ignored);
-        read(std::make_shared<Connection>(
-            Connection{.socket = std::move(socket), .timer = boost::asio::steady_timer(m_loop)}));
+        const auto connection = std::make_shared<Connection>(
+            Connection{.socket = std::move(socket), .timer = boost::asio::steady_timer(m_loop)});
+        m_connections.push_back(connection);
+        read(connection);
         accept();
     });
 }
@@ -138,6 +183,12 @@
     connection->busy = true;
     ++m_answers[id].runs;
     m_record.write("engine " + m_options.id + ": begins run " + std::to_string(m_answers[id].runs) + " of " + id);
+    if (id == m_options.crashingItem) {
+        m_answers[id].crashes.push_back(m_record.now());
+        m_record.write("engine " + m_options.id + ": crashes under " + id);
+        crash();
+        return;
+    }
     connection->timer.expires_after(m_options.runTime);
     connection->timer.async_wait([this, connection, id](const error_code &error) {
         if (!error) {
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -238,10 +238,74 @@
     return broken ? Broken : Held;
 }
 
+/// An item crashes each engine that begins to run it.
+int crashEngines(Fleet &fleet)
+{
+    constexpr std::int64_t ContactMs = 3000; // `contact_ms`
+    constexpr int MaxRetries = 3; // later than that after the third crash
+    const std::string model = "model-reviewed";
+    const std::string id = itemId(1);
+    std::vector<std::unique_ptr<FaultyEngine>> engines;
+    for (const char *engine : {"i-e1", "i-e2", "i-e3", "i-e4"}) {
+        engines.push_back(std::make_unique<FaultyEngine>(
+            fleet.loop(),
+            fleet.store,
+            fleet.record,
+            FaultyEngineOptions{
+                .id = engine, .service = "llm", .model = model, .crashingItem = fleet.settings.trouble ? id : ""}));
+        if (!engines.back()->listen()) {
+            return NotRun;
+        }
+    }
+    fleet.configure(manifest(1, routeJson("rollouts", "/rollouts/", "llm"), serviceJson("llm", model)));
+    if (!fleet.nodesReady()) {
+        return NotRun;
+    }
+    const std::string items = itemJson(id, "/rollouts/1", model) + "," + itemJson(itemId(2), "/rollouts/2", model);
+    const Answer accepted = fleet.call("node-1", "POST", "/rollouts/b1", BatchId, submissionJson(model, items));
+    if (accepted.status != 202) {
+        return NotRun;
+    }
+    if (!fleet.settings.trouble) {
+        return readResults(fleet, 2).empty() ? NotRun : Held;
+    }
+    const auto crashes = [&engines, &id] {
+        std::vector<std::int64_t> all;
+        for (const std::unique_ptr<FaultyEngine> &engine : engines) {
+            if (engine->answers().contains(id)) {
+                const std::vector<std::int64_t> &own = engine->answers().at(id).crashes;
+                all.insert(all.end(), own.begin(), own.end());
+            }
+        }
+        std::sort(all.begin(), all.end());
+        return all;
+    };
+    const auto lateRuns = [&crashes] {
+        const std::vector<std::int64_t> all = crashes();
+        return std::count_if(all.begin(), all.end(), [&all](std::int64_t at) {
+            return all.size() > 2 && at > all[2] + ContactMs;
+        });
+    };
+    fleet.until(
+        [&] {
+            return lateRuns() > MaxRetries;
+        },
+        50s);
+    fleet.sleep(15s); // shows what becomes of the other item
+    fleet.call("node-2", "GET", "/bergamotwinch/lots/" + BatchId + "?after=0", "", "");
+    const auto late = lateRuns();
+    fleet.record.write("check: " + std::to_string(crashes().size()) + " engines crashed under " + id + ", "
+                       + std::to_string(late) + " of them later than " + std::to_string(ContactMs)
+                       + " ms after the third: " + (late > MaxRetries ? "BROKEN" : "held"));
+    return late > MaxRetries ? Broken : Held;
+}
+
 using Case = int (*)(Fleet &fleet);
 
-const std::map<std::string, Case> Cases{
-    {"take-turns", takeTurns}, {"split-route", splitRoute}, {"count-failures", countFailures}};
+const std::map<std::string, Case> Cases{{"take-turns", takeTurns},
+                                        {"split-route", splitRoute},
+                                        {"count-failures", countFailures},
+                                        {"crash-engines", crashEngines}};
 
 /// Parses "NAME=IP:PORT,NAME=IP:PORT".
 bool parseNodes(std::string_view text, std::map<std::string, Address> &nodes)
