--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -300,12 +300,47 @@
     return late > MaxRetries ? Broken : Held;
 }
 
+/// A consumer sends a request with a body that reads like a request, under a transfer coding other than chunked.
+int hideRequest(Fleet &fleet)
+{
+    fleet.addEngine({.id = "i-p1", .service = "desk"});
+    fleet.addEngine({.id = "i-p2", .service = "desk"});
+    fleet.configure(manifest(1,
+                             R"({"name":"desk","host":")" + std::string(Host)
+                                 + R"(","path_prefix":"/desk/","route_kind":"non_idempotent","timeout_ms":1500,)"
+                                 + R"("target_latency_ms":150,"priority":2,"max_attempts":1,"service":"desk"})",
+                             R"({"name":"desk","health_path":"/health","max_connections":208})"));
+    if (!fleet.nodesReady()) {
+        return NotRun;
+    }
+    const std::string fields = "Host: " + std::string(Host) + "\r\nBergamotwinch-Deadline-Ms: 1500\r\n";
+    const std::string hidden =
+        "POST /desk/hidden HTTP/1.1\r\n" + fields + "Bergamotwinch-Attempt-Id: hidden\r\nContent-Length: 0\r\n\r\n";
+    const std::string head = "POST /desk/1 HTTP/1.1\r\n" + fields + "Bergamotwinch-Attempt-Id: sent\r\n";
+    std::array<char, 32> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", hidden.size());
+    const std::string chunks = size.data() + hidden + "\r\n0\r\n\r\n";
+    fleet.sendBytes("node-1",
+                    fleet.settings.trouble ? head + "Transfer-Encoding: gzip\r\n\r\n" + hidden
+                                           : head + "Transfer-Encoding: chunked\r\n\r\n" + chunks);
+    const auto ranWith = [&fleet](std::string_view id) {
+        return std::any_of(fleet.seen.runs.begin(), fleet.seen.runs.end(), [id](const SeenRun &run) {
+            return run.id == id;
+        });
+    };
+    const bool broken = ranWith("hidden");
+    fleet.record.write(std::string("check: the request inside the other one ")
+                       + (broken ? "was run: BROKEN" : "was not run: held"));
+    return broken ? Broken : ranWith("sent") || fleet.settings.trouble ? Held : NotRun;
+}
+
 using Case = int (*)(Fleet &fleet);
 
 const std::map<std::string, Case> Cases{{"take-turns", takeTurns},
                                         {"split-route", splitRoute},
                                         {"count-failures", countFailures},
-                                        {"crash-engines", crashEngines}};
+                                        {"crash-engines", crashEngines},
+                                        {"hide-request", hideRequest}};
 
 /// Parses "NAME=IP:PORT,NAME=IP:PORT".
 bool parseNodes(std::string_view text, std::map<std::string, Address> &nodes)
