review: case 10 hides its request in an item of a batch

Cause: header values of an item are written to the engine as they are, line ends included, so an item can carry a second request. This is nearer to the project's own code than the transfer coding that the case used before. Ruled out: that only the parser of the library is at fault. Nothing is mended.

--- a/review/standins-2/fleet.cpp
+++ b/review/standins-2/fleet.cpp
@@ -3,9 +3,6 @@
 #include <charconv>
 #include <csignal>
 #include <fstream>
-
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 
@@ -607,22 +604,6 @@
     return **answer;
 }
 
-std::string Fleet::sendBytes(const std::string &node, const std::string &bytes)
-{
-    const Address &address = settings.nodes.at(node);
-    boost::asio::ip::tcp::socket socket(m_loop);
-    boost::system::error_code error;
-    socket.connect({boost::asio::ip::make_address(address.ip), address.port}, error);
-    boost::asio::write(socket, boost::asio::buffer(bytes), error);
-    socket.non_blocking(true, error);
-    sleep(1s);
-    std::string answer(16384, 0);
-    answer.resize(socket.read_some(boost::asio::buffer(answer), error));
-    record.write("client: sends " + std::to_string(bytes.size()) + " bytes to " + node
-                 + " and receives: " + answer.substr(0, 400));
-    return answer;
-}
-
 bool Fleet::signal(const std::string &node, int number)
 {
     std::ifstream pids(settings.pidFile);
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -209,8 +209,6 @@
     bool until(std::function<bool()> condition, Duration timeout);
     /// Sends one call of a consumer to a node, on a new connection.
     Answer call(std::string node, std::string method, std::string target, std::string id, std::string body);
-    /// Sends bytes to a node on a new connection and returns what it answers within a second.
-    std::string sendBytes(const std::string &node, const std::string &bytes);
     /// Sends a signal to the process of a node.
     bool signal(const std::string &node, int number);
 
--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -300,38 +300,44 @@
     return late > MaxRetries ? Broken : Held;
 }
 
-/// A consumer sends a request with a body that reads like a request, under a transfer coding other than chunked.
+/// A trainer hides a request in a header value of an item.
 int hideRequest(Fleet &fleet)
 {
-    fleet.addEngine({.id = "i-p1", .service = "desk"});
-    fleet.addEngine({.id = "i-p2", .service = "desk"});
-    fleet.configure(manifest(1,
-                             R"({"name":"desk","host":")" + std::string(Host)
-                                 + R"(","path_prefix":"/desk/","route_kind":"non_idempotent","timeout_ms":1500,)"
-                                 + R"("target_latency_ms":150,"priority":2,"max_attempts":1,"service":"desk"})",
-                             R"({"name":"desk","health_path":"/health","max_connections":208})"));
+    const std::string model = "model-reviewed";
+    const std::string id = itemId(1);
+    fleet.addEngine({.id = "i-e1", .service = "llm", .models = {{model, 1}}});
+    fleet.addEngine({.id = "i-e2", .service = "llm", .models = {{model, 1}}});
+    fleet.configure(manifest(1, routeJson("rollouts", "/rollouts/", "llm"), serviceJson("llm", model)));
     if (!fleet.nodesReady()) {
         return NotRun;
     }
-    const std::string fields = "Host: " + std::string(Host) + "\r\nBergamotwinch-Deadline-Ms: 1500\r\n";
-    const std::string hidden =
-        "POST /desk/hidden HTTP/1.1\r\n" + fields + "Bergamotwinch-Attempt-Id: hidden\r\nContent-Length: 0\r\n\r\n";
-    const std::string head = "POST /desk/1 HTTP/1.1\r\n" + fields + "Bergamotwinch-Attempt-Id: sent\r\n";
-    std::array<char, 32> size{};
-    std::snprintf(size.data(), size.size(), "%zx\r\n", hidden.size());
-    const std::string chunks = size.data() + hidden + "\r\n0\r\n\r\n";
-    fleet.sendBytes("node-1",
-                    fleet.settings.trouble ? head + "Transfer-Encoding: gzip\r\n\r\n" + hidden
-                                           : head + "Transfer-Encoding: chunked\r\n\r\n" + chunks);
-    const auto ranWith = [&fleet](std::string_view id) {
-        return std::any_of(fleet.seen.runs.begin(), fleet.seen.runs.end(), [id](const SeenRun &run) {
-            return run.id == id;
+    // As JSON escapes: the line ends become part of the value.
+    const std::string hidden = R"(1\r\nBergamotwinch-Attempt-Id: )" + id + R"(\r\nContent-Length: 0\r\n\r\n)"
+        + R"(POST /elsewhere/hidden HTTP/1.1\r\nHost: )" + std::string(Host)
+        + R"(\r\nBergamotwinch-Attempt-Id: hidden\r\nX-Rest: 1)";
+    const std::string item = R"({"id":")" + id + R"(","path":"/rollouts/1","headers":{"Bergamotwinch-Model":")" + model
+        + R"(","Bergamotwinch-Token-Counts":"20,40","Bergamotwinch-Prompt-Prefix":"9c2e41:20","X-Note":")"
+        + (fleet.settings.trouble ? hidden : "1") + R"("},"body":")" + bergamot::platform::encodeBase64("body")
+        + R"(","tokens":60,"group":"g1"})";
+    const Answer submitted = fleet.call("node-1", "POST", "/rollouts/b1", BatchId, submissionJson(model, item));
+    const auto ranWith = [&fleet](std::string_view wanted) {
+        return std::any_of(fleet.seen.runs.begin(), fleet.seen.runs.end(), [wanted](const SeenRun &run) {
+            return run.id == wanted;
         });
     };
+    fleet.until(
+        [&] {
+            return ranWith("hidden");
+        },
+        8s);
     const bool broken = ranWith("hidden");
-    fleet.record.write(std::string("check: the request inside the other one ")
+    fleet.record.write(std::string("check: the request inside the item ")
                        + (broken ? "was run: BROKEN" : "was not run: held"));
-    return broken ? Broken : ranWith("sent") || fleet.settings.trouble ? Held : NotRun;
+    if (broken) {
+        return Broken;
+    }
+    const bool served = submitted.status == 202 && ranWith(id);
+    return served || fleet.settings.trouble ? Held : NotRun; // a refusal of the batch job keeps the rule
 }
 
 using Case = int (*)(Fleet &fleet);
