review: each script names the file that it writes

Cause: the check of the form looks for record.txt in the folder of the case, and the shared part built the name. Change: run.sh passes the path to run_case.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,5 +3,5 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 source review/standins-2/lib
-run_case count-failures review/7 "${TROUBLE:-1}"
+run_case count-failures review/7/record.txt "${TROUBLE:-1}"
 exit $?
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,5 +3,5 @@
 # disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 source review/standins-2/lib
-run_case split-route review/8 "${TROUBLE:-1}"
+run_case split-route review/8/record.txt "${TROUBLE:-1}"
 exit $?
