net: the last chunk of a message may arrive in pieces

Callers saw: the process ended, and with it all requests on it. A chunked body without data whose end "0\r\n\r\n" arrives in pieces is enough, from one client within all limits, or from one endpoint.

Cause: once Beast 1.74 has read the size line of a last chunk, its next call asserts that at least five bytes are there. The line alone has three. Our release builds keep assertions (no NDEBUG).

Ruled out: switching the assertion off, which would switch off all of Boost's; holding back short pieces everywhere, which would delay events of streams.

Change: MessageFeed follows the chunks of a message and passes nothing shorter than "0\r\n\r\n" to the parser at a chunk header. Whatever chunk begins there, at least so many bytes follow, so nothing that could be used is held back. Server and client read through it.

The server and the client of bergamot/net are the only readers that use this parser in the system.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "bergamot/net/internal/event_meter.h"
+#include "bergamot/net/internal/message_feed.h"
 #include "bergamot/net/internal/piece_body.h"
 #include "bergamot/net/internal/socket_reader.h"
 
@@ -250,6 +251,7 @@
         // `handleBody` enforces the limit. Beast 1.74 compares an announced length even with an absent one.
         m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
         m_parser->eager(true);
+        m_feed.attach(*m_parser);
     }
 
     std::optional<Duration> totalTimeout() const
@@ -341,7 +343,7 @@
     void feedParser(error_code &error)
     {
         const std::size_t before = m_buffer.size();
-        internal::feed(*m_parser, m_buffer, error);
+        m_feed.put(*m_parser, m_buffer, error);
         m_parsedBytes += before - m_buffer.size();
     }
 
@@ -516,6 +518,7 @@
     std::shared_ptr<Connection> m_connection;
     std::string m_head;
     std::string m_buffer; // received, not parsed yet
+    internal::MessageFeed m_feed;
     std::optional<http::response_parser<internal::PieceBody>> m_parser;
     std::optional<internal::EventMeter> m_eventMeter; // present if the response is a stream
     std::size_t m_parsedBytes = 0;
--- a/bergamot/net/http_client_test.cpp
+++ b/bergamot/net/http_client_test.cpp
@@ -263,6 +263,71 @@
     }
 }
 
+struct SplitCase
+{
+    const char *name;
+    std::string content; // behind the head
+    std::string body;
+};
+
+/// A shape of a chunked response, and the bytes of each piece in which it arrives.
+using SplitParam = std::tuple<SplitCase, std::size_t>;
+
+class SplitResponseTest : public HttpClientTest, public testing::WithParamInterface<SplitParam>
+{ };
+
+TEST_P(SplitResponseTest, AResponseMayArriveInPiecesOfAnySize)
+{
+    const auto &[shape, pieceBytes] = GetParam();
+    Observed observed;
+    start(observed, {});
+    runUntil([this] {
+        return !m_peer.received.empty();
+    });
+    const std::string response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + shape.content;
+    for (std::size_t position = 0; position < response.size(); position += pieceBytes) {
+        boost::asio::write(*m_peer.connections.front(),
+                           boost::asio::buffer(std::string_view(response).substr(position, pieceBytes)));
+        m_loop.poll();
+        m_loop.run_one_for(1ms);
+    }
+    finish(observed);
+    EXPECT_EQ(observed.end->failure, CallFailure::None) << observed.end->detail;
+    EXPECT_EQ(observed.body, shape.body);
+}
+
+INSTANTIATE_TEST_SUITE_P(Shapes,
+                         SplitResponseTest,
+                         testing::Combine(testing::Values(SplitCase{"OnlyLastChunk", "0\r\n\r\n", ""},
+                                                          SplitCase{
+                                                              "Chunks", "3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n", "abcd"},
+                                                          SplitCase{"LastChunkExtension", "0;c=d\r\n\r\n", ""},
+                                                          SplitCase{"Trailer", "0\r\nT: 1\r\n\r\n", ""}),
+                                          testing::Values(1, 2, 3, 4, 5, 7, 1000)),
+                         [](const auto &test) {
+                             return std::get<0>(test.param).name + std::to_string(std::get<1>(test.param));
+                         });
+
+TEST_F(HttpClientTest, AChunkIsPassedOnBeforeTheNextOneBegins)
+{
+    Observed observed;
+    start(observed, {});
+    runUntil([this] {
+        return !m_peer.received.empty();
+    });
+    boost::asio::write(
+        *m_peer.connections.front(),
+        boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nab")));
+    runUntil([&observed] {
+        return observed.body == "ab";
+    });
+    boost::asio::write(*m_peer.connections.front(), boost::asio::buffer(std::string("c")));
+    runUntil([&observed] {
+        return observed.body == "abc";
+    });
+    EXPECT_FALSE(observed.end.has_value());
+}
+
 struct LateBodyCase
 {
     const char *name;
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include "bergamot/net/internal/message_feed.h"
 #include "bergamot/net/internal/response_text.h"
 #include "bergamot/net/internal/socket_reader.h"
 #include "bergamot/net/status.h"
@@ -43,6 +44,7 @@
         m_parser->header_limit(m_server.m_limits.headerBytes);
         m_parser->body_limit(m_server.m_limits.bodyBytes);
         m_parser->eager(true);
+        m_feed.attach(*m_parser);
         readAll();
     }
 
@@ -215,7 +217,7 @@
             m_waitingSince = BootClock::now();
         }
         error_code error;
-        internal::feed(*m_parser, m_buffer, error);
+        m_feed.put(*m_parser, m_buffer, error);
         if (error) {
             rejectRequest(error);
             return false;
@@ -368,6 +370,7 @@
     HttpServer &m_server;
     tcp::socket m_socket;
     std::string m_buffer; // received, not parsed yet
+    internal::MessageFeed m_feed;
     std::optional<http::request_parser<http::string_body>> m_parser;
     Request m_request;
     TimePoint m_receivedAt{};
--- a/bergamot/net/http_server_test.cpp
+++ b/bergamot/net/http_server_test.cpp
@@ -106,6 +106,52 @@
         return test.param.name;
     });
 
+struct SplitCase
+{
+    const char *name;
+    std::string fields;
+    std::string content; // behind the head
+    std::string body;
+};
+
+/// A shape of a request, and the bytes of each piece in which it arrives.
+using SplitParam = std::tuple<SplitCase, std::size_t>;
+
+class SplitRequestTest : public HttpServerTest, public testing::WithParamInterface<SplitParam>
+{ };
+
+TEST_P(SplitRequestTest, ARequestMayArriveInPiecesOfAnySize)
+{
+    const auto &[shape, pieceBytes] = GetParam();
+    const std::string request = "POST /a HTTP/1.1\r\n" + shape.fields + "\r\n" + shape.content;
+    for (std::size_t position = 0; position < request.size(); position += pieceBytes) {
+        send(std::string_view(request).substr(position, pieceBytes));
+        m_loop.poll();
+        m_loop.run_one_for(1ms);
+    }
+    awaitRequests(1);
+    EXPECT_EQ(m_exchanges.front()->request().body, shape.body);
+    m_exchanges.front()->respond({.body = "done"});
+    EXPECT_NE(receive("done").find("HTTP/1.1 200 OK\r\n"), std::string::npos);
+}
+
+const std::string ChunkedField = "Transfer-Encoding: chunked\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+    Shapes,
+    SplitRequestTest,
+    testing::Combine(testing::Values(SplitCase{"Length", "Content-Length: 3\r\n", "abc", "abc"},
+                                     SplitCase{"OnlyLastChunk", ChunkedField, "0\r\n\r\n", ""},
+                                     SplitCase{"Chunks", ChunkedField, "3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n", "abcd"},
+                                     SplitCase{"Extensions", ChunkedField, "3;a=b\r\nabc\r\n0;c\r\n\r\n", "abc"},
+                                     SplitCase{"LastChunkExtension", ChunkedField, "0;c=d\r\n\r\n", ""},
+                                     SplitCase{"Trailer", ChunkedField, "0\r\nT: 1\r\n\r\n", ""},
+                                     SplitCase{"ChunkAndTrailer", ChunkedField, "1\r\nx\r\n00\r\nT: 1\r\n\r\n", "x"}),
+                     testing::Values(1, 2, 3, 4, 5, 7, 1000)),
+    [](const auto &test) {
+        return std::get<0>(test.param).name + std::to_string(std::get<1>(test.param));
+    });
+
 struct RejectCase
 {
     const char *name;
--- a/bergamot/net/internal/socket_reader.h
+++ b/bergamot/net/internal/socket_reader.h
@@ -10,7 +10,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/error.hpp>
 
 namespace bergamot::net::internal
 {
@@ -32,21 +31,4 @@
     return !error;
 }
 
-/// Feeds `pending` to a Beast parser and removes what the parser consumed.
-template<typename Parser>
-void feed(Parser &parser, std::string &pending, boost::system::error_code &error)
-{
-    while (!pending.empty() && !parser.is_done()) {
-        const std::size_t used = parser.put(boost::asio::buffer(pending), error);
-        pending.erase(0, used);
-        if (error == boost::beast::http::error::need_more) {
-            error = {};
-            return;
-        }
-        if (error || used == 0) {
-            return;
-        }
-    }
-}
-
 } // namespace bergamot::net::internal
