net: an answer without length is incomplete if its request was not sent

The engine had answered a long upload at once and reset the connection while the upload was still being written.

Cause: a socket reports its error once. The write takes the reset, and the next read sees an end of file, which counted as the end of a body that has no length.

Ruled out: giving up answers that are delimited by the end of the connection, which engines may send; reading before writing, which only changes who takes the error.

Change: such an answer is complete only if the request was written without error, the connection ended in order and the socket holds no error. Otherwise the call is lost.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -4,6 +4,8 @@
 #include <charconv>
 #include <limits>
 
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -374,7 +376,10 @@
             return;
         }
         if (error == asio::error::eof && m_stage == Stage::ReadingBody && m_untilClose) {
-            if (m_eventMeter && !m_eventMeter->endsBehindEvent()) {
+            if (!endedInOrder()) {
+                end({.failure = CallFailure::Lost,
+                     .detail = "the connection ended before the request was sent; the response has no length"});
+            } else if (m_eventMeter && !m_eventMeter->endsBehindEvent()) {
                 end({.failure = CallFailure::Lost, .detail = "the connection was closed within an event"});
             } else {
                 complete();
@@ -384,6 +389,16 @@
         end({.failure = CallFailure::Lost, .detail = error.message()});
     }
 
+    /// Whether the end of the connection proves that a response without length is complete. A peer that resets the
+    /// connection while the request is sent looks the same to the next read: the write has taken the error.
+    bool endedInOrder() const
+    {
+        int socketError = 0;
+        socklen_t size = sizeof(socketError);
+        ::getsockopt(m_connection->socket.native_handle(), SOL_SOCKET, SO_ERROR, &socketError, &size);
+        return m_sent && socketError == 0;
+    }
+
     /// Returns false if the call has ended.
     bool handleHead()
     {
--- /dev/null
+++ b/bergamot/net/http_client_early_answer_test.cpp
@@ -0,0 +1,187 @@
+// Tests responses that arrive while their request is still being sent, and whose connection then ends.
+
+#include "bergamot/net/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace bergamot::net
+{
+namespace
+{
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+using namespace std::chrono_literals;
+
+constexpr std::size_t LongUpload = std::size_t{24} * 1024 * 1024; // exceeds the buffers of a connection
+
+enum class Ending {
+    Reset,
+    Close, // with unread bytes, if the request was not read, which resets the connection as well
+    ShutDown, // in order, and the connection stays open
+};
+
+/// Answers as soon as a request begins, and ends the connection a little later.
+class EarlyPeer
+{
+public:
+    EarlyPeer(boost::asio::io_context &loop, std::string answer, Ending ending, bool readsAll)
+        : m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+        , m_socket(loop)
+        , m_timer(loop)
+        , m_answer(std::move(answer))
+        , m_ending(ending)
+        , m_readsAll(readsAll)
+    {
+        m_acceptor.async_accept(m_socket, [this](const error_code &error) {
+            if (!error) {
+                read();
+            }
+        });
+    }
+
+    Address address() const
+    {
+        return {"127.0.0.1", m_acceptor.local_endpoint().port()};
+    }
+
+private:
+    void read()
+    {
+        m_socket.async_read_some(boost::asio::buffer(m_bytes), [this](const error_code &error, std::size_t) {
+            if (error) {
+                return;
+            }
+            if (!std::exchange(m_answered, true)) {
+                answer();
+            }
+            if (m_readsAll) {
+                read();
+            }
+        });
+    }
+
+    void answer()
+    {
+        boost::asio::write(m_socket, boost::asio::buffer(m_answer));
+        constexpr auto Delay = 50ms; // so that the client reads the answer first
+        m_timer.expires_after(Delay);
+        m_timer.async_wait([this](const error_code &) {
+            error_code ignored; // the client may have closed
+            if (m_ending == Ending::ShutDown) {
+                m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+                return;
+            }
+            if (m_ending == Ending::Reset) {
+                m_socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            }
+            m_socket.close(ignored);
+        });
+    }
+
+    tcp::acceptor m_acceptor;
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_answer;
+    Ending m_ending;
+    bool m_readsAll;
+    bool m_answered = false;
+    std::array<char, 4096> m_bytes{};
+};
+
+CallEnd callEnd(const std::string &answer, Ending ending, bool readsAll, std::size_t uploadBytes)
+{
+    boost::asio::io_context loop;
+    EarlyPeer peer(loop, answer, ending, readsAll);
+    HttpClient client(loop, {});
+    std::optional<CallEnd> end;
+    client.start({.to = peer.address(),
+                  .method = "POST",
+                  .target = "/",
+                  .body = std::string(uploadBytes, 'x'),
+                  .acceptsStream =
+                      [](const ResponseHead &) {
+                          return true;
+                      }},
+                 {.onEnd = [&end](const CallEnd &ended) {
+                     end = ended;
+                 }});
+    constexpr int MostTurns = 5000; // reached only if the client hangs
+    for (int turn = 0; turn < MostTurns && !end; ++turn) {
+        loop.run_one_for(20ms);
+    }
+    return end.value_or(CallEnd{.failure = CallFailure::TimedOut, .detail = "no end"});
+}
+
+struct AnswerCase
+{
+    const char *name;
+    std::string answer;
+};
+
+const std::string EventHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+auto answersWithoutLength()
+{
+    return testing::Values(AnswerCase{"Success", "HTTP/1.1 200 OK\r\n\r\npartial"},
+                           AnswerCase{"OldVersion", "HTTP/1.0 200 OK\r\n\r\npartial"},
+                           AnswerCase{"NotFound", "HTTP/1.1 404 Not Found\r\n\r\npartial"},
+                           AnswerCase{"Failure", "HTTP/1.1 500 Internal Server Error\r\n\r\npartial"},
+                           AnswerCase{"Empty", "HTTP/1.1 200 OK\r\n\r\n"},
+                           AnswerCase{"Events", EventHead + "id: 1\ndata: x\n\n"});
+}
+
+using EarlyParam = std::tuple<AnswerCase, Ending, std::size_t>;
+
+class EarlyAnswerTest : public testing::TestWithParam<EarlyParam>
+{ };
+
+TEST_P(EarlyAnswerTest, AnAnswerWithoutLengthIsIncompleteIfItsRequestWasNotSent)
+{
+    const auto &[shape, ending, uploadBytes] = GetParam();
+    const CallEnd end = callEnd(shape.answer, ending, false, uploadBytes);
+    EXPECT_EQ(end.failure, CallFailure::Lost) << end.detail;
+}
+
+std::string endingName(Ending ending)
+{
+    constexpr std::array<const char *, 3> Names{"Reset", "Close", "ShutDown"};
+    return Names.at(static_cast<std::size_t>(ending));
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers,
+                         EarlyAnswerTest,
+                         testing::Combine(answersWithoutLength(),
+                                          testing::Values(Ending::Reset, Ending::Close, Ending::ShutDown),
+                                          testing::Values(LongUpload, LongUpload / 2)),
+                         [](const auto &test) {
+                             return std::get<0>(test.param).name + endingName(std::get<1>(test.param))
+                                 + std::to_string(std::get<2>(test.param));
+                         });
+
+using SentParam = std::tuple<AnswerCase, Ending>;
+
+class SentRequestTest : public testing::TestWithParam<SentParam>
+{ };
+
+TEST_P(SentRequestTest, AnAnswerWithoutLengthIsCompleteIfItsConnectionEndsInOrder)
+{
+    constexpr std::size_t ShortUpload = 1000;
+    const auto &[shape, ending] = GetParam();
+    const CallEnd end = callEnd(shape.answer, ending, true, ShortUpload);
+    EXPECT_EQ(end.failure, ending == Ending::Reset ? CallFailure::Lost : CallFailure::None) << end.detail;
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers,
+                         SentRequestTest,
+                         testing::Combine(answersWithoutLength(),
+                                          testing::Values(Ending::Reset, Ending::Close, Ending::ShutDown)),
+                         [](const auto &test) {
+                             return std::get<0>(test.param).name + endingName(std::get<1>(test.param));
+                         });
+
+} // namespace
+} // namespace bergamot::net
