net: an answer has a status of the protocol

Here a status below 100 was skipped like an interim response, so whatever followed on the connection became the answer; statuses of 600 and more reached callers.

Cause: every status below 200 counted as interim, and no status was too large.

Evidence: StatusTest and StatusBeforeAnswerTest, a 000 with and without body before a 200.

Ruled out: field names with blanks or control bytes, which the parser rejects already (FieldTest, 9 shapes, held before).

Change: interim is 100 to 199, final 200 to 599, all else ends the call as malformed.

Conclusion: the failure counts against the endpoint, like any answer that is malformed.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -29,7 +29,9 @@
 
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500); // the peer's idle timer starts earlier
 constexpr std::size_t ReadsPerTurn = 8; // reads of one connection before other work of the event loop gets its turn
+constexpr int FirstStatus = 100;
 constexpr int FirstFinalStatus = 200; // a lower one belongs to an interim response
+constexpr int LastStatus = 599;
 constexpr int SwitchingProtocols = 101;
 
 std::string serializedHead(const ClientRequest &request)
@@ -351,8 +353,11 @@
 
     bool interimResponseEnded() const
     {
-        return m_stage == Stage::AwaitingHead && m_parser->is_done()
-            && static_cast<int>(m_parser->get().result_int()) < FirstFinalStatus;
+        if (m_stage != Stage::AwaitingHead || !m_parser->is_done()) {
+            return false;
+        }
+        const auto status = static_cast<int>(m_parser->get().result_int());
+        return status >= FirstStatus && status < FirstFinalStatus;
     }
 
     /// Returns false if the call has ended.
@@ -411,7 +416,7 @@
             end({.failure = CallFailure::Malformed, .detail = std::string(mismatch)});
             return false;
         }
-        if (head.status < FirstFinalStatus) {
+        if (head.status < FirstFinalStatus || head.status > LastStatus) {
             end({.failure = CallFailure::Malformed, .detail = "the response has no valid status"});
             return false;
         }
--- a/bergamot/net/http_client_early_answer_test.cpp
+++ b/bergamot/net/http_client_early_answer_test.cpp
@@ -183,5 +183,72 @@
                              return std::get<0>(test.param).name + endingName(std::get<1>(test.param));
                          });
 
+struct StatusCase
+{
+    const char *status;
+    bool valid;
+};
+
+class StatusTest : public testing::TestWithParam<StatusCase>
+{ };
+
+TEST_P(StatusTest, AnAnswerHasAStatusOfTheProtocol)
+{
+    const std::string answer = "HTTP/1.1 " + std::string(GetParam().status) + " Status\r\nContent-Length: 2\r\n\r\nok";
+    const CallEnd end = callEnd(answer, Ending::ShutDown, true, 1);
+    EXPECT_EQ(end.failure, GetParam().valid ? CallFailure::None : CallFailure::Malformed) << end.detail;
+}
+
+INSTANTIATE_TEST_SUITE_P(Statuses,
+                         StatusTest,
+                         testing::Values(StatusCase{"000", false},
+                                         StatusCase{"001", false},
+                                         StatusCase{"099", false},
+                                         StatusCase{"200", true},
+                                         StatusCase{"299", true},
+                                         StatusCase{"599", true},
+                                         StatusCase{"600", false},
+                                         StatusCase{"999", false}),
+                         [](const auto &test) {
+                             return std::string("Status") + test.param.status;
+                         });
+
+class StatusBeforeAnswerTest : public testing::TestWithParam<const char *>
+{ };
+
+TEST_P(StatusBeforeAnswerTest, AnInvalidAnswerIsNoInterimOne)
+{
+    const std::string answer = std::string(GetParam()) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    EXPECT_EQ(callEnd(answer, Ending::ShutDown, true, 1).failure, CallFailure::Malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Answers,
+                         StatusBeforeAnswerTest,
+                         testing::Values("HTTP/1.1 000 Status\r\n\r\n",
+                                         "HTTP/1.1 000 Status\r\nContent-Length: 0\r\n\r\n",
+                                         "HTTP/1.1 000 Status\r\nContent-Length: 2\r\n\r\nno",
+                                         "HTTP/1.1 099 Status\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"));
+
+class FieldTest : public testing::TestWithParam<const char *>
+{ };
+
+TEST_P(FieldTest, AMalformedFieldMakesTheAnswerMalformed)
+{
+    const std::string answer = "HTTP/1.1 200 OK\r\n" + std::string(GetParam()) + "\r\nContent-Length: 2\r\n\r\nok";
+    EXPECT_EQ(callEnd(answer, Ending::ShutDown, true, 1).failure, CallFailure::Malformed);
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields,
+                         FieldTest,
+                         testing::Values("Name with blank: x",
+                                         "Blank-Before-Colon : x",
+                                         "Control\x01Byte: x",
+                                         "Tab\tInside: x",
+                                         "Delete\x7f: x",
+                                         ": no name",
+                                         "no colon",
+                                         "Control-In-Value: a\x01b",
+                                         "Return-In-Value: a\rb"));
+
 } // namespace
 } // namespace bergamot::net
