net: the framing of a request is bounded, and no client keeps the loop to itself

Callers saw: no answers while a client sent a chunk header, a chunk extension or trailers without end, and then the end of the process for lack of memory.

Cause: HttpServer kept without bound what its parser leaves for the next call, and read one connection until it had no data.

Ruled out: the head (bounded by the parser) and the data of a body (bounded by the limit of the configuration); shapes of both are in the table and held before.

Change: bytes that wait for the parser may be as many as a head; more is refused with 431. A connection reads eight times, then waits for its next turn, as in HttpClient.

All listeners use this server.

--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
@@ -25,6 +26,7 @@
 constexpr int ListenBacklog = 1024; // connections of a burst after a restart queue here instead of being dropped
 constexpr Duration SweepPeriod = std::chrono::milliseconds(500); // far below every timeout of a connection
 constexpr Duration AcceptRetryDelay = std::chrono::milliseconds(50); // after running out of file descriptors
+constexpr std::size_t ReadsPerTurn = 8; // reads of one connection before other work of the event loop gets its turn
 
 } // namespace
 
@@ -178,19 +180,39 @@
 
     void awaitData()
     {
+        if (std::exchange(m_readDue, true)) {
+            return;
+        }
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const error_code &error) {
+            self->m_readDue = false;
             if (self->m_stage != Stage::Closed && !error) {
                 self->readAll();
             }
         });
     }
 
+    /// Reads on after the other work of the event loop.
+    void continueReading()
+    {
+        if (std::exchange(m_readDue, true)) {
+            return;
+        }
+        asio::post(m_server.m_loop, [self = shared_from_this()] {
+            self->m_readDue = false;
+            self->readAll();
+        });
+    }
+
     void readAll()
     {
-        while (reading()) {
+        for (std::size_t reads = 0; reading(); ++reads) {
             if (!parse()) {
                 return;
             }
+            if (reads == ReadsPerTurn) {
+                continueReading();
+                return;
+            }
             error_code error;
             const bool more = internal::readAvailable(m_socket, m_buffer, error);
             if (error) {
@@ -226,6 +248,10 @@
             handleRequest();
             return false;
         }
+        if (m_buffer.size() > m_server.m_limits.headerBytes) { // a chunk header or the trailers
+            refuse(HeaderFieldsTooLarge);
+            return false;
+        }
         if (m_parser->is_header_done()) {
             m_waitingSince = BootClock::now();
             if (m_stage != Stage::ReadingBody && expectsContinue()) {
@@ -258,6 +284,12 @@
             close();
             return;
         }
+        refuse(status);
+    }
+
+    /// Responds to a request that has not been read completely, and reads no more of it.
+    void refuse(int status)
+    {
         m_closeAfter = true;
         m_stage = Stage::Handling;
         ++m_server.m_pending;
@@ -383,10 +415,12 @@
     bool m_closeAfter = false;
     bool m_streaming = false; // the response to the current request has begun as a stream
     bool m_watchingForDisconnect = false;
+    bool m_readDue = false; // a callback that reads is scheduled
 };
 
 HttpServer::HttpServer(asio::io_context &loop, Handler handler)
-    : m_handler(std::move(handler))
+    : m_loop(loop)
+    , m_handler(std::move(handler))
     , m_acceptor(loop)
     , m_acceptRetryTimer(loop)
     , m_sweepTimer(loop)
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -30,7 +30,7 @@
 /// Limits on the size and timing of requests and responses.
 struct ServerLimits
 {
-    std::uint32_t headerBytes = 16384;
+    std::uint32_t headerBytes = 16384; // of the head; also of one chunk header, or of the trailers
     std::uint64_t bodyBytes = 32 * 1024 * 1024;
     Duration requestTimeout = std::chrono::seconds(3); // from a request's first byte to the end of its head
     Duration bodyGapTimeout = std::chrono::seconds(10); // between two pieces of a body
@@ -103,6 +103,7 @@
     void scheduleSweep();
     void sweep();
 
+    boost::asio::io_context &m_loop;
     Handler m_handler;
     ServerLimits m_limits;
     boost::asio::ip::tcp::acceptor m_acceptor;
--- a/bergamot/net/http_server_test.cpp
+++ b/bergamot/net/http_server_test.cpp
@@ -152,6 +152,29 @@
         return std::get<0>(test.param).name + std::to_string(std::get<1>(test.param));
     });
 
+class UnboundedFramingTest : public HttpServerTest, public testing::WithParamInterface<std::tuple<const char *, bool>>
+{ };
+
+TEST_P(UnboundedFramingTest, FramingIsBoundedLikeTheHead)
+{
+    const auto &[framing, drips] = GetParam();
+    m_server.setLimits({.headerBytes = 200});
+    send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + std::string(framing));
+    const std::string piece = drips ? "x" : std::string(400, 'x');
+    for (int count = 0; count < (drips ? 400 : 1); ++count) {
+        send(piece);
+        m_loop.poll();
+    }
+    EXPECT_NE(receive("\r\n\r\n").find(" 431 "), std::string::npos);
+    EXPECT_TRUE(m_exchanges.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Shapes,
+    UnboundedFramingTest,
+    testing::Combine(testing::Values("5;name=", "0;name=", "0\r\n", "0\r\nName: ", "1\r\na\r\n0\r\nName: "),
+                     testing::Bool()));
+
 struct RejectCase
 {
     const char *name;
