net: a refusal reaches a caller that still sends its request

Callers saw: a reset connection, where the status said 413, 431 or 400. A reset promises nothing, so callers sent the same request again.

Cause: the server closed the connection behind the refusal with unread bytes in its buffer. The system resets such a connection, and the reset overtakes the response.

Ruled out: the shutdown of the sending side alone, which was there: the close follows at once.

Change: behind a refusal amid a request, what arrives is read and discarded until the caller closes, for two seconds at most, a few reads a turn.

Responses behind whole requests close as before.

--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -162,6 +162,7 @@
         const bool timedOut = (m_stage == Stage::Idle && waited > limits.idleTimeout)
             || (m_stage == Stage::ReadingHead && waited > limits.requestTimeout)
             || (m_stage == Stage::ReadingBody && waited > limits.bodyGapTimeout)
+            || (m_stage == Stage::Lingering && waited > limits.lingerTimeout)
             || (!m_writing.empty() && now - m_writingSince > limits.writeTimeout);
         if (timedOut) {
             closeAndNotify();
@@ -175,6 +176,7 @@
         ReadingBody,
         Handling, // the handler has the request
         Responding, // the response is complete, but not all of it is sent
+        Lingering, // the response is sent, but not all of the request has arrived; the rest is discarded
         Closed,
     };
 
@@ -228,12 +230,17 @@
 
     bool reading() const
     {
-        return m_stage == Stage::Idle || m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody;
+        return m_stage == Stage::Idle || m_stage == Stage::ReadingHead || m_stage == Stage::ReadingBody
+            || m_stage == Stage::Lingering;
     }
 
-    /// Returns false if the request is complete or was rejected.
+    /// Returns false if no more of the request is to be read.
     bool parse()
     {
+        if (m_stage == Stage::Lingering) {
+            m_buffer.clear();
+            return true;
+        }
         if (m_stage == Stage::Idle && !m_buffer.empty()) {
             m_stage = Stage::ReadingHead;
             m_waitingSince = BootClock::now();
@@ -290,7 +297,10 @@
     /// Responds to a request that has not been read completely, and reads no more of it.
     void refuse(int status)
     {
+        m_parser.reset();
+        m_buffer = {};
         m_closeAfter = true;
+        m_lingers = true;
         m_stage = Stage::Handling;
         ++m_server.m_pending;
         respond({.status = status});
@@ -393,12 +403,25 @@
         if (m_closeAfter) {
             error_code ignored; // the peer may have closed first
             m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            if (m_lingers) {
+                linger();
+                return;
+            }
             close();
             return;
         }
         readRequest();
     }
 
+    /// Discards what still arrives: a connection that is closed with unread bytes is reset, and the reset may overtake the
+    /// response.
+    void linger()
+    {
+        m_stage = Stage::Lingering;
+        m_waitingSince = BootClock::now();
+        readAll();
+    }
+
     HttpServer &m_server;
     tcp::socket m_socket;
     std::string m_buffer; // received, not parsed yet
@@ -413,6 +436,7 @@
     std::vector<std::string> m_writing;
     Stage m_stage = Stage::Idle;
     bool m_closeAfter = false;
+    bool m_lingers = false; // the response was sent before the request had ended
     bool m_streaming = false; // the response to the current request has begun as a stream
     bool m_watchingForDisconnect = false;
     bool m_readDue = false; // a callback that reads is scheduled
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -36,6 +36,9 @@
     Duration bodyGapTimeout = std::chrono::seconds(10); // between two pieces of a body
     Duration idleTimeout = std::chrono::seconds(15); // while a connection waits for a request
     Duration writeTimeout = std::chrono::seconds(10); // for one write, if the caller does not read its response
+    // After a response that was sent before the request had ended, while the rest is discarded so that the caller can
+    // read the response.
+    Duration lingerTimeout = std::chrono::seconds(2);
 
     bool operator==(const ServerLimits &) const = default;
 };
--- a/bergamot/net/http_server_test.cpp
+++ b/bergamot/net/http_server_test.cpp
@@ -152,6 +152,35 @@
         return std::get<0>(test.param).name + std::to_string(std::get<1>(test.param));
     });
 
+/// A peer that resets a connection discards what the other side has not read.
+class RefusalTest : public HttpServerTest, public testing::WithParamInterface<const char *>
+{ };
+
+TEST_P(RefusalTest, ARefusalReachesACallerThatStillSends)
+{
+    m_server.setLimits({.headerBytes = 200, .bodyBytes = 10});
+    const std::string request = GetParam();
+    m_caller.non_blocking(true);
+    const std::string rest(std::size_t{64} * 1024, 'x');
+    std::size_t sent = 0;
+    error_code error;
+    send(request);
+    constexpr std::size_t RestBytes = std::size_t{8} * 1024 * 1024; // exceeds the buffers of a connection
+    runUntil([&] {
+        sent += m_caller.write_some(boost::asio::buffer(rest), error);
+        return sent >= RestBytes || (error && error != boost::asio::error::would_block);
+    });
+    EXPECT_GE(sent, RestBytes) << error.message();
+    EXPECT_NE(receive("\r\n\r\n").find("HTTP/1.1 4"), std::string::npos);
+    EXPECT_TRUE(m_exchanges.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Requests,
+                         RefusalTest,
+                         testing::Values("POST / HTTP/1.1\r\nContent-Length: 90000000\r\n\r\n",
+                                         "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n5000000\r\n",
+                                         "POST / HTTP/1.1\r\nLong: "));
+
 class UnboundedFramingTest : public HttpServerTest, public testing::WithParamInterface<std::tuple<const char *, bool>>
 { };
 
