net, node: one account bounds the bytes that a process holds for its callers

Callers saw: no answer, as the process ran out of memory. Many bodies of legal size, whole or just short of their end, many heads of small fields, answers that nobody reads, or one body of 32 MB on a machine of 112 MB.

Cause: every bound was one of a single request, and each copy came on top: a body was kept by the server, the forwarder and each attempt; Beast reserves an announced length; a field of 4 bytes takes 91 in the parser; a batch of JSON up to 48 times its size while it is parsed.

Evidence: platform_node_crowd_memory_test; smaps of a node showed bodies of responses that were partly sent and wholly kept.

Change: MemoryAccount, pure, counts what all listeners hold and decides who gives way: the large before the small, the stalled before the moving, requests that were not passed on before others. Half of the machine's memory (new setting memory-mb, default 512) is its bound, three quarters of it for holders of more than 64 KB. Refusals are 503 with Retry-After, sent before anything ran. Attempts share one body. Bodies grow with what arrives. Responses are written in pieces of 128 KB, so that a slow reader is told from a stalled one. Freed bodies return to the system (M_MMAP_THRESHOLD). Readiness and metrics take bodies of 64 KB. Log line connections-released, metrics bergamot_held_bytes and bergamot_released_total.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -34,14 +34,20 @@
 constexpr int LastStatus = 599;
 constexpr int SwitchingProtocols = 101;
 
+const std::string &bodyOf(const ClientRequest &request)
+{
+    return request.sharedBody == nullptr ? request.body : *request.sharedBody;
+}
+
 std::string serializedHead(const ClientRequest &request)
 {
     std::string head = request.method + " " + request.target + " HTTP/1.1\r\n";
     for (const HeaderField &field : request.headers.all()) {
         head += field.name + ": " + field.value + "\r\n";
     }
-    if (!request.body.empty() || request.method != "GET") {
-        head += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    const std::string &body = bodyOf(request);
+    if (!body.empty() || request.method != "GET") {
+        head += "Content-Length: " + std::to_string(body.size()) + "\r\n";
     }
     return head + "\r\n";
 }
@@ -237,7 +243,7 @@
             m_connection->carriedIds.push_back(shortHash(m_request.expectedEcho));
         }
         m_head = serializedHead(m_request);
-        const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), asio::buffer(m_request.body)};
+        const std::array<asio::const_buffer, 2> buffers{asio::buffer(m_head), asio::buffer(bodyOf(m_request))};
         asio::async_write(m_connection->socket, buffers, [self = shared_from_this()](const error_code &error, size_t) {
             self->m_sent = !error;
             self->m_writing = false;
@@ -597,6 +603,9 @@
 void HttpClient::addPendingBytes(std::size_t bytes)
 {
     m_pendingBytes += bytes;
+    if (m_options.account != nullptr) {
+        m_options.account->addOther(bytes);
+    }
     while (m_pendingBytes > m_options.maxPendingBytes) {
         const auto largest = std::max_element(m_calls.begin(), m_calls.end(), [](const auto &left, const auto &right) {
             return left->pendingBytes() < right->pendingBytes();
@@ -608,6 +617,9 @@
 void HttpClient::removePendingBytes(std::size_t bytes)
 {
     m_pendingBytes -= bytes;
+    if (m_options.account != nullptr) {
+        m_options.account->removeOther(bytes);
+    }
 }
 
 void HttpClient::reportConnect(const Address &address, bool established)
--- a/bergamot/net/http_client.h
+++ b/bergamot/net/http_client.h
@@ -20,6 +20,7 @@
 
 #include "bergamot/base/address.h"
 #include "bergamot/base/clock.h"
+#include "bergamot/net/memory_account.h"
 #include "bergamot/net/message.h"
 
 namespace bergamot::net
@@ -32,6 +33,8 @@
     std::string target;
     HeaderFields headers; // the client adds `Content-Length`
     std::string body;
+    std::shared_ptr<const std::string>
+        sharedBody; // sent instead of `body`, for a body that several calls send; may be null
     bool newConnection = false; // open a new connection instead of reusing an idle one
     Duration connectTimeout = std::chrono::milliseconds(500);
     Duration headTimeout = std::chrono::seconds(2); // from the start of the call to the end of the response head
@@ -86,6 +89,7 @@
     // Body bytes of all calls in progress whose responses are no streams. When they exceed it, the call with the most
     // bytes ends: callers may keep whole responses until their ends.
     std::size_t maxPendingBytes = std::size_t{32} * 1024 * 1024;
+    MemoryAccount *account = nullptr; // in which these bytes are counted; outlives the client; null: in none
     std::size_t maxRequestsPerConnection = 128; // bounds the ids that are kept of a connection
     Duration sweepPeriod = std::chrono::milliseconds(50); // granularity of the timeouts
 };
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -12,6 +12,7 @@
 
 #include <chrono>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <unordered_set>
 
@@ -22,6 +23,7 @@
 #include "bergamot/base/address.h"
 #include "bergamot/base/clock.h"
 #include "bergamot/base/error.h"
+#include "bergamot/net/memory_account.h"
 #include "bergamot/net/message.h"
 
 namespace bergamot::net
@@ -30,7 +32,7 @@
 /// Limits on the size and timing of requests and responses.
 struct ServerLimits
 {
-    std::uint32_t headerBytes = 16384; // of the head; also of one chunk header, or of the trailers
+    std::uint32_t headerBytes = 16384;
     std::uint64_t bodyBytes = 32 * 1024 * 1024;
     Duration requestTimeout = std::chrono::seconds(3); // from a request's first byte to the end of its head
     Duration bodyGapTimeout = std::chrono::seconds(10); // between two pieces of a body
@@ -43,6 +45,20 @@
     bool operator==(const ServerLimits &) const = default;
 };
 
+/// Why a server has closed a connection or refused a request on its own.
+enum class ReleaseReason {
+    RefusedForMemory, // the request was refused, as the process holds too many bytes
+    ClosedForMemory, // the connection was closed for the same reason
+    Oversized, // the head, the framing or the body exceeds its limit
+};
+
+struct Release
+{
+    ReleaseReason reason = ReleaseReason::RefusedForMemory;
+    std::size_t bytes = 0; // that the connection held
+    Duration sinceProgress{}; // since the caller last sent or took bytes
+};
+
 /// One request and the response to it. Exactly one of `respond`, `finish` and `abort` ends it. Do not use the exchange
 /// after its end: the object also serves the connection's next request. Calls after the caller has disconnected have no
 /// effect.
@@ -52,6 +68,12 @@
     virtual ~Exchange() = default;
 
     virtual const Request &request() const = 0;
+    /// Moves the body out of the request. Its bytes count as held until the exchange ends.
+    virtual std::string takeBody() = 0;
+    /// Whether the process may hold `bytes` more for this request.
+    virtual bool mayHold(std::size_t bytes) const = 0;
+    /// Replaces what counts as held for the request beside its head, until the exchange ends.
+    virtual void hold(std::size_t bytes) = 0;
     /// IP address of the caller; empty if it is not known.
     virtual std::string callerIp() const = 0;
     /// The time at which the request had been read completely.
@@ -76,7 +98,9 @@
 public:
     using Handler = std::function<void(std::shared_ptr<Exchange>)>;
 
-    HttpServer(boost::asio::io_context &loop, Handler handler);
+    /// Counts what it holds in `account`, which several servers may share and which outlives them; null: in one of its
+    /// own without a bound.
+    HttpServer(boost::asio::io_context &loop, Handler handler, MemoryAccount *account = nullptr);
     ~HttpServer();
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
@@ -86,6 +110,10 @@
     std::uint16_t port() const;
     /// Applies to requests that are read from now on.
     void setLimits(const ServerLimits &limits);
+    /// The response to a request that is refused because the process holds too many bytes. The request was not passed
+    /// to the handler.
+    void setOverloadResponse(Response response);
+    void onRelease(std::function<void(const Release &)> handler);
     /// From now on each response closes its connection.
     void drain();
     /// Closes the connections that are waiting for a request.
@@ -105,9 +133,19 @@
     void accept();
     void scheduleSweep();
     void sweep();
+    /// Lets holders give way while the account is overdrawn. They may belong to any server of the account.
+    void relieve();
+    /// The same in a later turn of the loop, for callers that must not lose an exchange meanwhile.
+    void scheduleRelief();
 
     boost::asio::io_context &m_loop;
     Handler m_handler;
+    MemoryAccount m_ownAccount;
+    MemoryAccount *m_account;
+    Response m_overloadResponse{.status = 503};
+    std::function<void(const Release &)> m_releaseHandler;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(); // expires with the server
+    bool m_reliefScheduled = false;
     ServerLimits m_limits;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_acceptRetryTimer;
--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -1,6 +1,7 @@
 #include "bergamot/node/batch_service.h"
 
 #include <cstdio>
+#include <numeric>
 
 #include "bergamot/net/status.h"
 
@@ -71,6 +72,15 @@
 
 void BatchService::submit(const Submission &submission, std::shared_ptr<net::Exchange> exchange)
 {
+    const std::size_t parsedBytes = m_codec.submissionBytes(exchange->request());
+    if (!exchange->mayHold(parsedBytes)) {
+        m_eventLog.write(EventKind::Request,
+                         "batch-no-room",
+                         {{"body_bytes", std::to_string(exchange->request().body.size())},
+                          {"parsed_bytes", std::to_string(parsedBytes)}});
+        respond(*exchange, Unavailable, "no room in memory for the batch");
+        return;
+    }
     Result<batch::Batch> batch = m_codec.submission(exchange->request());
     if (!batch) {
         m_eventLog.write(EventKind::Request, "batch-malformed", {{"reason", batch.error().message}});
@@ -104,6 +114,14 @@
         respond(*exchange, PayloadTooLarge, records.error().message);
         return;
     }
+    for (batch::Item &item : batch->items) {
+        item = {}; // its content is in the records
+    }
+    exchange->takeBody();
+    exchange->hold(std::accumulate(
+        records->begin(), records->end(), std::size_t{0}, [](std::size_t sum, const std::string &record) {
+            return sum + record.size();
+        }));
     auto pending = std::make_shared<PendingAppend>();
     pending->batch = batch->id;
     pending->exchange = std::move(exchange);
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -35,9 +35,12 @@
 constexpr double SmallCpuShare = 0.25; // a smaller share cannot process hundreds of streams
 constexpr Duration SmallInstanceClaimDelay = std::chrono::milliseconds(1500); // larger instances claim first
 
-net::HttpClientOptions clientOptions()
+net::HttpClientOptions clientOptions(net::MemoryAccount &account)
 {
-    return {};
+    net::HttpClientOptions options;
+    options.account = &account;
+    options.maxPendingBytes = std::min(options.maxPendingBytes, account.maxBytes() / 2); // callers keep the other half
+    return options;
 }
 
 RouterOptions routerOptions(const NodeOptions &options, quota::DispatchGate &gate)
@@ -109,13 +112,6 @@
     return names;
 }
 
-std::string seconds(Duration duration)
-{
-    std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(duration).count());
-    return text.data();
-}
-
 } // namespace
 
 /// Passes the response to a forwarded request on to the caller.
@@ -138,7 +134,7 @@
         count(refusal.status);
         net::Response response{.status = refusal.status, .body = refusal.message};
         if (refusal.outcome == RequestOutcome::RefusedNotRun) {
-            response.headers.add("Retry-After", seconds(refusal.retryAfter));
+            response.headers.add("Retry-After", retryAfterText(refusal.retryAfter));
         }
         response.headers.add("Content-Type", "text/plain");
         m_exchange->respond(std::move(response));
@@ -190,7 +186,8 @@
     , m_log(log)
     , m_options(std::move(options))
     , m_random(m_options.seed)
-    , m_client(loop, clientOptions())
+    , m_memory(m_options.memoryBytes / 2) // the other half is for what the process knows and for copies in transit
+    , m_client(loop, clientOptions(m_memory))
     , m_view(loop, store, codec, log, {.topicReadPause = m_options.followInterval}, m_random())
     , m_batchLog(loop, store, batchLogOptions(m_options), log, m_random())
     , m_quota(loop, m_client, m_batchLog, log, {}, m_random())
@@ -198,31 +195,44 @@
     , m_usage(m_client, m_batchLog, codec, log, usageOptions(m_options))
     , m_reach(loop, m_client, log, m_options.seed)
     , m_forwarder(loop, m_client, codec.headers(), log, routerOptions(m_options, m_quota), m_random())
-    , m_relayClient(
-          loop, m_client, m_batchLog, log, {.instance = m_options.instance, .zone = m_options.zone}, m_options.seed)
+    , m_relayClient(loop,
+                    m_client,
+                    m_batchLog,
+                    log,
+                    {.instance = m_options.instance, .zone = m_options.zone, .account = &m_memory},
+                    m_options.seed)
     , m_relayService(m_forwarder, m_reach, m_batchLog, log, {})
     , m_batchService(loop, m_batchLog, codec, log, {}, m_random())
     , m_pool(loop, m_client, m_forwarder, m_batchLog, m_view, m_quota, codec, log, poolOptions(m_options), m_random())
-    , m_callerServer(loop,
-                     [this](std::shared_ptr<net::Exchange> exchange) {
-                         handleCall(std::move(exchange));
-                     })
-    , m_readinessServer(loop,
-                        [this](std::shared_ptr<net::Exchange> exchange) {
-                            handleReadiness(exchange);
-                        })
-    , m_metricsServer(loop,
-                      [this](std::shared_ptr<net::Exchange> exchange) {
-                          m_metrics.updatePool(m_pool.active(), m_pool.runningSamples(), m_pool.waitingSamples());
-                          const QuotaExchange::Counts quota = m_quota.counts();
-                          m_metrics.updateUsage(m_usage.acceptedReports());
-                          m_metrics.updateQuota(quota.limitedEndpoints, quota.grantedTokens, quota.refusedTokens);
-                          exchange->respond({.body = m_metrics.exposition()});
-                      })
-    , m_peerServer(loop,
-                   [this](std::shared_ptr<net::Exchange> exchange) {
-                       handlePeerCall(exchange);
-                   })
+    , m_callerServer(
+          loop,
+          [this](std::shared_ptr<net::Exchange> exchange) {
+              handleCall(std::move(exchange));
+          },
+          &m_memory)
+    , m_readinessServer(
+          loop,
+          [this](std::shared_ptr<net::Exchange> exchange) {
+              handleReadiness(exchange);
+          },
+          &m_memory)
+    , m_metricsServer(
+          loop,
+          [this](std::shared_ptr<net::Exchange> exchange) {
+              m_metrics.updatePool(m_pool.active(), m_pool.runningSamples(), m_pool.waitingSamples());
+              const QuotaExchange::Counts quota = m_quota.counts();
+              m_metrics.updateUsage(m_usage.acceptedReports());
+              m_metrics.updateQuota(quota.limitedEndpoints, quota.grantedTokens, quota.refusedTokens);
+              m_metrics.updateMemory(m_memory.heldBytes(), m_memory.maxBytes());
+              exchange->respond({.body = m_metrics.exposition()});
+          },
+          &m_memory)
+    , m_peerServer(
+          loop,
+          [this](std::shared_ptr<net::Exchange> exchange) {
+              handlePeerCall(exchange);
+          },
+          &m_memory)
     , m_tickTimer(loop)
     , m_drainTimer(loop)
     , m_stopPolicy({.grace = m_options.gracePeriod})
@@ -230,8 +240,16 @@
 
 Node::~Node() = default;
 
+std::string Node::retryAfterText(Duration duration)
+{
+    std::array<char, 32> text{};
+    std::snprintf(text.data(), text.size(), "%.2f", std::chrono::duration<double>(duration).count());
+    return text.data();
+}
+
 Result<void> Node::start()
 {
+    boundListeners();
     for (const auto &[server, address] :
          {std::pair{&m_callerServer, m_options.callerAddress}, {&m_readinessServer, m_options.readinessAddress}}) {
         if (Result<void> listening = server->listen(address); !listening) {
@@ -563,9 +581,11 @@
     if (!takesCall(route, *exchange)) {
         return;
     }
+    std::string body = exchange->takeBody();
     const net::Request &request = exchange->request();
     ForwardRequest forwarded{.id = std::string(request.headers.find(m_codec.headers().requestId).value_or("")),
                              .request = request,
+                             .body = std::make_shared<const std::string>(std::move(body)),
                              .route = route,
                              .service = service,
                              .receivedAt = exchange->receivedAt(),
@@ -612,7 +632,7 @@
     net::Response response{.status = status, .body = std::string(reason)};
     response.headers.add("Content-Type", "text/plain");
     if (status == Unavailable) {
-        response.headers.add("Retry-After", seconds(retryAfter));
+        response.headers.add("Retry-After", retryAfterText(retryAfter));
     }
     exchange.respond(std::move(response));
 }
@@ -664,17 +684,6 @@
     m_batchLog.retainLimits(listed);
 }
 
-void Node::applyLimits()
-{
-    const fleet::CallerLimits &limits = m_view.configuration().limits();
-    net::ServerLimits applied;
-    applied.headerBytes = limits.headerBytes;
-    applied.bodyBytes = limits.bodyBytes;
-    applied.requestTimeout = limits.headerTimeout;
-    applied.idleTimeout = limits.idleTimeout;
-    m_callerServer.setLimits(applied);
-}
-
 void Node::scheduleTick()
 {
     m_tickTimer.expires_after(m_pool.active() ? OwnerTick : FollowerTick);
@@ -702,6 +711,7 @@
     m_quota.tick(now);
     m_usage.tick(now);
     shareOutlooks(now);
+    logReleases();
     m_log.flush();
     scheduleTick();
 }
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -55,6 +55,7 @@
     std::size_t maxRecordBytes = 256 * 1024; // limit of the store for a record
     std::size_t maxCallBytes = 2 * 1024 * 1024; // limit of the store for the records of one call
     std::uint32_t storePartitions = 12; // partitions per topic
+    std::size_t memoryBytes = std::size_t{512} * 1024 * 1024; // of the machine, for this process
     double cpuShare = 1.0; // share of a core; a small instance owns the engines only if no other instance does
     Duration gracePeriod = std::chrono::seconds(8); // from the stop request until the process is killed
     Duration resultsKept = std::chrono::seconds(120); // from a batch's submission until its results are dropped
@@ -100,6 +101,14 @@
 
     static constexpr Duration RetryElsewhere = std::chrono::milliseconds(300); // another instance may respond at once
 
+    /// Connections of one listener that were closed, and requests that were refused, for one reason.
+    struct ReleaseCount
+    {
+        std::uint64_t count = 0;
+        std::size_t largestBytes = 0; // that one of them held
+        Duration longestStall{};
+    };
+
     /// The caller of an admitted call.
     struct Caller
     {
@@ -126,6 +135,12 @@
     /// Forwards a request that takes up a stream to the service and software version that began it, or refuses it.
     void resumeStream(const fleet::Route &route, const Caller &caller, std::shared_ptr<net::Exchange> exchange);
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
+    static std::string retryAfterText(Duration duration);
+    /// Sets what each listener may hold, and what is told of connections that are closed for that.
+    void boundListeners();
+    void recordRelease(std::string_view listener, const net::Release &release);
+    /// Logs what was released since the last call, one line for each listener and reason.
+    void logReleases();
     void refuse(net::Exchange &exchange, int status, std::string_view reason, Duration retryAfter = RetryElsewhere);
     /// Reports what this instance has learned about requests that crash endpoints.
     void shareCrashReports();
@@ -167,6 +182,7 @@
     NodeOptions m_options;
     std::mt19937_64 m_random;
     NodeMetrics m_metrics;
+    net::MemoryAccount m_memory; // what is held for callers, other instances and their requests
     net::HttpClient m_client;
     FleetView m_view;
     BatchLog m_batchLog;
@@ -191,6 +207,7 @@
     TimePoint m_announceAt{}; // time of the next announcement
     TimePoint m_reachAskedAt{}; // others were asked whether they reach endpoints
     reach::ClaimRule m_claimRule;
+    std::map<std::pair<std::string_view, net::ReleaseReason>, ReleaseCount> m_releases; // since they were last logged
     bool m_announcedReach = true;
     bool m_claimPutOff = false;
     bool m_yielding = false; // the pool is being given up
--- a/bergamot/node/node_metrics.cpp
+++ b/bergamot/node/node_metrics.cpp
@@ -13,6 +13,9 @@
     , m_pool(m_metrics.gauges("bergamot_pool", "The engine pool at its owner: owned, samples running and waiting."))
     , m_quota(m_metrics.gauges("bergamot_quota",
                                "Endpoints that name a limit, and the tokens that this instance granted and refused."))
+    , m_memory(m_metrics.gauges("bergamot_held_bytes", "Bytes held for callers and other instances, and their bound."))
+    , m_releases(m_metrics.counters("bergamot_released_total",
+                                    "Connections closed and requests refused to stay within bounds, by listener."))
 { }
 
 void NodeMetrics::recordRequest(const std::string &route, int status, Duration elapsed)
@@ -49,6 +52,17 @@
     m_tenantRequests.Add({{"tenant", named ? tenant : std::string("others")}}).Increment();
 }
 
+void NodeMetrics::updateMemory(std::size_t heldBytes, std::size_t maxBytes)
+{
+    m_memory.Add({{"what", "held"}}).Set(static_cast<double>(heldBytes));
+    m_memory.Add({{"what", "bound"}}).Set(static_cast<double>(maxBytes));
+}
+
+void NodeMetrics::recordRelease(std::string_view listener, std::string_view reason)
+{
+    m_releases.Add({{"listener", std::string(listener)}, {"reason", std::string(reason)}}).Increment();
+}
+
 std::string NodeMetrics::exposition() const
 {
     return m_metrics.exposition();
--- a/bergamot/node/node_metrics.h
+++ b/bergamot/node/node_metrics.h
@@ -31,6 +31,10 @@
     void updateUsage(std::uint64_t acceptedReports);
     /// Counts a request that an endpoint began for `tenant`. Beyond `MaxTenants` names, tenants are counted together.
     void recordTenant(const std::string &tenant);
+    /// Sets the bytes that are held for callers and other instances, and their bound.
+    void updateMemory(std::size_t heldBytes, std::size_t maxBytes);
+    /// Counts a connection that was closed, or a request that was refused, to stay within the bounds.
+    void recordRelease(std::string_view listener, std::string_view reason);
     /// All metrics in the text format.
     std::string exposition() const;
 
@@ -45,6 +49,8 @@
     prometheus::Family<prometheus::Histogram> &m_requestSeconds;
     prometheus::Family<prometheus::Gauge> &m_pool;
     prometheus::Family<prometheus::Gauge> &m_quota;
+    prometheus::Family<prometheus::Gauge> &m_memory;
+    prometheus::Family<prometheus::Counter> &m_releases;
 };
 
 } // namespace bergamot::node
--- a/bergamot/node/platform_codec.h
+++ b/bergamot/node/platform_codec.h
@@ -142,6 +142,8 @@
     virtual const HeaderNames &headers() const = 0;
     /// Classifies a request on the caller-facing interface.
     virtual ServiceCall parseServiceCall(const net::Request &request) const = 0;
+    /// Upper bound of the memory that `submission` takes for the request beside the request itself, in bytes.
+    virtual std::size_t submissionBytes(const net::Request &request) const = 0;
     /// Parses a batch submission.
     virtual Result<batch::Batch> submission(const net::Request &request) const = 0;
     /// Body of the response to `ReadResultsCall`.
--- a/bergamot/node/relay_client.cpp
+++ b/bergamot/node/relay_client.cpp
@@ -65,10 +65,22 @@
     return false;
 }
 
+bool RelayClient::hasRoomFor(const ForwardRequest &request) const
+{
+    constexpr std::size_t Copies = 4; // the message, while it is built
+    const std::size_t bytes = request.body->size();
+    return bytes <= net::MemoryAccount::SmallBytes || m_options.account == nullptr
+        || m_options.account->hasRoomFor(Copies * bytes);
+}
+
 bool RelayClient::sendToNextPeer(RequestId id)
 {
     Relay &relay = m_relays.at(id);
     const Duration left = timeLeft(relay);
+    if (!hasRoomFor(relay.request)) {
+        writeRelay("relay-too-large", relay, std::to_string(relay.request.body->size()) + " bytes");
+        return false;
+    }
     if (relay.tried.size() >= m_options.maxPeers || left < m_options.minTimeLeft || relay.attemptsLeft == 0) {
         return false;
     }
@@ -95,7 +107,8 @@
                                                              .deadlineLeft = left - m_options.deadlineMargin,
                                                              .softwareVersion = relay.request.softwareVersion,
                                                              .owed = relay.request.owed,
-                                                             .streamName = relay.request.streamName}),
+                                                             .streamName = relay.request.streamName,
+                                                             .body = relay.request.body}),
                                 .newConnection = !mayRepeat(relay.request.route),
                                 .connectTimeout = std::min(m_options.connectTimeout, left),
                                 .headTimeout = left,
--- a/bergamot/node/relay_client.h
+++ b/bergamot/node/relay_client.h
@@ -37,6 +37,8 @@
     Duration minTimeLeft = std::chrono::milliseconds(50); // with less, a request is refused instead
     Duration deadlineMargin = std::chrono::milliseconds(10); // for the hop, off the time that the peer is given
     Duration flowCheck = std::chrono::milliseconds(5); // while a caller is behind its stream
+    const net::MemoryAccount *account =
+        nullptr; // decides whether there is room for the copy that is sent; null: always
 };
 
 /// Not thread-safe.
@@ -80,6 +82,8 @@
         bool paused = false;
     };
 
+    /// Whether the copies that are made to relay the request fit into memory.
+    bool hasRoomFor(const ForwardRequest &request) const;
     bool sendToNextPeer(RequestId id);
     void handleHead(RequestId id, const net::ResponseHead &head);
     void handleData(RequestId id, std::string_view data);
--- a/bergamot/node/relay_service.cpp
+++ b/bergamot/node/relay_service.cpp
@@ -105,7 +105,12 @@
 
 void RelayService::handleRelay(const std::shared_ptr<net::Exchange> &exchange)
 {
-    Result<relay::RelayedRequest> relayed = relay::parseRelayed(exchange->request().body);
+    const std::size_t messageBytes = exchange->request().body.size();
+    if (messageBytes > net::MemoryAccount::SmallBytes && !exchange->mayHold(messageBytes)) {
+        refuse(*exchange, Unavailable, "too large");
+        return;
+    }
+    Result<relay::RelayedRequest> relayed = relay::parseRelayed(exchange->takeBody());
     if (!relayed) {
         refuse(*exchange, BadRequest, relayed.error().message);
     } else if (!isAnnounced(exchange->callerIp())) {
--- a/bergamot/node/request_forwarder.cpp
+++ b/bergamot/node/request_forwarder.cpp
@@ -127,6 +127,9 @@
 RequestId RequestForwarder::forward(ForwardRequest request, std::shared_ptr<ForwardSink> sink)
 {
     const RequestId id = ++m_lastRequest;
+    if (request.body == nullptr) {
+        request.body = std::make_shared<const std::string>(std::exchange(request.request.body, {}));
+    }
     const fleet::Route &route = request.route;
     const bool streaming = route.kind == fleet::RouteKind::Streaming || route.kind == fleet::RouteKind::Batch;
     const TimePoint deadline = request.receivedAt + std::min(request.callerTimeout, route.timeout);
@@ -137,13 +140,13 @@
                          .repeatable = route.kind == fleet::RouteKind::Idempotent || (streaming && route.resumable),
                          .streaming = streaming,
                          .fingerprint = requestFingerprint(
-                             request.service, request.request.method, request.request.target, request.request.body),
+                             request.service, request.request.method, request.request.target, *request.body),
                          .mostAttempts = std::max(1U, route.maxAttempts),
                          .softwareVersion = request.softwareVersion,
                          .beginsStream = streaming && route.resumable && request.softwareVersion.empty(),
                          .tenant = request.tenant,
                          .owed = request.owed};
-    cost::RequestKind kind{.route = route.name, .tenant = request.tenant, .bytes = request.request.body.size()};
+    cost::RequestKind kind{.route = route.name, .tenant = request.tenant, .bytes = request.body->size()};
     if (m_placesByCompletion && !streaming) {
         const cost::WorkEstimate work = m_work.of(kind);
         caller.usualWork = work.usual;
@@ -337,7 +340,7 @@
                                 .method = pending.request.request.method,
                                 .target = pending.request.request.target,
                                 .headers = net::withoutHopByHopFields(pending.request.request.headers),
-                                .body = pending.request.request.body,
+                                .sharedBody = pending.request.body,
                                 .newConnection = action.connection == Connection::Fresh || pending.request.id.empty(),
                                 .connectTimeout = std::min<Duration>(action.timeout, std::chrono::milliseconds(400)),
                                 .headTimeout = action.timeout,
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -48,6 +48,8 @@
     std::string tenant; // to which it belongs; empty: to none
     std::string streamName; // under which a caller may take up its stream; empty: `id`
     net::Request request;
+    // The body of `request`, which all attempts share; null: it is in `request`.
+    std::shared_ptr<const std::string> body;
     fleet::Route route;
     std::string service; // chosen among the services of the route
     TimePoint receivedAt{};
--- a/bergamot/relay/relay_messages.cpp
+++ b/bergamot/relay/relay_messages.cpp
@@ -55,7 +55,8 @@
         header->value = field.value;
         message.headers.push_back(std::move(header));
     }
-    message.body.assign(request.request.body.begin(), request.request.body.end());
+    const std::string &body = request.body == nullptr ? request.request.body : *request.body;
+    message.body.assign(body.begin(), body.end());
     message.service = request.service;
     message.route = request.route.name;
     message.kind = toWire(request.route.kind);
--- a/bergamot/relay/relay_messages.h
+++ b/bergamot/relay/relay_messages.h
@@ -7,6 +7,7 @@
 // The response to a message is the endpoint's own response, or the refusal of the relaying instance. `OutcomeHeader`
 // tells which: a response without it proves nothing.
 
+#include <memory>
 #include <string>
 
 #include "bergamot/base/error.h"
@@ -37,6 +38,7 @@
     std::string softwareVersion; // of the endpoints that may resume the stream; empty: it is not resumed
     bool owed = false;
     std::string streamName; // under which its caller may take up the stream; empty: `id`
+    std::shared_ptr<const std::string> body; // sent instead of the body of `request`; null: that one is sent
 };
 
 std::string relayMessage(const RelayedRequest &request);
