net, node: the connections of all listeners fit into the descriptors of the machine

Callers saw: no connection, as clients that did nothing held the descriptors of the process. Calls to endpoints, the store and other instances found none either.

Cause: no listener bounded its connections, and the idle connections to endpoints were bounded for each address, not together.

Evidence: platform_node_crowd_descriptors_test, 200 and more of 100 sockets.

Ruled out: shorter timeouts for idle connections, which the configuration sets; a bound without a choice, which lets clients that do nothing shut out all others.

Change: callers may have a third of the sockets (new setting file-descriptors, default 8192, less 200), other instances a sixth, readiness and metrics a 48th each. connectionToClose, pure, says which connection goes for a new one: idle, within a request, not taking its response; never one whose request is handled.

Conclusion: at the smallest machine of the sites (2,870 descriptors) callers have 890 connections, other instances 445.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <limits>
+#include <numeric>
 
 #include <sys/socket.h>
 
@@ -666,8 +667,12 @@
 
 void HttpClient::keepIdle(std::shared_ptr<Connection> connection)
 {
+    const std::size_t idleConnections =
+        std::accumulate(m_idle.begin(), m_idle.end(), std::size_t{0}, [](std::size_t sum, const auto &entry) {
+            return sum + entry.second.size();
+        });
     std::vector<std::shared_ptr<Connection>> &idle = m_idle[connection->address];
-    if (idle.size() >= m_options.maxIdlePerAddress) {
+    if (idle.size() >= m_options.maxIdlePerAddress || idleConnections >= m_options.maxIdle) {
         connection->close();
         return;
     }
--- a/bergamot/net/http_server.cpp
+++ b/bergamot/net/http_server.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
+#include "bergamot/net/connection_choice.h"
 #include "bergamot/net/internal/message_feed.h"
 #include "bergamot/net/internal/request_body.h"
 #include "bergamot/net/internal/response_text.h"
@@ -210,11 +211,31 @@
         }
     }
 
+    /// Closes the connection because there are too many.
+    void closeForRoom()
+    {
+        reportRelease(ReleaseReason::ClosedForConnections);
+        closeAndNotify();
+    }
+
     bool idle() const
     {
         return m_stage == Stage::Idle;
     }
 
+    ConnectionState state() const
+    {
+        constexpr std::array<ConnectionUse, 7> Uses{ConnectionUse::Idle,
+                                                    ConnectionUse::Receiving,
+                                                    ConnectionUse::Receiving,
+                                                    ConnectionUse::Handling,
+                                                    ConnectionUse::Sending,
+                                                    ConnectionUse::Lingering,
+                                                    ConnectionUse::Lingering};
+        return {.use = Uses.at(static_cast<std::size_t>(m_stage)),
+                .progressAt = m_stage == Stage::Responding ? m_writingSince : m_progressAt};
+    }
+
     void checkDeadlines(TimePoint now)
     {
         const ServerLimits &limits = m_server.m_limits;
@@ -501,7 +522,7 @@
             m_server.m_releaseHandler(
                 {.reason = reason,
                  .bytes = m_buffer.size() + m_headBytes + bodyBytes + m_heldBytes + m_outgoingBytes + m_unreadBytes,
-                 .sinceProgress = BootClock::now() - m_progressAt});
+                 .sinceProgress = BootClock::now() - state().progressAt});
         }
     }
 
@@ -723,6 +744,24 @@
     });
 }
 
+bool HttpServer::makeRoom()
+{
+    if (m_connections.size() < m_limits.maxConnections) {
+        return true;
+    }
+    const std::vector<std::shared_ptr<Connection>> connections(m_connections.begin(), m_connections.end());
+    std::vector<ConnectionState> states;
+    states.reserve(connections.size());
+    for (const std::shared_ptr<Connection> &connection : connections) {
+        states.push_back(connection->state());
+    }
+    const std::optional<std::size_t> chosen = connectionToClose(states, BootClock::now());
+    if (chosen) {
+        connections[*chosen]->closeForRoom();
+    }
+    return chosen.has_value();
+}
+
 void HttpServer::drain()
 {
     m_draining = true;
@@ -779,6 +818,15 @@
             });
             return;
         }
+        if (!makeRoom()) {
+            if (m_releaseHandler) {
+                m_releaseHandler({.reason = ReleaseReason::RejectedConnection});
+            }
+            error_code ignored; // a failure to close cannot be handled
+            socket.close(ignored);
+            accept();
+            return;
+        }
         error_code ignored; // without no_delay small packets may be delayed, nothing else
         socket.set_option(tcp::no_delay(true), ignored);
         socket.non_blocking(true, ignored);
--- a/bergamot/net/http_server.h
+++ b/bergamot/net/http_server.h
@@ -41,6 +41,7 @@
     // After a response that was sent before the request had ended, while the rest is discarded so that the caller can
     // read the response.
     Duration lingerTimeout = std::chrono::seconds(2);
+    std::size_t maxConnections = std::numeric_limits<std::size_t>::max(); // those that are open at once
 
     bool operator==(const ServerLimits &) const = default;
 };
@@ -49,6 +50,8 @@
 enum class ReleaseReason {
     RefusedForMemory, // the request was refused, as the process holds too many bytes
     ClosedForMemory, // the connection was closed for the same reason
+    ClosedForConnections, // to make room for a new connection
+    RejectedConnection, // a new connection, as there was no room
     Oversized, // the head, the framing or the body exceeds its limit
 };
 
@@ -133,6 +136,8 @@
     void accept();
     void scheduleSweep();
     void sweep();
+    /// Closes a connection if there are as many as there may be. Returns whether there is room for one more.
+    bool makeRoom();
     /// Lets holders give way while the account is overdrawn. They may belong to any server of the account.
     void relieve();
     /// The same in a later turn of the loop, for callers that must not lose an exchange meanwhile.
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -56,6 +56,7 @@
     std::size_t maxCallBytes = 2 * 1024 * 1024; // limit of the store for the records of one call
     std::uint32_t storePartitions = 12; // partitions per topic
     std::size_t memoryBytes = std::size_t{512} * 1024 * 1024; // of the machine, for this process
+    std::size_t descriptors = 8192; // file descriptors that the process may have
     double cpuShare = 1.0; // share of a core; a small instance owns the engines only if no other instance does
     Duration gracePeriod = std::chrono::seconds(8); // from the stop request until the process is killed
     Duration resultsKept = std::chrono::seconds(120); // from a batch's submission until its results are dropped
@@ -135,6 +136,8 @@
     /// Forwards a request that takes up a stream to the service and software version that began it, or refuses it.
     void resumeStream(const fleet::Route &route, const Caller &caller, std::shared_ptr<net::Exchange> exchange);
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
+    /// Connections that a listener may have which gets one part in `part` of all sockets.
+    std::size_t maxConnections(std::size_t part) const;
     static std::string retryAfterText(Duration duration);
     /// Sets what each listener may hold, and what is told of connections that are closed for that.
     void boundListeners();
--- a/bergamot/node/node_bounds.cpp
+++ b/bergamot/node/node_bounds.cpp
@@ -11,9 +11,20 @@
 namespace
 {
 
+constexpr std::size_t FileDescriptors = 200; // of those that the process may have; the rest is for sockets
+constexpr std::size_t MinimumConnections = 8; // of a listener
+// Parts of the sockets. A caller's request may need two connections to endpoints, and every instance may call any
+// other.
+constexpr std::size_t CallerPart = 3;
+constexpr std::size_t PeerPart = 6;
+constexpr std::size_t ProbePart = 48;
 constexpr std::uint64_t ProbeBodyBytes = 64 * 1024; // readiness and metrics are asked without a body
 
-constexpr std::array<std::string_view, 3> ReasonNames{"refused for memory", "closed for memory", "larger than a limit"};
+constexpr std::array<std::string_view, 5> ReasonNames{"refused for memory",
+                                                      "closed for memory",
+                                                      "closed for a new connection",
+                                                      "no room for a new connection",
+                                                      "larger than a limit"};
 
 std::string milliseconds(Duration duration)
 {
@@ -22,20 +33,27 @@
 
 } // namespace
 
+std::size_t Node::maxConnections(std::size_t part) const
+{
+    const std::size_t sockets = m_options.descriptors > FileDescriptors ? m_options.descriptors - FileDescriptors : 0;
+    return std::max(MinimumConnections, sockets / part);
+}
+
 void Node::boundListeners()
 {
     struct Listener
     {
         std::string_view name;
         net::HttpServer &server;
+        std::size_t part;
         std::uint64_t bodyBytes;
     };
     const std::uint64_t usualBody = net::ServerLimits().bodyBytes;
-    for (const Listener &listener : {Listener{"callers", m_callerServer, usualBody},
-                                     Listener{"readiness", m_readinessServer, ProbeBodyBytes},
-                                     Listener{"metrics", m_metricsServer, ProbeBodyBytes},
-                                     Listener{"instances", m_peerServer, usualBody}}) {
-        listener.server.setLimits({.bodyBytes = listener.bodyBytes});
+    for (const Listener &listener : {Listener{"callers", m_callerServer, CallerPart, usualBody},
+                                     Listener{"readiness", m_readinessServer, ProbePart, ProbeBodyBytes},
+                                     Listener{"metrics", m_metricsServer, ProbePart, ProbeBodyBytes},
+                                     Listener{"instances", m_peerServer, PeerPart, usualBody}}) {
+        listener.server.setLimits({.bodyBytes = listener.bodyBytes, .maxConnections = maxConnections(listener.part)});
         net::Response overload{.status = Unavailable, .body = "no room in memory for the request"};
         overload.headers.add("Content-Type", "text/plain");
         overload.headers.add("Retry-After", retryAfterText(RetryElsewhere));
@@ -54,6 +72,7 @@
     applied.bodyBytes = limits.bodyBytes;
     applied.requestTimeout = limits.headerTimeout;
     applied.idleTimeout = limits.idleTimeout;
+    applied.maxConnections = maxConnections(CallerPart);
     m_callerServer.setLimits(applied);
 }
 
