net, node: connections to endpoints are kept while fewer than half of the sockets are used

Ruled out: no bound, which 200 callers in turn drove to 122 of 100 sockets.

Change: a connection is kept for reuse unless idle ones and those in use are half of the sockets together: 1,335 on the smallest machine of the sites.

--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -672,7 +672,7 @@
             return sum + entry.second.size();
         });
     std::vector<std::shared_ptr<Connection>> &idle = m_idle[connection->address];
-    if (idle.size() >= m_options.maxIdlePerAddress || idleConnections >= m_options.maxIdle) {
+    if (idle.size() >= m_options.maxIdlePerAddress || idleConnections + m_calls.size() >= m_options.maxConnections) {
         connection->close();
         return;
     }
--- a/bergamot/net/http_client.h
+++ b/bergamot/net/http_client.h
@@ -84,7 +84,7 @@
 struct HttpClientOptions
 {
     std::size_t maxIdlePerAddress = 64; // upper bound of the idle connections kept for reuse
-    std::size_t maxIdle = 4096; // the same for all addresses together
+    std::size_t maxConnections = 4096; // idle and in use; with more, no connection is kept for reuse
     Duration idleLimit = std::chrono::seconds(9); // unless the peer's Keep-Alive is shorter; exceeds the pause between
                                                   // two steps of a trainer
     // Body bytes of all calls in progress whose responses are no streams. When they exceed it, the call with the most
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -35,11 +35,10 @@
 constexpr double SmallCpuShare = 0.25; // a smaller share cannot process hundreds of streams
 constexpr Duration SmallInstanceClaimDelay = std::chrono::milliseconds(1500); // larger instances claim first
 
-net::HttpClientOptions clientOptions(net::MemoryAccount &account, std::size_t descriptors)
+net::HttpClientOptions clientOptions(net::MemoryAccount &account, std::size_t maxOutgoingConnections)
 {
-    constexpr std::size_t IdlePart = 8; // of the descriptors; most stay for connections in use
     net::HttpClientOptions options;
-    options.maxIdle = descriptors / IdlePart;
+    options.maxConnections = maxOutgoingConnections;
     options.account = &account;
     options.maxPendingBytes = std::min(options.maxPendingBytes, account.maxBytes() / 2); // callers keep the other half
     return options;
@@ -189,7 +188,7 @@
     , m_options(std::move(options))
     , m_random(m_options.seed)
     , m_memory(m_options.memoryBytes / 2) // the other half is for what the process knows and for copies in transit
-    , m_client(loop, clientOptions(m_memory, m_options.descriptors))
+    , m_client(loop, clientOptions(m_memory, maxConnections(OutgoingPart)))
     , m_view(loop, store, codec, log, {.topicReadPause = m_options.followInterval}, m_random())
     , m_batchLog(loop, store, batchLogOptions(m_options), log, m_random())
     , m_quota(loop, m_client, m_batchLog, log, {}, m_random())
