node: reads of results and items fit into memory together

Callers saw: no answer, as many reads of results at once ended the process for lack of memory. Each read is a request of a few hundred bytes.

Cause: a read collects up to 512 KB of texts, a read of an item all payloads of its batch, in copies that nothing counted before the response; any number went on at once.

Evidence: ResultsTest and ItemsTest of platform_node_crowd_memory_test, 80 to 256 MB on a machine of 64 MB, after the account was in force.

Ruled out: the responses, which the account counts; the reads of the store, whose answers in progress it counts as well.

One that waits for more than a second is refused with 503 (read-no-room).

What the owner of the engines keeps of accepted batches is not bounded by the account (docs/design/client-bounds.md).

--- a/bergamot/node/batch_service.cpp
+++ b/bergamot/node/batch_service.cpp
@@ -14,6 +14,7 @@
 {
 
 constexpr std::string_view Json = "application/json";
+constexpr std::size_t PayloadCopies = 3; // of payloads that are read: records, their texts, and the response
 
 std::string seconds(Duration duration)
 {
@@ -268,7 +269,7 @@
 {
     const batch::BatchEntry *entry = m_log.index().find(reader.call.batch);
     if (entry != nullptr && entry->results.size() > reader.call.after) {
-        collectResults(reader.call, reader.exchange, {});
+        startCollection(reader.call, reader.exchange);
     } else if (entry != nullptr && mayGrow(*entry) && BootClock::now() < reader.deadline) {
         waitForResults(std::move(reader));
     } else {
@@ -296,7 +297,7 @@
     m_log.confirmIndex([this, reader](bool confirmed) {
         const batch::BatchEntry *entry = m_log.index().find(reader.call.batch);
         if (entry != nullptr && entry->results.size() > reader.call.after) {
-            collectResults(reader.call, reader.exchange, {});
+            startCollection(reader.call, reader.exchange);
         } else if (!confirmed) {
             respondUnconfirmed(*reader.exchange, reader.call.batch, "read");
         } else if (entry == nullptr) {
@@ -345,6 +346,14 @@
 
 void BatchService::tick(TimePoint now)
 {
+    while (!m_waitingReads.empty() && m_waitingReads.front().deadline <= now) {
+        const PayloadRead read = std::move(m_waitingReads.front());
+        m_waitingReads.pop_front();
+        m_eventLog.write(EventKind::Request,
+                         "read-no-room",
+                         {{"bytes", std::to_string(read.bytes)}, {"under_way", std::to_string(m_readBytes)}});
+        respond(*read.exchange, Unavailable);
+    }
     for (auto reader = m_readers.begin(); reader != m_readers.end();) {
         if (reader->deadline > now) {
             ++reader;
@@ -361,6 +370,50 @@
     return m_readers.size();
 }
 
+std::size_t BatchService::collectionBytes() const
+{
+    return PayloadCopies * m_options.maxResultBytes;
+}
+
+void BatchService::startCollection(const ReadResultsCall &call, const std::shared_ptr<net::Exchange> &exchange)
+{
+    startPayloadRead({.exchange = exchange, .bytes = collectionBytes(), .start = [this, call, exchange] {
+                          collectResults(call, exchange, {});
+                      }});
+}
+
+void BatchService::startPayloadRead(PayloadRead read)
+{
+    read.exchange->onCallerDisconnected([this, waiting = read.exchange.get()] {
+        m_waitingReads.remove_if([waiting](const PayloadRead &other) {
+            return other.exchange.get() == waiting;
+        });
+    });
+    read.deadline = BootClock::now() + m_options.maxWait;
+    m_waitingReads.push_back(std::move(read));
+    startWaitingReads();
+}
+
+void BatchService::startWaitingReads()
+{
+    while (!m_waitingReads.empty()
+           && (m_readBytes == 0 || m_readBytes + m_waitingReads.front().bytes <= m_options.maxReadBytes)) {
+        const PayloadRead read = std::move(m_waitingReads.front());
+        m_waitingReads.pop_front();
+        m_readBytes += read.bytes;
+        read.exchange->hold(std::min(read.bytes, m_options.maxReadBytes));
+        read.start();
+    }
+}
+
+void BatchService::payloadReadEnded(std::size_t bytes)
+{
+    m_readBytes -= bytes;
+    boost::asio::post(m_loop, [this] {
+        startWaitingReads();
+    });
+}
+
 void BatchService::collectResults(ReadResultsCall call,
                                   std::shared_ptr<net::Exchange> exchange,
                                   std::vector<batch::ItemResult> collected)
@@ -368,6 +421,7 @@
     const batch::BatchEntry *entry = m_log.index().find(call.batch);
     if (entry == nullptr) {
         respondUnconfirmed(*exchange, call.batch, "read");
+        payloadReadEnded(collectionBytes());
         return;
     }
     std::size_t bytes = 0;
@@ -377,6 +431,7 @@
     const std::size_t position = call.after + collected.size();
     if (bytes >= m_options.maxResultBytes || position >= entry->results.size()) {
         respondResults(*exchange, call, *entry, collected);
+        payloadReadEnded(collectionBytes());
         return;
     }
     // One read of the store returns consecutive records; offsets beyond it are read in the next round.
@@ -394,6 +449,7 @@
                                                 "results-unreadable",
                                                 {{"batch", call.batch}, {"after", std::to_string(call.after)}});
                                respond(*exchange, Unavailable);
+                               payloadReadEnded(collectionBytes());
                                return;
                            }
                            for (const LogRecord &payloadRecord : records) {
@@ -414,9 +470,10 @@
                            const batch::BatchEntry *currentEntry = m_log.index().find(call.batch);
                            if (currentEntry == nullptr || collected.empty()) {
                                respond(*exchange, Unavailable);
-                               return;
+                           } else {
+                               respondResults(*exchange, call, *currentEntry, collected);
                            }
-                           respondResults(*exchange, call, *currentEntry, collected);
+                           payloadReadEnded(collectionBytes());
                        });
 }
 
@@ -457,25 +514,44 @@
         respond(*exchange, NotFound);
         return;
     }
-    m_log.readPayloads(
-        entry->partition, entry->parts, [this, call, exchange](bool complete, const std::vector<LogRecord> &records) {
-            const batch::BatchEntry *currentEntry = m_log.index().find(call.batch);
-            const Result<std::optional<FoundItem>> found = findItem(records, call.item);
-            const bool unreadable = !found || (!*found && !complete);
-            const std::size_t items = currentEntry == nullptr ? 0 : currentEntry->committed.size();
-            if (unreadable || (*found && (*found)->index >= items)) {
-                m_eventLog.write(EventKind::Request,
-                                 "item-unreadable",
-                                 {{"batch", call.batch},
-                                  {"item", call.item},
-                                  {"reason", found ? "not all payloads are known" : found.error().message}});
-                respond(*exchange, Unavailable);
-            } else if (!*found || currentEntry->committed[(*found)->index]) {
-                respond(*exchange, NotFound);
-            } else {
-                respond(*exchange, Ok, (*found)->body, "application/octet-stream");
-            }
-        });
+    const std::size_t bytes = PayloadCopies * entry->parts.size() * m_log.options().maxRecordBytes;
+    startPayloadRead({.exchange = exchange, .bytes = bytes, .start = [this, call, exchange, bytes] {
+                          findKnownItem(call, exchange, bytes);
+                      }});
+}
+
+void BatchService::findKnownItem(const ReadItemCall &call,
+                                 const std::shared_ptr<net::Exchange> &exchange,
+                                 std::size_t bytes)
+{
+    const batch::BatchEntry *entry = m_log.index().find(call.batch);
+    if (entry == nullptr) {
+        respondUnconfirmed(*exchange, call.batch, "item");
+        payloadReadEnded(bytes);
+        return;
+    }
+    m_log.readPayloads(entry->partition,
+                       entry->parts,
+                       [this, call, exchange, bytes](bool complete, const std::vector<LogRecord> &records) {
+                           const batch::BatchEntry *currentEntry = m_log.index().find(call.batch);
+                           const Result<std::optional<FoundItem>> found = findItem(records, call.item);
+                           const bool unreadable = !found || (!*found && !complete);
+                           const std::size_t items = currentEntry == nullptr ? 0 : currentEntry->committed.size();
+                           if (unreadable || (*found && (*found)->index >= items)) {
+                               m_eventLog.write(
+                                   EventKind::Request,
+                                   "item-unreadable",
+                                   {{"batch", call.batch},
+                                    {"item", call.item},
+                                    {"reason", found ? "not all payloads are known" : found.error().message}});
+                               respond(*exchange, Unavailable);
+                           } else if (!*found || currentEntry->committed[(*found)->index]) {
+                               respond(*exchange, NotFound);
+                           } else {
+                               respond(*exchange, Ok, (*found)->body, "application/octet-stream");
+                           }
+                           payloadReadEnded(bytes);
+                       });
 }
 
 void BatchService::respondNotFound(net::Exchange &exchange, const std::string &batch, std::string_view call)
--- a/bergamot/node/batch_service.h
+++ b/bergamot/node/batch_service.h
@@ -28,6 +28,8 @@
     Duration retryPause = std::chrono::milliseconds(100);
     Duration maxWait = std::chrono::milliseconds(1000); // upper bound of how long a read waits for a result
     std::size_t maxResultBytes = 512 * 1024; // a response is complete once its texts reach this size
+    // Memory of the reads of payloads that are under way; others wait. One that needs more is read alone.
+    std::size_t maxReadBytes = std::size_t{48} * 1024 * 1024;
 };
 
 /// Who submits a batch, and what its items may need.
@@ -61,7 +63,8 @@
 
     /// Responds to the waiting readers whose results are in the index. Call it when the index has changed.
     void answerReadyReaders();
-    /// Responds to the waiting readers whose wait has expired. Call it about ten times a second.
+    /// Responds to the waiting readers whose wait has expired, and refuses reads that found no room. Call it about ten
+    /// times a second.
     void tick(TimePoint now);
     std::size_t waitingReaders() const;
 
@@ -88,6 +91,15 @@
         TimePoint deadline{};
     };
 
+    /// A read of payloads, which takes memory until it has ended.
+    struct PayloadRead
+    {
+        std::shared_ptr<net::Exchange> exchange;
+        std::size_t bytes = 0; // that it may take
+        std::function<void()> start;
+        TimePoint deadline{}; // until then it waits for room
+    };
+
     void appendNext(std::shared_ptr<PendingAppend> pending);
     void handlePayloadAppend(std::shared_ptr<PendingAppend> pending, const logstore::AppendOutcome &outcome);
     void handleAppend(std::shared_ptr<PendingAppend> pending, const logstore::AppendOutcome &outcome);
@@ -105,6 +117,15 @@
                       std::function<void()> known);
     void endKnownBatch(const EndBatchCall &call, std::shared_ptr<net::Exchange> exchange);
     void readKnownItem(const ReadItemCall &call, const std::shared_ptr<net::Exchange> &exchange);
+    /// Responds with the body of the item, from the payloads of its batch. `bytes` is the memory of this read.
+    void findKnownItem(const ReadItemCall &call, const std::shared_ptr<net::Exchange> &exchange, std::size_t bytes);
+    /// Collects the texts for a read that has results, at once or after other reads.
+    void startCollection(const ReadResultsCall &call, const std::shared_ptr<net::Exchange> &exchange);
+    /// Runs `read` as soon as there is room for it; `payloadReadEnded` has to follow.
+    void startPayloadRead(PayloadRead read);
+    void startWaitingReads();
+    std::size_t collectionBytes() const;
+    void payloadReadEnded(std::size_t bytes);
     void collectResults(ReadResultsCall call,
                         std::shared_ptr<net::Exchange> exchange,
                         std::vector<batch::ItemResult> collected);
@@ -125,6 +146,8 @@
     BatchServiceOptions m_options;
     std::mt19937_64 m_random;
     std::list<Reader> m_readers;
+    std::list<PayloadRead> m_waitingReads; // in the order of their calls
+    std::size_t m_readBytes = 0; // of the reads of payloads that are under way
     std::list<std::shared_ptr<PendingAppend>> m_pendingAppends;
 };
 
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -95,6 +95,13 @@
         {{"source", std::string(source)}, {"fingerprint", std::to_string(report.fingerprint)}, {"crashes", crashes}});
 }
 
+BatchServiceOptions batchServiceOptions(const net::MemoryAccount &account)
+{
+    BatchServiceOptions options;
+    options.maxReadBytes = std::min(options.maxReadBytes, account.maxLargeBytes() / 2);
+    return options;
+}
+
 UsageReporterOptions usageOptions(const NodeOptions &options)
 {
     return {.instance = options.instance,
@@ -203,7 +210,7 @@
                     {.instance = m_options.instance, .zone = m_options.zone, .account = &m_memory},
                     m_options.seed)
     , m_relayService(m_forwarder, m_reach, m_batchLog, log, {})
-    , m_batchService(loop, m_batchLog, codec, log, {}, m_random())
+    , m_batchService(loop, m_batchLog, codec, log, batchServiceOptions(m_memory), m_random())
     , m_pool(loop, m_client, m_forwarder, m_batchLog, m_view, m_quota, codec, log, poolOptions(m_options), m_random())
     , m_callerServer(
           loop,
