--- a/bergamot/node/node_bounds.cpp
+++ b/bergamot/node/node_bounds.cpp
@@ -18,7 +18,7 @@
 constexpr std::size_t CallerPart = 3;
 constexpr std::size_t PeerPart = 6;
 constexpr std::size_t ProbePart = 48;
-constexpr std::uint64_t ProbeBodyBytes = 64 * 1024; // readiness and metrics are asked without a body
+constexpr std::uint64_t ProbeBodyBytes = std::uint64_t{64} * 1024; // readiness and metrics are asked without a body
 
 constexpr std::array<std::string_view, 5> ReasonNames{"refused for memory",
                                                       "closed for memory",
