--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -137,7 +137,7 @@
     void resumeStream(const fleet::Route &route, const Caller &caller, std::shared_ptr<net::Exchange> exchange);
     void handleReadiness(const std::shared_ptr<net::Exchange> &exchange);
     static constexpr std::size_t OutgoingPart = 2; // of all sockets, one half, unless more are in use
-    /// Connections that a user gets who may have one part in `part` of all sockets.
+    /// Connections that a listener or the client may have if it gets one part in `part` of all sockets.
     std::size_t maxConnections(std::size_t part) const;
     static std::string retryAfterText(Duration duration);
     /// Sets what each listener may hold, and what is told of connections that are closed for that.
--- a/bergamot/node/relay_client.h
+++ b/bergamot/node/relay_client.h
@@ -37,8 +37,8 @@
     Duration minTimeLeft = std::chrono::milliseconds(50); // with less, a request is refused instead
     Duration deadlineMargin = std::chrono::milliseconds(10); // for the hop, off the time that the peer is given
     Duration flowCheck = std::chrono::milliseconds(5); // while a caller is behind its stream
-    const net::MemoryAccount *account =
-        nullptr; // decides whether there is room for the copy that is sent; null: always
+    // Decides whether there is room for the copies of a request that are made to send it; null: there always is.
+    const net::MemoryAccount *account = nullptr;
 };
 
 /// Not thread-safe.
