--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "bergamot/base/settings.h"
+#include "review/standins-3/full_store_case.h"
 #include "review/standins-3/open_batches_case.h"
 #include "review/standins-3/order_lease_case.h"
 
@@ -17,7 +18,8 @@
 
 using RunCase = CaseOutcome (*)(const ReviewOptions &options);
 
-constexpr std::array<std::pair<std::string_view, RunCase>, 2> Cases{{
+constexpr std::array<std::pair<std::string_view, RunCase>, 3> Cases{{
+    {"full-store", runFullStoreCase},
     {"open-batches", runOpenBatchesCase},
     {"order-lease", runOrderLeaseCase},
 }};
--- a/review/standins-3/open_batches_case.cpp
+++ b/review/standins-3/open_batches_case.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "platform/base64.h"
+#include "review/standins-3/batch_body.h"
 
 namespace bergamot::review
 {
@@ -14,9 +14,7 @@
 
 constexpr std::uint64_t BodyLimit = std::uint64_t{32} * 1024 * 1024; // `max_body_bytes` of the small deployments
 constexpr std::size_t Batches = 10; // that are open
-constexpr std::size_t Items = 112; // of a batch
-constexpr std::uint32_t GroupSize = 4;
-constexpr std::size_t LargeItem = std::size_t{210} * 1024; // bytes of an item's body; a batch is about 31 MB
+constexpr std::size_t LargeItem = std::size_t{210} * 1024; // bytes of an item's body; a batch of 112 is about 31 MB
 constexpr std::size_t SmallItem = 600;
 constexpr Duration SubmitTimeout = 25s;
 constexpr Duration SubmitTime = 75s; // for all batches
@@ -24,20 +22,6 @@
 constexpr std::size_t EndsForFault = 3; // ends of a process that count as a fault,
 constexpr std::size_t MachinesForFault = 2; // on so many machines: a tenth of them, at least two
 
-std::string batchBody(const std::string &name, std::uint64_t step, std::size_t itemBytes)
-{
-    const std::string body = platform::encodeBase64(std::string(itemBytes, 'x'));
-    std::string json = R"({"step":)" + std::to_string(step) + R"(,"model":")" + std::string(platform::StandinModel)
-        + R"(","min_version":1,"desired_count":)" + std::to_string(Items / GroupSize) + R"(,"items":[)";
-    for (std::size_t index = 0; index < Items; ++index) {
-        const std::string item = name + "-" + std::to_string(index);
-        json += std::string(index == 0 ? "" : ",") + R"({"id":")" + item
-            + R"(","path":"/samples/1","headers":{},"tokens":300,"group":"g)" + std::to_string(index / GroupSize)
-            + R"(","body":")" + body + R"("})";
-    }
-    return json + "]}";
-}
-
 std::size_t faultyMachines(const ReviewFleet &fleet)
 {
     return static_cast<std::size_t>(
@@ -70,7 +54,9 @@
     for (std::size_t batch = 0; batch < Batches && faultyMachines(fleet) < MachinesForFault; ++batch) {
         const std::string name = "step-" + std::to_string(batch);
         const bool accepted = fleet.submitUntilAccepted(
-            name, batchBody(name, batch, options.trouble ? LargeItem : SmallItem), SubmitTimeout);
+            name,
+            batchBody({.name = name, .step = batch, .itemBytes = options.trouble ? LargeItem : SmallItem}),
+            SubmitTimeout);
         recordMemory(fleet);
         if (!accepted || BootClock::now() - begin > SubmitTime) {
             return CaseOutcome::CouldNotRun;
--- a/review/standins-3/review_fleet.cpp
+++ b/review/standins-3/review_fleet.cpp
@@ -31,6 +31,17 @@
     return holder.substr(0, holder.rfind('-'));
 }
 
+std::string attemptId(const WatchedRequest &request)
+{
+    constexpr std::string_view Name = "Bergamotwinch-Attempt-Id: ";
+    const std::size_t found = request.head.find(Name);
+    if (found == std::string::npos) {
+        return {};
+    }
+    const std::size_t begin = found + Name.size();
+    return request.head.substr(begin, request.head.find('\r', begin) - begin);
+}
+
 } // namespace
 
 ReviewFleet::ReviewFleet(const ReviewOptions &review, FleetOptions options)
@@ -64,6 +75,9 @@
             observeEngineCall(id, request);
             return AnswerFate::Passed;
         }));
+    m_proxies.back()->onEnd = [this](const WatchedRequest &request, bool whole) {
+        observeEngineEnd(request, whole);
+    };
     if (!m_proxies.back()->listen()) {
         return false;
     }
@@ -73,6 +87,11 @@
 
 void ReviewFleet::observeEngineCall(const std::string &engine, const WatchedRequest &request)
 {
+    if (request.line.starts_with("POST /samples/")) {
+        ItemRun &run = itemRuns[attemptId(request)];
+        ++run.running;
+        run.begunAt = BootClock::now();
+    }
     if (!request.line.starts_with("POST /bergamotwinch/order ")) {
         return;
     }
@@ -88,6 +107,17 @@
     }
 }
 
+void ReviewFleet::observeEngineEnd(const WatchedRequest &request, bool whole)
+{
+    if (!request.line.starts_with("POST /samples/")) {
+        return;
+    }
+    ItemRun &run = itemRuns[attemptId(request)];
+    --run.running;
+    run.finished = run.finished || whole;
+    run.endedAt = BootClock::now();
+}
+
 bool ReviewFleet::start()
 {
     m_store.faults.delay = StoreAnswerTime;
@@ -96,7 +126,12 @@
     }
     platform::ConfigurationParameters configuration{
         .version = 1, .engineSlots = m_options.engine.slots, .bodyBytes = m_options.bodyBytes};
-    m_store.put("keyed.op", "config", platform::configurationJson(configuration));
+    std::string json = platform::configurationJson(configuration);
+    if (m_options.resultDeadlineMs != 0) {
+        constexpr std::string_view Kind = R"("route_kind":"rollout")";
+        json.insert(json.find(Kind), R"("result_deadline_ms":)" + std::to_string(m_options.resultDeadlineMs) + ",");
+    }
+    m_store.put("keyed.op", "config", json);
     for (std::size_t index = 1; index <= m_options.engines; ++index) {
         platform::EndpointStandinOptions engine = m_options.engine;
         engine.id = "e" + std::to_string(index);
@@ -167,6 +202,7 @@
         } else if (now - *endedAt >= RestartDelay) {
             endedAt.reset();
             machine.start();
+            startedAgainAt = now;
             record("the process of " + machine.name() + " is started again");
         }
     }
@@ -290,9 +326,9 @@
     return false;
 }
 
-void ReviewFleet::end(const std::string &batch)
+void ReviewFleet::end(const std::string &batch, std::size_t maxTries)
 {
-    for (std::size_t tries = 0; tries < machines.size(); ++tries) {
+    for (std::size_t tries = 0; tries < maxTries; ++tries) {
         if (!machines[tries]->running()) {
             continue;
         }
@@ -313,4 +349,9 @@
     m_store.put("keyed.op", "version/" + std::string(platform::StandinModel), platform::namedVersionJson(version));
 }
 
+logstore::MemoryLog &ReviewFleet::log()
+{
+    return m_store.log();
+}
+
 } // namespace bergamot::review
--- a/review/standins-3/review_fleet.h
+++ b/review/standins-3/review_fleet.h
@@ -8,6 +8,7 @@
 
 #include <fstream>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -44,6 +45,7 @@
     std::size_t engines = 3;
     double memoryMegabytes = 270; // of a machine
     bool watchesStore = true; // the calls of the nodes to the store go through proxies
+    std::uint64_t resultDeadlineMs = 0; // of the route of batches; 0: not named
     std::uint64_t bodyBytes = 0; // limit of callers' bodies in the configuration; 0: not named
     platform::EndpointStandinOptions engine; // id, service and model are set by the fleet
 };
@@ -58,6 +60,15 @@
     TimePoint at{};
 };
 
+/// What the engines have seen of an item.
+struct ItemRun
+{
+    std::size_t running = 0; // runs
+    bool finished = false; // a run went on to its end
+    TimePoint begunAt{}; // the last run
+    TimePoint endedAt{}; // the last run
+};
+
 /// Not thread-safe.
 class ReviewFleet
 {
@@ -87,8 +98,10 @@
     /// Submits the batch, again at the next machine after a failure, and returns whether it was accepted.
     bool submitUntilAccepted(const std::string &batch, const std::string &body, Duration timeout);
     bool readUntilListed(const std::string &batch, std::size_t results, Duration timeout);
-    void end(const std::string &batch);
+    /// Ends the batch, at the next machine after a failure.
+    void end(const std::string &batch, std::size_t maxTries);
     void nameVersion(std::uint64_t version);
+    logstore::MemoryLog &log();
 
     /// The observer of the nodes' calls to the store.
     std::function<AnswerFate(std::size_t machine, const WatchedRequest &request)> onStoreCall;
@@ -96,6 +109,8 @@
 
     std::vector<std::unique_ptr<NodeMachine>> machines;
     std::vector<SeenOrder> orders;
+    std::map<std::string, ItemRun> itemRuns; // by item
+    TimePoint startedAgainAt{}; // the last process of a machine
     std::vector<std::size_t> killedForMemory; // how often the platform has killed each machine's process for it
 
 private:
@@ -103,6 +118,7 @@
     void supervise();
     bool addEndpoint(platform::EndpointStandinOptions options);
     void observeEngineCall(const std::string &engine, const WatchedRequest &request);
+    void observeEngineEnd(const WatchedRequest &request, bool whole);
 
     ReviewOptions m_review;
     FleetOptions m_options;
--- a/review/standins-3/standins.cmake
+++ b/review/standins-3/standins.cmake
@@ -3,6 +3,8 @@
 bergamot_binary(
     NAME review-3
     SOURCES
+        review/standins-3/batch_body.cpp
+        review/standins-3/full_store_case.cpp
         review/standins-3/main.cpp
         review/standins-3/node_machine.cpp
         review/standins-3/open_batches_case.cpp
--- a/review/standins-3/watched_proxy.cpp
+++ b/review/standins-3/watched_proxy.cpp
@@ -15,6 +15,7 @@
 
 constexpr std::size_t ChunkBytes = std::size_t{64} * 1024;
 constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr std::string_view LastChunk = "0\r\n\r\n";
 
 std::size_t bodyLength(std::string_view head)
 {
@@ -64,6 +65,7 @@
             side->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
             side->socket.close(ignored);
         }
+        ended(false);
         m_proxy.m_links.erase(shared_from_this());
     }
 
@@ -90,6 +92,11 @@
                 }
                 if (fromCaller) {
                     self->observe({from.chunk.data(), bytes});
+                    if (self->m_closed) {
+                        return;
+                    }
+                } else {
+                    self->observeAnswer({from.chunk.data(), bytes});
                 }
                 boost::asio::async_write(to.socket,
                                          boost::asio::buffer(from.chunk, bytes),
@@ -115,17 +122,60 @@
         if (m_request.size() < end) {
             return;
         }
-        const WatchedRequest request{.line = m_request.substr(0, m_request.find('\r')),
-                                     .head = m_request.substr(0, headEnd),
-                                     .body = m_request.substr(bodyBegin, end - bodyBegin)};
+        WatchedRequest request{.line = m_request.substr(0, m_request.find('\r')),
+                               .head = m_request.substr(0, headEnd),
+                               .body = m_request.substr(bodyBegin, end - bodyBegin)};
         m_request.clear();
-        m_silent = m_proxy.m_observer(request) == AnswerFate::Lost;
+        const AnswerFate fate = m_proxy.m_observer(request);
+        m_silent = fate == AnswerFate::Lost;
+        if (fate == AnswerFate::Done || fate == AnswerFate::Full) {
+            answer(fate == AnswerFate::Done ? "200 OK" : "507 Insufficient Storage");
+            return;
+        }
+        request.body.clear();
+        m_running = std::move(request);
+    }
+
+    void observeAnswer(std::string_view data)
+    {
+        m_answerTail.append(data.substr(data.size() - std::min(data.size(), LastChunk.size())));
+        m_answerTail.erase(0, m_answerTail.size() - std::min(m_answerTail.size(), LastChunk.size()));
+        if (m_answerTail == LastChunk) {
+            ended(true);
+        }
+    }
+
+    void ended(bool whole)
+    {
+        const std::optional<WatchedRequest> request = std::exchange(m_running, std::nullopt);
+        if (request && m_proxy.onEnd) {
+            m_proxy.onEnd(*request, whole);
+        }
+    }
+
+    void answer(std::string_view status)
+    {
+        m_request = "HTTP/1.1 " + std::string(status)
+            + "\r\nContent-Type: application/json\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}";
+        m_closed = true;
+        boost::system::error_code ignored; // the target may have closed first
+        m_target.socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+        m_target.socket.close(ignored);
+        boost::asio::async_write(m_caller.socket,
+                                 boost::asio::buffer(m_request),
+                                 [self = shared_from_this()](const boost::system::error_code &, std::size_t) {
+                                     boost::system::error_code unread; // the caller may have closed first
+                                     self->m_caller.socket.close(unread);
+                                     self->m_proxy.m_links.erase(self);
+                                 });
     }
 
     WatchedProxy &m_proxy;
     Side m_caller;
     Side m_target;
     std::string m_request; // received so far
+    std::optional<WatchedRequest> m_running; // without its body; its answer is not complete
+    std::string m_answerTail;
     bool m_silent = false; // an answer is lost: nothing more passes, but for what is being forwarded
     bool m_closed = false;
 };
--- a/review/standins-3/watched_proxy.h
+++ b/review/standins-3/watched_proxy.h
@@ -29,6 +29,8 @@
 enum class AnswerFate {
     Passed,
     Lost,
+    Done, // the proxy answers with 200, and the target gets nothing
+    Full, // the proxy answers with 507, and the target gets nothing
 };
 
 /// Not thread-safe.
@@ -37,6 +39,9 @@
 public:
     /// The observer sees each request before the last of it reaches the target.
     using Observer = std::function<AnswerFate(const WatchedRequest &request)>;
+    /// Called once for each request that the observer let pass: `whole` tells whether its chunked answer went by to its
+    /// end.
+    using EndObserver = std::function<void(const WatchedRequest &request, bool whole)>;
 
     WatchedProxy(boost::asio::io_context &loop, Address target, Observer observer);
     ~WatchedProxy();
@@ -47,6 +52,8 @@
     bool listen();
     Address address() const;
 
+    EndObserver onEnd;
+
 private:
     class Link;
 
