--- a/review/standins-3/full_store_case.cpp
+++ b/review/standins-3/full_store_case.cpp
@@ -22,13 +22,13 @@
 constexpr std::size_t LargeItem = std::size_t{210} * 1024; // bytes of a prompt; a step is about 31 MB
 constexpr std::size_t SmallItem = 600;
 constexpr std::uint64_t ResultDeadlineMs = 7500; // `run_aim_ms` of the site's trainer
-constexpr Duration StepTimeout = 28s; // the trainer's time budget for a step, from its acceptance on
+constexpr Duration StepTimeout = 24s; // the trainer's time budget for a step, from its acceptance on
 constexpr std::size_t OpenSteps = 4; // the trainer requests three steps ahead
 constexpr Duration EventInterval = 250ms;
 constexpr std::uint64_t EventsPerItem = 10;
 constexpr Duration SubmitTimeout = 4s;
 constexpr Duration TrainingTime = 300ms;
-constexpr Duration RestartTime = 60s; // of the restart, if the store does not become full
+constexpr Duration KillTime = 60s; // of the kill, if the store does not become full
 constexpr Duration TimeLimit = 80s; // for requests of steps
 constexpr Duration UnrunTime = 5s; // so long an item has been at no engine when its step runs out of time
 constexpr Duration ContactTime = 3s; // `contact_ms`: after the restart of a machine, until the state is steady
@@ -67,8 +67,8 @@
             if (m_open.empty()) {
                 break;
             }
-            if (!m_options.trouble && BootClock::now() - begin > RestartTime) {
-                restartOwner();
+            if (!m_options.trouble && BootClock::now() - begin > KillTime) {
+                killOwner();
             }
             const Step step = m_open.front();
             m_open.pop_front();
@@ -137,7 +137,7 @@
             }
             return AnswerFate::Passed;
         }
-        restartOwner();
+        killOwner();
         if (m_refusals++ % 50 == 0) {
             m_fleet.record("the store is full: 507 to " + m_fleet.machines[machine]->name() + ": " + request.line
                            + " (refusal " + std::to_string(m_refusals) + ")");
@@ -145,11 +145,11 @@
         return AnswerFate::Full;
     }
 
-    void restartOwner()
+    void killOwner()
     {
-        if (!std::exchange(m_restarted, true)) {
-            m_fleet.record("SIGTERM to " + m_fleet.machines[m_owner]->name() + ", the owner of the pool");
-            m_fleet.machines[m_owner]->signal(SIGTERM);
+        if (!std::exchange(m_killed, true)) {
+            m_fleet.record("SIGKILL to " + m_fleet.machines[m_owner]->name() + ", the owner of the pool");
+            m_fleet.machines[m_owner]->signal(SIGKILL);
         }
     }
 
@@ -248,7 +248,7 @@
     std::uint64_t m_storedBytes = 0;
     std::size_t m_refusals = 0;
     std::size_t m_owner = 0; // the machine that wrote last as the owner of the pool
-    bool m_restarted = false; // once
+    bool m_killed = false; // once
 };
 
 } // namespace
--- a/review/standins-3/full_store_case.h
+++ b/review/standins-3/full_store_case.h
@@ -1,12 +1,14 @@
 #pragma once
 
+// A trainer requests steps with long prompts, three ahead, until the platform's store is full; then the process of the
+// pool's owner is killed once. With no trouble the prompts are short, the store never fills, and the kill comes by
+// time.
+
 #include "review/standins-3/review_fleet.h"
 
 namespace bergamot::review
 {
 
-/// A trainer requests steps with prompts of 96 KiB, one ahead, until the platform's store is full. With no trouble the
-/// prompts are small.
 CaseOutcome runFullStoreCase(const ReviewOptions &options);
 
 } // namespace bergamot::review
