--- a/review/standins-3/full_store_case.cpp
+++ b/review/standins-3/full_store_case.cpp
@@ -78,7 +78,7 @@
             } else if (stepLost(step)) {
                 return CaseOutcome::Broken;
             }
-            m_fleet.end(step.name, refused ? 1 : m_fleet.machines.size());
+            m_fleet.endAnywhere(step.name, refused ? 1 : m_fleet.machines.size());
             if (refused) {
                 continue;
             }
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -9,6 +9,7 @@
 #include "review/standins-3/full_store_case.h"
 #include "review/standins-3/open_batches_case.h"
 #include "review/standins-3/order_lease_case.h"
+#include "review/standins-3/stale_owner_case.h"
 
 namespace bergamot::review
 {
@@ -18,10 +19,11 @@
 
 using RunCase = CaseOutcome (*)(const ReviewOptions &options);
 
-constexpr std::array<std::pair<std::string_view, RunCase>, 3> Cases{{
+constexpr std::array<std::pair<std::string_view, RunCase>, 4> Cases{{
     {"full-store", runFullStoreCase},
     {"open-batches", runOpenBatchesCase},
     {"order-lease", runOrderLeaseCase},
+    {"stale-owner", runStaleOwnerCase},
 }};
 
 int run(int argc, char **argv)
--- a/review/standins-3/order_lease_case.cpp
+++ b/review/standins-3/order_lease_case.cpp
@@ -134,7 +134,7 @@
             restartHolder();
         }
         m_fleet.readUntilListed(name, Items, StepTimeout);
-        m_fleet.end(name, m_fleet.machines.size());
+        m_fleet.endAnywhere(name, m_fleet.machines.size());
         m_fleet.runFor(TrainingTime);
         return true;
     }
--- a/review/standins-3/review_fleet.cpp
+++ b/review/standins-3/review_fleet.cpp
@@ -31,6 +31,8 @@
     return holder.substr(0, holder.rfind('-'));
 }
 
+} // namespace
+
 std::string attemptId(const WatchedRequest &request)
 {
     constexpr std::string_view Name = "Bergamotwinch-Attempt-Id: ";
@@ -42,8 +44,6 @@
     return request.head.substr(begin, request.head.find('\r', begin) - begin);
 }
 
-} // namespace
-
 ReviewFleet::ReviewFleet(const ReviewOptions &review, FleetOptions options)
     : m_review(review)
     , m_options(std::move(options))
@@ -57,36 +57,58 @@
 ReviewFleet::~ReviewFleet()
 {
     machines.clear();
-    m_proxies.clear();
+    m_storeProxies.clear();
     m_endpoints.clear();
 }
 
 bool ReviewFleet::addEndpoint(platform::EndpointStandinOptions options)
 {
     const std::string id = options.id;
-    m_endpoints.push_back(
-        std::make_unique<platform::EndpointStandin>(m_loop, m_store, std::move(options), m_observations, Seed));
-    platform::EndpointStandin &endpoint = *m_endpoints.back();
-    if (!endpoint.listen({"127.0.0.1", 0})) {
+    Endpoint &endpoint = m_endpoints[id];
+    endpoint.standin =
+        std::make_unique<platform::EndpointStandin>(m_loop, m_store, std::move(options), m_observations, Seed);
+    if (!endpoint.standin->listen({"127.0.0.1", 0})) {
         return false;
     }
-    m_proxies.push_back(
-        std::make_unique<WatchedProxy>(m_loop, endpoint.address(), [this, id](const WatchedRequest &request) {
+    endpoint.proxy =
+        std::make_unique<WatchedProxy>(m_loop, endpoint.standin->address(), [this, id](const WatchedRequest &request) {
             observeEngineCall(id, request);
             return AnswerFate::Passed;
-        }));
-    m_proxies.back()->onEnd = [this](const WatchedRequest &request, bool whole) {
-        observeEngineEnd(request, whole);
-    };
-    if (!m_proxies.back()->listen()) {
+        });
+    if (!endpoint.proxy->listen()) {
         return false;
     }
-    endpoint.registerAs(m_proxies.back()->address());
+    endpoint.proxy->onEnd = [this](const WatchedRequest &request, bool whole) {
+        observeEngineEnd(request, whole);
+    };
+    endpoint.standin->registerAs(endpoint.proxy->address());
     return true;
 }
 
+void ReviewFleet::drainEndpoint(const std::string &id)
+{
+    record(id + " is draining");
+    m_endpoints.at(id).standin->drain();
+}
+
+void ReviewFleet::removeEndpoint(const std::string &id)
+{
+    record(id + " is gone");
+    m_endpoints.at(id).standin->leaveWithoutReport();
+    m_endpoints.at(id).proxy->shutDown();
+}
+
+void ReviewFleet::cutFromStore(std::size_t machine)
+{
+    record(machines[machine]->name() + " is cut off from the store");
+    m_storeProxies[machine]->cut = true;
+}
+
 void ReviewFleet::observeEngineCall(const std::string &engine, const WatchedRequest &request)
 {
+    if (onEndpointCall) {
+        onEndpointCall(engine, request);
+    }
     if (request.line.starts_with("POST /samples/")) {
         ItemRun &run = itemRuns[attemptId(request)];
         ++run.running;
@@ -147,14 +169,14 @@
     for (std::size_t index = 0; index < m_options.nodes; ++index) {
         Address store{"127.0.0.1", m_store.port()};
         if (m_options.watchesStore) {
-            m_proxies.push_back(
+            m_storeProxies.push_back(
                 std::make_unique<WatchedProxy>(m_loop, store, [this, index](const WatchedRequest &request) {
                     return onStoreCall ? onStoreCall(index, request) : AnswerFate::Passed;
                 }));
-            if (!m_proxies.back()->listen()) {
+            if (!m_storeProxies.back()->listen()) {
                 return false;
             }
-            store = m_proxies.back()->address();
+            store = m_storeProxies.back()->address();
         }
         machines.push_back(
             std::make_unique<NodeMachine>(NodeMachineOptions{.program = m_review.program,
@@ -326,18 +348,19 @@
     return false;
 }
 
-void ReviewFleet::end(const std::string &batch, std::size_t maxTries)
+bool ReviewFleet::end(const std::string &batch, std::size_t machine)
+{
+    const int status =
+        call(machines[machine]->callers(), {.method = "DELETE", .target = "/bergamotwinch/lots/" + batch}, CallTimeout)
+            .status;
+    record("batch " + batch + " ended at " + machines[machine]->name() + ": " + std::to_string(status));
+    return status == Ok;
+}
+
+void ReviewFleet::endAnywhere(const std::string &batch, std::size_t maxTries)
 {
     for (std::size_t tries = 0; tries < maxTries; ++tries) {
-        if (!machines[tries]->running()) {
-            continue;
-        }
-        const int status = call(machines[tries]->callers(),
-                                {.method = "DELETE", .target = "/bergamotwinch/lots/" + batch},
-                                CallTimeout)
-                               .status;
-        record("batch " + batch + " ended at " + machines[tries]->name() + ": " + std::to_string(status));
-        if (status == Ok) {
+        if (machines[tries]->running() && end(batch, tries)) {
             return;
         }
     }
--- a/review/standins-3/review_fleet.h
+++ b/review/standins-3/review_fleet.h
@@ -69,6 +69,9 @@
     TimePoint endedAt{}; // the last run
 };
 
+/// Returns the id that a request bears; empty if it bears none.
+std::string attemptId(const WatchedRequest &request);
+
 /// Not thread-safe.
 class ReviewFleet
 {
@@ -98,14 +101,26 @@
     /// Submits the batch, again at the next machine after a failure, and returns whether it was accepted.
     bool submitUntilAccepted(const std::string &batch, const std::string &body, Duration timeout);
     bool readUntilListed(const std::string &batch, std::size_t results, Duration timeout);
+    /// Ends the batch at this machine; returns whether that was answered with 200.
+    bool end(const std::string &batch, std::size_t machine);
     /// Ends the batch, at the next machine after a failure.
-    void end(const std::string &batch, std::size_t maxTries);
+    void endAnywhere(const std::string &batch, std::size_t maxTries);
     void nameVersion(std::uint64_t version);
+    /// Starts one more engine or plain service, which registers itself.
+    bool addEndpoint(platform::EndpointStandinOptions options);
+    /// The endpoint says that it is draining, and goes on serving.
+    void drainEndpoint(const std::string &id);
+    /// The entry of the endpoint is removed, and nobody listens at its address any more.
+    void removeEndpoint(const std::string &id);
+    /// Cuts a machine off from the store: nothing passes in either direction.
+    void cutFromStore(std::size_t machine);
     logstore::MemoryLog &log();
 
     /// The observer of the nodes' calls to the store.
     std::function<AnswerFate(std::size_t machine, const WatchedRequest &request)> onStoreCall;
     std::function<void(const SeenOrder &order)> onOrder;
+    /// The observer of the calls that reach engines and plain services.
+    std::function<void(const std::string &endpoint, const WatchedRequest &request)> onEndpointCall;
 
     std::vector<std::unique_ptr<NodeMachine>> machines;
     std::vector<SeenOrder> orders;
@@ -116,7 +131,6 @@
 private:
     /// Does what the platform does: kills a process that exceeds its memory, and restarts one that has ended.
     void supervise();
-    bool addEndpoint(platform::EndpointStandinOptions options);
     void observeEngineCall(const std::string &engine, const WatchedRequest &request);
     void observeEngineEnd(const WatchedRequest &request, bool whole);
 
@@ -128,8 +142,14 @@
     platform::StoreStandin m_store;
     platform::EndpointObservations m_observations;
     net::HttpClient m_client;
-    std::vector<std::unique_ptr<platform::EndpointStandin>> m_endpoints;
-    std::vector<std::unique_ptr<WatchedProxy>> m_proxies;
+    struct Endpoint
+    {
+        std::unique_ptr<platform::EndpointStandin> standin;
+        std::unique_ptr<WatchedProxy> proxy;
+    };
+
+    std::map<std::string, Endpoint> m_endpoints; // by id
+    std::vector<std::unique_ptr<WatchedProxy>> m_storeProxies; // by machine
     boost::asio::steady_timer m_supervision;
     std::vector<std::optional<TimePoint>> m_endedAt; // of processes that have not been restarted yet
 };
--- a/review/standins-3/standins.cmake
+++ b/review/standins-3/standins.cmake
@@ -10,5 +10,6 @@
         review/standins-3/open_batches_case.cpp
         review/standins-3/order_lease_case.cpp
         review/standins-3/review_fleet.cpp
+        review/standins-3/stale_owner_case.cpp
         review/standins-3/watched_proxy.cpp
     DEPS platform_standins net_whole_answer base_settings)
--- a/review/standins-3/watched_proxy.cpp
+++ b/review/standins-3/watched_proxy.cpp
@@ -86,6 +86,7 @@
                     return;
                 }
                 const bool fromCaller = &from == &self->m_caller;
+                self->m_silent = self->m_silent || self->m_proxy.cut; // what was on its way is lost
                 if (self->m_silent) {
                     self->pump(from, to);
                     return;
@@ -189,6 +190,13 @@
 
 WatchedProxy::~WatchedProxy()
 {
+    shutDown();
+}
+
+void WatchedProxy::shutDown()
+{
+    boost::system::error_code ignored; // it may be closed
+    m_acceptor.close(ignored);
     const std::set<std::shared_ptr<Link>> links = m_links;
     for (const std::shared_ptr<Link> &link : links) {
         link->close();
--- a/review/standins-3/watched_proxy.h
+++ b/review/standins-3/watched_proxy.h
@@ -51,8 +51,11 @@
     /// Listens on a free port of 127.0.0.1. Returns false if that fails.
     bool listen();
     Address address() const;
+    /// Ends all connections, and refuses new ones.
+    void shutDown();
 
     EndObserver onEnd;
+    bool cut = false; // silently: connections stay open or are accepted, and carry nothing
 
 private:
     class Link;
