--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -8,7 +8,6 @@
 #include "bergamot/base/settings.h"
 #include "review/standins-3/full_store_case.h"
 #include "review/standins-3/open_batches_case.h"
-#include "review/standins-3/order_lease_case.h"
 #include "review/standins-3/stale_owner_case.h"
 
 namespace bergamot::review
@@ -19,10 +18,9 @@
 
 using RunCase = CaseOutcome (*)(const ReviewOptions &options);
 
-constexpr std::array<std::pair<std::string_view, RunCase>, 4> Cases{{
+constexpr std::array<std::pair<std::string_view, RunCase>, 3> Cases{{
     {"full-store", runFullStoreCase},
     {"open-batches", runOpenBatchesCase},
-    {"order-lease", runOrderLeaseCase},
     {"stale-owner", runStaleOwnerCase},
 }};
 
--- a/review/standins-3/review_fleet.cpp
+++ b/review/standins-3/review_fleet.cpp
@@ -25,12 +25,6 @@
 constexpr int Accepted = 202;
 constexpr int Ok = 200;
 
-/// The name of a machine in the name of its process, which ends with a number that changes at each start.
-std::string machineOf(const std::string &holder)
-{
-    return holder.substr(0, holder.rfind('-'));
-}
-
 } // namespace
 
 std::string attemptId(const WatchedRequest &request)
@@ -114,19 +108,6 @@
         ++run.running;
         run.begunAt = BootClock::now();
     }
-    if (!request.line.starts_with("POST /bergamotwinch/order ")) {
-        return;
-    }
-    const rapidjson::Document json = platform::json::parse(request.body);
-    orders.push_back({.engine = engine,
-                      .machine = machineOf(platform::json::stringMember(json, "holder").value_or("")),
-                      .fencingToken = platform::json::wholeNumber(json, "fencing_token").value_or(0),
-                      .version = platform::json::wholeNumber(json, "version").value_or(0),
-                      .at = BootClock::now()});
-    record("engine " + engine + " gets an order: " + request.body);
-    if (onOrder) {
-        onOrder(orders.back());
-    }
 }
 
 void ReviewFleet::observeEngineEnd(const WatchedRequest &request, bool whole)
@@ -163,8 +144,10 @@
             return false;
         }
     }
-    if (!addEndpoint({.id = "d1", .service = "desk", .slots = 16})) {
-        return false;
+    for (std::size_t index = 1; index <= m_options.services; ++index) {
+        if (!addEndpoint({.id = "d" + std::to_string(index), .service = "desk", .slots = 16})) {
+            return false;
+        }
     }
     for (std::size_t index = 0; index < m_options.nodes; ++index) {
         Address store{"127.0.0.1", m_store.port()};
--- a/review/standins-3/review_fleet.h
+++ b/review/standins-3/review_fleet.h
@@ -43,6 +43,7 @@
 {
     std::size_t nodes = 4;
     std::size_t engines = 3;
+    std::size_t services = 1; // plain endpoints of the service "desk"
     double memoryMegabytes = 270; // of a machine
     bool watchesStore = true; // the calls of the nodes to the store go through proxies
     std::uint64_t resultDeadlineMs = 0; // of the route of batches; 0: not named
@@ -50,16 +51,6 @@
     platform::EndpointStandinOptions engine; // id, service and model are set by the fleet
 };
 
-/// An order that reached an engine.
-struct SeenOrder
-{
-    std::string engine;
-    std::string machine; // that sent it, by the name of its holder
-    std::uint64_t fencingToken = 0;
-    std::uint64_t version = 0;
-    TimePoint at{};
-};
-
 /// What the engines have seen of an item.
 struct ItemRun
 {
@@ -118,12 +109,10 @@
 
     /// The observer of the nodes' calls to the store.
     std::function<AnswerFate(std::size_t machine, const WatchedRequest &request)> onStoreCall;
-    std::function<void(const SeenOrder &order)> onOrder;
     /// The observer of the calls that reach engines and plain services.
     std::function<void(const std::string &endpoint, const WatchedRequest &request)> onEndpointCall;
 
     std::vector<std::unique_ptr<NodeMachine>> machines;
-    std::vector<SeenOrder> orders;
     std::map<std::string, ItemRun> itemRuns; // by item
     TimePoint startedAgainAt{}; // the last process of a machine
     std::vector<std::size_t> killedForMemory; // how often the platform has killed each machine's process for it
--- a/review/standins-3/stale_owner_case.cpp
+++ b/review/standins-3/stale_owner_case.cpp
@@ -12,8 +12,8 @@
 constexpr std::uint32_t GroupSize = 4;
 constexpr Duration SubmitTimeout = 5s;
 constexpr Duration CutAfter = 1000ms; // after the step was accepted
-constexpr Duration NewReleaseAfter = 500ms; // then
-constexpr Duration DrainAfter = 700ms; // after the end of the step; the old one says so
+constexpr Duration ReleaseAfter = 500ms; // then the first of two releases begins, which replaces one of two endpoints
+constexpr Duration DrainAfter = 700ms; // after the new endpoint has registered itself, the old one says that it drains
 constexpr Duration DrainTime = 2500ms; // over `drain_ms`; then it is gone
 constexpr Duration TimeBudget = 7500ms; // `run_aim_ms`: then the trainer ends the step
 constexpr Duration CutTime = 12s; // as for `node_cut`
@@ -24,7 +24,8 @@
 public:
     explicit StaleOwnerCase(const ReviewOptions &options)
         : m_options(options)
-        , m_fleet(options, {.engines = 2, .engine = {.slots = 8, .eventInterval = 200ms, .eventsPerSample = 10}})
+        , m_fleet(options,
+                  {.engines = 2, .services = 2, .engine = {.slots = 8, .eventInterval = 200ms, .eventsPerSample = 10}})
     { }
 
     CaseOutcome run()
@@ -57,9 +58,8 @@
         if (m_options.trouble) {
             m_fleet.cutFromStore(m_owner);
         }
-        m_fleet.runFor(NewReleaseAfter);
-        m_fleet.record("d2 registers itself");
-        if (!m_fleet.addEndpoint({.id = "d2", .service = "desk", .slots = 16})) {
+        m_fleet.runFor(ReleaseAfter);
+        if (!release("d1", "d3")) {
             return CaseOutcome::CouldNotRun;
         }
         m_fleet.runFor(acceptedAt + TimeBudget - BootClock::now());
@@ -73,13 +73,13 @@
             return CaseOutcome::CouldNotRun;
         }
         m_endedAt = BootClock::now();
-        m_fleet.runFor(DrainAfter);
-        m_fleet.drainEndpoint("d1");
-        m_fleet.runFor(DrainTime);
-        m_fleet.removeEndpoint("d1");
+        if (!release("d2", "d4")) {
+            return CaseOutcome::CouldNotRun;
+        }
         m_fleet.runFor(cutAt + CutTime - BootClock::now());
-        m_fleet.record("reward calls that reached d2 before the end: " + std::to_string(m_before) + ", later than "
-                       + std::to_string(CancelTime / 1ms) + " ms after it: " + std::to_string(m_late));
+        m_fleet.record("reward calls that reached d3 and d4 before the end: " + std::to_string(m_before)
+                       + ", later than " + std::to_string(CancelTime / 1ms)
+                       + " ms after it: " + std::to_string(m_late));
         if (m_late > 0) {
             m_fleet.record("BROKEN: a reward call of a step that had ended was run");
             return CaseOutcome::Broken;
@@ -90,10 +90,24 @@
 private:
     static inline const std::string Step = "step-1";
 
-    /// Only machines that are in touch know d2: it registered itself when the owner was cut off already.
+    /// The new endpoint comes first, then the old one drains and goes.
+    bool release(const std::string &oldId, const std::string &newId)
+    {
+        m_fleet.record(newId + " registers itself");
+        if (!m_fleet.addEndpoint({.id = newId, .service = "desk", .slots = 16})) {
+            return false;
+        }
+        m_fleet.runFor(DrainAfter);
+        m_fleet.drainEndpoint(oldId);
+        m_fleet.runFor(DrainTime);
+        m_fleet.removeEndpoint(oldId);
+        return true;
+    }
+
+    /// Only machines that are in touch know d3 and d4: they registered themselves when the owner was cut off already.
     void observe(const std::string &endpoint, const WatchedRequest &request)
     {
-        if (endpoint != "d2" || !request.line.starts_with("POST /plain/score")) {
+        if ((endpoint != "d3" && endpoint != "d4") || !request.line.starts_with("POST /plain/score")) {
             return;
         }
         const bool late = m_endedAt != TimePoint() && BootClock::now() - m_endedAt > CancelTime;
@@ -101,7 +115,7 @@
         if (m_endedAt != TimePoint()) {
             const std::chrono::milliseconds since =
                 std::chrono::duration_cast<std::chrono::milliseconds>(BootClock::now() - m_endedAt);
-            m_fleet.record("d2 gets " + attemptId(request) + ", " + std::to_string(since.count())
+            m_fleet.record(endpoint + " gets " + attemptId(request) + ", " + std::to_string(since.count())
                            + " ms after the end");
         }
     }
--- a/review/standins-3/standins.cmake
+++ b/review/standins-3/standins.cmake
@@ -8,7 +8,6 @@
         review/standins-3/main.cpp
         review/standins-3/node_machine.cpp
         review/standins-3/open_batches_case.cpp
-        review/standins-3/order_lease_case.cpp
         review/standins-3/review_fleet.cpp
         review/standins-3/stale_owner_case.cpp
         review/standins-3/watched_proxy.cpp
--- a/review/standins-3/watched_proxy.cpp
+++ b/review/standins-3/watched_proxy.cpp
@@ -128,7 +128,6 @@
                                .body = m_request.substr(bodyBegin, end - bodyBegin)};
         m_request.clear();
         const AnswerFate fate = m_proxy.m_observer(request);
-        m_silent = fate == AnswerFate::Lost;
         if (fate == AnswerFate::Done || fate == AnswerFate::Full) {
             answer(fate == AnswerFate::Done ? "200 OK" : "507 Insufficient Storage");
             return;
@@ -177,7 +176,7 @@
     std::string m_request; // received so far
     std::optional<WatchedRequest> m_running; // without its body; its answer is not complete
     std::string m_answerTail;
-    bool m_silent = false; // an answer is lost: nothing more passes, but for what is being forwarded
+    bool m_silent = false; // cut off: nothing more passes, but for what is being forwarded
     bool m_closed = false;
 };
 
--- a/review/standins-3/watched_proxy.h
+++ b/review/standins-3/watched_proxy.h
@@ -1,7 +1,7 @@
 #pragma once
 
-// A TCP proxy on loopback that reads the requests of its connections and can lose the answer to a request, as a
-// platform does that carries a call out and never answers it: the connection stays open and carries nothing further.
+// A TCP proxy on loopback that reads the requests of its connections and can answer a request in the place of
+// the target, or be cut off: then connections stay open or are accepted, and carry nothing further.
 //
 //     WatchedProxy proxy(loop, target, [](const WatchedRequest &request) { return AnswerFate::Passed; });
 //     proxy.listen();
@@ -28,7 +28,6 @@
 
 enum class AnswerFate {
     Passed,
-    Lost,
     Done, // the proxy answers with 200, and the target gets nothing
     Full, // the proxy answers with 507, and the target gets nothing
 };
