relay: an instance goes by what it has read itself, not by the word of an outdated one

A trainer ended its batch and got 200; 4.9 s later sixteen scoring calls of the batch ran.

Cause: an owner of the engine pool that has lost the store goes on with its batches and hands scoring calls to instances that reach the store. These believed it: the message named neither batch nor epoch nor configuration, so they could not compare it with the end of the batch that they had read.

Evidence: the owner's `request-relayed` and the others' `relay-taken` after `batch-ended` in the log of the latter.

Ruled out: a lost or late end (all others read it 0.2 s after the 200); a call that was delayed on its way.

Change: the message carries what the request rests on (`RequestBasis`); `decideRelay` is pure and lets whoever has read more decide. Scoring calls that wait or run are decided again with each read of the log. Lines of relays lead from a scoring call to its batch.

Why it works: the end, the claim and the configuration are records that every instance in reach of the store reads within 0.2 s; the decision no longer depends on the instance that lacks them. What is not known here is refused as "not run" and asked for elsewhere, never for good.

An owner without the store still runs what it can send itself, as its domain would get nothing otherwise.

--- a/bergamot/node/engine_pool_runs.cpp
+++ b/bergamot/node/engine_pool_runs.cpp
@@ -338,7 +338,10 @@
                            .service = chooseService(*route, m_random),
                            .receivedAt = BootClock::now(),
                            .callerTimeout = route->timeout,
-                           .owed = true};
+                           .owed = true,
+                           .basis = {.configuration = m_view.configuration().version(),
+                                     .batch = key.batch,
+                                     .ownerEpoch = m_log.ownership().epoch()}};
     request.request.headers.add("Host", call.host);
     request.request.headers.add(m_codec.headers().requestId, call.id);
     m_scoringRequests[key] =
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -209,7 +209,7 @@
                     log,
                     {.instance = m_options.instance, .zone = m_options.zone, .account = &m_memory},
                     m_options.seed)
-    , m_relayService(m_forwarder, m_reach, m_batchLog, log, {})
+    , m_relayService(m_forwarder, m_reach, m_batchLog, m_view, codec.headers(), log, {}, m_random())
     , m_batchService(loop, m_batchLog, codec, log, batchServiceOptions(m_memory), m_random())
     , m_pool(loop, m_client, m_forwarder, m_batchLog, m_view, m_quota, codec, log, poolOptions(m_options), m_random())
     , m_callerServer(
@@ -368,6 +368,7 @@
                          .process = stream.process});
     });
     m_batchLog.onRecordsApplied([this] {
+        m_relayService.reviewScoring();
         m_batchService.answerReadyReaders();
     });
     m_view.start();
@@ -598,7 +599,8 @@
                              .service = service,
                              .receivedAt = exchange->receivedAt(),
                              .softwareVersion = softwareVersion,
-                             .callerTimeout = callerWait(request)};
+                             .callerTimeout = callerWait(request),
+                             .basis = {.configuration = m_view.configuration().version(), .callerKey = caller.key}};
     if (caller.known) {
         nameTenant(m_codec.headers(), caller.tenant, forwarded.request.headers);
         forwarded.tenant = caller.tenant;
--- a/bergamot/node/node.h
+++ b/bergamot/node/node.h
@@ -115,6 +115,7 @@
     {
         bool known = false; // the deployment has tenants, so what the caller names is scoped to its tenant
         std::string tenant; // empty: a public call
+        std::optional<tenants::KeyDigest> key; // nothing: it has none
     };
 
     void handleCall(std::shared_ptr<net::Exchange> exchange);
--- a/bergamot/node/node_admission.cpp
+++ b/bergamot/node/node_admission.cpp
@@ -44,18 +44,20 @@
     }
     const HeaderNames &names = m_codec.headers();
     const net::Request &request = exchange->request();
-    const tenants::Admission admission =
-        tenants::admit(*index,
-                       isPublic(call, request),
-                       tenants::parseCredentials(request.headers, names.credentials, names.keyScheme));
+    const tenants::Credentials credentials =
+        tenants::parseCredentials(request.headers, names.credentials, names.keyScheme);
+    const tenants::Admission admission = tenants::admit(*index, isPublic(call, request), credentials);
     const bool outdated =
         m_options.strictRevocation && m_view.configurationAge(BootClock::now()) > m_options.revocationBound;
     if (admission.verdict == tenants::Verdict::Admitted && admission.tenant != nullptr && outdated) {
         refuse(*exchange, Unavailable, "the keys of the configuration may have been revoked");
     } else if (admission.verdict == tenants::Verdict::Admitted) {
-        serveCall(call,
-                  {.known = true, .tenant = admission.tenant == nullptr ? std::string() : admission.tenant->name},
-                  std::move(exchange));
+        Caller caller{.known = true};
+        if (admission.tenant != nullptr) {
+            caller.tenant = admission.tenant->name;
+            caller.key = credentials.key;
+        }
+        serveCall(call, caller, std::move(exchange));
     } else if (admission.verdict == tenants::Verdict::UnknownKey && !confirmed) {
         admitUnknownKey(call, exchange);
     } else {
--- a/bergamot/node/relay_client.cpp
+++ b/bergamot/node/relay_client.cpp
@@ -16,6 +16,7 @@
 constexpr Duration ReachTimeout = std::chrono::milliseconds(1000); // the peer has to probe
 constexpr std::size_t ReachPeers = 3; // that are asked at once
 constexpr std::size_t MaxReachBytes = 64;
+constexpr Duration OutdatedPause = std::chrono::seconds(1); // until this instance may have read what others have
 
 bool mayRepeat(const fleet::Route &route)
 {
@@ -108,6 +109,7 @@
                                                              .softwareVersion = relay.request.softwareVersion,
                                                              .owed = relay.request.owed,
                                                              .streamName = relay.request.streamName,
+                                                             .basis = relay.request.basis,
                                                              .body = relay.request.body}),
                                 .newConnection = !mayRepeat(relay.request.route),
                                 .connectTimeout = std::min(m_options.connectTimeout, left),
@@ -222,14 +224,18 @@
     const bool notRun = declined || (whole && outcome == relay::NotRun);
     const bool mayHaveRun = !notRun && end.failure != net::CallFailure::NotConnected;
     const std::string reason(relay.response.headers.find(relay::ReasonHeader).value_or(""));
-    handleRefusal(id, mayHaveRun, declined || !whole, whole ? reason : end.detail);
+    const bool outdated = whole && relay.response.headers.has(relay::OutdatedHeader);
+    handleRefusal(id,
+                  {.mayHaveRun = mayHaveRun, .unhelpful = declined || !whole, .outdated = outdated},
+                  whole ? reason : end.detail);
 }
 
-void RelayClient::handleRefusal(RequestId id, bool mayHaveRun, bool unhelpful, const std::string &reason)
+void RelayClient::handleRefusal(RequestId id, const PeerRefusal &peerRefusal, const std::string &reason)
 {
     Relay &relay = m_relays.at(id);
+    const bool mayHaveRun = peerRefusal.mayHaveRun;
     writeRelay("relay-failed", relay, (mayHaveRun ? "may have run: " : "not run: ") + reason);
-    if (unhelpful) {
+    if (peerRefusal.unhelpful) {
         m_peers.failed(relay.peer, BootClock::now());
     }
     if (mayHaveRun) {
@@ -238,7 +244,11 @@
         relay.refusal.message = "The instance that sent the request gave no complete answer; the request may have run.";
         relay.attemptsLeft -= 1;
     }
-    if ((!mayHaveRun || mayRepeat(relay.request.route)) && sendToNextPeer(id)) {
+    if (peerRefusal.outdated) {
+        if (!relay.request.basis.batch.empty()) { // a caller is served by another instance at once
+            relay.refusal.retryAfter = std::max(relay.refusal.retryAfter, OutdatedPause);
+        }
+    } else if ((!mayHaveRun || mayRepeat(relay.request.route)) && sendToNextPeer(id)) {
         return;
     }
     const std::shared_ptr<ForwardSink> sink = relay.sink;
@@ -297,9 +307,9 @@
         ++question->asked;
         net::startForWholeAnswer(
             m_client, std::move(request), [this, answered, name = peer->name](const net::WholeAnswer &answer) {
-                const bool reaches = answer.end.failure == net::CallFailure::None && answer.status == Ok
-                    && answer.body == relay::ReachesAnswer;
-                if (!reaches) {
+                const bool answered200 = answer.end.failure == net::CallFailure::None && answer.status == Ok;
+                const bool reaches = answered200 && answer.body == relay::ReachesAnswer;
+                if (!reaches && !(answered200 && answer.body == relay::ReachesWithoutLogAnswer)) {
                     m_peers.failed(name, BootClock::now());
                 }
                 answered(reaches);
@@ -313,6 +323,7 @@
     m_eventLog.write(EventKind::Request,
                      event,
                      {{"request", relay.request.id},
+                      {"batch", relay.request.basis.batch},
                       {"service", relay.request.service},
                       {"peer", relay.peer},
                       {"time_left_ms",
--- a/bergamot/node/relay_client.h
+++ b/bergamot/node/relay_client.h
@@ -62,7 +62,8 @@
                const std::shared_ptr<ForwardSink> &sink);
     /// Ends the work for a request; its sink is not called any more.
     void callerDisconnected(RequestId id);
-    /// Asks some instances whether they reach endpoints; `done` gets how many, and true if one does.
+    /// Asks some instances whether they reach endpoints and could own the pool; `done` gets how many, and true if one
+    /// could.
     void askReach(std::function<void(std::size_t asked, bool reaches)> done);
     std::size_t pending() const;
 
@@ -82,14 +83,21 @@
         bool paused = false;
     };
 
+    struct PeerRefusal
+    {
+        bool mayHaveRun = false;
+        bool unhelpful = false; // the peer cannot send other requests either
+        bool outdated = false; // this instance acts on what is not so any more, whoever is asked
+    };
+
     /// Whether the copies that are made to relay the request fit into memory.
     bool hasRoomFor(const ForwardRequest &request) const;
     bool sendToNextPeer(RequestId id);
     void handleHead(RequestId id, const net::ResponseHead &head);
     void handleData(RequestId id, std::string_view data);
     void handleEnd(RequestId id, const net::CallEnd &end);
-    /// The peer has not passed on an endpoint's response. `unhelpful`: it cannot send other requests either.
-    void handleRefusal(RequestId id, bool mayHaveRun, bool unhelpful, const std::string &reason);
+    /// The peer has not passed on an endpoint's response.
+    void handleRefusal(RequestId id, const PeerRefusal &peerRefusal, const std::string &reason);
     void adjustFlow(RequestId id);
     static Duration timeLeft(const Relay &relay);
     void writeRelay(std::string_view event, const Relay &relay, const std::string &detail);
--- a/bergamot/node/request_forwarder.h
+++ b/bergamot/node/request_forwarder.h
@@ -21,6 +21,7 @@
 #include "bergamot/fleet/configuration.h"
 #include "bergamot/net/http_client.h"
 #include "bergamot/node/platform_codec.h"
+#include "bergamot/relay/request_basis.h"
 #include "bergamot/routing/router.h"
 
 namespace bergamot::node
@@ -57,6 +58,7 @@
     Duration callerTimeout{}; // time from `receivedAt` for which the caller waits
     bool owed = false; // sent again until it is answered; never held or refused because endpoints crashed under it
     bool relayed = false; // for an instance that is cut off from the endpoints
+    relay::RequestBasis basis; // for an instance that is asked to send it
 };
 
 /// A request that ends without an answer of an endpoint.
--- a/bergamot/relay/relay_messages.cpp
+++ b/bergamot/relay/relay_messages.cpp
@@ -67,6 +67,12 @@
     message.software_version = request.softwareVersion;
     message.owed = request.owed;
     message.stream_name = request.streamName;
+    message.configuration = request.basis.configuration;
+    if (request.basis.callerKey) {
+        message.caller_key.assign(request.basis.callerKey->begin(), request.basis.callerKey->end());
+    }
+    message.batch = request.basis.batch;
+    message.owner_epoch = request.basis.ownerEpoch;
     flatbuffers::FlatBufferBuilder builder;
     builder.Finish(wire::Request::Pack(builder, &message));
     return {reinterpret_cast<const char *>(builder.GetBufferPointer()), builder.GetSize()};
@@ -90,7 +96,10 @@
                            .deadlineLeft = std::chrono::milliseconds(message.deadline_ms()),
                            .softwareVersion = text(message.software_version()),
                            .owed = message.owed(),
-                           .streamName = text(message.stream_name())};
+                           .streamName = text(message.stream_name()),
+                           .basis = {.configuration = message.configuration(),
+                                     .batch = text(message.batch()),
+                                     .ownerEpoch = message.owner_epoch()}};
     if (request.request.method.empty() || request.request.target.empty() || request.service.empty()
         || request.route.maxAttempts == 0) {
         return failure(ErrorCode::InvalidArgument, "the relayed request lacks method, target, service or attempts");
@@ -100,6 +109,14 @@
             request.request.headers.add(text(field->name()), text(field->value()));
         }
     }
+    if (message.caller_key() != nullptr && message.caller_key()->size() != 0) {
+        tenants::KeyDigest key{};
+        if (message.caller_key()->size() != key.size()) {
+            return failure(ErrorCode::InvalidArgument, "the relayed request has a malformed key");
+        }
+        std::copy(message.caller_key()->begin(), message.caller_key()->end(), key.begin());
+        request.basis.callerKey = key;
+    }
     if (message.body() != nullptr) {
         request.request.body.assign(message.body()->begin(), message.body()->end());
     }
--- a/bergamot/relay/relay_messages.h
+++ b/bergamot/relay/relay_messages.h
@@ -13,6 +13,7 @@
 #include "bergamot/base/error.h"
 #include "bergamot/fleet/configuration.h"
 #include "bergamot/net/message.h"
+#include "bergamot/relay/request_basis.h"
 
 namespace bergamot::relay
 {
@@ -20,8 +21,10 @@
 constexpr std::string_view RelayPath = "/relay";
 constexpr std::string_view ReachPath = "/reach"; // whether the asked instance reaches endpoints
 constexpr std::string_view ReachesAnswer = "reaches";
+constexpr std::string_view ReachesWithoutLogAnswer = "reaches without the log"; // it cannot own the pool
 constexpr std::string_view OutcomeHeader = "Bergamot-Relay-Outcome";
 constexpr std::string_view ReasonHeader = "Bergamot-Relay-Reason"; // of a refusal
+constexpr std::string_view OutdatedHeader = "Bergamot-Relay-Outdated"; // of a refusal, whoever is asked
 constexpr std::string_view Answered = "answered"; // the response is that of the endpoint
 constexpr std::string_view NotRun = "not-run"; // no endpoint accepted it
 constexpr std::string_view Declined = "declined"; // not run: the instance sends no requests for others now
@@ -38,6 +41,7 @@
     std::string softwareVersion; // of the endpoints that may resume the stream; empty: it is not resumed
     bool owed = false;
     std::string streamName; // under which its caller may take up the stream; empty: `id`
+    RequestBasis basis;
     std::shared_ptr<const std::string> body; // sent instead of the body of `request`; null: that one is sent
 };
 
--- a/bergamot/relay/relay_test.cpp
+++ b/bergamot/relay/relay_test.cpp
@@ -80,7 +80,8 @@
         .route = {.name = "r", .kind = fleet::RouteKind::Streaming, .maxAttempts = 2, .resumable = true},
         .deadlineLeft = 1500ms,
         .softwareVersion = "v1",
-        .owed = true};
+        .owed = true,
+        .basis = {.configuration = 7, .callerKey = sha256("key"), .batch = "b1", .ownerEpoch = 3}};
     sent.request.headers.add("Host", "h");
     const Result<RelayedRequest> received = parseRelayed(relayMessage(sent));
     ASSERT_TRUE(received);
@@ -97,6 +98,10 @@
     EXPECT_EQ(received->deadlineLeft, 1500ms);
     EXPECT_EQ(received->softwareVersion, "v1");
     EXPECT_TRUE(received->owed);
+    EXPECT_EQ(received->basis.configuration, 7U);
+    EXPECT_EQ(received->basis.callerKey, sent.basis.callerKey);
+    EXPECT_EQ(received->basis.batch, "b1");
+    EXPECT_EQ(received->basis.ownerEpoch, 3U);
 }
 
 TEST(RelayMessagesTest, BytesThatAreNoRequestAreRefused)
