dispatch: the owner of the pool keeps the contents of items that are needed next, not of all open batches

Ten accepted batches of 31 MB killed the owner of the engine pool for its memory, and each instance that succeeded it; no item got its result any more.

Cause: the scheduler kept headers, body and scoring body of every item of every open batch, without a bound, and taking a batch up held three copies of it, of all open batches at once. Second cause, found on the way: assigning an empty string keeps the memory of the string that it is assigned to.

Evidence: the resident size grows by 23 MB, the bytes of its bodies, with each accepted batch; with contents dropped by assignment it still did, with content_bytes=0 in `batch-taken-up`.

Ruled out: bytes held for callers (the account is empty between submissions).

Change: five sixteenths of memory-mb are for what the owner keeps; callers have half. Entries are bounded by batches that wait, texts and unwritten results by runs that do not start. A call frees its body once it is sent.

Why it works: everything that grows with accepted work is in one sum with a bound, and the store has what is dropped. While everything fits, nothing is dropped and nothing is read twice.

Texts of runs in progress, and bytes in the kernel's buffers, stay as they were.

--- a/bergamot/batch/batch.cpp
+++ b/bergamot/batch/batch.cpp
@@ -308,6 +308,30 @@
     return field == nullptr ? std::string() : field->str();
 }
 
+std::size_t contentBytes(const Item &item)
+{
+    std::size_t bytes = item.body.size() + (item.scoring ? item.scoring->body.size() : 0);
+    for (const ItemHeader &header : item.headers) {
+        bytes += sizeof(header) + header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
+void dropContent(Item &item)
+{
+    takeContent(item, {.scoring = ScoringCall()});
+}
+
+void takeContent(Item &item, Item whole)
+{
+    // Unlike an assignment, a swap leaves no memory behind in the item.
+    item.headers.swap(whole.headers);
+    item.body.swap(whole.body);
+    if (item.scoring && whole.scoring) {
+        item.scoring->body.swap(whole.scoring->body);
+    }
+}
+
 Item toItem(const log::Item &record)
 {
     Item item{.id = stringOrEmpty(record.id()),
--- a/bergamot/batch/batch.h
+++ b/bergamot/batch/batch.h
@@ -53,6 +53,14 @@
     std::optional<ScoringCall> scoring;
 };
 
+/// Bytes of the content of the item: what only its calls need, which is its headers, its body and the body of its
+/// scoring call.
+std::size_t contentBytes(const Item &item);
+/// Drops the content and frees its memory.
+void dropContent(Item &item);
+/// Gives the item the content of `whole`, which is the same item with its content.
+void takeContent(Item &item, Item whole);
+
 /// The samples of one step.
 struct Batch
 {
--- a/bergamot/dispatch/sample_scheduler.cpp
+++ b/bergamot/dispatch/sample_scheduler.cpp
@@ -68,10 +68,11 @@
     assign(now);
 }
 
-void SampleScheduler::addBatch(const batch::Batch &batch,
+void SampleScheduler::addBatch(batch::Batch batch,
                                const std::vector<bool> &committed,
                                const ItemPolicyLookup &lookUpPolicy,
-                               TimePoint now)
+                               TimePoint now,
+                               const std::vector<ItemSource> &sources)
 {
     if (m_batches.contains(batch.id)) {
         return;
@@ -94,10 +95,17 @@
         ItemState item;
         state.groups.push_back(batch.items[index].group);
         if (index >= committed.size() || !committed[index]) {
-            item.item = batch.items[index];
+            item.item = std::move(batch.items[index]);
+            item.source = index < sources.size()
+                ? sources[index]
+                : ItemSource{.contentBytes = static_cast<std::uint32_t>(batch::contentBytes(item.item))};
             item.stage = Stage::Waiting;
             ++state.openItems;
         }
+        const std::uint32_t part = index < sources.size() ? sources[index].part : 0;
+        if (part >= state.firstItemOfPart.size()) {
+            state.firstItemOfPart.resize(part + 1, static_cast<std::uint32_t>(index));
+        }
         state.items.push_back(std::move(item));
     }
     applyPolicies(state, lookUpPolicy);
@@ -112,6 +120,8 @@
     statistics.peakOpenItems = std::max(static_cast<double>(open), statistics.peakOpenItems * PeakDecay);
     orderItems(state);
     removeIfDone(batch.id);
+    updateMemory();
+    m_nextContentReview = now;
     assign(now);
 }
 
@@ -462,6 +472,8 @@
             }
         }
     }
+    updateMemory();
+    reviewContents(now);
     startDueScorings(now);
     if (now >= m_nextSaveCheck) {
         m_nextSaveCheck = now + m_options.saveCheckInterval;
@@ -498,12 +510,15 @@
 
 void SampleScheduler::commitResult(const ItemKey &key, ItemState &item, bool completed)
 {
-    setStage(m_batches[key.batch], item, Stage::Committing);
+    BatchState &batch = m_batches[key.batch];
+    setStage(batch, item, Stage::Committing);
+    dropContent(batch, item);
     CommitResult action{.result = {.batch = key.batch, .item = key.item, .id = item.item.id, .completed = completed}};
     if (completed) {
-        action.result.text = item.text;
+        action.result.text.swap(item.text);
         action.result.versions = item.versions;
     }
+    std::string().swap(item.text);
     m_actions.emplace_back(std::move(action));
 }
 
--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -24,6 +24,9 @@
 // Load pattern: during a release, engines of two software versions serve side by side and runs break off as engines
 // leave. A text goes on only at an engine of the software version that began it. It waits for one that is busy no
 // longer than generating it again would take; without one it starts from its beginning.
+//
+// Load pattern: the open batches are larger than the memory of this instance. The contents of the items that are needed
+// next stay in memory; those of others are dropped, and read from the log again ahead of their turn.
 
 #include <algorithm>
 #include <cstdint>
@@ -153,8 +156,37 @@
     std::uint64_t usedTokens = 0; // of the runs of the engine
 };
 
-using SchedulerAction =
-    std::variant<StartRun, CancelRun, StartScoring, CancelScoring, CommitResult, SaveProgress, EngineReserved>;
+/// Read the contents of the items in these parts of the batch. Answer with `contentsRead` or `contentsUnreadable`, part
+/// by part.
+struct ReadContents
+{
+    std::string batch;
+    std::vector<std::uint32_t> parts; // ascending
+};
+
+using SchedulerAction = std::
+    variant<StartRun, CancelRun, StartScoring, CancelScoring, CommitResult, SaveProgress, EngineReserved, ReadContents>;
+
+/// Where an item of a batch is stored, and whether it was added with its content.
+struct ItemSource
+{
+    std::uint32_t part = 0; // of the batch
+    std::uint32_t contentBytes = 0;
+    bool hasContent = true;
+};
+
+/// Bytes that the scheduler keeps, and what its writer keeps for it.
+struct SchedulerMemory
+{
+    std::size_t entries = 0; // of open items, without their contents
+    std::size_t contents = 0;
+    std::size_t texts = 0; // generated, and without a result in the log
+
+    std::size_t sum() const
+    {
+        return entries + contents + texts;
+    }
+};
 
 /// How a run ended.
 enum class RunOutcome {
@@ -199,6 +231,10 @@
     Duration aliveRetention = std::chrono::minutes(1); // of what is known of an engine that was removed
     std::size_t maxTextBytes = std::size_t{240} * 1024; // of one item; a result is one record of the log
     double maxMemoryShare = 0.95; // share of an engine's memory that the declared tokens of its runs may fill
+    std::size_t maxBytes = std::numeric_limits<std::size_t>::max(); // see `SchedulerMemory`
+    std::size_t maxPartsInFlight = 16; // that are read at a time; each is a record of the log
+    Duration contentReviewInterval = std::chrono::milliseconds(50); // while not all contents are in memory
+    Duration contentRetryDelay = std::chrono::milliseconds(250); // after contents could not be read
     double maxReservedShare = 0.25; // share of the engines that may be reserved for large items; at least one engine
 };
 
@@ -212,11 +248,26 @@
     void setEngines(const std::vector<EngineDescription> &engines, TimePoint now);
     /// The engine's process with this incarnation was alive at `aliveAt`, so no later process had answered before.
     void engineAlive(const std::string &engine, std::uint64_t incarnation, TimePoint aliveAt);
-    /// Opens a batch; `committed` marks the items that have a result already. Items without a policy wait.
-    void addBatch(const batch::Batch &batch,
+    /// Opens a batch; `committed` marks the items that have a result already. Items without a policy wait. Without
+    /// `sources`, all items have their content.
+    void addBatch(batch::Batch batch,
                   const std::vector<bool> &committed,
                   const ItemPolicyLookup &lookUpPolicy,
-                  TimePoint now);
+                  TimePoint now,
+                  const std::vector<ItemSource> &sources = {});
+    /// The items of a part of the batch, with their contents.
+    void contentsRead(const std::string &batch, std::uint32_t part, std::vector<batch::Item> items, TimePoint now);
+    void contentsUnreadable(const std::string &batch, std::uint32_t part, TimePoint now);
+    /// Whether the content of a further item fits into memory, beside `bytes` that are about to be added.
+    bool hasRoomForContent(std::size_t bytes) const;
+    /// Whether a further batch fits into memory, without the contents of its items. One batch always does.
+    bool hasRoomForBatch(std::size_t items) const;
+    /// Bytes of results and texts that wait to be written to the log.
+    void setUnwrittenBytes(std::size_t bytes);
+    /// As of the last change or tick.
+    const SchedulerMemory &memory() const;
+    /// Whether no run starts because results and texts take too much memory.
+    bool startsHeldForTexts() const;
     /// Restores events that an earlier owner saved. Call it in the order of the log, right after `addBatch`.
     void restoreProgress(const batch::ItemProgress &progress);
     /// No run starts until `releaseStarts`.
@@ -318,6 +369,8 @@
     double peakSamples(const std::string &model) const;
 
 private:
+    class Room;
+
     static constexpr std::uint32_t NoPolicy = std::numeric_limits<std::uint32_t>::max();
 
     enum class Stage {
@@ -340,6 +393,8 @@
     struct ItemState
     {
         batch::Item item;
+        ItemSource source;
+        bool wanted = false; // its content is needed soon
         std::uint32_t startPosition = 0; // index in the start order of its batch
         Stage stage = Stage::Done;
         RunId run = 0;
@@ -375,8 +430,12 @@
         std::vector<ItemState> items;
         std::vector<std::string> groups; // group by item
         std::vector<std::uint32_t> startOrder; // item indexes, first to start first
-        std::set<std::uint32_t> waiting; // start positions of the waiting items
-        std::set<std::uint32_t> awaitingScore; // start positions of the items whose scoring call waits
+        std::set<std::uint32_t> waiting; // start positions of the waiting items that have their content
+        std::set<std::uint32_t> awaitingScore; // the same of the items whose scoring call waits
+        std::set<std::uint32_t> waitingWithoutContent; // start positions
+        std::set<std::uint32_t> awaitingScoreWithoutContent;
+        std::vector<std::uint32_t> firstItemOfPart; // by part
+        std::set<std::uint32_t> partsInFlight; // whose contents are being read
         std::size_t openItems = 0; // items without a result
     };
 
@@ -574,6 +633,17 @@
     static std::vector<std::uint32_t> dueScorings(const BatchState &batch, TimePoint now);
     /// Gives the item up: commits a result without text.
     void commitIncompleteResult(const ItemKey &key, ItemState &item);
+    /// Bytes that the contents of items may take.
+    std::size_t contentRoom() const;
+    void updateMemory();
+    /// Drops and reads contents, so that those that are needed next are in memory.
+    void reviewContents(TimePoint now);
+    /// Marks the items whose contents are needed next and fit into memory together.
+    void markWantedContents(TimePoint now);
+    static void markWantedScorings(BatchState &batch, Room &room);
+    void dropUnwantedContents();
+    void readWantedContents(TimePoint now);
+    void dropContent(BatchState &batch, ItemState &item);
     BatchState *findBatch(const std::string &batch);
     ItemState *findItem(const ItemKey &key);
     void removeIfDone(const std::string &batch);
@@ -596,6 +666,11 @@
     std::set<std::string> m_seenGroups; // groups of earlier batches; the trainer waits for those that it submits again
     std::vector<SchedulerAction> m_actions;
     bool m_startsHeld = false;
+    bool m_startsHeldForTexts = false;
+    SchedulerMemory m_memory;
+    std::size_t m_unwrittenBytes = 0;
+    TimePoint m_nextContentReview{};
+    TimePoint m_nextContentRead{}; // later than now after a read has failed
     RunId m_lastRun = 0;
     std::uint64_t m_lastAcceptanceOrder = 0;
 };
--- a/bergamot/dispatch/sample_scheduler_assignment.cpp
+++ b/bergamot/dispatch/sample_scheduler_assignment.cpp
@@ -31,16 +31,18 @@
 void SampleScheduler::setStage(BatchState &batch, ItemState &item, Stage stage)
 {
     item.stage = stage;
-    if (stage == Stage::Waiting) {
-        batch.waiting.insert(item.startPosition);
-    } else {
-        batch.waiting.erase(item.startPosition);
-    }
-    if (stage == Stage::AwaitingScore) {
-        batch.awaitingScore.insert(item.startPosition);
-    } else {
-        batch.awaitingScore.erase(item.startPosition);
-    }
+    const auto include = [&item](std::set<std::uint32_t> &positions, bool included) {
+        if (included) {
+            positions.insert(item.startPosition);
+        } else {
+            positions.erase(item.startPosition);
+        }
+    };
+    const bool hasContent = item.source.hasContent;
+    include(batch.waiting, stage == Stage::Waiting && hasContent);
+    include(batch.waitingWithoutContent, stage == Stage::Waiting && !hasContent);
+    include(batch.awaitingScore, stage == Stage::AwaitingScore && hasContent);
+    include(batch.awaitingScoreWithoutContent, stage == Stage::AwaitingScore && !hasContent);
 }
 
 void SampleScheduler::updateFreeEngines(EngineState &engine)
@@ -174,7 +176,7 @@
 
 void SampleScheduler::assign(TimePoint now)
 {
-    if (m_startsHeld || m_freeEngines.empty()) {
+    if (m_startsHeld || m_startsHeldForTexts || m_freeEngines.empty()) {
         return;
     }
     reviewReservations();
@@ -203,7 +205,7 @@
 
 void SampleScheduler::assignTo(EngineState &engine, TimePoint now)
 {
-    if (m_startsHeld) {
+    if (m_startsHeld || m_startsHeldForTexts) {
         return;
     }
     reviewReservations();
@@ -431,7 +433,8 @@
             const ItemState *item = findItem(runState.key);
             const bool ranLongEnough = now - runState.startedAt
                 >= (engine.reportsPace ? m_options.minPacedRunTimeBeforeMove : m_options.minRunTimeBeforeMove);
-            if (item == nullptr || !ranLongEnough || runState.events < m_options.minEventsBeforeMove) {
+            if (item == nullptr || !item->source.hasContent || !ranLongEnough
+                || runState.events < m_options.minEventsBeforeMove) {
                 continue;
             }
             const EngineState *other = bestEngine(*batch, *item, TextUse::Continue, now);
--- a/bergamot/dispatch/sample_scheduler_memory.cpp
+++ b/bergamot/dispatch/sample_scheduler_memory.cpp
@@ -65,7 +65,8 @@
         ItemState &item = batch.items[key.item];
         EngineState &engine = m_engines.at(engineId);
         const bool continues = continuesAt(item, engine) || !waitsForItsVersion(batch, item, now);
-        if (continues && canStartRun(engine, batch, *policyOf(batch, item), now) && hasMemoryFor(engine, batch, item)) {
+        if (item.source.hasContent && continues && canStartRun(engine, batch, *policyOf(batch, item), now)
+            && hasMemoryFor(engine, batch, item)) {
             start(key, batch, item, engine, now);
         }
     }
--- a/bergamot/dispatch/sample_scheduler_queries.cpp
+++ b/bergamot/dispatch/sample_scheduler_queries.cpp
@@ -41,7 +41,7 @@
 std::size_t SampleScheduler::waitingItems() const
 {
     return std::accumulate(m_batches.begin(), m_batches.end(), std::size_t{0}, [](std::size_t sum, const auto &entry) {
-        return sum + entry.second.waiting.size();
+        return sum + entry.second.waiting.size() + entry.second.waitingWithoutContent.size();
     });
 }
 
@@ -49,7 +49,7 @@
 {
     std::size_t count = 0;
     for (const auto &[id, batch] : m_batches) {
-        count += batch.awaitingScore.size();
+        count += batch.awaitingScore.size() + batch.awaitingScoreWithoutContent.size();
     }
     return count;
 }
@@ -58,7 +58,7 @@
 {
     std::size_t count = 0;
     for (const auto &[id, batch] : m_batches) {
-        count += batch.model == model ? batch.waiting.size() : 0;
+        count += batch.model == model ? batch.waiting.size() + batch.waitingWithoutContent.size() : 0;
     }
     return count;
 }
--- a/bergamot/dispatch/sample_scheduler_scoring.cpp
+++ b/bergamot/dispatch/sample_scheduler_scoring.cpp
@@ -13,7 +13,13 @@
         return;
     }
     BatchState &batch = m_batches[key.batch];
-    const bool othersWait = !batch.awaitingScore.empty();
+    const bool othersWait = !batch.awaitingScore.empty() || !batch.awaitingScoreWithoutContent.empty();
+    if (!item.source.hasContent) {
+        setStage(batch, item, Stage::AwaitingScore);
+        item.nextScoringAt = now;
+        m_nextContentReview = now;
+        return;
+    }
     if (m_options.mayScore && (othersWait || !m_options.mayScore(item.item))) {
         setStage(batch, item, Stage::AwaitingScore);
         item.nextScoringAt = now;
--- a/bergamot/logstore/bulk_writer.cpp
+++ b/bergamot/logstore/bulk_writer.cpp
@@ -62,6 +62,7 @@
             const std::vector<PendingRecord> completed = std::exchange(partitions[partitionNumber].currentCall, {});
             std::uint64_t offset = outcome.offset;
             for (const PendingRecord &entry : completed) {
+                pendingBytes -= entry.record.size();
                 entry.done(written ? std::optional(offset++) : std::nullopt);
             }
             sendNextCall(partitionNumber);
@@ -80,6 +81,7 @@
     boost::asio::io_context &loop;
     LogStore &store;
     BulkWriterOptions options;
+    std::size_t pendingBytes = 0;
     std::map<std::uint32_t, Partition> partitions;
     std::uint64_t generation = 0; // invalidates callbacks of calls that `clear` has dropped
 };
@@ -92,6 +94,7 @@
 
 void BulkWriter::write(std::uint32_t partition, std::string record, Done done)
 {
+    m_state->pendingBytes += record.size();
     m_state->partitions[partition].queue.push_back({std::move(record), std::move(done)});
     m_state->sendNextCall(partition);
 }
@@ -99,6 +102,7 @@
 void BulkWriter::clear()
 {
     ++m_state->generation;
+    m_state->pendingBytes = 0;
     const std::map<std::uint32_t, State::Partition> dropped = std::exchange(m_state->partitions, {});
     for (const auto &[partitionNumber, partition] : dropped) {
         for (const State::PendingRecord &entry : partition.currentCall) {
@@ -110,6 +114,11 @@
     }
 }
 
+std::size_t BulkWriter::pendingBytes() const
+{
+    return m_state->pendingBytes;
+}
+
 std::size_t BulkWriter::pendingRecords() const
 {
     std::size_t count = 0;
--- a/bergamot/logstore/bulk_writer.h
+++ b/bergamot/logstore/bulk_writer.h
@@ -53,6 +53,7 @@
     void clear();
     /// Records that are queued or in flight.
     std::size_t pendingRecords() const;
+    std::size_t pendingBytes() const;
 
 private:
     struct State;
--- a/bergamot/net/http_client.cpp
+++ b/bergamot/net/http_client.cpp
@@ -248,6 +248,8 @@
         asio::async_write(m_connection->socket, buffers, [self = shared_from_this()](const error_code &error, size_t) {
             self->m_sent = !error;
             self->m_writing = false;
+            std::string().swap(self->m_request.body); // an answer may take long
+            self->m_request.sharedBody = nullptr;
         });
         renewParser();
         error_code ignored; // on failure a read could block; unlikely, because each follows a wait for data
--- a/bergamot/node/batch_log.cpp
+++ b/bergamot/node/batch_log.cpp
@@ -276,6 +276,11 @@
         });
 }
 
+std::size_t BatchLog::unwrittenPayloadBytes() const
+{
+    return m_payloadWriter.pendingBytes();
+}
+
 std::size_t BatchLog::unwrittenRecords() const
 {
     return m_writer.pendingRecords() + m_payloadWriter.pendingRecords();
--- a/bergamot/node/batch_log.h
+++ b/bergamot/node/batch_log.h
@@ -137,6 +137,8 @@
                           std::function<void(bool written)> done);
     /// Number of records and payloads that are not known to be written.
     std::size_t unwrittenRecords() const;
+    /// Bytes of payloads that are not known to be written.
+    std::size_t unwrittenPayloadBytes() const;
 
     void onBatchChange(std::function<void(batch::BatchChange, const batch::log::Record &)> handler);
     /// `handler` receives what instances report about requests that crash endpoints, this instance included.
--- a/bergamot/node/engine_pool.cpp
+++ b/bergamot/node/engine_pool.cpp
@@ -45,11 +45,16 @@
     ++m_generation;
     m_eventLog.write(EventKind::State, "pool-begin", {{"epoch", std::to_string(m_log.ownership().epoch())}});
     applyEndpoints();
+    std::vector<std::pair<TimePoint, std::string>> open;
     for (const auto &[id, entry] : m_log.index().batches()) {
         if (!entry.ended && entry.results.size() < entry.totalItems) {
-            readBatch(id);
+            open.emplace_back(entry.acceptedAt, id);
         }
     }
+    std::sort(open.begin(), open.end());
+    for (const auto &[acceptedAt, id] : open) {
+        takeUp(id);
+    }
 }
 
 void EnginePool::save()
@@ -77,6 +82,8 @@
     m_earliestNextLoad.clear();
     m_acceptedOrders.clear();
     m_routes.clear();
+    m_waitingBatches.clear();
+    m_takes.clear();
     m_scheduler.clear();
 }
 
@@ -102,7 +109,7 @@
     }
     switch (change) {
     case batch::BatchChange::Accepted:
-        readBatch(batch::stringOrEmpty(record.payload_as_BatchAccepted()->batch()));
+        takeUp(batch::stringOrEmpty(record.payload_as_BatchAccepted()->batch()));
         break;
     case batch::BatchChange::ResultCommitted: {
         const batch::log::ResultListed &committed = *record.payload_as_ResultListed();
@@ -122,124 +129,6 @@
     performActions();
 }
 
-void EnginePool::readBatch(const std::string &batch)
-{
-    const batch::BatchEntry *entry = m_log.index().find(batch);
-    m_log.readPayloads(
-        entry->partition,
-        entry->parts,
-        [this, batch, generation = m_generation](bool complete, const std::vector<LogRecord> &records) {
-            if (generation != m_generation) {
-                return;
-            }
-            const batch::BatchEntry *currentEntry = m_log.index().find(batch);
-            if (currentEntry == nullptr || currentEntry->ended) {
-                return;
-            }
-            if (!complete) {
-                auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_options.retryPause);
-                timer->async_wait([this, batch, generation, timer](const boost::system::error_code &) {
-                    if (generation == m_generation && m_log.index().find(batch) != nullptr) {
-                        readBatch(batch);
-                    }
-                });
-                return;
-            }
-            batch::Batch loaded{.id = batch,
-                                .host = currentEntry->host,
-                                .path = currentEntry->path,
-                                .step = currentEntry->step,
-                                .model = currentEntry->model,
-                                .minVersion = currentEntry->minVersion,
-                                .wantedGroups = currentEntry->wantedGroups};
-            for (const LogRecord &payloadRecord : records) {
-                const batch::log::Record *record = batch::parseRecord(payloadRecord.bytes);
-                const batch::log::BatchPart *part = record == nullptr ? nullptr : record->payload_as_BatchPart();
-                if (part == nullptr || part->items() == nullptr) {
-                    // Without its items, later ones would get the positions of others.
-                    m_eventLog.write(EventKind::State,
-                                     "batch-record-unreadable",
-                                     {{"batch", batch}, {"offset", std::to_string(payloadRecord.offset)}});
-                    return;
-                }
-                for (const batch::log::Item *item : *part->items()) {
-                    loaded.items.push_back(batch::toItem(*item));
-                }
-            }
-            if (loaded.items.empty()) {
-                return;
-            }
-            m_eventLog.write(EventKind::State,
-                             "batch-taken-up",
-                             {{"batch", batch},
-                              {"step", std::to_string(loaded.step)},
-                              {"items", std::to_string(loaded.items.size())},
-                              {"listed", std::to_string(currentEntry->results.size())},
-                              {"min_version", std::to_string(loaded.minVersion)}});
-            restoreProgress(std::move(loaded));
-        });
-}
-
-void EnginePool::restoreProgress(batch::Batch loaded)
-{
-    const std::string batch = loaded.id;
-    std::vector<std::uint64_t> offsets;
-    for (const auto &[item, saved] : m_log.index().find(loaded.id)->savedProgress) {
-        offsets.insert(offsets.end(), saved.begin(), saved.end());
-    }
-    std::sort(offsets.begin(), offsets.end());
-    const auto addLoadedBatch = [this, loaded = std::move(loaded), generation = m_generation](
-                                    bool complete, const std::vector<LogRecord> &records) {
-        const batch::BatchEntry *currentEntry = m_log.index().find(loaded.id);
-        if (generation != m_generation || currentEntry == nullptr || currentEntry->ended) {
-            return;
-        }
-        if (!complete) {
-            m_eventLog.write(EventKind::State, "progress-unreadable", {{"batch", loaded.id}});
-        }
-        BatchRoutes &routes = m_routes[loaded.id];
-        routes.origin = {.host = loaded.host, .path = loaded.path};
-        m_scheduler.holdStarts();
-        m_scheduler.addBatch(
-            loaded, currentEntry->committed, itemPolicies(m_view.configuration(), routes.origin), BootClock::now());
-        updateAbsences(loaded.id, routes);
-        for (const LogRecord &payloadRecord : records) {
-            const batch::log::Record *record = batch::parseRecord(payloadRecord.bytes);
-            if (record != nullptr && record->payload_as_ItemProgress() != nullptr) {
-                m_scheduler.restoreProgress(batch::toProgress(*record->payload_as_ItemProgress()));
-            }
-        }
-        m_scheduler.releaseStarts(BootClock::now());
-        performActions();
-    };
-    if (offsets.empty()) {
-        addLoadedBatch(true, {});
-        return;
-    }
-    m_log.readPayloads(m_log.index().find(batch)->partition, std::move(offsets), addLoadedBatch);
-}
-
-void EnginePool::updateAbsences(const std::string &batch, BatchRoutes &routes)
-{
-    std::map<std::uint32_t, fleet::RouteAbsence> absences;
-    if (m_view.configuration().version() != 0) {
-        for (const std::uint32_t item : m_scheduler.itemsWithoutPolicy(batch)) {
-            const auto known = routes.absences.find(item);
-            absences.emplace(
-                item, known == routes.absences.end() ? fleet::RouteAbsence(m_options.routeAbsence) : known->second);
-        }
-    }
-    if (absences.size() != routes.absences.size()) {
-        m_eventLog.write(EventKind::State,
-                         "items-without-route",
-                         {{"batch", batch},
-                          {"items", std::to_string(absences.size())},
-                          {"before", std::to_string(routes.absences.size())},
-                          {"version", std::to_string(m_view.configuration().version())}});
-    }
-    routes.absences = std::move(absences);
-}
-
 void EnginePool::endpointsChanged()
 {
     m_endpointsChanged = true; // with many engines the list changes constantly: it is applied once per tick
@@ -328,7 +217,10 @@
     }
     checkRoutes(now);
     endRunsWithoutProgress(now);
+    takeUpWaiting();
+    m_scheduler.setUnwrittenBytes(m_log.unwrittenPayloadBytes());
     m_scheduler.tick(now);
+    logHeldStarts();
     advanceLoads(now);
     planLoads(now);
     performActions();
@@ -364,6 +256,8 @@
                 commitResult(list->result);
             } else if (const auto *save = std::get_if<dispatch::SaveProgress>(&action)) {
                 saveProgress(save->progress);
+            } else if (const auto *read = std::get_if<dispatch::ReadContents>(&action)) {
+                readContents(*read);
             } else if (const auto *reserved = std::get_if<dispatch::EngineReserved>(&action)) {
                 const batch::Item *item = m_scheduler.item(reserved->key);
                 m_eventLog.write(EventKind::State,
@@ -379,6 +273,22 @@
     m_performing = false;
 }
 
+void EnginePool::logHeldStarts()
+{
+    const bool held = m_scheduler.startsHeldForTexts();
+    if (held != std::exchange(m_startsHeld, held)) {
+        m_eventLog.write(EventKind::State,
+                         held ? "starts-held" : "starts-released",
+                         {{"text_bytes", std::to_string(m_scheduler.memory().texts)},
+                          {"unwritten_bytes", std::to_string(m_log.unwrittenPayloadBytes())}});
+    }
+}
+
+dispatch::SchedulerMemory EnginePool::memory() const
+{
+    return m_scheduler.memory();
+}
+
 void EnginePool::checkRoutes(TimePoint now)
 {
     for (auto &[batch, routes] : m_routes) {
--- a/bergamot/node/engine_pool.h
+++ b/bergamot/node/engine_pool.h
@@ -6,6 +6,7 @@
 //     EnginePool pool(loop, client, forwarder, log, view, codec, eventLog, {.holder = "node-1"}, seed);
 //     log.onOwnership([&](bool owns) { owns ? pool.begin() : pool.end(); });
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -87,6 +88,8 @@
     std::size_t runningSamples() const;
     /// Number of samples that wait for an engine.
     std::size_t waitingSamples() const;
+    /// What is kept of the open batches.
+    dispatch::SchedulerMemory memory() const;
 
 private:
     class ScoringSink;
@@ -141,9 +144,29 @@
 
     dispatch::SampleSchedulerOptions schedulerOptions();
     void applyEndpoints();
-    void readBatch(const std::string &batch);
-    /// Adds a batch to the scheduler, with the partial samples that earlier owners saved.
-    void restoreProgress(batch::Batch loaded);
+    struct Take;
+
+    /// A batch that is taken up once there is memory for it.
+    struct WaitingBatch
+    {
+        std::string id;
+        bool deferred = false; // for lack of memory; for logs
+    };
+
+    void takeUp(const std::string &batch);
+    /// Reads the batches that fit into memory, in the order of acceptance.
+    void takeUpWaiting();
+    void readNextParts(const std::shared_ptr<Take> &take);
+    void handleParts(const std::shared_ptr<Take> &take, bool complete, std::vector<LogRecord> records);
+    /// Adds the items of the next part; without their contents if these do not fit into memory.
+    void addPart(Take &take, std::vector<batch::Item> items);
+    void endTake(const std::string &batch);
+    /// Reads the partial samples that earlier owners saved, and adds the batch to the scheduler.
+    void restoreProgress(const std::shared_ptr<Take> &take);
+    void addTakenBatch(Take &take, bool progressComplete, const std::vector<LogRecord> &progress);
+    void readContents(const dispatch::ReadContents &action);
+    void handleContents(const dispatch::ReadContents &action, const std::vector<LogRecord> &records);
+    void logHeldStarts();
     /// Notes which items of the batch have no route.
     void updateAbsences(const std::string &batch, BatchRoutes &routes);
     void performActions();
@@ -215,6 +238,9 @@
     std::map<std::string, std::uint64_t> m_acceptedOrders; // last reported count of accepted orders by engine
     std::map<std::string, std::uint64_t> m_incarnations; // by engine
     std::uint64_t m_generation = 0; // changes with the ownership; invalidates callbacks of an earlier one
+    std::deque<WaitingBatch> m_waitingBatches; // in the order of acceptance
+    std::map<std::string, std::shared_ptr<Take>> m_takes; // by batch
+    bool m_startsHeld = false; // as last logged
     bool m_active = false;
     bool m_performing = false;
     bool m_endpointsChanged = false; // since the last tick
--- a/bergamot/node/node.cpp
+++ b/bergamot/node/node.cpp
@@ -76,8 +76,12 @@
 
 EnginePoolOptions poolOptions(const NodeOptions &options)
 {
+    constexpr std::size_t MemoryParts = 16; // of the machine's memory
+    constexpr std::size_t PoolParts =
+        5; // callers get half of it; the rest is for what an idle process takes and copies
     EnginePoolOptions pool;
     pool.holder = options.instance;
+    pool.scheduler.maxBytes = options.memoryBytes / MemoryParts * PoolParts;
     return pool;
 }
 
@@ -228,6 +232,7 @@
           loop,
           [this](std::shared_ptr<net::Exchange> exchange) {
               m_metrics.updatePool(m_pool.active(), m_pool.runningSamples(), m_pool.waitingSamples());
+              m_metrics.updatePoolMemory(m_pool.memory().sum());
               const QuotaExchange::Counts quota = m_quota.counts();
               m_metrics.updateUsage(m_usage.acceptedReports());
               m_metrics.updateQuota(quota.limitedEndpoints, quota.grantedTokens, quota.refusedTokens);
--- a/bergamot/node/node_metrics.cpp
+++ b/bergamot/node/node_metrics.cpp
@@ -31,6 +31,11 @@
     m_pool.Add({{"what", "waiting"}}).Set(static_cast<double>(waiting));
 }
 
+void NodeMetrics::updatePoolMemory(std::size_t bytes)
+{
+    m_pool.Add({{"what", "bytes"}}).Set(static_cast<double>(bytes));
+}
+
 void NodeMetrics::updateQuota(std::size_t limitedEndpoints, std::uint64_t granted, std::uint64_t refused)
 {
     m_quota.Add({{"what", "limited_endpoints"}}).Set(static_cast<double>(limitedEndpoints));
--- a/bergamot/node/node_metrics.h
+++ b/bergamot/node/node_metrics.h
@@ -25,6 +25,8 @@
     void recordRequest(const std::string &route, int status, Duration elapsed);
     /// Sets the gauges of the engine pool: whether this instance owns it, and its samples.
     void updatePool(bool owned, std::size_t running, std::size_t waiting);
+    /// Sets the bytes that the owner of the pool keeps of open batches.
+    void updatePoolMemory(std::size_t bytes);
     /// Sets what is known of limits that endpoints name, and the tokens that this instance granted and refused.
     void updateQuota(std::size_t limitedEndpoints, std::uint64_t granted, std::uint64_t refused);
     /// Sets the number of usage reports that the platform has accepted from this instance.
