dispatch: entries of open items may take two thirds of the owner's memory

Cause: at the size that is expected in two years, 17 trainers with 4,096 samples a step, the entries of all open items take 53 MB. With half of the 84 MB that an owner on a machine of 270 MB has, four of the trainers would have waited. Ruled out: more memory for the owner, as callers have half of the machine. Change: entries get two thirds, texts and unwritten results a quarter before runs stop to start (half before). The names of the shares tell parts of the memory from parts of the room for contents.

--- a/bergamot/dispatch/sample_scheduler.h
+++ b/bergamot/dispatch/sample_scheduler.h
@@ -633,6 +633,8 @@
     static std::vector<std::uint32_t> dueScorings(const BatchState &batch, TimePoint now);
     /// Gives the item up: commits a result without text.
     void commitIncompleteResult(const ItemKey &key, ItemState &item);
+    /// This part of `maxBytes`.
+    std::size_t partOfMemory(double part) const;
     /// Bytes that the contents of items may take.
     std::size_t contentRoom() const;
     void updateMemory();
--- a/bergamot/dispatch/sample_scheduler_contents.cpp
+++ b/bergamot/dispatch/sample_scheduler_contents.cpp
@@ -11,11 +11,11 @@
 {
 
 constexpr std::size_t EntryBytes = 768; // of an open item without its content
-constexpr std::size_t LeastContentShare = 4; // contents get at least this part of the memory
-constexpr std::size_t MostEntriesShare = 2; // entries get at most this part, so that contents and texts have room
-constexpr std::size_t MostTextsShare = 2; // the same for texts and results, before runs stop to start
-constexpr std::size_t ScoringShare = 2; // part of the contents for items that have their text
-constexpr std::size_t RunningShare = 4; // the same for items that run
+constexpr double LeastContentsShare = 0.25; // of the memory, that contents get at least
+constexpr double MostEntriesShare = 0.67; // that entries get at most, so that contents and texts have room
+constexpr double MostTextsShare = 0.25; // the same for texts and results; above it, no run starts
+constexpr std::size_t ScoringPart = 2; // the contents of items that have their text get half of the room for contents,
+constexpr std::size_t RunningPart = 4; // those of items that run a quarter
 
 } // namespace
 
@@ -72,14 +72,21 @@
 
 bool SampleScheduler::hasRoomForBatch(std::size_t items) const
 {
-    return m_batches.empty() || items * EntryBytes + m_memory.entries <= m_options.maxBytes / MostEntriesShare;
+    return m_batches.empty() || items * EntryBytes + m_memory.entries <= partOfMemory(MostEntriesShare);
+}
+
+std::size_t SampleScheduler::partOfMemory(double part) const
+{
+    return m_options.maxBytes == std::numeric_limits<std::size_t>::max()
+        ? m_options.maxBytes
+        : static_cast<std::size_t>(static_cast<double>(m_options.maxBytes) * part);
 }
 
 std::size_t SampleScheduler::contentRoom() const
 {
     const std::size_t others = m_memory.entries + m_memory.texts;
     const std::size_t left = m_options.maxBytes - std::min(m_options.maxBytes, others);
-    return std::max(left, m_options.maxBytes / LeastContentShare);
+    return std::max(left, partOfMemory(LeastContentsShare));
 }
 
 void SampleScheduler::updateMemory()
@@ -92,7 +99,7 @@
             m_memory.texts += item.text.size();
         }
     }
-    m_startsHeldForTexts = m_memory.texts > m_options.maxBytes / MostTextsShare;
+    m_startsHeldForTexts = m_memory.texts > partOfMemory(MostTextsShare);
 }
 
 void SampleScheduler::reviewContents(TimePoint now)
@@ -131,8 +138,8 @@
         return true;
     });
     const std::size_t room = contentRoom();
-    Room scoringRoom(room / ScoringShare, true);
-    Room runningRoom(room / RunningShare);
+    Room scoringRoom(room / ScoringPart, true);
+    Room runningRoom(room / RunningPart);
     for (BatchState *batch : batches) {
         for (ItemState &item : batch->items) {
             const bool calls = item.stage == Stage::Running || item.stage == Stage::Scoring;
